--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, load and the demo."""
--- /dev/null
+++ b/lacewingdock/components/__init__.py
@@ -0,0 +1,1 @@
+"""Support for the domains that daemons are put together from."""
--- /dev/null
+++ b/lacewingdock/components/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Support for admitting no more work than there is capacity for."""
--- /dev/null
+++ b/lacewingdock/components/callers/__init__.py
@@ -0,0 +1,69 @@
+"""Support for the callers' HTTP interface."""
+
+from typing import Final
+
+from lacewingdock.components.callers.app import CallersApp
+from lacewingdock.core import Daemon
+from lacewingdock.helpers.http_server import CertificateReloader, build_server
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.settings import EntrySettings
+
+NAME: Final = "callers"
+TLS_CHECK_S: Final = 10.0
+
+log = get_logger(NAME)
+
+
+class Callers:
+    """The callers' port.
+
+    Attributes:
+        daemon: The daemon.
+        app: The application behind the port.
+        server: The HTTP server.
+    """
+
+    __slots__ = ("app", "daemon", "server")
+
+    def __init__(
+        self, daemon: Daemon, settings: EntrySettings, app: CallersApp
+    ) -> None:
+        """Bind the port."""
+        self.daemon = daemon
+        self.app = app
+        tls = (
+            (settings.tls_cert, settings.tls_key) if settings.tls_cert else None
+        )
+        self.server = build_server(
+            settings.host,
+            settings.port,
+            app,
+            threads=settings.threads,
+            max_body_bytes=settings.max_body_bytes,
+            stall_s=settings.slow_caller_s,
+            tls=tls,
+        )
+        if tls:
+            reloader = CertificateReloader(
+                self.server.ssl_adapter.context, *tls
+            )
+            daemon.every(TLS_CHECK_S, reloader.reload)
+
+    def start(self) -> None:
+        """Start serving."""
+        self.daemon.spawn(self.server.serve)
+
+    def active(self) -> int:
+        """Count the callers being answered."""
+        return self.app.active.value
+
+    def unload(self) -> None:
+        """Close the port."""
+        self.server.stop()
+
+
+def setup(daemon: Daemon, settings: EntrySettings, app: CallersApp) -> Callers:
+    """Set the callers' port up."""
+    callers = Callers(daemon, settings, app)
+    daemon.add(NAME, callers)
+    return callers
--- /dev/null
+++ b/lacewingdock/components/callers/app.py
@@ -0,0 +1,171 @@
+"""Support for the WSGI application that callers talk to."""
+
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import msgspec
+from werkzeug.exceptions import ClientDisconnected, RequestEntityTooLarge
+from werkzeug.wrappers import Request, Response
+
+from lacewingdock.components.callers.chat import Chat
+from lacewingdock.components.callers.problem import problem_response
+from lacewingdock.components.callers.requests import Caller, read_caller
+from lacewingdock.components.callers.services import ServiceCalls
+from lacewingdock.components.configuration import Configuration
+from lacewingdock.const import HEADER_REQUEST_ID
+from lacewingdock.core import Daemon
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.ids import new_id
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.tally import Tally
+from lacewingdock.settings import EntrySettings
+from lacewingdock.world.objects import Workspace
+
+CHAT_PATH = "/v1/chat/completions"
+MODELS_PATH = "/v1/models"
+SERVICES_PREFIX = "/services/"
+
+log = get_logger("callers")
+
+
+class CallersApp:
+    """Routes callers' requests to what answers them.
+
+    Attributes:
+        daemon: The daemon.
+        settings: The entry's settings.
+        configuration: The configuration in force.
+        chat: Answers chat completions.
+        services: Answers calls of plain services.
+        active: Callers being answered.
+    """
+
+    __slots__ = (
+        "active",
+        "chat",
+        "configuration",
+        "daemon",
+        "services",
+        "settings",
+    )
+
+    def __init__(
+        self,
+        daemon: Daemon,
+        settings: EntrySettings,
+        configuration: Configuration,
+        chat: Chat,
+        services: ServiceCalls,
+    ) -> None:
+        """Take what it answers with."""
+        self.daemon = daemon
+        self.settings = settings
+        self.configuration = configuration
+        self.chat = chat
+        self.services = services
+        self.active = Tally()
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Iterable[bytes]:
+        """Answer one request (WSGI)."""
+        self.active.add(1)
+        response = self._answer(Request(environ))
+        if self.daemon.leaving.is_set():
+            # The balancer keeps connections open; without this it would go
+            # on using one whose instance is about to end.
+            response.headers["Connection"] = "close"
+        body = response(environ, start_response)
+        return _Counted(body, self.active)
+
+    def _answer(self, request: Request) -> Response:
+        request_id = new_id()
+        try:
+            response = self._checked(request, request_id)
+        except LacewingdockError as error:
+            log.info(
+                "refused",
+                request_id=request_id,
+                code=error.kind,
+                ran=error.ran,
+                detail=error.detail,
+            )
+            return problem_response(error, request_id)
+        response.headers[HEADER_REQUEST_ID] = request_id
+        return response
+
+    def _checked(self, request: Request, request_id: str) -> Response:
+        """Answer a request; whatever goes wrong is an error kind."""
+        try:
+            request.max_content_length = self.settings.max_body_bytes
+            return self._dispatch(request, read_caller(request, request_id))
+        except RequestEntityTooLarge as error:
+            raise LacewingdockError(
+                ErrorKind.BODY_TOO_LARGE,
+                f"more than {self.settings.max_body_bytes} bytes",
+            ) from error
+        except ClientDisconnected as error:
+            raise LacewingdockError(
+                ErrorKind.BAD_REQUEST, "the body was cut off"
+            ) from error
+        except LacewingdockError:
+            raise
+        except Exception as error:
+            log.exception("request failed", request_id=request_id)
+            raise LacewingdockError(
+                ErrorKind.INTERNAL, "see the log"
+            ) from error
+
+    def _dispatch(self, request: Request, caller: Caller) -> Response:
+        if not self.configuration.loaded.is_set():
+            raise LacewingdockError(ErrorKind.NOT_READY, "no configuration yet")
+        name, workspace = self.configuration.world.authenticate(caller.bearer)
+        path = request.path
+        if path == CHAT_PATH and request.method == "POST":
+            return self.chat.answer(request.get_data(), caller, name, workspace)
+        if path == MODELS_PATH and request.method == "GET":
+            return self._models(workspace)
+        if path.startswith(SERVICES_PREFIX):
+            return self.services.answer(request, caller, name, workspace)
+        raise LacewingdockError(ErrorKind.NOT_FOUND, f"{request.method} {path}")
+
+    def _models(self, workspace: Workspace) -> Response:
+        """List what the workspace may ask for."""
+        world = self.configuration.world
+        versions = [v for v in workspace.versions if world.offered(v)]
+        names = dict.fromkeys([*workspace.models, *versions])
+        data = [
+            {
+                "id": name,
+                "object": "model",
+                "created": 0,
+                "owned_by": "lacewingdock",
+            }
+            for name in names
+        ]
+        return Response(
+            msgspec.json.encode({"object": "list", "data": data}),
+            content_type="application/json",
+        )
+
+
+class _Counted:
+    """Keeps the count of active callers up until the body is sent."""
+
+    __slots__ = ("_active", "_body")
+
+    def __init__(self, body: Iterable[bytes], active: Tally) -> None:
+        self._body = body
+        self._active = active
+
+    def __iter__(self) -> Iterator[bytes]:
+        return iter(self._body)
+
+    def close(self) -> None:
+        """End the answer, sent or not (called by the server)."""
+        try:
+            with contextlib.suppress(AttributeError):
+                self._body.close()  # type: ignore[attr-defined]
+        finally:
+            self._active.add(-1)
--- /dev/null
+++ b/lacewingdock/components/callers/chat.py
@@ -0,0 +1,241 @@
+"""Support for answering chat completions."""
+
+from collections.abc import Iterator
+from typing import Final
+
+import msgspec
+from werkzeug.wrappers import Response
+
+from lacewingdock.components.answers.answer import Answer
+from lacewingdock.components.callers.assemble import assemble
+from lacewingdock.components.callers.problem import problem_body
+from lacewingdock.components.callers.relay import Relay
+from lacewingdock.components.callers.requests import (
+    Caller,
+    ChatBody,
+    read_chat,
+)
+from lacewingdock.components.configuration import Configuration
+from lacewingdock.components.routing import Plan, plan_request
+from lacewingdock.components.sessions import (
+    Session,
+    open_session,
+    sign_session,
+)
+from lacewingdock.const import HEADER_SESSION, HEADER_VERSION
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.ids import new_id
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.links.keys import KeyRing
+from lacewingdock.links.messages import Attempt
+from lacewingdock.platform.ratings import Ratings
+from lacewingdock.world.objects import Step, Workspace
+
+EVENT_STREAM: Final = "text/event-stream"
+DONE_EVENT: Final = b"data: [DONE]\n\n"
+HEADER_MOVED: Final = "Lacewingdock-Moved-From"
+DEADLINE_MS: Final = 120_000
+
+log = get_logger("chat")
+
+
+class Chat:
+    """Answers chat completions by plans of one step or several.
+
+    Attributes:
+        configuration: The configuration in force.
+        relay: Gets attempts answered.
+        session_keys: Keys that sign session tokens.
+        ratings: The rating service; None when there is none.
+    """
+
+    __slots__ = ("configuration", "ratings", "relay", "session_keys")
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        relay: Relay,
+        session_keys: KeyRing,
+        ratings: Ratings | None,
+    ) -> None:
+        """Take what it works with."""
+        self.configuration = configuration
+        self.relay = relay
+        self.session_keys = session_keys
+        self.ratings = ratings
+
+    def answer(
+        self, body: bytes, caller: Caller, name: str, workspace: Workspace
+    ) -> Response:
+        """Answer one chat completion.
+
+        Raises:
+            LacewingdockError: It is refused.
+        """
+        chat = read_chat(body)
+        if caller.last_event:
+            return self._resume(caller, name)
+        session = None
+        if caller.session:
+            session = open_session(caller.session, name, self.session_keys)
+        plan = plan_request(
+            self.configuration.world,
+            workspace,
+            chat.model,
+            session,
+            self.relay.source,
+        )
+        step, answer, pieces = self._run(plan, chat, caller, name)
+        if chat.stream:
+            response = self._stream(answer, pieces, caller)
+        else:
+            response = self._whole(answer, pieces)
+        self._mark(response, plan, step, name)
+        return response
+
+    def _run(
+        self, plan: Plan, chat: ChatBody, caller: Caller, workspace: str
+    ) -> tuple[Step, Answer, list[bytes]]:
+        """Run the steps until one's answer is good enough to give.
+
+        An answer that waits for a verdict is held back whole: what the
+        caller has seen can't be taken back. Its price is the first token's
+        latency; the last step streams.
+        """
+        for step in plan.steps[:-1]:
+            try:
+                answer, pieces = self._ask(step, chat, caller, workspace)
+                for more in self.relay.rest(answer) if pieces else ():
+                    pieces += more
+            except LacewingdockError as error:
+                log.info(
+                    "step failed",
+                    request_id=caller.request_id,
+                    version=step.version,
+                    code=error.kind,
+                )
+                continue
+            if self._accepts(step, chat, pieces):
+                return step, answer, pieces
+            self.relay.answers.drop(answer)
+        last = plan.steps[-1]
+        return last, *self._ask(last, chat, caller, workspace)
+
+    def _ask(
+        self, step: Step, chat: ChatBody, caller: Caller, workspace: str
+    ) -> tuple[Answer, list[bytes]]:
+        fields = {
+            **chat.fields,
+            "model": step.version,
+            "stream": True,
+            "stream_options": {"include_usage": True},
+        }
+        return self.relay.start(
+            Attempt(
+                attempt=new_id(),
+                request=caller.request_id,
+                workspace=workspace,
+                target=step.version,
+                method="POST",
+                path="/v1/chat/completions",
+                body=msgspec.json.encode(fields),
+                key=caller.key,
+                priority=caller.priority,
+                deadline_ms=DEADLINE_MS,
+                traceparent=caller.traceparent,
+                revision=self.configuration.revision,
+                resumable=bool(caller.key),
+            )
+        )
+
+    def _accepts(self, step: Step, chat: ChatBody, pieces: list[bytes]) -> bool:
+        """Ask the rating service whether a cheap answer will do."""
+        if self.ratings is None:
+            return True
+        text = assemble(pieces)["choices"][0]["message"]["content"]
+        try:
+            return self.ratings.rate(chat.messages, text) >= step.accept
+        except LacewingdockError:
+            # Without a verdict the quality target decides: go to the dearer.
+            return False
+
+    def _stream(
+        self, answer: Answer, first: list[bytes], caller: Caller
+    ) -> Response:
+        return Response(
+            self._events(answer, first, caller), content_type=EVENT_STREAM
+        )
+
+    def _events(
+        self, answer: Answer, pieces: list[bytes], caller: Caller
+    ) -> Iterator[bytes]:
+        """Yield server-sent events; pieces that wait together go together."""
+        prefix = f"{answer.upstream.name}/{answer.attempt.attempt}"
+        sent = answer.next_offset - len(pieces)
+        whole = False
+        try:
+            while pieces:
+                yield b"".join(
+                    b"id: %b/%d\ndata: %b\n\n" % (prefix.encode(), index, data)
+                    for index, data in enumerate(pieces, sent)
+                )
+                sent += len(pieces)
+                pieces = [] if answer.finish else self.relay.take(answer)
+            whole = True
+            yield DONE_EVENT
+        except LacewingdockError as error:
+            whole = True
+            body = problem_body(error, caller.request_id)
+            yield b"event: error\ndata: " + body + b"\n\n"
+        finally:
+            # A caller that went away and has no key can't come back.
+            gone = not whole and not caller.key
+            self.relay.answers.drop(answer, cancel=gone)
+
+    def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
+        try:
+            while answer.finish is None and pieces:
+                more = self.relay.take(answer)
+                if not more:
+                    break
+                pieces += more
+        finally:
+            self.relay.answers.drop(answer)
+        return Response(
+            msgspec.json.encode(assemble(pieces)),
+            content_type="application/json",
+        )
+
+    def _resume(self, caller: Caller, workspace: str) -> Response:
+        """Give the rest of an answer that the caller lost the way to."""
+        parts = caller.last_event.split("/")
+        if len(parts) != 3 or not parts[2].isdigit():
+            raise LacewingdockError(
+                ErrorKind.BAD_REQUEST, f"Last-Event-ID: {caller.last_event!r}"
+            )
+        upstream = self.relay.membership.upstreams.get(parts[0])
+        if upstream is None:
+            raise LacewingdockError(
+                ErrorKind.ANSWER_GONE, f"{parts[0]} is not known here"
+            )
+        answer = self.relay.answers.resume(
+            upstream, parts[1], workspace, int(parts[2]) + 1
+        )
+        try:
+            pieces = self.relay.take(answer)
+        except LacewingdockError:
+            self.relay.answers.drop(answer)
+            raise
+        return self._stream(answer, pieces, caller)
+
+    def _mark(
+        self, response: Response, plan: Plan, step: Step, workspace: str
+    ) -> None:
+        """Tell the caller which version answered, and how to stay on it."""
+        session = Session(workspace, plan.name, step.version)
+        response.headers[HEADER_SESSION] = sign_session(
+            session, self.session_keys
+        )
+        response.headers[HEADER_VERSION] = step.version
+        if plan.moved_from:
+            response.headers[HEADER_MOVED] = plan.moved_from
--- /dev/null
+++ b/lacewingdock/components/routing/choice.py
@@ -0,0 +1,32 @@
+"""Support for choosing the upstream that takes a request."""
+
+import random
+from collections.abc import Collection
+
+from lacewingdock.const import RAN_NO
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.world.upstream import Upstream
+
+
+def choose_upstream(
+    candidates: list[Upstream],
+    tried: Collection[str],
+    source: random.Random,
+) -> Upstream:
+    """Choose the less loaded of two upstreams drawn at random.
+
+    Args:
+        candidates: Upstreams that may take the request.
+        tried: Names of those that refused it before; a last resort only.
+        source: Source of the draw.
+
+    Raises:
+        LacewingdockError: NO_UPSTREAM, not run.
+    """
+    fresh = [u for u in candidates if u.name not in tried]
+    if not fresh:
+        raise LacewingdockError(
+            ErrorKind.NO_UPSTREAM, "no upstream can take it now", RAN_NO
+        )
+    drawn = source.sample(fresh, min(2, len(fresh)))
+    return min(drawn, key=lambda upstream: upstream.load())
--- /dev/null
+++ b/lacewingdock/components/sessions/__init__.py
@@ -0,0 +1,70 @@
+"""Support for session tokens, which any entry honours without shared state."""
+
+import base64
+import binascii
+from dataclasses import dataclass
+from typing import Final
+
+import msgspec
+
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.links.keys import KeyRing
+
+LABEL: Final = b"lacewingdock session"
+MAX_TOKEN_CHARS: Final = 1024
+
+
+@dataclass(slots=True, frozen=True)
+class Session:
+    """What a token says.
+
+    Attributes:
+        workspace: The workspace it belongs to.
+        name: The model or cascade that the session asked for.
+        version: The version that it stays on.
+        step: The cascade step of that version.
+    """
+
+    workspace: str
+    name: str
+    version: str
+    step: int = 0
+
+
+def sign_session(session: Session, keys: KeyRing) -> str:
+    """Return a signed token of a session."""
+    payload = msgspec.json.encode(session)
+    key_id, mac = keys.sign(LABEL, payload)
+    parts = (payload, key_id.encode(), mac)
+    return ".".join(base64.urlsafe_b64encode(p).decode() for p in parts)
+
+
+def open_session(token: str, workspace: str, keys: KeyRing) -> Session:
+    """Check a token and return its session.
+
+    Args:
+        token: What the caller sent.
+        workspace: The caller's workspace, which must be the token's.
+        keys: Keys that are accepted.
+
+    Raises:
+        LacewingdockError: BAD_TOKEN when it isn't genuine or another's.
+    """
+    try:
+        if len(token) > MAX_TOKEN_CHARS:
+            raise ValueError("too long")
+        payload, key_id, mac = (
+            base64.urlsafe_b64decode(part) for part in token.split(".")
+        )
+        if not keys.verify(key_id.decode(), mac, LABEL, payload):
+            raise ValueError("not genuine")
+        session = msgspec.json.decode(payload, type=Session)
+    except (ValueError, binascii.Error, msgspec.DecodeError) as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_TOKEN, f"session token: {error}"
+        ) from error
+    if session.workspace != workspace:
+        raise LacewingdockError(
+            ErrorKind.BAD_TOKEN, "the session is another workspace's"
+        )
+    return session
--- /dev/null
+++ b/lacewingdock/core.py
@@ -0,0 +1,187 @@
+"""Support for running a daemon as a list of components."""
+
+import os
+import random
+import signal
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Any, Final, Protocol, TypeVar, cast
+
+import prometheus_client
+
+from lacewingdock.const import (
+    BEAT_BUSY_S,
+    ROLE_ENTRY,
+    ROLE_SIDECAR,
+    THREAD_STACK_BYTES,
+)
+from lacewingdock.helpers.ids import new_id
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.links.keys import KeyRing, load_keys
+from lacewingdock.links.messages import Hello
+from lacewingdock.platform.store import ObjectStore
+from lacewingdock.settings import DaemonSettings, EntrySettings
+
+MAX_TASKS: Final = 4096
+LEAVE_POLL_S: Final = 0.05
+
+log = get_logger("core")
+
+C = TypeVar("C")
+
+
+class Component(Protocol):
+    """What a component's `setup` returns."""
+
+    def unload(self) -> None:
+        """Undo `setup`; called in reverse order of setting up."""
+
+
+class Daemon:
+    """One process: settings, tasks and components.
+
+    Attributes:
+        settings: The checked settings.
+        me: What this daemon says of itself on links.
+        keys: Keys of the links.
+        store: Client of the platform's object API.
+        executor: Runs the tasks.
+        stopping: Set when the process shall end.
+        leaving: Set from the announcement of a planned stop.
+        components: The components by name, in order of setting up.
+        metrics: Registry of the metrics.
+        random: Source of jitter.
+        started: Monotonic time of the start.
+        on_leave: Called when a planned stop is announced.
+    """
+
+    __slots__ = (
+        "components",
+        "executor",
+        "keys",
+        "leaving",
+        "me",
+        "metrics",
+        "on_leave",
+        "random",
+        "settings",
+        "started",
+        "stopping",
+        "store",
+    )
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        """Build the daemon; nothing runs before `run`."""
+        threading.stack_size(THREAD_STACK_BYTES)
+        is_entry = isinstance(settings, EntrySettings)
+        self.settings = settings
+        self.me = Hello(
+            instance=settings.instance,
+            incarnation=new_id(),
+            role=ROLE_ENTRY if is_entry else ROLE_SIDECAR,
+            failure_domain=settings.failure_domain,
+            nonce=b"",
+        )
+        self.keys: KeyRing = load_keys(settings.link_keys_file)
+        self.store = ObjectStore(settings.platform)
+        self.executor = ThreadPoolExecutor(MAX_TASKS, "task")
+        self.stopping = threading.Event()
+        self.leaving = threading.Event()
+        self.components: dict[str, Component] = {}
+        self.metrics = prometheus_client.CollectorRegistry()
+        self.random = random.Random(self.me.incarnation)
+        self.started = time.monotonic()
+        self.on_leave: list[Callable[[], None]] = []
+
+    def spawn(self, function: Callable[..., Any], *args: Any) -> "Future[Any]":
+        """Run a function as a task; what it raises is logged."""
+        future = self.executor.submit(function, *args)
+        future.add_done_callback(_log_failure)
+        return future
+
+    def every(self, interval_s: float, function: Callable[[], None]) -> None:
+        """Run a function again and again until the daemon stops.
+
+        An error in one round is logged and the rounds go on: a task that
+        died unseen would leave its duty undone for good.
+        """
+
+        def rounds() -> None:
+            while not self.stopping.wait(interval_s):
+                try:
+                    function()
+                except Exception:
+                    log.exception("round failed", task=function.__qualname__)
+
+        self.spawn(rounds)
+
+    def add(self, name: str, component: Component) -> None:
+        """Take a component in."""
+        self.components[name] = component
+
+    def component(self, name: str, cls: type[C]) -> C:
+        """Return a component that was set up before."""
+        return cast("C", self.components[name])
+
+    def run(self, drain: Callable[[], int]) -> int:
+        """Serve until SIGTERM or SIGINT, then stop gracefully.
+
+        Args:
+            drain: Returns how many requests are still running here.
+
+        Returns:
+            The number of requests cut by the end of the grace time.
+        """
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.leaving.set())
+        while not self.leaving.wait(1.0):
+            pass
+        log.info("leaving")
+        for callback in self.on_leave:
+            callback()
+        left = self._drain(drain)
+        self.stop()
+        log.info("stopped", requests_left=left)
+        return left
+
+    def _drain(self, drain: Callable[[], int]) -> int:
+        end = time.monotonic() + self.settings.grace_s
+        # Peers hear of the stop with the next beat; what they sent before
+        # must still be served.
+        time.sleep(2 * BEAT_BUSY_S)
+        while time.monotonic() < end and drain():
+            time.sleep(LEAVE_POLL_S)
+        return drain()
+
+    def stop(self) -> None:
+        """Unload the components, the last one first."""
+        self.stopping.set()
+        for name in reversed(list(self.components)):
+            try:
+                self.components[name].unload()
+            except Exception:
+                log.exception("unload failed", component=name)
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+
+def exit_now(status: int) -> None:
+    """End the process without waiting for tasks blocked in a read."""
+    import logging
+    import sys
+
+    logging.shutdown()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(status)
+
+
+def _log_failure(future: "Future[Any]") -> None:
+    error = None if future.cancelled() else future.exception()
+    if error is not None:
+        log.error(
+            "task failed",
+            error=repr(error),
+            exc_info=(type(error), error, error.__traceback__),
+        )
--- /dev/null
+++ b/lacewingdock/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Support for the daemons."""
--- /dev/null
+++ b/lacewingdock/daemons/entry.py
@@ -0,0 +1,54 @@
+"""Support for the entry daemon, which callers talk to."""
+
+from lacewingdock.components import (
+    admin,
+    answers,
+    callers,
+    configuration,
+    membership,
+    peers,
+)
+from lacewingdock.components.callers.app import CallersApp
+from lacewingdock.components.callers.chat import Chat
+from lacewingdock.components.callers.relay import Relay
+from lacewingdock.components.callers.services import ServiceCalls
+from lacewingdock.core import Daemon
+from lacewingdock.links.keys import load_keys
+from lacewingdock.links.messages import Beat
+from lacewingdock.platform.ratings import Ratings
+from lacewingdock.settings import EntrySettings
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Run an entry until it is stopped.
+
+    Returns:
+        The number of callers that the stop cut off.
+
+    Raises:
+        LacewingdockError: It can't start.
+    """
+    daemon = Daemon(settings)
+    links = peers.setup(daemon)
+    config = configuration.setup(daemon, links)
+    links.beat = lambda: Beat(revision=config.revision)
+    members = membership.setup(daemon, links, config, settings.subset)
+    open_answers = answers.setup(daemon, links, members)
+    relay = Relay(open_answers, members, daemon.random)
+    ratings = Ratings(settings.ratings) if settings.ratings else None
+    app = CallersApp(
+        daemon,
+        settings,
+        config,
+        Chat(config, relay, load_keys(settings.session_keys_file), ratings),
+        ServiceCalls(config, relay),
+    )
+    port = callers.setup(daemon, settings, app)
+    admin_port = admin.setup(
+        daemon,
+        config,
+        lambda: any(u.link for u in tuple(members.upstreams.values())),
+    )
+    for component in (links, config, members, port, admin_port):
+        component.start()
+    return daemon.run(port.active)
--- /dev/null
+++ b/lacewingdock/daemons/sidecar.py
@@ -0,0 +1,39 @@
+"""Support for the sidecar daemon, the last gate before an upstream."""
+
+from lacewingdock.components import (
+    admin,
+    claims,
+    configuration,
+    engine,
+    peers,
+    runs,
+)
+from lacewingdock.core import Daemon
+from lacewingdock.settings import SidecarSettings
+
+
+def run_sidecar(settings: SidecarSettings) -> int:
+    """Run a sidecar until it is stopped.
+
+    Returns:
+        The number of requests that the stop cut off.
+
+    Raises:
+        LacewingdockError: It can't start.
+    """
+    daemon = Daemon(settings)
+    links = peers.setup(daemon)
+    config = configuration.setup(daemon, links)
+    held = None
+    if settings.service:
+        held = claims.setup(daemon, links, config, settings.service)
+    work = runs.setup(daemon, settings, links, config, held)
+    if held is not None:
+        held.on_change = work.announce
+        held.start()
+    engine.setup(daemon, settings.upstream, work, settings.service)
+    admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
+    for component in (links, config, work, admin_port):
+        component.start()
+    daemon.on_leave.append(work.announce)
+    return daemon.run(work.active)
--- /dev/null
+++ b/lacewingdock/exceptions.py
@@ -0,0 +1,168 @@
+"""Support for the closed list of error kinds and what each answers."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Final
+
+from lacewingdock.const import RAN_NO, RAN_UNKNOWN, RAN_YES
+
+
+class ErrorKind(StrEnum):
+    """Every kind of error the system can answer or exit with."""
+
+    ANSWER_GONE = "answer_gone"
+    BAD_COMMAND = "bad_command"
+    BAD_LINK = "bad_link"
+    BAD_MANIFEST = "bad_manifest"
+    BAD_REQUEST = "bad_request"
+    BAD_SETTING = "bad_setting"
+    BAD_TOKEN = "bad_token"
+    BODY_TOO_LARGE = "body_too_large"
+    BUDGET_EXHAUSTED = "budget_exhausted"
+    CONFLICT = "conflict"
+    DEADLINE = "deadline"
+    INTERNAL = "internal"
+    KEY_REQUIRED = "key_required"
+    KEY_REUSED = "key_reused"
+    LEAVING = "leaving"
+    MODEL_NOT_ALLOWED = "model_not_allowed"
+    NOT_FOUND = "not_found"
+    NOT_HOME = "not_home"
+    NOT_READY = "not_ready"
+    NO_UPSTREAM = "no_upstream"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OVERLOADED = "overloaded"
+    PERMISSION_DENIED = "permission_denied"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
+    PORT_TAKEN = "port_taken"
+    QUARANTINED = "quarantined"
+    UNAUTHORIZED = "unauthorized"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UPSTREAM_FAILED = "upstream_failed"
+    VERSION_WITHDRAWN = "version_withdrawn"
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """What one error kind tells a caller or an operator.
+
+    Attributes:
+        status: HTTP status.
+        title: One line of English for people.
+        ran: Whether the request ran, unless the error says otherwise.
+        retry_after_s: Seconds until trying again can help; None if it can't.
+        exit_status: Exit status of the command line.
+    """
+
+    status: int
+    title: str
+    ran: str = RAN_NO
+    retry_after_s: float | None = None
+    exit_status: int = 1
+
+
+ANSWERS: Final[dict[ErrorKind, Answer]] = {
+    ErrorKind.ANSWER_GONE: Answer(
+        410, "The answer is no longer kept", ran=RAN_YES
+    ),
+    ErrorKind.BAD_COMMAND: Answer(
+        400, "The command is not understood", exit_status=2
+    ),
+    ErrorKind.BAD_LINK: Answer(
+        400, "The peer's frame or key was refused", exit_status=2
+    ),
+    ErrorKind.BAD_MANIFEST: Answer(
+        422, "The configuration has faults", exit_status=2
+    ),
+    ErrorKind.BAD_REQUEST: Answer(400, "The request is malformed"),
+    ErrorKind.BAD_SETTING: Answer(
+        500, "The settings have faults", exit_status=2
+    ),
+    ErrorKind.BAD_TOKEN: Answer(400, "The session token is not valid"),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, "The body is too large"),
+    ErrorKind.BUDGET_EXHAUSTED: Answer(
+        429, "The workspace's budget is used up", retry_after_s=60.0
+    ),
+    ErrorKind.CONFLICT: Answer(409, "Another change came first"),
+    ErrorKind.DEADLINE: Answer(
+        504, "The deadline passed", ran=RAN_UNKNOWN, retry_after_s=1.0
+    ),
+    ErrorKind.INTERNAL: Answer(500, "Internal error", ran=RAN_UNKNOWN),
+    ErrorKind.KEY_REQUIRED: Answer(400, "This call needs an Idempotency-Key"),
+    ErrorKind.KEY_REUSED: Answer(
+        422, "The Idempotency-Key was used with another body"
+    ),
+    ErrorKind.LEAVING: Answer(
+        503, "This instance is stopping", retry_after_s=0.1
+    ),
+    ErrorKind.MODEL_NOT_ALLOWED: Answer(
+        403, "The workspace does not allow this model"
+    ),
+    ErrorKind.NOT_FOUND: Answer(404, "Nothing is at this path"),
+    ErrorKind.NOT_HOME: Answer(
+        503, "The key's home is changing", retry_after_s=0.5
+    ),
+    ErrorKind.NOT_READY: Answer(
+        503, "This instance is not ready", retry_after_s=1.0
+    ),
+    ErrorKind.NO_UPSTREAM: Answer(
+        503, "No upstream can take the request", retry_after_s=1.0
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        502, "Whether the request ran is not known", ran=RAN_UNKNOWN
+    ),
+    ErrorKind.OVERLOADED: Answer(429, "Capacity is used up", retry_after_s=1.0),
+    ErrorKind.PERMISSION_DENIED: Answer(403, "The role does not allow this"),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(
+        503, "The platform's store does not answer", retry_after_s=2.0
+    ),
+    ErrorKind.PORT_TAKEN: Answer(
+        500, "A port is already in use", exit_status=3
+    ),
+    ErrorKind.QUARANTINED: Answer(
+        422, "This request crashed upstreams and is quarantined"
+    ),
+    ErrorKind.UNAUTHORIZED: Answer(401, "The workspace key is not valid"),
+    ErrorKind.UNKNOWN_MODEL: Answer(404, "No such model"),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, "No such service or operation"),
+    ErrorKind.UPSTREAM_FAILED: Answer(
+        502, "The upstream failed", ran=RAN_UNKNOWN, retry_after_s=1.0
+    ),
+    ErrorKind.VERSION_WITHDRAWN: Answer(
+        409, "The version was withdrawn", retry_after_s=0.1
+    ),
+}
+
+
+class LacewingdockError(Exception):
+    """The root of all errors raised by lacewingdock.
+
+    Attributes:
+        kind: The error's kind; `ANSWERS` says what it answers.
+        detail: What happened, for people; never holds a secret.
+        ran: Whether the request ran: "no", "yes" or "unknown".
+        retry_after_s: Seconds until trying again can help, or None.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str,
+        ran: str | None = None,
+        retry_after_s: float | None = None,
+    ) -> None:
+        """Take kind and detail; the rest defaults to the kind's answer."""
+        super().__init__(f"{kind}: {detail}")
+        answer = ANSWERS[kind]
+        self.kind = kind
+        self.detail = detail
+        self.ran = answer.ran if ran is None else ran
+        self.retry_after_s = (
+            answer.retry_after_s if retry_after_s is None else retry_after_s
+        )
+
+    @property
+    def answer(self) -> Answer:
+        """The kind's row in `ANSWERS`."""
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/lacewingdock/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Support code shared by components."""
--- /dev/null
+++ b/lacewingdock/helpers/http_server.py
@@ -0,0 +1,92 @@
+"""Support for serving WSGI applications."""
+
+import errno
+import ssl
+from collections.abc import Callable
+from typing import Any, Final
+
+from cheroot import wsgi
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+
+MAX_HEADER_BYTES: Final = 32 * 1024
+BACKLOG: Final = 512
+
+
+class CertificateReloader:
+    """Takes a renewed certificate into use without a restart.
+
+    Attributes:
+        context: The TLS context that new connections use.
+        cert: PEM file of the certificate chain.
+        key: PEM file of the private key.
+    """
+
+    __slots__ = ("cert", "context", "key")
+
+    def __init__(self, context: ssl.SSLContext, cert: str, key: str) -> None:
+        """Take the context that the server serves with."""
+        self.context = context
+        self.cert = cert
+        self.key = key
+
+    def reload(self) -> None:
+        """Load the files again; open connections keep the old certificate.
+
+        Raises:
+            OSError: A file can't be read or does not match the other.
+        """
+        self.context.load_cert_chain(self.cert, self.key)
+
+
+def build_server(
+    host: str,
+    port: int,
+    app: Callable[..., Any],
+    *,
+    threads: int,
+    max_body_bytes: int = 0,
+    stall_s: float = 10.0,
+    tls: tuple[str, str] | None = None,
+) -> wsgi.Server:
+    """Bind a server; `serve` runs it.
+
+    Args:
+        host: IP number to listen on.
+        port: Port; 0 takes a free one, found in `bind_addr` afterwards.
+        app: The WSGI application.
+        threads: Requests served at once.
+        max_body_bytes: Largest body accepted; 0 for no limit.
+        stall_s: Seconds that a caller may stall a read or write.
+        tls: Files of certificate chain and private key.
+
+    Raises:
+        LacewingdockError: PORT_TAKEN, or BAD_SETTING for a bad certificate.
+    """
+    server = wsgi.Server(
+        (host, port),
+        app,
+        numthreads=threads,
+        request_queue_size=BACKLOG,
+        shutdown_timeout=1,
+    )
+    server.timeout = stall_s
+    server.max_request_header_size = MAX_HEADER_BYTES
+    server.max_request_body_size = max_body_bytes
+    if tls:
+        try:
+            server.ssl_adapter = BuiltinSSLAdapter(*tls)
+        except (OSError, ValueError) as error:
+            raise LacewingdockError(
+                ErrorKind.BAD_SETTING, f"TLS files {tls}: {error}"
+            ) from error
+    try:
+        server.prepare()
+    except OSError as error:
+        if error.errno not in (errno.EADDRINUSE, None):
+            raise
+        raise LacewingdockError(
+            ErrorKind.PORT_TAKEN, f"{host}:{port}: {error}"
+        ) from error
+    return server
--- /dev/null
+++ b/lacewingdock/links/__init__.py
@@ -0,0 +1,1 @@
+"""Support for links between daemons."""
--- /dev/null
+++ b/lacewingdock/links/handshake.py
@@ -0,0 +1,115 @@
+"""Support for proving to each other that two peers hold a link key."""
+
+import secrets
+import socket
+from dataclasses import replace
+from typing import Final
+
+from lacewingdock.const import (
+    DIAL_TIMEOUT_S,
+    HANDSHAKE_TIMEOUT_S,
+    MAX_HELLO_BYTES,
+)
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.links.keys import KeyRing
+from lacewingdock.links.link import Link, read_frame
+from lacewingdock.links.messages import Hello, Proof
+from lacewingdock.links.wire import encode
+
+NONCE_BYTES: Final = 16
+# Each side signs under its own label: a signature reflected back to the side
+# that made it must not pass for the peer's.
+LABEL_DIALER: Final = b"lacewingdock dialer"
+LABEL_LISTENER: Final = b"lacewingdock listener"
+
+
+def dial(
+    address: str,
+    me: Hello,
+    keys: KeyRing,
+    timeout_s: float = HANDSHAKE_TIMEOUT_S,
+) -> Link:
+    """Connect to a peer and shake hands.
+
+    Args:
+        address: "IP:PORT".
+        me: What this daemon says of itself; the nonce is filled in here.
+        keys: Keys that sign and that are accepted.
+        timeout_s: Seconds that connecting and each frame may take.
+
+    Returns:
+        The link.
+
+    Raises:
+        LacewingdockError: BAD_LINK when the peer does not hold the key.
+        OSError: The connection failed or the time ran out.
+    """
+    host, _, port = address.rpartition(":")
+    sock = socket.create_connection(
+        (host, int(port)), min(timeout_s, DIAL_TIMEOUT_S)
+    )
+    try:
+        sock.settimeout(timeout_s)
+        hello = replace(me, nonce=secrets.token_bytes(NONCE_BYTES))
+        sock.sendall(encode(hello))
+        peer = _hello(sock)
+        transcript = (hello.nonce, peer.nonce, _named(hello), _named(peer))
+        if not keys.verify(peer.key_id, peer.mac, LABEL_LISTENER, *transcript):
+            raise LacewingdockError(
+                ErrorKind.BAD_LINK, f"{address} does not hold a link key"
+            )
+        key_id, mac = keys.sign(LABEL_DIALER, *transcript)
+        sock.sendall(encode(Proof(key_id.encode() + b" " + mac)))
+        return Link(sock, peer)
+    except BaseException:
+        sock.close()
+        raise
+
+
+def accept(sock: socket.socket, me: Hello, keys: KeyRing) -> Link:
+    """Shake hands with a peer that connected.
+
+    Args:
+        sock: The accepted socket.
+        me: What this daemon says of itself.
+        keys: Keys that sign and that are accepted.
+
+    Raises:
+        LacewingdockError: BAD_LINK when the peer does not hold the key.
+        OSError: The connection failed or the time ran out.
+    """
+    sock.settimeout(HANDSHAKE_TIMEOUT_S)
+    peer = _hello(sock)
+    hello = replace(me, nonce=secrets.token_bytes(NONCE_BYTES))
+    transcript = (peer.nonce, hello.nonce, _named(peer), _named(hello))
+    key_id, mac = keys.sign(LABEL_LISTENER, *transcript)
+    sock.sendall(encode(replace(hello, key_id=key_id, mac=mac)))
+    proof = read_frame(sock, MAX_HELLO_BYTES)
+    if not isinstance(proof, Proof):
+        raise LacewingdockError(ErrorKind.BAD_LINK, "no proof of the key")
+    key_name, _, mac = proof.mac.partition(b" ")
+    if not keys.verify(
+        key_name.decode("utf-8", "replace"), mac, LABEL_DIALER, *transcript
+    ):
+        raise LacewingdockError(
+            ErrorKind.BAD_LINK, f"{peer.instance} does not hold a link key"
+        )
+    return Link(sock, peer)
+
+
+def _hello(sock: socket.socket) -> Hello:
+    message = read_frame(sock, MAX_HELLO_BYTES)
+    if not isinstance(message, Hello) or len(message.nonce) != NONCE_BYTES:
+        raise LacewingdockError(ErrorKind.BAD_LINK, "no hello")
+    return message
+
+
+def _named(hello: Hello) -> bytes:
+    """Bind the signature to who the peer says it is."""
+    names = (
+        hello.instance,
+        hello.incarnation,
+        hello.role,
+        hello.failure_domain,
+    )
+    return "\0".join(names).encode()
--- /dev/null
+++ b/lacewingdock/links/messages.py
@@ -0,0 +1,236 @@
+"""Support for the messages that daemons exchange over links."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class Hello:
+    """Name a peer; the first frame from either side.
+
+    Attributes:
+        instance: Name of the sending instance.
+        incarnation: Unique to each start of the process.
+        role: "entry" or "sidecar".
+        failure_domain: Failure domain of the sender.
+        nonce: 16 random bytes for the other side to sign.
+        key_id: Which link key signs.
+        mac: The answering side's signature over the dialer's nonce; empty
+            in the dialer's own hello.
+    """
+
+    instance: str
+    incarnation: str
+    role: str
+    failure_domain: str
+    nonce: bytes
+    key_id: str = ""
+    mac: bytes = b""
+
+
+@dataclass(slots=True)
+class Proof:
+    """Carry the dialer's signature over the listener's nonce."""
+
+    mac: bytes
+
+
+@dataclass(slots=True)
+class Attempt:
+    """Ask a sidecar to run a request on its upstream.
+
+    Attributes:
+        attempt: Id of this attempt; frames of the answer carry it.
+        request: Id of the caller's request, for bills and logs.
+        workspace: Name of the caller's workspace.
+        target: Name of the model version or plain service.
+        method: HTTP method for the upstream.
+        path: Path and query for the upstream.
+        body: The request's body.
+        content_type: Media type of the body.
+        key: The caller's idempotency key, or empty.
+        priority: 0 is the most urgent.
+        deadline_ms: Milliseconds left, counted from receipt.
+        repeatable: Whether running the request twice does no harm.
+        traceparent: W3C trace context, or empty.
+        revision: Configuration revision the entry decided at.
+        resumable: Whether the answer is kept if the caller goes away.
+    """
+
+    attempt: str
+    request: str
+    workspace: str
+    target: str
+    method: str
+    path: str
+    body: bytes
+    content_type: str = "application/json"
+    key: str = ""
+    priority: int = 1
+    deadline_ms: int = 60_000
+    repeatable: bool = True
+    traceparent: str = ""
+    revision: int = 0
+    resumable: bool = False
+
+
+@dataclass(slots=True)
+class Chunk:
+    """Carry one piece of an answer.
+
+    Attributes:
+        attempt: Id of the attempt it belongs to.
+        offset: Index of the piece in the answer, from 0.
+        data: One server-sent event's data, or bytes of a body.
+    """
+
+    attempt: str
+    offset: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class Finish:
+    """End an answer.
+
+    Attributes:
+        attempt: Id of the attempt.
+        chunks: Number of pieces in the whole answer.
+        status: HTTP status from the upstream.
+        content_type: Media type of the answer.
+        input_tokens: Tokens read, 0 for services.
+        output_tokens: Tokens generated, 0 for services.
+    """
+
+    attempt: str
+    chunks: int
+    status: int = 200
+    content_type: str = "application/json"
+    input_tokens: int = 0
+    output_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Refusal:
+    """End an attempt without a whole answer.
+
+    Attributes:
+        attempt: Id of the attempt.
+        code: An `ErrorKind`.
+        ran: "no", "yes" or "unknown".
+        detail: What happened, for people.
+        retry_after_ms: Milliseconds until trying again can help; -1 if it
+            can't.
+    """
+
+    attempt: str
+    code: str
+    ran: str
+    detail: str
+    retry_after_ms: int = -1
+
+
+@dataclass(slots=True)
+class Resume:
+    """Ask for the rest of an answer over this link.
+
+    Attributes:
+        attempt: Id that the frames to come shall carry.
+        original: Id of the attempt that was started.
+        workspace: The caller's workspace, which must be the attempt's.
+        offset: Index of the first piece wanted.
+    """
+
+    attempt: str
+    original: str
+    workspace: str
+    offset: int
+
+
+@dataclass(slots=True)
+class Cancel:
+    """Say that nobody waits for an attempt any more."""
+
+    attempt: str
+
+
+@dataclass(slots=True)
+class Status:
+    """Tell what a sidecar serves; sent on each change and on connect.
+
+    Attributes:
+        targets: Versions loaded, or the service.
+        running: Requests on the upstream.
+        queued: Requests waiting.
+        capacity: Requests the upstream runs at once.
+        leaving: Whether the sidecar takes no new work.
+        homes: Claim partitions held, each "SERVICE/PARTITION@TERM".
+    """
+
+    targets: list[str] = field(default_factory=list)
+    running: int = 0
+    queued: int = 0
+    capacity: int = 0
+    leaving: bool = False
+    homes: list[str] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Beat:
+    """Show that the link is alive.
+
+    Attributes:
+        running: Requests on the sender's upstream.
+        queued: Requests waiting at the sender.
+        revision: Configuration revision in force at the sender.
+    """
+
+    running: int = 0
+    queued: int = 0
+    revision: int = 0
+
+
+@dataclass(slots=True)
+class Item:
+    """Carry one configuration item.
+
+    Attributes:
+        key: "KIND/NAME".
+        revision: The platform's revision of the item.
+        value: JSON; empty when the item was deleted.
+    """
+
+    key: str
+    revision: int
+    value: bytes
+
+
+@dataclass(slots=True)
+class Delta:
+    """Carry every item that changed after `since`, up to `upto`."""
+
+    since: int
+    upto: int
+    items: list[Item] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Pull:
+    """Ask for every item that changed after `since`."""
+
+    since: int
+
+
+Message = (
+    Hello
+    | Proof
+    | Attempt
+    | Chunk
+    | Finish
+    | Refusal
+    | Resume
+    | Cancel
+    | Status
+    | Beat
+    | Delta
+    | Pull
+)
--- /dev/null
+++ b/lacewingdock/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Support for the platform that the deployment runs on."""
--- /dev/null
+++ b/lacewingdock/world/__init__.py
@@ -0,0 +1,1 @@
+"""Support for the objects of the deployment: workspaces, versions, links."""
--- /dev/null
+++ b/lacewingdock/world/upstream.py
@@ -0,0 +1,90 @@
+"""Support for an upstream as an entry sees it through its sidecar."""
+
+import threading
+import time
+
+from lacewingdock.helpers.tally import Tally
+from lacewingdock.links.link import Link
+from lacewingdock.links.messages import Beat, Status
+from lacewingdock.world.objects import Instance
+
+
+class Upstream:
+    """One upstream instance behind its sidecar.
+
+    Attributes:
+        instance: The sidecar's entry in the platform's list.
+        link: The link to it; None while there is none.
+        status: What the sidecar last said of itself.
+        in_flight: Attempts of this entry that have not ended.
+        sent_since_news: Attempts sent since the last load report; a report
+            lags, and without them all entries would herd to the idlest.
+        wanted: Whether the link shall be kept.
+    """
+
+    __slots__ = (
+        "_changed",
+        "in_flight",
+        "instance",
+        "link",
+        "sent_since_news",
+        "status",
+        "wanted",
+    )
+
+    def __init__(self, instance: Instance) -> None:
+        """Start without a link."""
+        self.instance = instance
+        self.link: Link | None = None
+        self.status = Status()
+        self.in_flight = Tally()
+        self.sent_since_news = 0
+        self.wanted = True
+        self._changed = threading.Condition()
+
+    @property
+    def name(self) -> str:
+        """Name of the sidecar's instance."""
+        return self.instance.name
+
+    def usable(self, target: str) -> bool:
+        """Tell whether new work for a target may go there."""
+        return (
+            self.link is not None
+            and not self.link.closed
+            and not self.status.leaving
+            and self.instance.state == "live"
+            and target in self.status.targets
+        )
+
+    def load(self) -> float:
+        """Work known to be there, as a part of capacity."""
+        status = self.status
+        known = status.running + status.queued + self.sent_since_news
+        return max(known, self.in_flight.value) / max(status.capacity, 1)
+
+    def take_news(self, news: Status | Beat) -> None:
+        """Take the sidecar's own figures, fresher than any report."""
+        if isinstance(news, Status):
+            self.status = news
+        else:
+            self.status.running = news.running
+            self.status.queued = news.queued
+        self.sent_since_news = 0
+
+    def set_link(self, link: Link | None) -> None:
+        """Take a new link, or None when it closed."""
+        with self._changed:
+            self.link = link
+            self._changed.notify_all()
+
+    def wait_link(self, timeout_s: float) -> Link | None:
+        """Wait for an open link; None when there is none in time."""
+        end = time.monotonic() + timeout_s
+        with self._changed:
+            while self.link is None or self.link.closed:
+                left = end - time.monotonic()
+                if left <= 0:
+                    return None
+                self._changed.wait(left)
+            return self.link
--- /dev/null
+++ b/lacewingdock/world/world.py
@@ -0,0 +1,157 @@
+"""Support for one consistent view of all configured objects."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field, fields
+from typing import Any, Final
+
+import msgspec
+
+from lacewingdock.const import (
+    KIND_CASCADE,
+    KIND_MODEL,
+    KIND_SERVICE,
+    KIND_VERSION,
+    KIND_WORKSPACE,
+)
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.world.objects import (
+    Cascade,
+    ConfigObject,
+    Model,
+    Operation,
+    Service,
+    Version,
+    Workspace,
+)
+
+CLASSES: Final[dict[str, type]] = {
+    KIND_CASCADE: Cascade,
+    KIND_MODEL: Model,
+    KIND_SERVICE: Service,
+    KIND_VERSION: Version,
+    KIND_WORKSPACE: Workspace,
+}
+
+
+@dataclass(slots=True)
+class World:
+    """All configured objects by name; never changed once built.
+
+    Attributes:
+        cascades: Cascades by name.
+        models: Models by name.
+        services: Plain services by name.
+        versions: Model versions by name.
+        workspaces: Workspaces by name.
+        key_owners: Workspace name by digest of a bearer key.
+    """
+
+    cascades: dict[str, Cascade] = field(default_factory=dict)
+    models: dict[str, Model] = field(default_factory=dict)
+    services: dict[str, Service] = field(default_factory=dict)
+    versions: dict[str, Version] = field(default_factory=dict)
+    workspaces: dict[str, Workspace] = field(default_factory=dict)
+    key_owners: dict[str, str] = field(default_factory=dict)
+
+    def add(self, name: str, item: ConfigObject) -> None:
+        """Put an object in its place; only used while building."""
+        match item:
+            case Cascade():
+                self.cascades[name] = item
+            case Model():
+                self.models[name] = item
+            case Service():
+                self.services[name] = item
+            case Version():
+                self.versions[name] = item
+            case Workspace():
+                self.workspaces[name] = item
+                for digest in item.keys:
+                    self.key_owners[digest] = name
+
+    def authenticate(self, key: str) -> tuple[str, Workspace]:
+        """Find the workspace of a bearer key.
+
+        Raises:
+            LacewingdockError: UNAUTHORIZED when no workspace has the key.
+        """
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        name = self.key_owners.get(digest)
+        if name is None:
+            raise LacewingdockError(
+                ErrorKind.UNAUTHORIZED, "the bearer key is not known"
+            )
+        return name, self.workspaces[name]
+
+    def offered(self, version: str) -> bool:
+        """Tell whether a version is configured and not withdrawn."""
+        found = self.versions.get(version)
+        return found is not None and found.state == "offered"
+
+    def operation(self, service: str, method: str, path: str) -> Operation:
+        """Find the contract of a service call.
+
+        Raises:
+            LacewingdockError: UNKNOWN_SERVICE when there is none.
+        """
+        found = self.services.get(service)
+        for operation in found.operations if found else ():
+            if (operation.method, operation.path) == (method, path):
+                return operation
+        raise LacewingdockError(
+            ErrorKind.UNKNOWN_SERVICE, f"{method} {path} of {service}"
+        )
+
+
+def decode_item(key: str, value: Any) -> tuple[str, ConfigObject]:
+    """Check one item and build its object.
+
+    Args:
+        key: "KIND/NAME".
+        value: JSON bytes, or what they decode to.
+
+    Returns:
+        The name and the object.
+
+    Raises:
+        LacewingdockError: BAD_MANIFEST naming the key and the value.
+    """
+    kind, _, name = key.partition("/")
+    cls = CLASSES.get(kind)
+    if cls is None or not name:
+        raise LacewingdockError(
+            ErrorKind.BAD_MANIFEST,
+            f"{key}: kind must be one of {', '.join(sorted(CLASSES))}",
+        )
+    try:
+        if isinstance(value, bytes):
+            value = msgspec.json.decode(value)
+        _refuse_unknown(cls, value)
+        return name, msgspec.convert(value, cls)
+    except (msgspec.ValidationError, msgspec.DecodeError) as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_MANIFEST, f"{key}: {error}"
+        ) from error
+
+
+def _refuse_unknown(cls: type, value: Any) -> None:
+    """A misspelt field must not silently fall back to its default."""
+    if isinstance(value, dict):
+        unknown = set(value) - {field.name for field in fields(cls)}
+        if unknown:
+            raise msgspec.ValidationError(
+                f"no such field: {', '.join(sorted(map(str, unknown)))}"
+            )
+
+
+def build_world(items: Iterable[tuple[str, bytes]]) -> tuple[World, list[str]]:
+    """Build the view from items; faulty ones are left out and named."""
+    world = World()
+    faults = []
+    for key, value in items:
+        try:
+            world.add(*decode_item(key, value))
+        except LacewingdockError as error:
+            faults.append(error.detail)
+    return world, faults
--- /dev/null
+++ b/tests/common.py
@@ -0,0 +1,83 @@
+"""Support for tests: callers and a small deployment."""
+
+from typing import Any
+
+from bench.deployment import Deployment
+from bench.http import Reply, call
+from lacewingdock.components.configuration.apply import apply_manifest
+from lacewingdock.platform.store import ObjectStore
+from lacewingdock.world.manifest import parse_manifest
+
+RETAIL_KEY = "carpato-retail-demo-key"
+NOTES_KEY = "carpato-notes-demo-key"
+PARTITIONS = 8
+MANIFEST = "examples/carpato.yaml"
+
+
+def apply_example(deployment: Deployment) -> None:
+    """Bring the example manifest into force and wait until all are ready."""
+    with open(MANIFEST, encoding="utf-8") as file:
+        manifest = parse_manifest(file.read())
+    url = deployment.processes["platform"].url()
+    changes = apply_manifest(ObjectStore(url), manifest)
+    deployment.wait_ready()
+    deployment.wait_revision(max(c.revision for c in changes))
+    deployment.wait_homes(PARTITIONS)
+
+
+def ask(
+    deployment: Deployment,
+    path: str,
+    body: Any = None,
+    *,
+    key: str = RETAIL_KEY,
+    entry: str = "entry-0",
+    method: str = "POST",
+    headers: dict[str, str] | None = None,
+    **options: Any,
+) -> Reply:
+    """Call an entry as a caller does."""
+    url = deployment.processes[entry].url() + path
+    sent = {"Authorization": f"Bearer {key}", **(headers or {})}
+    return call(method, url, body, sent, **options)
+
+
+def chat(
+    deployment: Deployment,
+    prompt: str,
+    model: str = "drafter",
+    *,
+    stream: bool = False,
+    tokens: int = 8,
+    **options: Any,
+) -> Reply:
+    """Ask for a chat completion."""
+    body = {
+        "model": model,
+        "stream": stream,
+        "max_tokens": tokens,
+        "messages": [{"role": "user", "content": prompt}],
+    }
+    return ask(deployment, "/v1/chat/completions", body, **options)
+
+
+def book(
+    deployment: Deployment, slot: str, idempotency_key: str, **options: Any
+) -> Reply:
+    """Ask for a slot confirmation."""
+    return ask(
+        deployment,
+        "/services/booking/slots/confirm",
+        {"slot": slot},
+        headers={"Idempotency-Key": idempotency_key},
+        **options,
+    )
+
+
+def bookings(deployment: Deployment) -> list[dict[str, str]]:
+    """Return every booking, as the booking workers recorded them."""
+    made: list[dict[str, str]] = []
+    for name, process in deployment.processes.items():
+        if name.startswith("booking-") and "port" in process.ports:
+            made += call("GET", f"{process.url()}/bookings").json()
+    return made
