Platform client: any answer is a value or a coded error, calls bounded

Cause: statuses below 500 were taken for answers, so a 429 or a balancer's page raised an uncoded error. The task that reads the configuration ended and the daemon kept the old one for good. A refused write (429) was settled by a read although nothing ran; a conflict found while settling said 'not run' though the write may have been overwritten. The instance list, about a megabyte at the target, was sent whole on every poll. A watch on a connection gone silent left a watcher deaf for 27 s, past the 19 s. Ruled out: catching everything in the reading task; it would hide faults.

--- a/lacewingdock/core.py
+++ b/lacewingdock/core.py
@@ -21,6 +21,7 @@
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.keys import KeyRing, load_keys
 from lacewingdock.links.messages import Hello
+from lacewingdock.platform.metrics import PlatformCalls
 from lacewingdock.platform.store import ObjectStore
 from lacewingdock.settings import DaemonSettings, EntrySettings
 
@@ -91,6 +92,7 @@
         self.leaving = threading.Event()
         self.components: dict[str, Component] = {}
         self.metrics = prometheus_client.CollectorRegistry()
+        self.metrics.register(PlatformCalls(self.store))
         self.random = random.Random(self.me.incarnation)
         self.started = time.monotonic()
         self.on_leave: list[Callable[[], None]] = []
--- /dev/null
+++ b/lacewingdock/platform/metrics.py
@@ -0,0 +1,38 @@
+"""Support for showing the calls to the platform as metrics."""
+
+from collections.abc import Iterator
+
+from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from lacewingdock.platform.store import ObjectStore
+
+
+class PlatformCalls(Collector):
+    """Collects a store's calls by purpose.
+
+    Attributes:
+        store: The store.
+    """
+
+    __slots__ = ("store",)
+
+    def __init__(self, store: ObjectStore) -> None:
+        """Take the store."""
+        self.store = store
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the counts as they are now."""
+        calls = CounterMetricFamily(
+            "lacewingdock_platform_calls",
+            "Calls to the platform; a waiting watch is one",
+            labels=["purpose"],
+        )
+        for purpose, count in tuple(self.store.calls.items()):
+            calls.add_metric([purpose], count)
+        yield calls
+        yield CounterMetricFamily(
+            "lacewingdock_platform_calls_refused",
+            "Calls not made because the daemon's budget was used up",
+            value=self.store.budget.refused,
+        )
--- a/lacewingdock/platform/store.py
+++ b/lacewingdock/platform/store.py
@@ -9,22 +9,33 @@
 import secrets
 import threading
 import urllib.parse
+from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import msgspec
 import pycurl
 
+from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.platform.budget import CallBudget
 from lacewingdock.world.objects import Instance
 
 CALL_TIMEOUT_S: Final = 2.0
-WATCH_TIMEOUT_S: Final = 25.0
+# A connection can go silent for good while new ones work. A watcher is then
+# deaf until its wait runs out, so the wait stays well below the 19 seconds in
+# which a change must be in force.
+WATCH_TIMEOUT_S: Final = 8.0
 SETTLE_TRIES: Final = 2
 ABSENT: Final = 0
 
+_HTTP_OK: Final = 200
+_HTTP_NOT_MODIFIED: Final = 304
 _HTTP_NOT_FOUND: Final = 404
 _HTTP_CONFLICT: Final = 409
+_HTTP_TOO_MANY: Final = 429
+
+T = TypeVar("T")
 
 
 @dataclass(slots=True)
@@ -52,21 +63,47 @@
     objects: list[Stored] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Written:
+    """The platform's answer to a write: the object's revision now."""
+
+    revision: int
+
+
+@dataclass(slots=True)
+class Reply:
+    """An HTTP answer of the platform.
+
+    Attributes:
+        status: HTTP status; one that `_call` was told to expect.
+        body: The body, not decoded.
+        tag: The ETag header; empty when there was none.
+    """
+
+    status: int
+    body: bytes
+    tag: str
+
+
 class ObjectStore:
     """A client of the object API; safe to use from any task.
 
     Attributes:
         url: Where the platform answers.
         calls: Calls made so far, by purpose; a waiting watch is one.
+        budget: Bounds the calls.
     """
 
-    __slots__ = ("_local", "calls", "url")
+    __slots__ = ("_instances", "_local", "_tag", "budget", "calls", "url")
 
     def __init__(self, url: str) -> None:
         """Take the platform's URL."""
         self.url = url
         self.calls: dict[str, int] = {}
+        self.budget = CallBudget()
         self._local = threading.local()
+        self._tag = ""
+        self._instances: list[Instance] = []
 
     def get(self, collection: str, name: str, purpose: str) -> Stored:
         """Read an object; a missing one has revision `ABSENT`.
@@ -74,22 +111,29 @@
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
         """
-        status, body = self._call("GET", _path(collection, name), purpose)
-        if status == _HTTP_NOT_FOUND:
+        path = _path(collection, name)
+        reply = self._call("GET", path, purpose, also=_HTTP_NOT_FOUND)
+        if reply.status == _HTTP_NOT_FOUND:
             return Stored(name, ABSENT)
-        return msgspec.convert(body, Stored)
+        return _decode(reply, Stored, RAN_NO)
 
     def list_all(
-        self, collection: str, purpose: str, prefix: str = ""
+        self, collection: str, purpose: str, prefix: str = "", after: int = -1
     ) -> Listing:
         """Read all objects of a collection whose names start with a prefix.
 
+        Args:
+            collection: The collection.
+            purpose: What the call is for, in the count of calls.
+            prefix: What the names start with.
+            after: Only what changed after this revision, tombstones too.
+
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
         """
-        query = urllib.parse.urlencode({"prefix": prefix})
-        _, body = self._call("GET", f"{_path(collection)}?{query}", purpose)
-        return msgspec.convert(body, Listing)
+        query = urllib.parse.urlencode({"prefix": prefix, "after": after})
+        reply = self._call("GET", f"{_path(collection)}?{query}", purpose)
+        return _decode(reply, Listing, RAN_NO)
 
     def watch(
         self, collection: str, after: int, purpose: str, prefix: str = ""
@@ -105,13 +149,13 @@
         query = urllib.parse.urlencode(
             {"prefix": prefix, "after": after, "wait": WATCH_TIMEOUT_S}
         )
-        _, body = self._call(
+        reply = self._call(
             "GET",
             f"{_path(collection)}?{query}",
             purpose,
             timeout_s=WATCH_TIMEOUT_S + CALL_TIMEOUT_S,
         )
-        return msgspec.convert(body, Listing)
+        return _decode(reply, Listing, RAN_NO)
 
     def put(
         self,
@@ -147,27 +191,41 @@
         writer = secrets.token_hex(8)
         body = {"value": value, "expect": expect, "writer": writer}
         try:
-            status, answer = self._call(
-                "PUT", _path(collection, name), purpose, body
+            reply = self._call(
+                "PUT",
+                _path(collection, name),
+                purpose,
+                body,
+                also=_HTTP_CONFLICT,
             )
-        except LacewingdockError:
+            found = _decode(reply, Written, RAN_UNKNOWN).revision
+        except LacewingdockError as error:
+            if error.ran == RAN_NO:
+                raise
             return self._settle(collection, name, value, writer, expect)
-        if status == _HTTP_CONFLICT:
+        if reply.status == _HTTP_CONFLICT:
             raise LacewingdockError(
                 ErrorKind.CONFLICT,
-                f"{collection}/{name}: revision is "
-                f"{answer['revision']}, not {expect}",
+                f"{collection}/{name}: revision is {found}, not {expect}",
             )
-        return Stored(name, answer["revision"], value, writer)
+        return Stored(name, found, value, writer)
 
     def instances(self) -> list[Instance]:
         """Read the lagging list of instances.
 
+        At the target the list is about a megabyte and changes twice a
+        minute; an unchanged one is not sent again.
+
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
         """
-        _, body = self._call("GET", "/instances", "instances")
-        return msgspec.convert(body, list[Instance])
+        reply = self._call(
+            "GET", "/instances", "instances", tag=self._tag or '"none"'
+        )
+        if reply.status == _HTTP_OK:
+            self._instances = _decode(reply, list[Instance], RAN_NO)
+            self._tag = reply.tag
+        return self._instances
 
     def _settle(
         self, collection: str, name: str, value: Any, writer: str, expect: int
@@ -186,6 +244,8 @@
                     ErrorKind.CONFLICT,
                     f"{collection}/{name}: revision is {found.revision}, "
                     f"not {expect}",
+                    # The write may have taken effect and been overwritten.
+                    RAN_UNKNOWN,
                 )
             # Still the old object: the write may yet arrive, since an answer
             # can be late as well as lost.
@@ -193,7 +253,7 @@
         raise LacewingdockError(
             ErrorKind.PLATFORM_UNAVAILABLE,
             f"write of {collection}/{name} is not settled",
-            ran="unknown",
+            RAN_UNKNOWN,
         )
 
     def _call(
@@ -202,35 +262,50 @@
         path: str,
         purpose: str,
         body: Any = None,
+        *,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, Any]:
+        also: int = _HTTP_OK,
+        tag: str = "",
+    ) -> Reply:
+        """Make one call; any status not expected is an unavailable platform.
+
+        What answers need not be the platform: a balancer before it sends
+        pages of its own. Taken for an answer, such a page would end the task
+        that reads the configuration, and this daemon would keep the old one
+        for good.
+        """
+        self.budget.take()
         self.calls[purpose] = self.calls.get(purpose, 0) + 1
         curl = self._handle()
         received = io.BytesIO()
+        headers = [f"Purpose: {purpose}", "Expect:"]
+        if tag:
+            headers.append(f"If-None-Match: {tag}")
+        found_tag: list[str] = []
         curl.setopt(pycurl.URL, self.url + path)
         curl.setopt(pycurl.CUSTOMREQUEST, method)
-        curl.setopt(pycurl.HTTPHEADER, [f"Purpose: {purpose}", "Expect:"])
+        curl.setopt(pycurl.HTTPHEADER, headers)
+        curl.setopt(pycurl.HEADERFUNCTION, _tag_reader(found_tag))
         curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
         curl.setopt(pycurl.WRITEFUNCTION, received.write)
         if body is None:
             curl.setopt(pycurl.HTTPGET, 1)
         else:
             curl.setopt(pycurl.POSTFIELDS, msgspec.json.encode(body))
+        ran = RAN_NO if body is None else RAN_UNKNOWN
         try:
             curl.perform()
-            status = curl.getinfo(pycurl.RESPONSE_CODE)
-            if status >= 500:
-                raise LacewingdockError(
-                    ErrorKind.PLATFORM_UNAVAILABLE,
-                    f"{method} {path}: status {status}",
-                )
-            return status, msgspec.json.decode(received.getvalue())
-        except (pycurl.error, msgspec.DecodeError) as error:
+        except pycurl.error as error:
             self._drop_handle()
-            raise LacewingdockError(
-                ErrorKind.PLATFORM_UNAVAILABLE,
-                f"{method} {path}: {error}",
-            ) from error
+            raise _unavailable(f"{method} {path}: {error}", ran) from error
+        status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        if status == _HTTP_TOO_MANY:
+            raise _unavailable(f"{method} {path}: rate limited", RAN_NO)
+        if status not in (_HTTP_OK, also) and not (
+            tag and status == _HTTP_NOT_MODIFIED
+        ):
+            raise _unavailable(f"{method} {path}: status {status}", ran)
+        return Reply(status, received.getvalue(), "".join(found_tag))
 
     def _handle(self) -> pycurl.Curl:
         """One handle a task keeps its connection open between calls."""
@@ -241,6 +316,9 @@
             curl.setopt(pycurl.NOPROXY, "*")
             curl.setopt(pycurl.CONNECTTIMEOUT_MS, 1000)
             curl.setopt(pycurl.TCP_NODELAY, 1)
+            # Every coding the library knows; the instance list shrinks to a
+            # tenth.
+            curl.setopt(pycurl.ACCEPT_ENCODING, "")
         return curl
 
     def _drop_handle(self) -> None:
@@ -254,3 +332,30 @@
 def _path(collection: str, name: str = "") -> str:
     path = f"/objects/{urllib.parse.quote(collection, safe='')}"
     return f"{path}/{urllib.parse.quote(name)}" if name else path
+
+
+def _unavailable(detail: str, ran: str) -> LacewingdockError:
+    return LacewingdockError(ErrorKind.PLATFORM_UNAVAILABLE, detail, ran)
+
+
+def _decode(reply: Reply, cls: type[T], ran: str) -> T:
+    """Decode an answer's body; `ran` says whether the call took effect.
+
+    Raises:
+        LacewingdockError: PLATFORM_UNAVAILABLE when it is something else.
+    """
+    try:
+        return msgspec.json.decode(reply.body, type=cls)
+    except msgspec.DecodeError as error:
+        raise _unavailable(f"undecodable answer: {error}", ran) from error
+
+
+def _tag_reader(found: list[str]) -> Callable[[bytes], None]:
+    """Return a header callback that keeps the ETag."""
+
+    def read(line: bytes) -> None:
+        name, _, value = line.decode("latin-1").partition(":")
+        if name.lower() == "etag":
+            found[:] = [value.strip()]
+
+    return read
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,6 +4,7 @@
 purpose (a waiting watch is one call) and can be told to fail.
 """
 
+import gzip
 import threading
 import time
 from dataclasses import dataclass
@@ -172,8 +173,14 @@
         """Answer with the instance list as it was a while ago."""
         self.enter(request)
         at = time.monotonic() - self.lag_s
-        shown = [state for when, state in self.instances if when <= at]
-        return json_response(shown[-1] if shown else [])
+        shown = [pair for pair in self.instances if pair[0] <= at]
+        when, state = shown[-1] if shown else (0.0, [])
+        response = json_response(state)
+        response.set_etag(f"{when}")
+        if "gzip" in request.accept_encodings:
+            response.set_data(gzip.compress(response.get_data(), 1))
+            response.content_encoding = "gzip"
+        return response.make_conditional(request)
 
     def set_instances(self, request: Request) -> Response:
         """Take a new state of the instance list (from the launcher)."""
