Configuration: complete to what is claimed, few pushes, loads from peers in an outage

Cause, by failure test: a delta longer than a frame closed the link; parts that claimed their own revisions would lose the first of two changes of an item; an empty platform was listed without a pause; the first peer's view was served in an outage, however stale; entries relied on watchers that may be dead, frozen or cut off from the platform; news was pushed to every link and pulled from every beating peer. Ruled out: electing a new watcher on silence (the silence of a watcher that is cut off from the platform can't be seen on its links); pushing digests at once (a beat within 5 s carries the revision already). Change: deltas in parts of which only the last claims completeness; push to 4 links, the rest pull on a beat, one pull at a time; entries that don't watch look at the platform themselves, 3 looks a second for a whole domain; a start in an outage needs start_peers that show what they have in force; a process that slept looks at once. Links count bytes and messages.

--- a/lacewingdock/components/configuration/__init__.py
+++ b/lacewingdock/components/configuration/__init__.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import threading
+import time
 from collections.abc import Callable
 from typing import Final
 
@@ -12,6 +13,7 @@
 from lacewingdock.const import COLLECTION_CONFIG, ROLE_ENTRY
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.backoff import Backoff
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import Beat, Delta, Item, Pull
@@ -21,9 +23,26 @@
 NAME: Final = "configuration"
 WATCHERS_PER_DOMAIN: Final = 2
 RETRY_S: Final = 0.5
-# A peer's push is what usually brings news; this bounds how long a watcher's
-# death can go unseen by the others of its failure domain.
-ELECTION_S: Final = 2.0
+RETRY_MAX_S: Final = 15.0
+# Daemons that start together, as after the loss of a failure domain, spread
+# their first list over this time.
+START_SPREAD_S: Final = 1.0
+# A platform without any configuration is asked this often for the first.
+EMPTY_S: Final = 1.0
+# Entries that are not watchers look at the platform now and then, all those
+# of a failure domain together this often, each of them at most every
+# CHECK_MIN_S. See `Configuration.check_interval`.
+CHECKS_PER_S: Final = 3.0
+CHECK_MIN_S: Final = 4.0
+# News goes at once to this many links; the others see from a beat that there
+# is news and pull it.
+FANOUT: Final = 4
+# A pull that was not answered for this long may be made again, of another.
+PULL_WAIT_S: Final = 0.5
+# A pause that took this much longer than asked for means that the process
+# slept, and what it knows may be old.
+SLEPT_S: Final = 3.0
+PAUSE_SLICE_S: Final = 1.0
 
 log = get_logger(NAME)
 
@@ -40,15 +59,22 @@
         entries: Names of the live entries of this failure domain, for the
             choice of watchers; the membership keeps it up.
         on_change: Called after each change of `world`.
+        shown: The highest revision that each linked peer showed.
+        backoff: Pauses while the platform does not answer.
     """
 
     __slots__ = (
+        "_check_at",
+        "_listed",
         "_lock",
+        "_pulled_at",
+        "backoff",
         "daemon",
         "entries",
         "loaded",
         "on_change",
         "peers",
+        "shown",
         "table",
         "world",
     )
@@ -62,11 +88,17 @@
         self.loaded = threading.Event()
         self.entries: list[str] = []
         self.on_change: list[Callable[[], None]] = []
+        self.shown: dict[Link, int] = {}
+        self.backoff = Backoff(RETRY_S, RETRY_MAX_S, daemon.random)
         self._lock = threading.Lock()
+        self._check_at = 0.0
+        self._pulled_at = 0.0
+        self._listed = False
         peers.handle(Beat, self._on_beat)
         peers.handle(Delta, self._on_delta)
         peers.handle(Pull, self._on_pull)
         peers.on_open.append(self._on_open)
+        peers.on_close.append(self._on_close)
 
     def start(self) -> None:
         """Start loading, then watching where this daemon is a watcher."""
@@ -74,8 +106,13 @@
 
     @property
     def revision(self) -> int:
-        """Revision up to which the configuration is complete."""
-        return self.table.upto
+        """Revision up to which the configuration is complete and in force.
+
+        It is 0 until `loaded`: peers that start in an outage count who shows
+        them a revision, and what a starting one has only heard must not
+        count as a second witness of what the first one said.
+        """
+        return self.table.upto if self.loaded.is_set() else 0
 
     def is_watcher(self) -> bool:
         """Tell whether this daemon is among its domain's few watchers.
@@ -93,29 +130,76 @@
         )
         return me.instance in ranked[:WATCHERS_PER_DOMAIN]
 
+    def check_interval(self) -> float:
+        """Return the seconds between looks of an entry that doesn't watch.
+
+        Watchers can be dead, frozen or cut off from the platform while the
+        others of their domain can reach it, and nobody sees it from their
+        links. So no entry relies on them: each looks for itself, rarely
+        enough that all of a domain together cost the platform CHECKS_PER_S.
+        Whoever finds news first passes it on.
+        """
+        return max(CHECK_MIN_S, len(self.entries) / CHECKS_PER_S)
+
     def _keep_up(self) -> None:
+        self._pause(START_SPREAD_S * self.daemon.random.random())
         while not self.daemon.stopping.is_set():
-            try:
-                if not self.loaded.is_set():
-                    self._take(0, self._list())
-                elif self.is_watcher():
-                    self._take(self.revision, self._watch())
-                else:
-                    self.daemon.stopping.wait(ELECTION_S)
-            except LacewingdockError as error:
-                log.warning("platform not read", error=error.detail)
-                self.daemon.stopping.wait(
-                    RETRY_S * (1 + self.daemon.random.random())
-                )
-
-    def _list(self) -> Listing:
-        return self.daemon.store.list_all(COLLECTION_CONFIG, "config-list")
-
-    def _watch(self) -> Listing:
-        return self.daemon.store.watch(
-            COLLECTION_CONFIG, self.revision, "config-watch"
+            self._pause(self.step())
+
+    def _pause(self, seconds: float) -> None:
+        """Wait; after a sleep of the process look at the platform at once.
+
+        A process that was stopped, or whose machine was, wakes with the view
+        it had. Its links were given up meanwhile and no beat tells it so.
+        """
+        end = time.monotonic() + seconds
+        while (left := end - time.monotonic()) > 0:
+            if self.daemon.stopping.wait(min(left, PAUSE_SLICE_S)):
+                return
+            if time.monotonic() > end + SLEPT_S:
+                self._check_at = 0.0
+
+    def step(self) -> float:
+        """Keep up with the platform once; return the seconds to pause."""
+        try:
+            pause = self._read()
+        except LacewingdockError as error:
+            log.warning("platform not read", error=error.detail)
+            pause = self.backoff.failed()
+            self._load_from_peers()
+            return pause
+        self.backoff.succeeded()
+        return pause
+
+    def _read(self) -> float:
+        since = self.table.upto
+        if not self._listed:
+            self._take(since, self._find(since, "config-list"))
+            self._listed = self.loaded.is_set()
+            if self._listed:
+                return 0.0
+            return EMPTY_S * self.daemon.random.uniform(0.5, 1.5)
+        if self.daemon.me.role != ROLE_ENTRY:
+            # A sidecar lists once; from then on its entries keep it up. One
+            # without an entry gets no work either.
+            return CHECK_MIN_S
+        if self.is_watcher():
+            self._take(since, self._watch(since))
+            return 0.0
+        if time.monotonic() >= self._check_at:
+            self._take(since, self._find(since, "config-check"))
+            pause = self.check_interval() * self.daemon.random.uniform(0.5, 1.5)
+            self._check_at = time.monotonic() + pause
+        return CHECK_MIN_S / 2
+
+    def _find(self, after: int, purpose: str) -> Listing:
+        return self.daemon.store.list_all(
+            COLLECTION_CONFIG, purpose, after=after
         )
 
+    def _watch(self, after: int) -> Listing:
+        return self.daemon.store.watch(COLLECTION_CONFIG, after, "config-watch")
+
     def _take(self, since: int, listing: Listing) -> None:
         items = [
             Item(
@@ -128,22 +212,17 @@
             for stored in listing.objects
         ]
         self.apply(Delta(since, listing.revision, items), None)
+        if self.table.upto > 0:
+            self.loaded.set()
 
     def apply(self, delta: Delta, source: Link | None) -> None:
         """Join news into the table and pass on what was new."""
         with self._lock:
             before = self.table.upto
-            changed = self.table.join(delta)
-            if changed:
+            if self.table.join(delta):
                 self._rebuild()
-            upto = self.table.upto
-        if upto > 0:
-            self.loaded.set()
-        if upto > before:
-            news = self.table.since(before)
-            for link in tuple(self.peers.links):
-                if link is not source:
-                    link.send(news)
+        if self.loaded.is_set() and self.table.upto > before:
+            self._spread(before, source)
 
     def _rebuild(self) -> None:
         world, faults = build_world(self.table.live())
@@ -153,21 +232,74 @@
         for callback in self.on_change:
             callback()
 
+    def _spread(self, before: int, source: Link | None) -> None:
+        """Push news to a few peers that have not shown it."""
+        upto = self.table.upto
+        links = [
+            link
+            for link in tuple(self.peers.links)
+            if link is not source and self.shown.get(link, 0) < upto
+        ]
+        if len(links) > FANOUT:
+            links = self.daemon.random.sample(links, FANOUT)
+        for link in links:
+            self._send(link, before)
+
+    def _send(self, link: Link, since: int) -> None:
+        for delta in self.table.since(since):
+            if not link.send(delta):
+                return
+
+    def _show(self, link: Link, revision: int) -> None:
+        """Note what a peer showed and pull what is missing here."""
+        self.shown[link] = max(revision, self.shown.get(link, 0))
+        if revision > self.table.upto:
+            self._pull(link)
+        else:
+            self._load_from_peers()
+
+    def _load_from_peers(self) -> None:
+        """Serve during an outage once enough peers agree on what is in force.
+
+        A single peer may have slept or be cut off, and what it takes for in
+        force may permit a version that was withdrawn since. So the highest
+        revision that `start_peers` peers showed must be here.
+        """
+        if self.loaded.is_set() or not self.backoff.failures:
+            return
+        shown = [r for r in tuple(self.shown.values()) if r > 0]
+        if len(shown) < self.daemon.settings.start_peers:
+            return
+        if max(shown) <= self.table.upto:
+            log.warning("loaded from peers", revision=self.table.upto)
+            self.loaded.set()
+
+    def _pull(self, link: Link) -> None:
+        """Ask for news, of one peer at a time: all peers have the same."""
+        now = time.monotonic()
+        if now - self._pulled_at < PULL_WAIT_S:
+            return
+        self._pulled_at = now
+        link.send(Pull(self.table.upto))
+
     def _on_open(self, link: Link) -> None:
         link.send(self.peers.beat())
 
+    def _on_close(self, link: Link) -> None:
+        self.shown.pop(link, None)
+
     def _on_beat(self, link: Link, message: Beat) -> None:
-        if message.revision > self.revision:
-            link.send(Pull(self.revision))
+        self._show(link, message.revision)
 
     def _on_delta(self, link: Link, message: Delta) -> None:
         self.apply(message, link)
-        if message.upto > self.revision:
-            link.send(Pull(self.revision))
+        whole = self.table.upto >= message.upto > message.since
+        self._pulled_at = 0.0 if whole else time.monotonic()
+        self._show(link, message.upto)
 
     def _on_pull(self, link: Link, message: Pull) -> None:
         if message.since < self.revision:
-            link.send(self.table.since(message.since))
+            self._send(link, message.since)
 
     def unload(self) -> None:
         """Nothing is held beyond the daemon's tasks."""
--- a/lacewingdock/components/peers/__init__.py
+++ b/lacewingdock/components/peers/__init__.py
@@ -1,14 +1,19 @@
 """Support for keeping links: listening, dialing, beating and giving up."""
 
 import contextlib
+import dataclasses
 import socket
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
+import prometheus_client
+
 from lacewingdock.const import (
     BEAT_BUSY_S,
     BEAT_IDLE_S,
+    ROLE_SIDECAR,
     SILENCE_IDLE_S,
     SILENCE_S,
 )
@@ -16,8 +21,9 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.handshake import accept, dial
-from lacewingdock.links.link import Link
+from lacewingdock.links.link import Link, Traffic
 from lacewingdock.links.messages import Beat, Message
+from lacewingdock.links.wire import encode
 
 NAME: Final = "peers"
 ACCEPT_POLL_S: Final = 0.5
@@ -38,10 +44,12 @@
         beat: Makes the beat to send.
         listener: The listening socket.
         port: The port listened on.
+        closed_traffic: What went over links that are closed.
     """
 
     __slots__ = (
         "beat",
+        "closed_traffic",
         "daemon",
         "handlers",
         "links",
@@ -59,6 +67,7 @@
         self.on_open: list[Callable[[Link], Any]] = []
         self.on_close: list[Callable[[Link], None]] = []
         self.beat: Callable[[], Beat] = Beat
+        self.closed_traffic = Traffic()
         address = (daemon.settings.host, daemon.settings.link_port)
         try:
             self.listener = socket.create_server(address, backlog=BACKLOG)
@@ -68,6 +77,26 @@
             ) from error
         self.listener.settimeout(ACCEPT_POLL_S)
         self.port: int = self.listener.getsockname()[1]
+        self._show_metrics()
+
+    def _show_metrics(self) -> None:
+        registry = self.daemon.metrics
+        links = prometheus_client.Gauge(
+            "lacewingdock_links", "Open links", registry=registry
+        )
+        links.set_function(lambda: float(len(self.links)))
+        names = [field.name for field in dataclasses.fields(Traffic)]
+        traffic = prometheus_client.Gauge(
+            "lacewingdock_link_traffic",
+            "Bytes and messages over all links since the start",
+            ["kind"],
+            registry=registry,
+        )
+        for name in names:
+            traffic.labels(name).set_function(partial(self._traffic_of, name))
+
+    def _traffic_of(self, name: str) -> float:
+        return float(getattr(self.traffic(), name))
 
     def handle(self, cls: type, handler: Callable[[Link, Any], None]) -> None:
         """Let a handler take every message of a class; it must not block."""
@@ -128,6 +157,7 @@
             link.close("bad frame")
         finally:
             self.links.discard(link)
+            self.closed_traffic.add(link.traffic)
             link.dispose()
             for callback in self.on_close:
                 callback(link)
@@ -140,18 +170,31 @@
         open and carries nothing. The caller would wait for good. A link with
         work that stays silent for several beats is closed, and its answers
         are asked for again over a new one.
+
+        Only the side that answers beats often while there is work. The other
+        side waits for nothing, and an entry has work on nearly all its links:
+        beating them all often would take more than its whole control budget.
         """
         now = time.monotonic()
-        beat = self.beat()
+        answers = self.daemon.me.role == ROLE_SIDECAR
+        frame = b""
         for link in tuple(self.links):
-            if link.busy.value > 0:
-                due, limit = BEAT_BUSY_S, SILENCE_S
-            else:
-                due, limit = BEAT_IDLE_S, SILENCE_IDLE_S
+            busy = link.busy.value > 0
+            due = BEAT_BUSY_S if busy and answers else BEAT_IDLE_S
+            limit = SILENCE_S if busy and not answers else SILENCE_IDLE_S
             if now - link.last_heard > limit:
                 link.close("silent")
             elif now - link.last_sent >= due * 0.9:
-                link.beat(beat)
+                frame = frame or encode(self.beat())
+                link.beat(frame)
+
+    def traffic(self) -> Traffic:
+        """Return what went over all links so far, the closed ones too."""
+        total = Traffic()
+        total.add(self.closed_traffic)
+        for link in tuple(self.links):
+            total.add(link.traffic)
+        return total
 
     def broadcast(self, message: Message) -> None:
         """Send a message over every link."""
--- a/lacewingdock/links/link.py
+++ b/lacewingdock/links/link.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Final
 
 from lacewingdock.const import MAX_FRAME_BYTES
@@ -20,6 +21,30 @@
 SEND_TIMEOUT_S: Final = 1
 
 
+@dataclass(slots=True)
+class Traffic:
+    """What went over links.
+
+    Attributes:
+        sent_bytes: Bytes sent, without TCP's own.
+        sent_messages: Messages sent.
+        heard_bytes: Bytes received.
+        heard_messages: Messages received.
+    """
+
+    sent_bytes: int = 0
+    sent_messages: int = 0
+    heard_bytes: int = 0
+    heard_messages: int = 0
+
+    def add(self, other: "Traffic") -> None:
+        """Add another's figures to these."""
+        self.sent_bytes += other.sent_bytes
+        self.sent_messages += other.sent_messages
+        self.heard_bytes += other.heard_bytes
+        self.heard_messages += other.heard_messages
+
+
 class Link:
     """A connection to a peer; one task reads it, any task may send.
 
@@ -29,6 +54,7 @@
         busy: Answers outstanding over this link.
         last_heard: Monotonic time of the last bytes received.
         last_sent: Monotonic time of the last frame sent.
+        traffic: Bytes and messages over this link.
         closed: Whether the link was given up.
         reason: Why it was given up.
     """
@@ -42,6 +68,7 @@
         "peer",
         "reason",
         "sock",
+        "traffic",
     )
 
     def __init__(self, sock: socket.socket, peer: Hello) -> None:
@@ -52,6 +79,7 @@
         self.last_heard = self.last_sent = time.monotonic()
         self.closed = False
         self.reason = ""
+        self.traffic = Traffic()
         self._lock = threading.Lock()
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -72,11 +100,16 @@
             except OSError as error:
                 self._close_locked(f"send: {error}")
                 return False
-            self.last_sent = time.monotonic()
+            self._count_sent(len(frame))
         return True
 
-    def beat(self, message: Message) -> None:
-        """Send a message unless the link is being sent on or is full.
+    def _count_sent(self, size: int) -> None:
+        self.last_sent = time.monotonic()
+        self.traffic.sent_bytes += size
+        self.traffic.sent_messages += 1
+
+    def beat(self, frame: bytes) -> None:
+        """Send an encoded frame unless the link is being sent on or is full.
 
         The pacer beats many links in turn. If it waited for a stuck one, the
         healthy ones would fall silent and be given up by their peers.
@@ -86,11 +119,10 @@
         try:
             if self.closed:
                 return
-            frame = encode(message)
             sent = self.sock.send(frame, socket.MSG_DONTWAIT)
             if sent < len(frame):
                 self._close_locked("send buffer full")
-            self.last_sent = time.monotonic()
+            self._count_sent(sent)
         except BlockingIOError:
             pass
         except OSError as error:
@@ -116,7 +148,10 @@
                 return
             self.last_heard = time.monotonic()
             pending += data
-            yield from _split(pending)
+            self.traffic.heard_bytes += len(data)
+            for message in _split(pending):
+                self.traffic.heard_messages += 1
+                yield message
 
     def close(self, reason: str) -> None:
         """Give the link up; the reading task ends soon after."""
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -36,6 +36,8 @@
         link_keys_file: File of link keys, a line "ID SECRET" each; the
             first signs, all are accepted.
         plain_links: Whether links may go without keys.
+        start_peers: Peers that must show their configuration before it is
+            taken in force while the platform does not answer.
         grace_s: Seconds that a stop waits for running requests.
         log_level: Lowest level that is logged.
     """
@@ -48,6 +50,7 @@
     link_port: Port = 0
     link_keys_file: str = ""
     plain_links: bool = False
+    start_peers: Annotated[int, Meta(ge=1, le=100)] = 2
     grace_s: Seconds = 30.0
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
--- /dev/null
+++ b/tests/components/configuration/test_configuration.py
@@ -0,0 +1,448 @@
+"""Tests for keeping the configuration up, on fakes of platform and links."""
+
+import copy
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+
+from lacewingdock.components import configuration
+from lacewingdock.components.configuration import CHECK_MIN_S, FANOUT
+from lacewingdock.const import COLLECTION_CONFIG, ROLE_ENTRY, ROLE_SIDECAR
+from lacewingdock.links.messages import Beat, Delta, Pull
+from tests.fakes import (
+    FakeClock,
+    FakeNode,
+    FakeStore,
+    connect,
+    disconnect,
+    settle,
+)
+
+OFFERED = {"model": "m", "state": "offered"}
+WITHDRAWN = {"model": "m", "state": "withdrawn"}
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    clock = FakeClock()
+    monkeypatch.setattr(configuration, "time", clock)
+    return clock
+
+
+def write(store, name, value):
+    known = store.objects.get(COLLECTION_CONFIG, {}).get(name)
+    expect = known.revision if known else 0
+    return store.put(COLLECTION_CONFIG, name, value, expect).revision
+
+
+def started(store, count, role=ROLE_SIDECAR, domain="hall-a"):
+    nodes = [FakeNode(f"{role}-{i}", role, domain, store) for i in range(count)]
+    for node in nodes:
+        node.config.step()
+    return nodes
+
+
+@pytest.mark.parametrize(
+    ("shown", "loaded"),
+    [
+        ([], False),
+        ([3], False),
+        ([3, 0], False),
+        ([2, 3], True),
+        ([3, 3, 1], True),
+    ],
+)
+def test_start_in_an_outage_takes_the_highest_of_enough_peers(
+    clock, shown, loaded
+):
+    """Symptom: a restarted sidecar runs a version that was withdrawn.
+
+    The platform is down; the sidecar starts and its first link is to an entry
+    that was frozen while the version was withdrawn. Cause: it served by the
+    first view it saw.
+    """
+    store = FakeStore()
+    peers = []
+    for count, value in enumerate([OFFERED, OFFERED, WITHDRAWN], 1):
+        write(store, "version/a", value)
+        peers += [
+            (count, node)
+            for node in started(store, shown.count(count), ROLE_ENTRY)
+        ]
+    peers += [
+        (0, FakeNode("idle", ROLE_ENTRY, "hall-b", store))
+        for _ in range(shown.count(0))
+    ]
+    store.down = True
+    late = FakeNode("late", ROLE_SIDECAR, "hall-a", store)
+    late.config.step()
+    for _, peer in sorted(peers, key=lambda pair: pair[0]):
+        connect(late, peer)
+        settle([late, peer])
+        clock.now += 1
+    for _, peer in peers:
+        peer.beat()
+    settle([late, *(peer for _, peer in peers)])
+    assert late.config.loaded.is_set() == loaded
+    if loaded:
+        assert late.config.revision == max(shown)
+        assert not late.config.world.offered("a")
+
+
+def test_all_restarted_in_an_outage_serve_nothing_until_it_ends(clock):
+    """Symptom: after a power cut all serve with an empty configuration.
+
+    Platform down, every daemon new. Cause: what starting daemons show each
+    other, nothing, was taken as agreement.
+    """
+    store = FakeStore()
+    write(store, "version/a", WITHDRAWN)
+    store.down = True
+    entries = started(store, 2, ROLE_ENTRY)
+    sidecars = started(store, 3)
+    for entry in entries:
+        for sidecar in sidecars:
+            connect(entry, sidecar)
+    nodes = entries + sidecars
+    settle(nodes)
+    assert not any(node.config.loaded.is_set() for node in nodes)
+    store.down = False
+    for node in nodes:
+        node.config.step()
+    assert all(node.config.revision == 1 for node in nodes)
+
+
+def test_one_stale_peer_is_not_two_witnesses(clock):
+    """Symptom: as above, though two peers had to agree.
+
+    Two starting entries and a starting sidecar; one stale sidecar tells both
+    entries, and the entries tell the sidecar. Cause: hearsay was counted.
+    """
+    store = FakeStore()
+    write(store, "version/a", OFFERED)
+    (stale,) = started(store, 1)
+    write(store, "version/a", WITHDRAWN)
+    store.down = True
+    one, two = started(store, 2, ROLE_ENTRY)
+    late = FakeNode("late", ROLE_SIDECAR, "hall-a", store)
+    late.config.step()
+    for entry in (one, two):
+        connect(entry, stale)
+        connect(entry, late)
+    for _ in range(3):
+        settle([stale, one, two, late])
+        clock.now += 1
+        for node in (stale, one, two, late):
+            node.beat()
+    assert not late.config.loaded.is_set()
+
+
+def test_news_spreads_though_every_watcher_is_cut_off(clock):
+    """Symptom: a withdrawal takes minutes in one failure domain.
+
+    Both watchers of the domain are frozen, or cut off from the platform, and
+    their links to the rest stay open. Cause: the rest relied on them.
+    """
+    store = FakeStore()
+    write(store, "version/a", OFFERED)
+    entries = started(store, 4, ROLE_ENTRY)
+    names = [node.daemon.me.instance for node in entries]
+    for node in entries:
+        node.config.entries = names
+    watchers = [node for node in entries if node.config.is_watcher()]
+    others = [node for node in entries if node not in watchers]
+    assert (len(watchers), len(others)) == (2, 2)
+    write(store, "version/a", WITHDRAWN)
+    end = clock.now + 3 * CHECK_MIN_S
+    while clock.now < end:
+        for node in others:
+            clock.now += node.config.step()
+    assert not any(node.config.world.offered("a") for node in others)
+    # What the net under the watchers costs does not grow with the domain.
+    others[0].config.entries = [f"entry-{i}" for i in range(600)]
+    assert others[0].config.check_interval() == 200.0
+
+
+def test_a_daemon_that_slept_looks_at_once(clock):
+    """Symptom: an entry thawed after an hour routes by its old view.
+
+    Its next look is due in a minute. Cause: the pause was measured by the
+    clock that ran on while the process did not.
+    """
+    store = FakeStore()
+    write(store, "version/a", OFFERED)
+    entries = started(store, 3, ROLE_ENTRY)
+    names = [node.daemon.me.instance for node in entries]
+    for node in entries:
+        node.config.entries = names
+    (node,) = [n for n in entries if not n.config.is_watcher()]
+    node.config.step()
+    write(store, "version/a", WITHDRAWN)
+
+    def sleep_long(seconds):
+        clock.now += 3600
+        return False
+
+    node.config.daemon.stopping.wait = sleep_long
+    # The hour is over by the clock, so make the next look far away.
+    node.config._check_at = clock.now + 7200
+    node.config._pause(1.0)
+    node.config.step()
+    assert not node.config.world.offered("a")
+
+
+def test_news_goes_to_few_links_and_is_pulled_by_the_rest(clock):
+    store = FakeStore()
+    write(store, "version/a", OFFERED)
+    (entry,) = started(store, 1, ROLE_ENTRY)
+    sidecars = started(store, 12)
+    for sidecar in sidecars:
+        connect(entry, sidecar)
+    nodes = [entry, *sidecars]
+    settle(nodes)
+    write(store, "version/a", WITHDRAWN)
+    entry.config.step()
+    sent = [m for s in sidecars for link in s.peers.links for m in link.inbox]
+    assert [type(m) for m in sent] == [Delta] * FANOUT
+    settle(nodes)
+    entry.beat()
+    settle(nodes)
+    assert not any(node.config.world.offered("a") for node in nodes)
+
+
+def test_news_behind_many_beats_is_pulled_once(clock):
+    """Symptom: a large change fills every link of a daemon that missed it.
+
+    All its peers beat, and it asks each of them for the same delta.
+    """
+    store = FakeStore()
+    write(store, "version/a", OFFERED)
+    (late,) = started(store, 1)
+    write(store, "version/a", WITHDRAWN)
+    entries = started(store, 6, ROLE_ENTRY)
+    for entry in entries:
+        connect(entry, late)
+    late.deliver_all()
+    pulls = [
+        message
+        for entry in entries
+        for link in entry.peers.links
+        for message in link.inbox
+        if isinstance(message, Pull)
+    ]
+    assert len(pulls) == 1
+    settle([late, *entries])
+    assert late.config.revision == 2
+
+
+def test_frozen_peer_that_was_asked_does_not_hold_news_back(clock):
+    """Symptom: a daemon stays behind for as long as one peer is frozen.
+
+    It asked the frozen one and waits for its answer.
+    """
+    store = FakeStore()
+    write(store, "version/a", OFFERED)
+    (late,) = started(store, 1)
+    write(store, "version/a", WITHDRAWN)
+    frozen, healthy = started(store, 2, ROLE_ENTRY)
+    connect(frozen, late)
+    late.deliver_all()
+    connect(healthy, late)
+    settle([late, healthy])
+    clock.now += 1
+    healthy.beat()
+    settle([late, healthy])
+    assert late.config.revision == 2
+
+
+def test_an_empty_platform_is_not_asked_without_a_pause(clock):
+    """Symptom: a new deployment's daemons use the whole platform up.
+
+    There is no configuration yet. Cause: the next list followed at once.
+    """
+    (node,) = started(FakeStore(), 1)
+    assert node.config.step() > 0.2
+
+
+class Fleet(RuleBasedStateMachine):
+    """Two failure domains under any order of changes, cuts and restarts.
+
+    Symptom that this looks for: a daemon puts an older state of an item in
+    force than it had, or says that it is complete to a revision of which it
+    misses a change.
+    """
+
+    KEYS = ("version/a", "version/b", "version/c")
+    SIZE = 5
+
+    def __init__(self):
+        """Start the platform with one change and every daemon on it."""
+        super().__init__()
+        self.clock = FakeClock()
+        self.module_time = configuration.time
+        configuration.time = self.clock
+        self.store = FakeStore()
+        self.cut_off = set()
+        self.nodes = []
+        self.floor = {}
+        self.before = self.store.present(COLLECTION_CONFIG)
+
+    @initialize()
+    def start(self):
+        """Start two entries, each linked to three sidecars."""
+        write(self.store, "version/a", OFFERED)
+        for index in range(self.SIZE):
+            self.nodes.append(self.new(index))
+        for entry in (0, 1):
+            for sidecar in (2, 3, 4):
+                connect(self.nodes[entry], self.nodes[sidecar])
+
+    def new(self, index):
+        """Start one daemon, or a new incarnation of it."""
+        role = ROLE_ENTRY if index < 2 else ROLE_SIDECAR
+        domain = f"hall-{index % 2}"
+        node = FakeNode(f"node-{index}", role, domain, self.store)
+        self.floor[index] = {}
+        return node
+
+    @rule(key=st.sampled_from(KEYS), value=st.sampled_from([0, 1, 2]))
+    def change(self, key, value):
+        """Let an operator offer, withdraw or delete a version."""
+        down, self.store.down = self.store.down, False
+        write(self.store, key, (None, OFFERED, WITHDRAWN)[value])
+        self.store.down = down
+
+    @rule(at=st.integers(0, 4))
+    def step(self, at):
+        """Let a daemon look at the platform, if it can."""
+        down = self.store.down
+        self.store.down = down or at in self.cut_off
+        self.nodes[at].config.step()
+        self.store.down = down
+        self.clock.now += 0.3
+
+    @rule(at=st.integers(0, 4), which=st.integers(0, 2))
+    def deliver(self, at, which):
+        """Deliver the oldest message of one link."""
+        peers = self.nodes[at].peers
+        links = sorted(peers.links, key=lambda link: link.peer.instance)
+        if which < len(links):
+            peers.deliver(links[which])
+
+    @rule(at=st.integers(0, 4))
+    def beat(self, at):
+        """Let a daemon beat all its links."""
+        self.nodes[at].beat()
+        self.clock.now += 1
+
+    @rule(entry=st.integers(0, 1), sidecar=st.integers(2, 4))
+    def cut_or_join(self, entry, sidecar):
+        """Close the link between two daemons, or open one."""
+        one, two = self.nodes[entry], self.nodes[sidecar]
+        if any(link.peer is two.daemon.me for link in one.peers.links):
+            disconnect(one, two)
+        else:
+            connect(one, two)
+
+    @rule(at=st.integers(0, 4))
+    def restart(self, at):
+        """Replace a daemon by one that knows nothing."""
+        for other in self.nodes:
+            disconnect(self.nodes[at], other)
+        self.nodes[at] = self.new(at)
+        for entry in (0, 1):
+            for sidecar in (2, 3, 4):
+                if at in (entry, sidecar):
+                    connect(self.nodes[entry], self.nodes[sidecar])
+
+    @rule()
+    def outage_begins_or_ends(self):
+        """Take the platform down or bring it back."""
+        self.store.down = not self.store.down
+
+    @rule(at=st.integers(0, 4))
+    def cut_off_from_platform_or_back(self, at):
+        """Cut one daemon off from the platform."""
+        self.cut_off ^= {at}
+
+    @rule()
+    def remember_listing(self):
+        """Keep a listing that will be old by and by."""
+        self.before = copy.deepcopy(self.store.present(COLLECTION_CONFIG))
+
+    @rule()
+    def next_list_is_old(self):
+        """Let the next list show that old listing."""
+        self.store.old = copy.deepcopy(self.before)
+
+    @invariant()
+    def nothing_reverts(self):
+        """Check that nothing went back."""
+        for index, node in enumerate(self.nodes):
+            table, floor = node.config.table, self.floor[index]
+            assert table.upto >= floor.get("", 0)
+            floor[""] = table.upto
+            for key, item in table.items.items():
+                assert item.revision >= floor.get(key, 0)
+                floor[key] = item.revision
+
+    @invariant()
+    def what_is_claimed_is_there(self):
+        """Check that a table misses nothing it claims."""
+        for node in self.nodes:
+            table = node.config.table
+            latest = {}
+            for at, (_, key, _) in enumerate(self.store.history, 1):
+                if at <= table.upto:
+                    latest[key] = at
+            for key, revision in latest.items():
+                assert table.items[key].revision >= revision
+
+    def teardown(self):
+        """End every failure: all have the same configuration soon."""
+        try:
+            self.heal()
+        finally:
+            configuration.time = self.module_time
+
+    def heal(self):
+        """Let everyone reach all and compare with the platform."""
+        self.store.down, self.store.old = False, None
+        self.cut_off.clear()
+        for _ in range(4):
+            self.clock.now += 10
+            for node in self.nodes:
+                node.config.step()
+                node.beat()
+            settle(self.nodes)
+        linked = [n for n in self.nodes if n.peers.links or n is self.nodes[0]]
+        want = self.store.present(COLLECTION_CONFIG)
+        states = {o.name: (o.value or {}).get("state") for o in want.objects}
+        for node in linked:
+            assert node.config.loaded.is_set()
+            assert node.config.revision == want.revision
+            world = node.config.world.versions
+            assert {k: v.state for k, v in world.items()} == {
+                name.partition("/")[2]: state
+                for name, state in states.items()
+                if state
+            }
+
+
+Fleet.TestCase.settings = settings(
+    derandomize=True, deadline=None, max_examples=80, stateful_step_count=50
+)
+TestFleet = Fleet.TestCase
+
+
+def test_beats_show_only_what_is_in_force():
+    node = FakeNode("entry-0", ROLE_ENTRY, "hall-a", FakeStore())
+    node.config.table.join(Delta(0, 3, []))
+    assert node.peers.beat() == Beat(revision=0)
