Membership: even subsets, a list read that doesn't grow with the fleet

Cause: rendezvous subsets are as uneven as chance; the list was read by each entry every 2 to 3 s (1,200 entries: 480 reads/s of a megabyte, by arithmetic); a list that lost its entries cut every link. Change: two draws with a margin from places that depend on names; the choice of all entries computed by each, at most 0.5% of a core unless a fifth of the chosen is gone; 50 reads of the list a second for all entries; an unlisted upstream that answers on its link is kept.

--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -1,14 +1,15 @@
 """Support for knowing which sidecars there are and keeping links to some."""
 
-import hashlib
 import time
 from typing import Final
 
 from lacewingdock.components.configuration import Configuration
+from lacewingdock.components.membership.subset import choose_subset
 from lacewingdock.components.peers import Peers
 from lacewingdock.const import ROLE_ENTRY, ROLE_SIDECAR
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.backoff import Backoff
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import Beat, Status
@@ -17,6 +18,15 @@
 
 NAME: Final = "membership"
 LIST_S: Final = 2.0
+LIST_MAX_S: Final = 15.0
+# All entries together read the platform's list this often, so that the calls
+# don't grow with the fleet. What fails meanwhile shows on its links.
+LISTS_PER_S: Final = 50.0
+# Part of a core that choosing anew may take; a pool of a thousand sidecars
+# costs seconds, and at the target the list changes twice a minute.
+CHOOSE_SHARE: Final = 0.005
+# With fewer of the chosen left in the list, the choice is made at once.
+FEW_LEFT: Final = 0.8
 REDIAL_MIN_S: Final = 0.05
 REDIAL_MAX_S: Final = 3.0
 
@@ -32,9 +42,24 @@
         configuration: Told of the entries of this failure domain.
         subset: Links kept for each pool.
         upstreams: Upstreams by the name of their sidecar's instance.
+        chosen: Names of the sidecars that links are kept to.
+        entries: Number of entries in the list.
+        backoff: Pauses while the platform does not answer.
     """
 
-    __slots__ = ("configuration", "daemon", "peers", "subset", "upstreams")
+    __slots__ = (
+        "_choose_at",
+        "_chosen_from",
+        "_seen",
+        "backoff",
+        "chosen",
+        "configuration",
+        "daemon",
+        "entries",
+        "peers",
+        "subset",
+        "upstreams",
+    )
 
     def __init__(
         self,
@@ -49,6 +74,12 @@
         self.configuration = configuration
         self.subset = subset
         self.upstreams: dict[str, Upstream] = {}
+        self.chosen: set[str] = set()
+        self.entries = 0
+        self.backoff = Backoff(LIST_S, LIST_MAX_S, daemon.random)
+        self._choose_at = 0.0
+        self._chosen_from = 0
+        self._seen: list[Instance] = []
         peers.on_open.append(self._on_open)
         peers.on_close.append(self._on_close)
         peers.handle(Status, self._on_news)
@@ -78,36 +109,85 @@
                     best, best_term = upstream, int(term)
         return best
 
+    def list_interval(self) -> float:
+        """Return the mean seconds between reads of the instance list."""
+        return max(LIST_S, self.entries / LISTS_PER_S)
+
     def _keep_up(self) -> None:
         while not self.daemon.stopping.is_set():
-            try:
-                self._take(self.daemon.store.instances())
-            except LacewingdockError as error:
-                # The known upstreams go on serving through an outage.
-                log.warning("instances not read", error=error.detail)
-            self.daemon.stopping.wait(
-                LIST_S * self.daemon.random.uniform(1, 1.5)
-            )
-
-    def _take(self, instances: list[Instance]) -> None:
+            self.daemon.stopping.wait(self.step())
+
+    def step(self) -> float:
+        """Read the list once; return the seconds to pause."""
+        try:
+            self.take(self.daemon.store.instances())
+        except LacewingdockError as error:
+            # The known upstreams go on serving through an outage.
+            log.warning("instances not read", error=error.detail)
+            return self.backoff.failed()
+        self.backoff.succeeded()
+        return self.list_interval() * self.daemon.random.uniform(0.75, 1.25)
+
+    def take(self, instances: list[Instance]) -> None:
+        """Keep links to what a list shows; it lags and may be wrong."""
+        if instances is self._seen:
+            return
+        self._seen = instances
         me = self.daemon.me
+        entries = [i for i in instances if i.role == ROLE_ENTRY]
+        self.entries = len(entries)
         self.configuration.entries = [
             i.name
-            for i in instances
-            if i.role == ROLE_ENTRY
-            and i.failure_domain == me.failure_domain
-            and i.state == "live"
+            for i in entries
+            if i.failure_domain == me.failure_domain and i.state == "live"
         ]
         sidecars = [i for i in instances if i.role == ROLE_SIDECAR]
-        chosen = choose_subset(me.instance, sidecars, self.subset)
-        for instance in chosen:
-            self._want(instance)
-        names = {instance.name for instance in chosen}
+        listed = {i.name for i in sidecars}
+        self._choose([i.name for i in entries], sidecars, listed)
+        for instance in sidecars:
+            if instance.name in self.chosen:
+                self._want(instance)
         for name, upstream in tuple(self.upstreams.items()):
-            # Only what has no work goes: the list lags and may be wrong.
-            if name not in names and upstream.in_flight.value == 0:
+            if name not in self.chosen and self._expendable(upstream, listed):
                 self._forget(upstream)
 
+    def _choose(
+        self, entries: list[str], sidecars: list[Instance], listed: set[str]
+    ) -> None:
+        """Choose anew if what there is changed, but not all the time."""
+        found = hash(
+            frozenset(entries)
+            | frozenset((i.name, i.pool, i.failure_domain) for i in sidecars)
+        )
+        if found == self._chosen_from:
+            return
+        left = len(self.chosen & listed)
+        enough = left >= FEW_LEFT * max(1, len(self.chosen))
+        if enough and time.monotonic() < self._choose_at:
+            # Seen again with the next list, though it be the same.
+            self._seen = []
+            return
+        start = time.thread_time()
+        subset = choose_subset(
+            self.daemon.me.instance, entries, sidecars, self.subset
+        )
+        cost = time.thread_time() - start
+        self._choose_at = time.monotonic() + cost / CHOOSE_SHARE
+        self._chosen_from = found
+        self.chosen = {instance.name for instance in subset}
+
+    def _expendable(self, upstream: Upstream, listed: set[str]) -> bool:
+        """Tell whether the link to an upstream not chosen may go.
+
+        An upstream that is not even listed but answers on its link is kept:
+        a list that lost entries, as after a fault of the platform, would
+        otherwise cut an entry off from upstreams that serve.
+        """
+        if upstream.in_flight.value > 0:
+            return False
+        link = upstream.link
+        return upstream.name in listed or link is None or link.closed
+
     def _want(self, instance: Instance) -> None:
         known = self.upstreams.get(instance.name)
         if known and known.instance.address == instance.address:
@@ -160,31 +240,6 @@
             self._forget(upstream)
 
 
-def choose_subset(
-    me: str, instances: list[Instance], size: int
-) -> list[Instance]:
-    """Choose the sidecars to link to, the same ones every time.
-
-    Each pool's instances are ranked by a hash of the pair (rendezvous
-    hashing), so one instance that comes or goes changes at most one link.
-
-    Args:
-        me: Name of the choosing instance.
-        instances: All sidecars.
-        size: Links for each pool.
-    """
-    pools: dict[str, list[Instance]] = {}
-    for instance in instances:
-        pools.setdefault(instance.pool, []).append(instance)
-    chosen: list[Instance] = []
-    for pool in pools.values():
-        pool.sort(
-            key=lambda i: hashlib.sha256(f"{me}\0{i.name}".encode()).digest()
-        )
-        chosen += pool[:size]
-    return chosen
-
-
 def setup(
     daemon: Daemon, peers: Peers, configuration: Configuration, subset: int
 ) -> Membership:
--- /dev/null
+++ b/tests/components/peers/test_peers.py
@@ -0,0 +1,79 @@
+"""Tests for beating links and giving up silent ones."""
+
+from types import SimpleNamespace
+
+import prometheus_client
+import pytest
+
+from lacewingdock.components import peers
+from lacewingdock.helpers.tally import Tally
+from tests.fakes import FakeClock
+
+
+class PacedLink:
+    """A link that notes when it was beaten and closed."""
+
+    def __init__(self, clock, busy):
+        """Start as just heard."""
+        self.clock = clock
+        self.busy = Tally()
+        self.busy.add(busy)
+        self.last_heard = self.last_sent = clock.now
+        self.beats = 0
+        self.silent_at = None
+
+    def beat(self, frame):
+        """Note a beat."""
+        assert frame
+        self.beats += 1
+        self.last_sent = self.clock.now
+
+    def close(self, reason):
+        """Note when the link was first given up."""
+        if self.silent_at is None:
+            self.silent_at = self.clock.now
+
+
+def paced(monkeypatch, role, busy, seconds, hears):
+    clock = FakeClock()
+    monkeypatch.setattr(peers, "time", clock)
+    daemon = SimpleNamespace(
+        settings=SimpleNamespace(host="127.0.0.1", link_port=0),
+        me=SimpleNamespace(role=role),
+        metrics=prometheus_client.CollectorRegistry(),
+    )
+    links = peers.Peers(daemon)
+    link = PacedLink(clock, busy)
+    links.links.add(link)
+    start = clock.now
+    for _ in range(int(seconds / 0.2)):
+        clock.now += 0.2
+        if hears:
+            link.last_heard = clock.now
+        links._pace()
+    links.listener.close()
+    silent = None if link.silent_at is None else link.silent_at - start
+    return link.beats, silent
+
+
+@pytest.mark.parametrize(
+    ("role", "busy", "beats"),
+    [
+        ("sidecar", 1, 50),
+        ("sidecar", 0, 2),
+        # An entry with work on all its links must not beat them all often.
+        ("entry", 1, 2),
+        ("entry", 0, 2),
+    ],
+)
+def test_only_the_side_that_answers_beats_often(monkeypatch, role, busy, beats):
+    assert paced(monkeypatch, role, busy, 10.0, True) == (beats, None)
+
+
+@pytest.mark.parametrize(
+    ("role", "busy", "low", "high"),
+    [("entry", 1, 0.7, 1.0), ("entry", 0, 16, 17), ("sidecar", 1, 16, 17)],
+)
+def test_silent_link_is_given_up(monkeypatch, role, busy, low, high):
+    _, silent = paced(monkeypatch, role, busy, 20.0, False)
+    assert low <= silent <= high
