--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,341 @@
+"""Support for measuring what control costs a daemon, and its slopes."""
+
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+import fire
+from scipy import stats
+
+from bench import control_subset
+from bench.control_fleet import (
+    LINKS,
+    Fleet,
+    Sample,
+    bare_fleet,
+    frozen,
+    light_peers,
+)
+from bench.deployment import Process, wait_until
+from bench.report import Figure, figure, progress, show
+
+# Budgets of the target, for control in one daemon.
+CPU_PERCENT: Final = 1.8
+MEMORY_MB: Final = 64.0
+BYTES_S: Final = 18 * 1024.0
+IN_FORCE_S: Final = 19.0
+
+ENTRY_LINKS: Final = (8, 42, 84, 168)
+SIDECAR_LINKS: Final = (1, 8, 31, 62)
+WORKSPACES: Final = (10, 300)
+CHANGES_S: Final = (1.0, 4.0)
+WINDOWS: Final = 3
+WINDOW_S: Final = 8.0
+FLEETS: Final = (20, 50, 100)
+CHANGES: Final = 5
+FROZEN_S: Final = 18.0
+
+Get = Callable[[Sample], float]
+
+
+def budget(name: str, runs: list[float], unit: str, limit: float) -> Figure:
+    """Build a figure that has a budget."""
+    return figure(
+        name,
+        runs,
+        unit,
+        aim=f"at most {limit:g}",
+        reached=lambda value: value <= limit,
+    )
+
+
+def slope(name: str, points: list[tuple[float, float]], unit: str) -> Figure:
+    """Fit a line; the spread is the slope's standard error either way."""
+    xs, ys = zip(*points, strict=True)
+    line = stats.linregress(xs, ys)
+    low, high = line.slope - line.stderr, line.slope + line.stderr
+    return Figure(
+        name, float(line.slope), unit, runs=len(points), spread=(low, high)
+    )
+
+
+class Series:
+    """Samples of daemons in several windows.
+
+    Attributes:
+        windows: By daemon, its samples.
+    """
+
+    __slots__ = ("windows",)
+
+    def __init__(
+        self, fleet: Fleet, processes: list[Process], changes_s: float
+    ) -> None:
+        """Take the samples while changes are made."""
+        self.windows: dict[str, list[Sample]] = {}
+        with fleet.changing(changes_s):
+            for _ in range(WINDOWS):
+                for name, one in fleet.sample(processes, WINDOW_S).items():
+                    self.windows.setdefault(name, []).append(one)
+
+    def of(self, name: str, get: Get) -> list[float]:
+        """Return one measure of one daemon in each window."""
+        return [get(sample) for sample in self.windows[name]]
+
+
+def measure_daemons() -> list[Figure]:
+    """Measure daemons with different numbers of links, one machine."""
+    with bare_fleet(["domain-0"]) as fleet:
+        deployment = fleet.deployment
+        fleet.configure(WORKSPACES[0])
+        sidecars = {
+            count: deployment.add_sidecar(
+                f"sidecar-{count}", f"domain-{at}", fleet.engine, "engines"
+            )
+            for at, count in enumerate(SIDECAR_LINKS)
+        }
+        # The real sidecars are dialed by light entries only.
+        deployment.instances.clear()
+        deployment.wait_ready()
+        dial = [
+            [p for count, p in sidecars.items() if at < count]
+            for at in range(max(SIDECAR_LINKS))
+        ]
+        light = light_peers(fleet, max(ENTRY_LINKS), dial)
+        entries = {}
+        for at, count in enumerate(ENTRY_LINKS):
+            deployment.shape.entry_flags = [f"--subset={count}"]
+            deployment.shape.domains = [f"domain-{at}"]
+            entries[count] = deployment.add_entry(at)
+        deployment.instances.update({i["name"]: i for i in light})
+        deployment.publish()
+        daemons = [*entries.values(), *sidecars.values()]
+        for count, process in [*entries.items(), *sidecars.items()]:
+            wait_until(
+                lambda p=process, c=count: fleet.metrics(p).get(LINKS, 0) >= c,  # type: ignore[misc]
+                f"{process.name} has not {count} links",
+            )
+        time.sleep(WINDOW_S)
+        return _daemon_figures(fleet, entries, sidecars, daemons)
+
+
+def _daemon_figures(
+    fleet: Fleet,
+    entries: dict[int, Process],
+    sidecars: dict[int, Process],
+    daemons: list[Process],
+) -> list[Figure]:
+    progress("daemons: idle")
+    idle = Series(fleet, daemons, 0.0)
+    figures = _at_target("entry, 168 links", idle, entries[168].name)
+    figures += _at_target("sidecar, 31 links", idle, sidecars[31].name)
+    figures += _link_slopes("entry", idle, entries)
+    figures += _link_slopes("sidecar", idle, sidecars)
+    for workspaces in WORKSPACES:
+        fleet.configure(workspaces)
+        wait_until(lambda: fleet.in_force(daemons), "not in force")
+        still = idle
+        if workspaces != WORKSPACES[0]:
+            progress(f"daemons: idle, {workspaces} workspaces")
+            still = Series(fleet, daemons, 0.0)
+        rates = {0.0: still}
+        for rate in CHANGES_S:
+            progress(f"daemons: {rate} changes/s, {workspaces} workspaces")
+            rates[rate] = Series(fleet, daemons, rate)
+        label = f"{workspaces} workspaces"
+        for kind, process in (
+            ("entry, 168 links", entries[168]),
+            ("sidecar, 31 links", sidecars[31]),
+        ):
+            figures += _change_slopes(f"{kind}, {label}", rates, process.name)
+            figures.append(
+                figure(
+                    f"{kind}, {label}: memory",
+                    still.of(process.name, lambda s: s.rss_mb),
+                    "MB",
+                )
+            )
+    return figures
+
+
+def _at_target(kind: str, idle: Series, name: str) -> list[Figure]:
+    cpu = idle.of(name, lambda s: s.cpu)
+    memory = idle.of(name, lambda s: s.rss_mb)
+    private = idle.of(name, lambda s: s.private_mb)
+    bytes_s = idle.of(name, lambda s: s.bytes)
+    messages = idle.of(name, lambda s: s.messages)
+    return [
+        budget(f"{kind}: CPU", cpu, "%", CPU_PERCENT),
+        budget(f"{kind}: memory", memory, "MB", MEMORY_MB),
+        figure(f"{kind}: private memory", private, "MB"),
+        figure(f"{kind}: threads", idle.of(name, lambda s: s.threads), ""),
+        budget(f"{kind}: link bytes", bytes_s, "B/s", BYTES_S),
+        figure(f"{kind}: messages", messages, "1/s"),
+    ]
+
+
+def _link_slopes(
+    kind: str, idle: Series, daemons: dict[int, Process]
+) -> list[Figure]:
+    measures: list[tuple[str, Get, str]] = [
+        ("CPU", lambda s: s.cpu, "%"),
+        ("memory", lambda s: s.rss_mb, "MB"),
+        ("link bytes", lambda s: s.bytes, "B/s"),
+        ("messages", lambda s: s.messages, "1/s"),
+    ]
+    figures = []
+    for measure, get, unit in measures:
+        points = [
+            (float(count), value)
+            for count, process in daemons.items()
+            for value in idle.of(process.name, get)
+        ]
+        figures.append(slope(f"{kind}: {measure} a link", points, unit))
+    return figures
+
+
+def _change_slopes(
+    kind: str, rates: dict[float, Series], name: str
+) -> list[Figure]:
+    def points(get: Get) -> list[tuple[float, float]]:
+        return [
+            (rate, value)
+            for rate, series in rates.items()
+            for value in series.of(name, get)
+        ]
+
+    return [
+        slope(f"{kind}: CPU a change/s", points(lambda s: s.cpu), "%"),
+        slope(f"{kind}: bytes a change", points(lambda s: s.bytes), "B"),
+    ]
+
+
+def measure_fleet(count: int) -> list[Figure]:
+    """Measure a fleet of real daemons in two failure domains.
+
+    Args:
+        count: Processes in all.
+    """
+    with bare_fleet(["domain-0", "domain-1"]) as fleet:
+        deployment = fleet.deployment
+        fleet.configure(WORKSPACES[0])
+        entries = max(6, count // 5)
+        start = time.monotonic()
+        for index in range(count - entries - len(deployment.processes)):
+            deployment.add_sidecar(
+                f"worker-{index}",
+                deployment.domain(index),
+                fleet.engine,
+                "engines",
+            )
+        for index in range(entries):
+            deployment.add_entry(index)
+        deployment.publish()
+        deployment.wait_ready()
+        started = time.monotonic() - start
+        label = f"{count} processes"
+        figures = [figure(f"{label}: all ready", [started], "s")]
+        calls = fleet.calls()
+        for purpose in ("config-list", "instances"):
+            figures.append(
+                figure(
+                    f"{label}: {purpose} calls to start",
+                    [float(calls.get(purpose, 0))],
+                    "calls",
+                )
+            )
+        time.sleep(WINDOW_S)
+        return figures + _idle(fleet, label) + _spread(fleet, label)
+
+
+def _idle(fleet: Fleet, label: str) -> list[Figure]:
+    progress(f"{label}: idle")
+    before = fleet.calls()
+    start = time.monotonic()
+    series = Series(fleet, fleet.deployment.daemons(), 0.0)
+    seconds = time.monotonic() - start
+    after = fleet.calls()
+    figures = []
+    for kind, found in (
+        ("entry", fleet.entries()),
+        ("sidecar", fleet.sidecars()),
+    ):
+        for measure, unit, limit, get in _measures():
+            runs = [v for p in found for v in series.of(p.name, get)]
+            figures.append(
+                budget(f"{label}, {kind}: {measure}", runs, unit, limit)
+            )
+    for purpose in sorted(after):
+        rate = (after[purpose] - before.get(purpose, 0)) / seconds
+        if rate:
+            figures.append(
+                figure(f"{label}: platform calls, {purpose}", [rate], "1/s")
+            )
+    return figures
+
+
+def _measures() -> list[tuple[str, str, float, Get]]:
+    return [
+        ("CPU", "%", CPU_PERCENT, lambda s: s.cpu),
+        ("memory", "MB", MEMORY_MB, lambda s: s.rss_mb),
+        ("link bytes", "B/s", BYTES_S, lambda s: s.bytes),
+    ]
+
+
+def _spread(fleet: Fleet, label: str) -> list[Figure]:
+    """Measure how long a change takes, also while daemons are frozen."""
+    daemons = fleet.deployment.daemons()
+    runs = []
+    for _ in range(CHANGES):
+        runs.append(fleet.seconds_to_force(daemons, fleet.change(), 60))
+    figures = [budget(f"{label}: change in force", runs, "s", IN_FORCE_S)]
+    progress(f"{label}: watchers frozen")
+    watchers = fleet.watchers()
+    others = [p for p in daemons if p not in watchers]
+    with frozen(watchers):
+        took = fleet.seconds_to_force(others, fleet.change(), 60)
+    thawed = time.time()
+    again = fleet.seconds_to_force(daemons, thawed, 60)
+    figures += [
+        budget(f"{label}: watchers frozen", [took], "s", IN_FORCE_S),
+        budget(f"{label}: watchers thawed", [max(0, again)], "s", IN_FORCE_S),
+    ]
+    progress(f"{label}: a domain frozen")
+    lost = [p for p in daemons if fleet.domain(p) == "domain-1"]
+    rest = [p for p in daemons if p not in lost]
+    with frozen(lost):
+        took = fleet.seconds_to_force(rest, fleet.change(), 60)
+        time.sleep(FROZEN_S)
+    thawed = time.time()
+    again = fleet.seconds_to_force(daemons, thawed, 60)
+    return [
+        *figures,
+        budget(f"{label}: domain frozen, the rest", [took], "s", IN_FORCE_S),
+        budget(f"{label}: domain thawed", [max(0, again)], "s", IN_FORCE_S),
+    ]
+
+
+def main(json: bool = False, part: str = "all", seed: int = 0) -> None:
+    """Measure control costs.
+
+    Args:
+        json: Print one JSON object.
+        part: "subset", "daemons", "20", "50", "100" or "all".
+        seed: Printed only; nothing is drawn at random here.
+    """
+    parts: dict[str, Callable[[], list[Figure]]] = {
+        "subset": control_subset.measure,
+        "daemons": measure_daemons,
+    }
+    for count in FLEETS:
+        parts[str(count)] = lambda n=count: measure_fleet(n)  # type: ignore[misc]
+    names = list(parts) if part == "all" else [str(part)]
+    figures: list[Any] = []
+    for name in names:
+        progress(f"control: {name}")
+        figures += parts[name]()
+    show("control", seed, figures, json)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/lacewingdock/components/admin/__init__.py
+++ b/lacewingdock/components/admin/__init__.py
@@ -46,6 +46,12 @@
             registry=daemon.metrics,
         )
         revision.set_function(lambda: float(configuration.revision))
+        changed = prometheus_client.Gauge(
+            "lacewingdock_configuration_changed_timestamp_seconds",
+            "Unix time at which the revision in force last grew",
+            registry=daemon.metrics,
+        )
+        changed.set_function(lambda: configuration.changed_at)
 
     def start(self) -> None:
         """Start serving."""
--- a/lacewingdock/components/configuration/__init__.py
+++ b/lacewingdock/components/configuration/__init__.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from time import time as wall_clock
 from typing import Final
 
 import msgspec
@@ -61,6 +62,7 @@
         on_change: Called after each change of `world`.
         shown: The highest revision that each linked peer showed.
         backoff: Pauses while the platform does not answer.
+        changed_at: Unix time at which the revision last grew.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "_lock",
         "_pulled_at",
         "backoff",
+        "changed_at",
         "daemon",
         "entries",
         "loaded",
@@ -90,6 +93,7 @@
         self.on_change: list[Callable[[], None]] = []
         self.shown: dict[Link, int] = {}
         self.backoff = Backoff(RETRY_S, RETRY_MAX_S, daemon.random)
+        self.changed_at = 0.0
         self._lock = threading.Lock()
         self._check_at = 0.0
         self._pulled_at = 0.0
@@ -221,6 +225,8 @@
             before = self.table.upto
             if self.table.join(delta):
                 self._rebuild()
+            if self.table.upto > before:
+                self.changed_at = wall_clock()
         if self.loaded.is_set() and self.table.upto > before:
             self._spread(before, source)
 
