Answers: replay, cancel and resume hold under lost, late and crossed frames

Cause: a review of the thin path found these faults. - A cancel stopped every run that had no watcher at that moment, so one caller's leave ended the answers of others whose link was being replaced. - An idle link's last beat was held against the limit of busy links: the first request after a pause lost a healthy link. - Sends blocked up to a second on a stuck peer, under the run's lock, which other links' reading tasks take. - A frame of an attempt that came twice replaced the run; a frame that was missing was never fetched; a resume that was not sent woke nobody; a watcher added after its link's close stayed for good; callers with a key who left kept the sidecar's link busy, so that it gave the link up as silent. - A resume of an attempt that the sidecar never read ended the request. - What waits for a slow caller was not bounded. - A stop took an end that was sent for an end that was received.

Change: sending never blocks; a bounded backlog is emptied by a task of its own, and bulk waits for room outside the lock. Silence counts from the start of the work. An entry tells the sidecar of every answer it drops (kept, ended or cancelled), which also frees the replay buffer. A resume carries the sidecar's incarnation and the attempt's age; what never came to this very process is fenced and truly "not run". An overflow at the entry detaches and fetches the rest by offset.

Ruled out: a writing task for each link (a thread switch for each token); blocking with a shorter time limit (still stalls healthy peers).

--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -1,12 +1,13 @@
 """Support for asking sidecars and receiving whole answers."""
 
+import time
 from dataclasses import replace
 from typing import Final
 
 from lacewingdock.components.answers.answer import Answer
 from lacewingdock.components.membership import Membership
 from lacewingdock.components.peers import Peers
-from lacewingdock.const import RAN_NO
+from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
@@ -25,6 +26,8 @@
 NAME: Final = "answers"
 # How long an answer waits for a new link to the sidecar that has it.
 REATTACH_S: Final = 3.0
+# The same where another upstream may take the request instead.
+ELSEWHERE_S: Final = 0.5
 
 log = get_logger(NAME)
 
@@ -63,6 +66,7 @@
             raise LacewingdockError(
                 ErrorKind.NO_UPSTREAM, f"no link to {upstream.name}", RAN_NO
             )
+        answer.sent_to = link.peer.incarnation
         self._track(answer, link)
         upstream.in_flight.add(1)
         upstream.sent_since_news += 1
@@ -76,18 +80,29 @@
         return answer
 
     def resume(
-        self, upstream: Upstream, original: str, workspace: str, offset: int
+        self,
+        upstream: Upstream,
+        original: str,
+        workspace: str,
+        offset: int,
+        request: str = "",
     ) -> Answer:
         """Ask for the rest of an answer that a caller left before.
 
         Raises:
-            LacewingdockError: NO_UPSTREAM when there is no link.
+            LacewingdockError: OUTCOME_UNKNOWN when there is no link in time.
         """
-        attempt = Attempt(original, "", workspace, "", "", "", b"")
+        attempt = Attempt(
+            original, request, workspace, "", "", "", b"", resumable=True
+        )
         answer = Answer(upstream, attempt)
-        answer.next_offset = answer.expected = offset
+        answer.next_offset = offset
         upstream.in_flight.add(1)
-        self.reattach(answer)
+        try:
+            self.reattach(answer)
+        except LacewingdockError:
+            self.drop(answer)
+            raise
         return answer
 
     def reattach(self, answer: Answer) -> None:
@@ -97,27 +112,25 @@
         and find no answer any more.
 
         Raises:
-            LacewingdockError: UPSTREAM_FAILED, run or not unknown, when
-                there is no new link in time.
+            LacewingdockError: OUTCOME_UNKNOWN when there is no new link in
+                time.
         """
         self._untrack(answer)
-        link = answer.upstream.wait_link(REATTACH_S)
-        if link is None:
-            raise LacewingdockError(
-                ErrorKind.OUTCOME_UNKNOWN,
-                f"{answer.upstream.name} does not answer any more",
-            )
-        answer.current = new_id()
-        answer.expected = answer.next_offset
-        self._track(answer, link)
-        link.send(
-            Resume(
-                answer.current,
-                answer.attempt.attempt,
-                answer.attempt.workspace,
-                answer.next_offset,
-            )
-        )
+        end = min(answer.deadline, time.monotonic() + _patience_s(answer))
+        while True:
+            left = end - time.monotonic()
+            link = answer.upstream.wait_link(max(left, 0.0))
+            if link is None:
+                raise LacewingdockError(
+                    ErrorKind.OUTCOME_UNKNOWN,
+                    f"{answer.upstream.name} does not answer any more",
+                )
+            answer.restart(new_id())
+            self._track(answer, link)
+            # A link that closed before it was tracked wakes nobody.
+            if link.send(_resume_of(answer)):
+                break
+            self._untrack(answer)
         log.info(
             "answer reattached",
             attempt_id=answer.attempt.attempt,
@@ -126,30 +139,48 @@
         )
 
     def drop(self, answer: Answer, cancel: bool = False) -> None:
-        """Stop waiting for an answer; the sidecar may be told to stop."""
+        """Stop waiting for an answer, and tell its sidecar.
+
+        Untold, the sidecar would send on to nobody, hold the answer and
+        take this end, which owes it nothing any more, for silent.
+
+        Args:
+            answer: The answer.
+            cancel: Whether nobody can come back for the rest.
+        """
         if not answer.dropped:
             answer.dropped = True
             answer.upstream.in_flight.add(-1)
         link = answer.link
-        if cancel and link is not None and not link.closed:
-            link.send(Cancel(answer.current))
         self._untrack(answer)
+        if link is not None and not link.closed:
+            keep = answer.attempt.resumable and not cancel
+            link.send(Cancel(answer.current, keep, answer.ended))
+
+    def abandon(self, request: str) -> None:
+        """End the answers of a request whose caller left."""
+        for answer in tuple(self.open.values()):
+            if answer.attempt.request == request:
+                answer.abandon(_left(answer.current))
 
     def _track(self, answer: Answer, link: Link) -> None:
         answer.link = link
-        link.busy.add(1)
+        link.begin()
         self.open[answer.current] = answer
 
     def _untrack(self, answer: Answer) -> None:
         self.open.pop(answer.current, None)
         if answer.link is not None:
-            answer.link.busy.add(-1)
+            answer.link.finish()
             answer.link = None
 
     def _deliver(self, link: Link, message: Chunk | Finish | Refusal) -> None:
         answer = self.open.get(message.attempt)
-        if answer is not None and answer.link is link:
-            answer.deliver(message)
+        # A peer may only speak for attempts that were sent to it.
+        if answer is None or answer.link is not link:
+            return
+        if not answer.deliver(message):
+            link.send(Cancel(message.attempt, keep=True))
 
     def _on_close(self, link: Link) -> None:
         for answer in tuple(self.open.values()):
@@ -159,16 +190,44 @@
     def unload(self) -> None:
         """Wake whoever still waits; their answers end with an error."""
         for answer in tuple(self.open.values()):
-            answer.deliver(
+            answer.abandon(
                 Refusal(
                     answer.current,
                     ErrorKind.LEAVING,
-                    "unknown",
+                    RAN_UNKNOWN,
                     "the entry stopped",
                 )
             )
 
 
+def _patience_s(answer: Answer) -> float:
+    """Return how long to wait for a new link.
+
+    A request that showed nothing and may be repeated is better off with
+    another upstream than waiting for a sidecar that may be dead.
+    """
+    attempt = answer.attempt
+    may_move = attempt.repeatable and attempt.target and not answer.next_offset
+    return ELSEWHERE_S if may_move else REATTACH_S
+
+
+def _resume_of(answer: Answer) -> Resume:
+    return Resume(
+        answer.current,
+        answer.attempt.attempt,
+        answer.attempt.workspace,
+        answer.next_offset,
+        answer.sent_to,
+        int((time.monotonic() - answer.sent_at) * 1000),
+    )
+
+
+def _left(attempt: str) -> Refusal:
+    return Refusal(
+        attempt, ErrorKind.CALLER_LEFT, RAN_UNKNOWN, "the caller left"
+    )
+
+
 def retry_of(attempt: Attempt) -> Attempt:
     """Return the same request as a new attempt."""
     return replace(attempt, attempt=new_id())
--- a/lacewingdock/components/answers/answer.py
+++ b/lacewingdock/components/answers/answer.py
@@ -1,6 +1,7 @@
 """Support for one answer as it arrives, piece by piece."""
 
 import queue
+import threading
 import time
 from typing import Final
 
@@ -9,9 +10,13 @@
 from lacewingdock.links.messages import Attempt, Chunk, Finish, Refusal
 from lacewingdock.world.upstream import Upstream
 
+# Pieces that wait for a slow caller, at most; beyond it the answer is fetched
+# again by offset once the caller has taken them.
+MAX_WAITING_BYTES: Final = 256 * 1024
+
 
 class LinkLost:
-    """Put in place of a piece when the link closed."""
+    """Put in place of a piece when no more come over this link."""
 
     __slots__ = ()
 
@@ -31,24 +36,37 @@
         current: The id that frames carry now; changes with each link.
         link: The link it comes over; None between links.
         events: What was delivered and not taken yet.
+        held: An end that was met while pieces before it were taken.
+        waiting: Bytes delivered and not taken yet.
+        lost: Whether nothing more is delivered before a new link.
         expected: Offset that the next delivered piece must have.
         next_offset: Offset of the next piece to be taken.
         deadline: Monotonic time after which nobody waits.
         finish: The end, once taken.
+        ended: Whether an end was delivered, whole or refused.
         dropped: Whether nobody waits any more.
+        sent_to: Incarnation of the sidecar that the attempt was sent to.
+        sent_at: Monotonic time at which it was sent.
     """
 
     __slots__ = (
+        "_lock",
         "attempt",
         "current",
         "deadline",
         "dropped",
+        "ended",
         "events",
         "expected",
         "finish",
+        "held",
         "link",
+        "lost",
         "next_offset",
+        "sent_at",
+        "sent_to",
         "upstream",
+        "waiting",
     )
 
     def __init__(self, upstream: Upstream, attempt: Attempt) -> None:
@@ -58,27 +76,81 @@
         self.current = attempt.attempt
         self.link: Link | None = None
         self.events: queue.SimpleQueue[Event] = queue.SimpleQueue()
+        self.held: Event | None = None
+        self.waiting = 0
+        self.lost = False
         self.expected = 0
         self.next_offset = 0
-        self.deadline = time.monotonic() + attempt.deadline_ms / 1000
+        self.sent_at = time.monotonic()
+        self.deadline = self.sent_at + attempt.deadline_ms / 1000
         self.finish: Finish | None = None
+        self.ended = False
         self.dropped = False
+        self.sent_to = ""
+        self._lock = threading.Lock()
+
+    def deliver(self, message: Chunk | Finish | Refusal) -> bool:
+        """Take a frame in; repeated, crossed and late ones are left out.
 
-    def deliver(self, message: Chunk | Finish | Refusal) -> None:
-        """Take a frame in; repeated pieces are left out.
+        A sidecar that resumes may send again what is already here, and a
+        thawed link may bring what was asked for again since. The caller
+        would see a piece twice; ids and offsets show it.
 
-        A sidecar that resumes may send again what is already here. The
-        caller would see a piece twice; offsets show it.
+        Returns:
+            False when no more frames shall come over this link: one is
+            missing, or the caller is too slow for what comes.
         """
-        if isinstance(message, Chunk):
-            if message.offset != self.expected:
-                return
-            self.expected += 1
-        self.events.put(message)
+        with self._lock:
+            if self.lost or self.ended or message.attempt != self.current:
+                return True
+            match message:
+                case Chunk() if message.offset < self.expected:
+                    return True
+                case Chunk() if message.offset == self.expected:
+                    self.expected += 1
+                    self.waiting += len(message.data)
+                    self.events.put(message)
+                    if self.waiting <= MAX_WAITING_BYTES:
+                        return True
+                case Refusal():
+                    self.ended = True
+                    self.events.put(message)
+                    return True
+                case Finish() if message.chunks == self.expected:
+                    self.ended = True
+                    self.events.put(message)
+                    return True
+                case _:
+                    # Given on, the answer would lack a piece.
+                    pass
+            self._lose_locked()
+            return False
 
     def lose(self) -> None:
-        """Tell the taking task that the link closed."""
-        self.events.put(LINK_LOST)
+        """Tell the taking task that no more comes over this link."""
+        with self._lock:
+            # After the end a lost link takes nothing away.
+            if not self.ended:
+                self._lose_locked()
+
+    def abandon(self, refusal: Refusal) -> None:
+        """End the waiting here; the sidecar's answer has not ended."""
+        with self._lock:
+            if not self.lost and not self.ended:
+                self.lost = True
+                self.events.put(refusal)
+
+    def _lose_locked(self) -> None:
+        if not self.lost:
+            self.lost = True
+            self.events.put(LINK_LOST)
+
+    def restart(self, current: str) -> None:
+        """Go on at the next piece to be taken, under a new id."""
+        with self._lock:
+            self.current = current
+            self.expected = self.next_offset
+            self.lost = False
 
     def take(self) -> list[bytes] | LinkLost:
         """Wait for pieces and return all that are there.
@@ -90,28 +162,30 @@
         Raises:
             LacewingdockError: The sidecar refused, or DEADLINE.
         """
+        event, self.held = self.held or self._next(), None
         pieces: list[bytes] = []
-        event = self._next()
-        while True:
-            match event:
-                case Chunk():
-                    pieces.append(event.data)
-                    self.next_offset += 1
-                case Finish() if not pieces:
-                    self._end(event)
-                    return []
-                case LinkLost() if not pieces:
-                    # What the closed link delivered before counts; what it
-                    # might deliver after does not, for its id is dropped.
-                    return LINK_LOST
-                case Refusal() if not pieces:
-                    raise error_of(event)
-                case _:
-                    self._put_back(event)
-                    return pieces
+        size = 0
+        while isinstance(event, Chunk):
+            pieces.append(event.data)
+            size += len(event.data)
             if self.events.empty():
-                return pieces
+                break
             event = self.events.get()
+        if pieces:
+            self.next_offset += len(pieces)
+            with self._lock:
+                self.waiting -= size
+            if not isinstance(event, Chunk):
+                self.held = event
+            return pieces
+        match event:
+            case Finish():
+                self.finish = event
+                return []
+            case Refusal():
+                raise error_of(event)
+            case _:
+                return LINK_LOST
 
     def _next(self) -> Event:
         left = self.deadline - time.monotonic()
@@ -122,22 +196,6 @@
                 ErrorKind.DEADLINE, "no whole answer by the deadline"
             ) from None
 
-    def _put_back(self, event: Event) -> None:
-        """Keep an end for the next call; nothing comes after an end."""
-        rest = [event]
-        while not self.events.empty():
-            rest.append(self.events.get())
-        for later in rest:
-            self.events.put(later)
-
-    def _end(self, finish: Finish) -> None:
-        if finish.chunks != self.next_offset:
-            raise LacewingdockError(
-                ErrorKind.INTERNAL,
-                f"answer has {self.next_offset} of {finish.chunks} pieces",
-            )
-        self.finish = finish
-
 
 def error_of(refusal: Refusal) -> LacewingdockError:
     """Turn a refusal into the error it stands for."""
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -22,7 +22,7 @@
     open_session,
     sign_session,
 )
-from lacewingdock.const import HEADER_SESSION, HEADER_VERSION
+from lacewingdock.const import HEADER_SESSION, HEADER_VERSION, RAN_YES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
@@ -108,6 +108,8 @@
                 for more in self.relay.rest(answer) if pieces else ():
                     pieces += more
             except LacewingdockError as error:
+                if error.kind is ErrorKind.CALLER_LEFT:
+                    raise
                 log.info(
                     "step failed",
                     request_id=caller.request_id,
@@ -185,6 +187,8 @@
             yield DONE_EVENT
         except LacewingdockError as error:
             whole = True
+            if sent:
+                error.ran = RAN_YES
             body = problem_body(error, caller.request_id)
             yield b"event: error\ndata: " + body + b"\n\n"
         finally:
@@ -219,7 +223,11 @@
                 ErrorKind.ANSWER_GONE, f"{parts[0]} is not known here"
             )
         answer = self.relay.answers.resume(
-            upstream, parts[1], workspace, int(parts[2]) + 1
+            upstream,
+            parts[1],
+            workspace,
+            int(parts[2]) + 1,
+            caller.request_id,
         )
         try:
             pieces = self.relay.take(answer)
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -18,9 +18,11 @@
 # Refusals that another upstream may not share.
 _ELSEWHERE: Final = frozenset(
     {
+        ErrorKind.ANSWER_GONE,
         ErrorKind.LEAVING,
         ErrorKind.NO_UPSTREAM,
         ErrorKind.NOT_READY,
+        ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.OVERLOADED,
         ErrorKind.UPSTREAM_FAILED,
     }
@@ -130,9 +132,7 @@
 
 
 def _may_retry(error: LacewingdockError, attempt: Attempt) -> bool:
-    if error.kind not in _ELSEWHERE and error.kind is not (
-        ErrorKind.OUTCOME_UNKNOWN
-    ):
+    if error.kind not in _ELSEWHERE:
         return False
     return error.ran == RAN_NO or attempt.repeatable
 
--- a/lacewingdock/components/peers/__init__.py
+++ b/lacewingdock/components/peers/__init__.py
@@ -22,6 +22,9 @@
 NAME: Final = "peers"
 ACCEPT_POLL_S: Final = 0.5
 BACKLOG: Final = 512
+# How long a stop waits for its peers to have read all that was sent.
+FAREWELL_S: Final = 1.0
+FAREWELL_POLL_S: Final = 0.01
 
 log = get_logger(NAME)
 
@@ -113,6 +116,7 @@
         self._read(link)
 
     def _open(self, link: Link) -> None:
+        link.spawn = self.daemon.spawn
         self.links.add(link)
         for callback in self.on_open:
             callback(link)
@@ -148,7 +152,7 @@
                 due, limit = BEAT_BUSY_S, SILENCE_S
             else:
                 due, limit = BEAT_IDLE_S, SILENCE_IDLE_S
-            if now - link.last_heard > limit:
+            if link.silent_s(now) > limit:
                 link.close("silent")
             elif now - link.last_sent >= due * 0.9:
                 link.beat(beat)
@@ -162,6 +166,11 @@
         """Close the port and every link."""
         with contextlib.suppress(OSError):
             self.listener.close()
+        for link in tuple(self.links):
+            link.end()
+        end = time.monotonic() + FAREWELL_S
+        while self.links and time.monotonic() < end:
+            time.sleep(FAREWELL_POLL_S)
         for link in tuple(self.links):
             link.close("stopped")
 
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -9,7 +9,7 @@
 from lacewingdock.components.peers import Peers
 from lacewingdock.components.runs.shelf import Shelf
 from lacewingdock.components.runs.upstream_call import call_upstream
-from lacewingdock.const import RAN_NO
+from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
@@ -30,6 +30,7 @@
 # How long a run that may not be resumed by its caller outlives its entry's
 # link: long enough for the entry to come back over a new one.
 ORPHAN_S: Final = 5.0
+MS_PER_S: Final = 1000
 
 log = get_logger(NAME)
 
@@ -118,13 +119,25 @@
         )
 
     def _on_attempt(self, link: Link, attempt: Attempt) -> None:
-        self.daemon.spawn(self._serve, link, attempt)
+        """Take an attempt in before the link's next frame is read.
 
-    def _serve(self, link: Link, attempt: Attempt) -> None:
-        """Take one attempt through the gate and run it."""
+        A cancel or a resume that follows at once must find it.
+        """
         run = Run(attempt)
-        self.shelf.put(run)
-        run.attach(link, attempt.attempt, 0)
+        match self.shelf.put(run):
+            case None:
+                run.attach(link, attempt.attempt, 0)
+                run.refuse(_never_came(attempt.attempt))
+            case first if first is run:
+                run.attach(link, attempt.attempt, 0)
+                self.daemon.spawn(self._serve, run)
+            case first:
+                # The frame came twice; the id of another workspace's attempt
+                # must not open its answer.
+                self._send_rest(link, attempt.attempt, attempt.workspace, first)
+
+    def _serve(self, run: Run) -> None:
+        """Take one attempt through the gate and run it."""
         try:
             self._admit(run)
         except LacewingdockError as error:
@@ -194,28 +207,74 @@
 
     def _follow(self, run: Run, first: Run) -> None:
         """Give a repeated request the answer of the run it repeats."""
-        self.shelf.alias(run, first)
+        self.shelf.alias(run.attempt.attempt, first)
         run.hand_over(first)
 
     def _on_resume(self, link: Link, resume: Resume) -> None:
         run = self.shelf.get(resume.original)
-        if run is None or run.attempt.workspace != resume.workspace:
-            link.send(
-                Refusal(
-                    resume.attempt,
-                    ErrorKind.ANSWER_GONE,
-                    "unknown",
-                    "this sidecar has no such answer",
-                )
+        if run is None:
+            error = self._judge_unknown(resume)
+            link.send(_refusal(resume.attempt, error))
+            return
+        self._send_rest(
+            link, resume.attempt, resume.workspace, run, resume.offset
+        )
+
+    def _judge_unknown(self, resume: Resume) -> LacewingdockError:
+        """Say of an attempt that is not here whether it ran.
+
+        "Not run" is only true of this very process, and only while it would
+        still remember; an entry that was frozen comes later than that.
+        """
+        is_remembered = (
+            resume.incarnation == self.daemon.me.incarnation
+            and resume.age_ms < self.settings.resume_s * MS_PER_S / 2
+        )
+        if is_remembered and self.shelf.fence(resume.original):
+            return _never_came(resume.original)
+        return LacewingdockError(
+            ErrorKind.ANSWER_GONE,
+            "this sidecar has no such answer",
+            RAN_UNKNOWN,
+        )
+
+    def _send_rest(
+        self,
+        link: Link,
+        attempt: str,
+        workspace: str,
+        run: Run,
+        offset: int = 0,
+    ) -> None:
+        """Give an answer from an offset on, to its own workspace only."""
+        if run.attempt.workspace != workspace:
+            log.warning(
+                "resume refused", peer=link.peer.instance, workspace=workspace
+            )
+            error = LacewingdockError(
+                ErrorKind.ANSWER_GONE,
+                "this sidecar has no such answer",
+                RAN_UNKNOWN,
             )
+            link.send(_refusal(attempt, error))
             return
-        self.daemon.spawn(run.attach, link, resume.attempt, resume.offset)
+        self.shelf.alias(attempt, run)
+        self.daemon.spawn(run.attach, link, attempt, offset)
 
     def _on_cancel(self, link: Link, cancel: Cancel) -> None:
-        for run in self.shelf.runs():
-            run.detach(link, cancel.attempt)
-            if not run.watchers and run.attempt.repeatable:
-                run.cancelled.set()
+        run = self.shelf.get(cancel.attempt)
+        # Only whoever gets the answer may give it up, and only while nobody
+        # else gets it: a run between two links has no watcher either.
+        if run is None or not run.detach(link, cancel.attempt):
+            return
+        attempt = run.attempt
+        if cancel.ended:
+            run.fetched = True
+            self.shelf.release(run)
+        elif cancel.keep or attempt.resumable:
+            run.kept = True
+        elif attempt.repeatable and not run.watchers:
+            run.cancel()
 
     def _on_close(self, link: Link) -> None:
         for run in self.shelf.runs():
@@ -224,7 +283,19 @@
     def unload(self) -> None:
         """Abort what still runs; the grace time is over."""
         for run in self.shelf.runs():
-            run.cancelled.set()
+            run.cancel()
+
+
+def _never_came(attempt: str) -> LacewingdockError:
+    return LacewingdockError(
+        ErrorKind.NO_UPSTREAM, f"attempt {attempt} never came", RAN_NO
+    )
+
+
+def _refusal(attempt: str, error: LacewingdockError) -> Refusal:
+    retry = error.retry_after_s
+    retry_ms = -1 if retry is None else int(retry * MS_PER_S)
+    return Refusal(attempt, error.kind, error.ran, error.detail, retry_ms)
 
 
 def setup(
--- a/lacewingdock/components/runs/shelf.py
+++ b/lacewingdock/components/runs/shelf.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 from lacewingdock.world.run import Run
 
@@ -10,35 +11,77 @@
     """The runs by attempt id, and the rule by which answers go.
 
     An answer that ended is kept for `resume_s` so that a caller whose entry
-    or link died can fetch the rest. Beyond `limit` bytes the oldest ended
-    ones lose their pieces first; a running one never does.
+    or link died can fetch the rest, unless its entry said that it has all of
+    it. Beyond `limit` bytes the oldest ended ones lose their pieces first; a
+    running one never does.
 
     Attributes:
         limit: Bytes of kept answers.
         resume_s: Seconds that an ended answer is kept.
         orphan_s: Seconds that a run without a watcher goes on, if its caller
             can't come back for it.
+        clock: Monotonic time, in seconds.
     """
 
-    __slots__ = ("_lock", "_runs", "limit", "orphan_s", "resume_s")
-
-    def __init__(self, limit: int, resume_s: float, orphan_s: float) -> None:
+    __slots__ = (
+        "_fences",
+        "_lock",
+        "_runs",
+        "clock",
+        "limit",
+        "orphan_s",
+        "resume_s",
+    )
+
+    def __init__(
+        self,
+        limit: int,
+        resume_s: float,
+        orphan_s: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         """Start empty."""
         self.limit = limit
         self.resume_s = resume_s
         self.orphan_s = orphan_s
+        self.clock = clock
         self._runs: dict[str, Run] = {}
+        self._fences: dict[str, float] = {}
         self._lock = threading.Lock()
 
-    def put(self, run: Run) -> None:
-        """Take a run in."""
+    def put(self, run: Run) -> Run | None:
+        """Take a run in.
+
+        Returns:
+            The run itself; the one that has its id already, which a frame
+            that came twice must not replace; or None when the id is fenced.
+        """
         with self._lock:
-            self._runs[run.attempt.attempt] = run
+            attempt = run.attempt.attempt
+            if attempt in self._fences:
+                return None
+            return self._runs.setdefault(attempt, run)
+
+    def fence(self, attempt: str) -> bool:
+        """Let an attempt that never came be refused if it still comes.
+
+        An entry that asks for the answer over a new link is told "not run"
+        and may run the request elsewhere; the attempt itself may still wait
+        in the old link's buffers and would be run after all.
 
-    def alias(self, run: Run, first: Run) -> None:
-        """Let a run's id name another run from now on."""
+        Returns:
+            Whether it never came.
+        """
+        with self._lock:
+            if attempt in self._runs:
+                return False
+            self._fences[attempt] = self.clock()
+            return True
+
+    def alias(self, attempt: str, run: Run) -> None:
+        """Let another id name a run from now on."""
         with self._lock:
-            self._runs[run.attempt.attempt] = first
+            self._runs[attempt] = run
 
     def get(self, attempt: str) -> Run | None:
         """Find a run."""
@@ -50,12 +93,27 @@
             return list({id(r): r for r in self._runs.values()}.values())
 
     def active(self) -> int:
-        """Count the runs that have not ended."""
-        return sum(run.outcome is None for run in self.runs())
+        """Count the runs that a planned stop must not cut."""
+        now = self.clock()
+        return sum(self._is_active(run, now) for run in self.runs())
+
+    def _is_active(self, run: Run, now: float) -> bool:
+        """Tell whether somebody waits for a run or may come back for it.
+
+        An end that was sent is not yet received: the link may have gone
+        silent. The entry says when it has it; one that died won't.
+        """
+        if run.outcome is None:
+            return True
+        if run.fetched or run.evicted:
+            return False
+        can_return = run.attempt.resumable or run.kept
+        wait_s = self.resume_s if can_return else self.orphan_s
+        return now - run.changed < wait_s
 
     def sweep(self) -> None:
         """Cancel orphans, forget old answers, keep within the limit."""
-        now = time.monotonic()
+        now = self.clock()
         for run in self.runs():
             if run.outcome is None and not run.watchers:
                 self._judge_orphan(run, now)
@@ -65,6 +123,11 @@
                 for key, run in self._runs.items()
                 if run.outcome is None or now - run.changed < self.resume_s
             }
+            self._fences = {
+                key: since
+                for key, since in self._fences.items()
+                if now - since < self.resume_s
+            }
         self._shrink()
 
     def _judge_orphan(self, run: Run, now: float) -> None:
@@ -76,8 +139,21 @@
         attempt = run.attempt
         if attempt.resumable or not attempt.repeatable:
             return
-        if now - run.changed > self.orphan_s:
-            run.cancelled.set()
+        wait_s = self.resume_s if run.kept else self.orphan_s
+        if now - run.changed > wait_s:
+            run.cancel()
+
+    def release(self, run: Run) -> None:
+        """Drop the pieces of an answer that its entry has whole.
+
+        Its caller can't come back for it. Kept for `resume_s` all the same,
+        the answers of a busy upstream would fill the limit and push out the
+        ones that somebody still needs.
+        """
+        attempt = run.attempt
+        # A call that may not be repeated is asked for again by its key.
+        if attempt.repeatable and not attempt.resumable and run.outcome:
+            run.evict()
 
     def _shrink(self) -> None:
         ended = sorted(
--- a/lacewingdock/exceptions.py
+++ b/lacewingdock/exceptions.py
@@ -19,6 +19,7 @@
     BAD_TOKEN = "bad_token"
     BODY_TOO_LARGE = "body_too_large"
     BUDGET_EXHAUSTED = "budget_exhausted"
+    CALLER_LEFT = "caller_left"
     CONFLICT = "conflict"
     DEADLINE = "deadline"
     INTERNAL = "internal"
@@ -84,6 +85,10 @@
     ErrorKind.BUDGET_EXHAUSTED: Answer(
         429, "The workspace's budget is used up", retry_after_s=60.0
     ),
+    # Nobody reads this answer; its row is for the log.
+    ErrorKind.CALLER_LEFT: Answer(
+        499, "The caller closed its connection", ran=RAN_UNKNOWN
+    ),
     ErrorKind.CONFLICT: Answer(409, "Another change came first"),
     ErrorKind.DEADLINE: Answer(
         504, "The deadline passed", ran=RAN_UNKNOWN, retry_after_s=1.0
--- a/lacewingdock/links/link.py
+++ b/lacewingdock/links/link.py
@@ -5,8 +5,8 @@
 import struct
 import threading
 import time
-from collections.abc import Iterator
-from typing import Final
+from collections.abc import Callable, Iterator
+from typing import Any, Final
 
 from lacewingdock.const import MAX_FRAME_BYTES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -15,33 +15,53 @@
 from lacewingdock.links.wire import LENGTH_BYTES, decode, encode
 
 RECEIVE_BYTES: Final = 65536
-# A peer that takes nothing for this long is frozen or cut off. Blocking on it
-# longer would stall the other answers of the sending task.
+# A peer that takes nothing for this long is frozen or cut off.
 SEND_TIMEOUT_S: Final = 1
+# What waits for a slow peer at most; two frames of the largest size. Beyond it
+# the link is given up, and its answers are fetched by offset over a new one.
+MAX_BACKLOG_BYTES: Final = 2 * MAX_FRAME_BYTES
+# Whoever sends in bulk waits while more than this is in the backlog.
+BULK_BACKLOG_BYTES: Final = 512 * 1024
+
+Spawn = Callable[[Callable[[], None]], Any]
 
 
 class Link:
     """A connection to a peer; one task reads it, any task may send.
 
+    Sending never blocks. What the socket does not take at once waits in a
+    bounded backlog, which a task of its own empties: a task that blocked on a
+    stuck peer would stall what it does for healthy ones, such as reading an
+    upstream that also answers others, or hearing another peer's beats.
+
     Attributes:
         sock: The connected socket.
         peer: What the peer said of itself.
         busy: Answers outstanding over this link.
+        busy_since: Monotonic time at which the first of them began.
         last_heard: Monotonic time of the last bytes received.
         last_sent: Monotonic time of the last frame sent.
         closed: Whether the link was given up.
         reason: Why it was given up.
+        spawn: Starts the task that empties the backlog; None closes the link
+            instead, for links that carry no answers.
     """
 
     __slots__ = (
+        "_backlog",
+        "_backlog_bytes",
+        "_emptying",
         "_lock",
+        "_room",
         "busy",
+        "busy_since",
         "closed",
         "last_heard",
         "last_sent",
         "peer",
         "reason",
         "sock",
+        "spawn",
     )
 
     def __init__(self, sock: socket.socket, peer: Hello) -> None:
@@ -50,9 +70,15 @@
         self.peer = peer
         self.busy = Tally()
         self.last_heard = self.last_sent = time.monotonic()
+        self.busy_since = self.last_heard
         self.closed = False
         self.reason = ""
+        self.spawn: Spawn | None = None
         self._lock = threading.Lock()
+        self._room = threading.Condition(self._lock)
+        self._backlog: list[bytes] = []
+        self._backlog_bytes = 0
+        self._emptying = False
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
@@ -61,35 +87,107 @@
             struct.pack("ll", SEND_TIMEOUT_S, 0),
         )
 
+    def begin(self) -> None:
+        """Count an answer that is outstanding from now on."""
+        if self.busy.add(1) == 1:
+            self.busy_since = time.monotonic()
+
+    def finish(self) -> None:
+        """Count an answer that is no longer outstanding."""
+        self.busy.add(-1)
+
+    def silent_s(self, now: float) -> float:
+        """Return how long the peer owes a sign of life, in seconds.
+
+        An idle peer beats rarely. Counted from its last beat, the first
+        request after a pause would find the link silent for seconds already
+        and give a healthy one up; so the count starts with the work.
+        """
+        if self.busy.value > 0:
+            return now - max(self.last_heard, self.busy_since)
+        return now - self.last_heard
+
     def send(self, message: Message) -> bool:
-        """Send a message; return False when the link is or gets closed."""
+        """Send a message; return False when the link is or gets closed.
+
+        True says that the message is on its way, not that it arrived.
+        """
         frame = encode(message)
         with self._lock:
             if self.closed:
                 return False
+            if self._emptying:
+                return self._keep_locked(frame)
             try:
-                self.sock.sendall(frame)
+                sent = self.sock.send(frame, socket.MSG_DONTWAIT)
+            except BlockingIOError:
+                sent = 0
             except OSError as error:
                 self._close_locked(f"send: {error}")
                 return False
             self.last_sent = time.monotonic()
+            if sent == len(frame):
+                return True
+            return self._keep_locked(frame[sent:])
+
+    def _keep_locked(self, data: bytes) -> bool:
+        """Keep what the socket does not take now."""
+        waiting = self._backlog_bytes
+        if waiting and waiting + len(data) > MAX_BACKLOG_BYTES:
+            self._close_locked("backlog full")
+            return False
+        self._backlog.append(data)
+        self._backlog_bytes += len(data)
+        if not self._emptying:
+            if self.spawn is None:
+                self._close_locked("send buffer full")
+                return False
+            self._emptying = True
+            self.spawn(self._empty)
         return True
 
+    def _empty(self) -> None:
+        """Send the backlog until it is empty or the peer takes nothing."""
+        while True:
+            with self._lock:
+                if self.closed or not self._backlog:
+                    self._emptying = False
+                    self._room.notify_all()
+                    return
+                data = b"".join(self._backlog)
+                self._backlog = []
+            try:
+                self.sock.sendall(data)
+            except OSError as error:
+                self.close(f"send: {error}")
+                continue
+            with self._lock:
+                self.last_sent = time.monotonic()
+                self._backlog_bytes -= len(data)
+                self._room.notify_all()
+
+    def wait_room(self) -> bool:
+        """Wait until bulk may be sent; return False when the link closed."""
+        with self._room:
+            while not self.closed and self._backlog_bytes > BULK_BACKLOG_BYTES:
+                self._room.wait(SEND_TIMEOUT_S)
+            return not self.closed
+
     def beat(self, message: Message) -> None:
         """Send a message unless the link is being sent on or is full.
 
-        The pacer beats many links in turn. If it waited for a stuck one, the
-        healthy ones would fall silent and be given up by their peers.
+        A link that is being sent on or is full needs no beat, and the pacer,
+        which beats many links in turn, need not wait for it.
         """
         if not self._lock.acquire(blocking=False):
             return
         try:
-            if self.closed:
+            if self.closed or self._emptying:
                 return
             frame = encode(message)
             sent = self.sock.send(frame, socket.MSG_DONTWAIT)
             if sent < len(frame):
-                self._close_locked("send buffer full")
+                self._keep_locked(frame[sent:])
             self.last_sent = time.monotonic()
         except BlockingIOError:
             pass
@@ -132,6 +230,17 @@
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
 
+    def end(self) -> None:
+        """Say that nothing more is sent; the peer reads all and closes.
+
+        A socket closed with unread beats in it resets the connection, and
+        the reset can overtake the end of an answer on its way to the peer.
+        """
+        with self._room:
+            self._room.wait_for(lambda: not self._emptying, SEND_TIMEOUT_S)
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+
     def dispose(self) -> None:
         """Free the socket; only the reading task calls this, at its end."""
         self.close("disposed")
--- a/lacewingdock/links/messages.py
+++ b/lacewingdock/links/messages.py
@@ -138,19 +138,32 @@
         original: Id of the attempt that was started.
         workspace: The caller's workspace, which must be the attempt's.
         offset: Index of the first piece wanted.
+        incarnation: Incarnation of the sidecar that the attempt was sent
+            to; empty when that is not known.
+        age_ms: Milliseconds since it was sent.
     """
 
     attempt: str
     original: str
     workspace: str
     offset: int
+    incarnation: str = ""
+    age_ms: int = 0
 
 
 @dataclass(slots=True)
 class Cancel:
-    """Say that nobody waits for an attempt any more."""
+    """Say that nobody waits for an attempt any more.
+
+    Attributes:
+        attempt: The id that its frames carry over this link.
+        keep: Whether somebody may come back for the rest.
+        ended: Whether its end was received, so that it need not be kept.
+    """
 
     attempt: str
+    keep: bool = False
+    ended: bool = False
 
 
 @dataclass(slots=True)
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -61,10 +61,14 @@
   original @1 :Text;
   workspace @2 :Text;
   offset @3 :UInt32;
+  incarnation @4 :Text;
+  ageMs @5 :UInt32;
 }
 
 struct Cancel {
   attempt @0 :Text;
+  keep @1 :Bool;
+  ended @2 :Bool;
 }
 
 struct Status {
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -1,13 +1,20 @@
 """Support for one request on an upstream and the answer kept of it."""
 
+import contextlib
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import Final
 
+from lacewingdock.const import RAN_YES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import Attempt, Chunk, Finish, Refusal
 
+# Kept pieces sent in one go before the link is asked whether it has room.
+BATCH_PIECES: Final = 64
+
 
 @dataclass(slots=True)
 class Watcher:
@@ -16,10 +23,12 @@
     Attributes:
         link: Where the frames go.
         attempt: The id they carry.
+        live: Whether it has all kept pieces and gets new ones as they come.
     """
 
     link: Link
     attempt: str
+    live: bool = False
 
 
 class Run:
@@ -31,11 +40,15 @@
         size: Bytes of the pieces.
         outcome: The end; None while running.
         watchers: Who gets the answer now.
-        lock: Guards the pieces, the outcome and the watchers.
+        lock: Guards the pieces, the outcome and the watchers. Nothing blocks
+            under it, for links' reading tasks take it.
         cancelled: Set when the upstream shall be told to stop.
+        on_cancel: Ends the call of the upstream at once.
         changed: Monotonic time of the last watcher's leave or of the end.
         executed: Whether the upstream may have seen the request.
         evicted: Whether pieces were dropped to bound memory.
+        kept: Whether an entry said that it comes back for the rest.
+        fetched: Whether an entry said that it has the end.
     """
 
     __slots__ = (
@@ -45,7 +58,10 @@
         "chunks",
         "evicted",
         "executed",
+        "fetched",
+        "kept",
         "lock",
+        "on_cancel",
         "outcome",
         "size",
         "watchers",
@@ -60,9 +76,12 @@
         self.watchers: list[Watcher] = []
         self.lock = threading.Lock()
         self.cancelled = threading.Event()
+        self.on_cancel: Callable[[], None] | None = None
         self.changed = time.monotonic()
         self.executed = False
         self.evicted = False
+        self.kept = False
+        self.fetched = False
 
     def add(self, data: bytes) -> None:
         """Keep a piece and pass it on."""
@@ -71,7 +90,8 @@
             self.chunks.append(data)
             self.size += len(data)
             for watcher in self.watchers:
-                watcher.link.send(Chunk(watcher.attempt, offset, data))
+                if watcher.live:
+                    watcher.link.send(Chunk(watcher.attempt, offset, data))
 
     def end(self, finish: Finish) -> None:
         """End the answer as whole."""
@@ -91,65 +111,108 @@
         with self.lock:
             self._end_locked(refusal)
 
+    def cancel(self) -> None:
+        """Tell the upstream to stop, now rather than with its next byte."""
+        self.cancelled.set()
+        hook = self.on_cancel
+        if hook is not None:
+            with contextlib.suppress(OSError):
+                hook()
+
     def _end_locked(self, outcome: Finish | Refusal) -> None:
         self.outcome = outcome
         self.changed = time.monotonic()
         for watcher in self.watchers:
-            self._send_end(watcher)
+            if watcher.live:
+                self._send_end(watcher)
 
     def _send_end(self, watcher: Watcher) -> None:
         assert self.outcome is not None
         watcher.link.send(replace(self.outcome, attempt=watcher.attempt))
-        watcher.link.busy.add(-1)
+        watcher.link.finish()
 
     def attach(self, link: Link, attempt: str, offset: int) -> None:
-        """Send what is there from an offset on, then what follows."""
-        with self.lock:
-            self.attach_locked(link, attempt, offset)
+        """Send what is there from an offset on, then what follows.
 
-    def attach_locked(self, link: Link, attempt: str, offset: int) -> None:
-        """Do `attach` for a caller that holds the lock."""
-        link.busy.add(1)
+        It waits for a slow link between batches, so only a task of its own
+        may call it, unless nothing is kept yet.
+        """
         watcher = Watcher(link, attempt)
-        if self.evicted or offset > len(self.chunks):
-            link.send(
-                Refusal(
-                    attempt,
-                    ErrorKind.ANSWER_GONE,
-                    "yes",
-                    "the answer is no longer kept",
-                )
+        with self.lock:
+            # The close of a link forgets its watchers once. One that came
+            # after that would stay for good, and its run with it.
+            if link.closed:
+                return
+            link.begin()
+            self.watchers.append(watcher)
+        while self._catch_up(watcher, offset):
+            offset += BATCH_PIECES
+            if not link.wait_room():
+                return
+
+    def _catch_up(self, watcher: Watcher, offset: int) -> bool:
+        """Send a batch; return whether there is more that is kept."""
+        with self.lock:
+            if not any(w is watcher for w in self.watchers):
+                return False
+            if self._is_gone_locked(offset):
+                self._refuse_gone_locked(watcher)
+                return False
+            kept = self.chunks[offset : offset + BATCH_PIECES]
+            for index, data in enumerate(kept, offset):
+                watcher.link.send(Chunk(watcher.attempt, index, data))
+            if offset + len(kept) < len(self.chunks):
+                return True
+            watcher.live = True
+            if self.outcome is not None:
+                self._send_end(watcher)
+            return False
+
+    def _is_gone_locked(self, offset: int) -> bool:
+        if not self.evicted:
+            return offset > len(self.chunks)
+        # Whoever has all pieces lacks only the end, which is kept.
+        end = self.outcome
+        return not (isinstance(end, Finish) and offset == end.chunks)
+
+    def _refuse_gone_locked(self, watcher: Watcher) -> None:
+        self.watchers = [w for w in self.watchers if w is not watcher]
+        watcher.link.send(
+            Refusal(
+                watcher.attempt,
+                ErrorKind.ANSWER_GONE,
+                RAN_YES,
+                "the answer is no longer kept",
             )
-            link.busy.add(-1)
-            return
-        for index in range(offset, len(self.chunks)):
-            link.send(Chunk(attempt, index, self.chunks[index]))
-        self.watchers.append(watcher)
-        if self.outcome is not None:
-            self._send_end(watcher)
-
-    def detach(self, link: Link, attempt: str | None = None) -> None:
-        """Forget the watchers of a link, or one of them."""
+        )
+        watcher.link.finish()
+
+    def detach(self, link: Link, attempt: str | None = None) -> bool:
+        """Forget the watchers of a link, or one; return if there were any."""
         with self.lock:
-            kept = [
+            gone = [
                 w
                 for w in self.watchers
-                if w.link is not link or attempt not in (None, w.attempt)
+                if w.link is link and attempt in (None, w.attempt)
             ]
-            gone = len(self.watchers) - len(kept)
             if not gone:
-                return
-            if self.outcome is None:
-                link.busy.add(-gone)
-            self.watchers = kept
+                return False
+            for watcher in gone:
+                # A live watcher of an ended run was counted off at the end.
+                if self.outcome is None or not watcher.live:
+                    link.finish()
+            self.watchers = [
+                w for w in self.watchers if not any(w is g for g in gone)
+            ]
             self.changed = time.monotonic()
+            return True
 
     def hand_over(self, other: "Run") -> None:
         """Let another run serve this one's watchers, from the start."""
         with self.lock:
             moved, self.watchers = self.watchers, []
         for watcher in moved:
-            watcher.link.busy.add(-1)
+            watcher.link.finish()
             other.attach(watcher.link, watcher.attempt, 0)
 
     def evict(self) -> None:
