Answers: broken engine streams go on, callers that leave free the engine

Cause: a connection to an engine that broke in mid-stream ended the answer, though the engines can resume a stream by offset. A caller that left while its upstream wrote nothing was noticed with the next word only, and the cancel reached the engine with the library's next check, up to a second later, or never where the engine keeps a broken stream for a resume. A caller that came back to an entry without a link to the sidecar with its answer was refused. A request whose link swallowed it was given up with that upstream.

Change: the sidecar resumes a broken stream at its offset where the engine says that it can, and ends the answer with `ran: yes` where it can't. Callers' sockets are watched by one task; a cancel shuts the engine's connection down at once and orders the stream stopped. An entry links to a sidecar outside its subset as a guest to fetch an answer. An upstream whose new link shows that the request never came is tried again.

Ruled out: comments in the event stream as a probe of the caller (nothing can be written before the first word); polling each socket with each piece (two calls a token).

--- a/bench/http.py
+++ b/bench/http.py
@@ -1,6 +1,7 @@
 """Support for HTTP calls of the load and the checks, as a caller makes them."""
 
 import io
+import socket
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -36,6 +37,7 @@
     headers: dict[str, str] | None = None,
     timeout_s: float = 30.0,
     on_data: Any = None,
+    on_socket: Any = None,
 ) -> Reply:
     """Make one call.
 
@@ -46,6 +48,7 @@
         headers: Headers to send.
         timeout_s: Seconds until it is given up.
         on_data: Called with each piece of the body as it comes.
+        on_socket: Called with the connection's socket.
     """
     reply = Reply()
     received = io.BytesIO()
@@ -59,6 +62,11 @@
         if on_data is not None:
             on_data(data)
 
+    def open_socket(_purpose: int, address: Any) -> socket.socket:
+        sock = socket.socket(address.family, address.socktype, address.protocol)
+        on_socket(sock)
+        return sock
+
     if body is not None and not isinstance(body, bytes):
         body = msgspec.json.encode(body)
     sent = {"Content-Type": "application/json", "Expect": ""}
@@ -75,6 +83,8 @@
         curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.HEADERFUNCTION, take_header)
         curl.setopt(pycurl.WRITEFUNCTION, take_body)
+        if on_socket is not None:
+            curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
         curl.perform()
     except pycurl.error as error:
         reply.error = str(error)
--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -89,6 +89,13 @@
     ) -> Answer:
         """Ask for the rest of an answer that a caller left before.
 
+        Args:
+            upstream: Where the answer is, held by `Membership.reach`.
+            original: Id of the attempt.
+            workspace: The caller's workspace.
+            offset: Index of the first piece wanted.
+            request: Id of the caller's request now.
+
         Raises:
             LacewingdockError: OUTCOME_UNKNOWN when there is no link in time.
         """
@@ -97,7 +104,6 @@
         )
         answer = Answer(upstream, attempt)
         answer.next_offset = offset
-        upstream.in_flight.add(1)
         try:
             self.reattach(answer)
         except LacewingdockError:
@@ -156,6 +162,7 @@
         if link is not None and not link.closed:
             keep = answer.attempt.resumable and not cancel
             link.send(Cancel(answer.current, keep, answer.ended))
+        self.membership.release(answer.upstream)
 
     def abandon(self, request: str) -> None:
         """End the answers of a request whose caller left."""
--- a/lacewingdock/components/callers/app.py
+++ b/lacewingdock/components/callers/app.py
@@ -1,6 +1,7 @@
 """Support for the WSGI application that callers talk to."""
 
 import contextlib
+import socket
 from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
@@ -9,6 +10,7 @@
 from werkzeug.wrappers import Request, Response
 
 from lacewingdock.components.callers.chat import Chat
+from lacewingdock.components.callers.departures import Departures
 from lacewingdock.components.callers.problem import problem_response
 from lacewingdock.components.callers.requests import Caller, read_caller
 from lacewingdock.components.callers.services import ServiceCalls
@@ -16,6 +18,7 @@
 from lacewingdock.const import HEADER_REQUEST_ID
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_server import ENVIRON_SOCKET
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.tally import Tally
@@ -38,6 +41,7 @@
         configuration: The configuration in force.
         chat: Answers chat completions.
         services: Answers calls of plain services.
+        departures: Notices callers that leave.
         active: Callers being answered.
     """
 
@@ -46,6 +50,7 @@
         "chat",
         "configuration",
         "daemon",
+        "departures",
         "services",
         "settings",
     )
@@ -57,8 +62,10 @@
         configuration: Configuration,
         chat: Chat,
         services: ServiceCalls,
+        departures: Departures,
     ) -> None:
         """Take what it answers with."""
+        self.departures = departures
         self.daemon = daemon
         self.settings = settings
         self.configuration = configuration
@@ -71,16 +78,21 @@
     ) -> Iterable[bytes]:
         """Answer one request (WSGI)."""
         self.active.add(1)
-        response = self._answer(Request(environ))
+        request_id, sock = new_id(), environ[ENVIRON_SOCKET]
+        self.departures.watch(request_id, sock)
+        response = self._answer(Request(environ), request_id)
         if self.daemon.leaving.is_set():
             # The balancer keeps connections open; without this it would go
             # on using one whose instance is about to end.
             response.headers["Connection"] = "close"
         body = response(environ, start_response)
-        return _Counted(body, self.active)
+        return _Counted(body, lambda: self._close(request_id, sock))
 
-    def _answer(self, request: Request) -> Response:
-        request_id = new_id()
+    def _close(self, request_id: str, sock: socket.socket) -> None:
+        self.departures.forget(request_id, sock)
+        self.active.add(-1)
+
+    def _answer(self, request: Request, request_id: str) -> Response:
         try:
             response = self._checked(request, request_id)
         except LacewingdockError as error:
@@ -151,13 +163,13 @@
 
 
 class _Counted:
-    """Keeps the count of active callers up until the body is sent."""
+    """Counts the caller as being answered until the body is sent."""
 
-    __slots__ = ("_active", "_body")
+    __slots__ = ("_body", "_done")
 
-    def __init__(self, body: Iterable[bytes], active: Tally) -> None:
+    def __init__(self, body: Iterable[bytes], done: Callable[[], None]) -> None:
         self._body = body
-        self._active = active
+        self._done = done
 
     def __iter__(self) -> Iterator[bytes]:
         return iter(self._body)
@@ -168,4 +180,4 @@
             with contextlib.suppress(AttributeError):
                 self._body.close()  # type: ignore[attr-defined]
         finally:
-            self._active.add(-1)
+            self._done()
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -1,5 +1,6 @@
 """Support for answering chat completions."""
 
+import re
 from collections.abc import Iterator
 from typing import Final
 
@@ -36,6 +37,9 @@
 HEADER_MOVED: Final = "Lacewingdock-Moved-From"
 DEADLINE_MS: Final = 120_000
 
+# An offset fits the frame's field.
+_OFFSET: Final = re.compile("[0-9]{1,9}")
+
 log = get_logger("chat")
 
 
@@ -213,11 +217,11 @@
     def _resume(self, caller: Caller, workspace: str) -> Response:
         """Give the rest of an answer that the caller lost the way to."""
         parts = caller.last_event.split("/")
-        if len(parts) != 3 or not parts[2].isdigit():
+        if len(parts) != 3 or not _OFFSET.fullmatch(parts[2]):
             raise LacewingdockError(
                 ErrorKind.BAD_REQUEST, f"Last-Event-ID: {caller.last_event!r}"
             )
-        upstream = self.relay.membership.upstreams.get(parts[0])
+        upstream = self.relay.membership.reach(parts[0])
         if upstream is None:
             raise LacewingdockError(
                 ErrorKind.ANSWER_GONE, f"{parts[0]} is not known here"
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -71,6 +71,7 @@
             except LacewingdockError as error:
                 raise _final(last or error, worst_ran) from error
             tried.add(upstream.name)
+            answer = None
             try:
                 answer = self.answers.ask(upstream, attempt)
                 return answer, self._first(answer)
@@ -80,6 +81,9 @@
                 last = error
                 if not _may_retry(error, attempt):
                     break
+                if _never_came(error, answer):
+                    # Its link was at fault, and there is a new one.
+                    tried.discard(upstream.name)
                 log.info(
                     "trying elsewhere",
                     request_id=attempt.request,
@@ -137,6 +141,16 @@
     return error.ran == RAN_NO or attempt.repeatable
 
 
+def _never_came(error: LacewingdockError, answer: Answer | None) -> bool:
+    """Tell whether a sidecar said over a new link that it got nothing."""
+    return (
+        answer is not None
+        and answer.current != answer.attempt.attempt
+        and error.kind is ErrorKind.NO_UPSTREAM
+        and error.ran == RAN_NO
+    )
+
+
 def _final(error: LacewingdockError, ran: str) -> LacewingdockError:
     """Say of all tries together whether the request ran."""
     if error.ran == RAN_NO and ran != RAN_NO:
--- a/lacewingdock/components/engine/__init__.py
+++ b/lacewingdock/components/engine/__init__.py
@@ -23,9 +23,11 @@
 
     Attributes:
         versions: Versions loaded.
+        leaving: Whether it takes no new work.
     """
 
     versions: list[str] = msgspec.field(default_factory=list)
+    leaving: bool = False
 
 
 class Engine:
@@ -58,9 +60,10 @@
                 self.runs.set_targets([])
             return
         self.failures = 0
-        self.runs.set_targets(
-            [self.service] if self.service else sorted(report.versions)
-        )
+        served = [self.service] if self.service else sorted(report.versions)
+        # The platform's list lags; the upstream knows first that it leaves.
+        # What runs on it goes on.
+        self.runs.set_targets([] if report.leaving else served)
 
     def _ask(self) -> EngineReport:
         received = io.BytesIO()
--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -1,6 +1,7 @@
 """Support for knowing which sidecars there are and keeping links to some."""
 
 import hashlib
+import threading
 import time
 from typing import Final
 
@@ -32,9 +33,18 @@
         configuration: Told of the entries of this failure domain.
         subset: Links kept for each pool.
         upstreams: Upstreams by the name of their sidecar's instance.
+        listed: The platform's list as last read.
     """
 
-    __slots__ = ("configuration", "daemon", "peers", "subset", "upstreams")
+    __slots__ = (
+        "_guests",
+        "configuration",
+        "daemon",
+        "listed",
+        "peers",
+        "subset",
+        "upstreams",
+    )
 
     def __init__(
         self,
@@ -49,6 +59,8 @@
         self.configuration = configuration
         self.subset = subset
         self.upstreams: dict[str, Upstream] = {}
+        self.listed: list[Instance] = []
+        self._guests = threading.Lock()
         peers.on_open.append(self._on_open)
         peers.on_close.append(self._on_close)
         peers.handle(Status, self._on_news)
@@ -78,6 +90,36 @@
                     best, best_term = upstream, int(term)
         return best
 
+    def reach(self, name: str) -> Upstream | None:
+        """Find an upstream, also one that no link is kept to, and hold it.
+
+        A caller may come back for its answer to an entry that keeps no link
+        to the sidecar that has it.
+
+        Returns:
+            The upstream, counted as having one more answer in flight.
+        """
+        with self._guests:
+            upstream = self.upstreams.get(name) or self._invite(name)
+            if upstream is not None:
+                upstream.in_flight.add(1)
+            return upstream
+
+    def _invite(self, name: str) -> Upstream | None:
+        for instance in self.listed:
+            if instance.name == name and instance.role == ROLE_SIDECAR:
+                upstream = self.upstreams[name] = Upstream(instance)
+                upstream.guest = True
+                self.daemon.spawn(self._keep_link, upstream)
+                return upstream
+        return None
+
+    def release(self, upstream: Upstream) -> None:
+        """Let the link to a guest go once no answer needs it."""
+        with self._guests:
+            if upstream.guest and upstream.in_flight.value == 0:
+                self._forget(upstream)
+
     def _keep_up(self) -> None:
         while not self.daemon.stopping.is_set():
             try:
@@ -91,6 +133,7 @@
 
     def _take(self, instances: list[Instance]) -> None:
         me = self.daemon.me
+        self.listed = instances
         self.configuration.entries = [
             i.name
             for i in instances
@@ -112,6 +155,7 @@
         known = self.upstreams.get(instance.name)
         if known and known.instance.address == instance.address:
             known.instance = instance
+            known.guest = False
             return
         if known:
             self._forget(known)
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -203,7 +203,12 @@
                 raise LacewingdockError(
                     ErrorKind.DEADLINE, "nobody waits any more", RAN_NO
                 )
-            call_upstream(self.settings.upstream, run, deadline)
+            call_upstream(
+                self.settings.upstream,
+                run,
+                deadline,
+                is_engine=not self.settings.service,
+            )
 
     def _follow(self, run: Run, first: Run) -> None:
         """Give a repeated request the answer of the run it repeats."""
@@ -230,7 +235,9 @@
             resume.incarnation == self.daemon.me.incarnation
             and resume.age_ms < self.settings.resume_s * MS_PER_S / 2
         )
-        if is_remembered and self.shelf.fence(resume.original):
+        never_came = is_remembered and self.shelf.fence(resume.original)
+        # Of a key only its claim can say that it did not run.
+        if never_came and self.claims is None:
             return _never_came(resume.original)
         return LacewingdockError(
             ErrorKind.ANSWER_GONE,
--- a/lacewingdock/components/runs/shelf.py
+++ b/lacewingdock/components/runs/shelf.py
@@ -105,7 +105,7 @@
         """
         if run.outcome is None:
             return True
-        if run.fetched or run.evicted:
+        if run.fetched or run.evicted or run.cancelled.is_set():
             return False
         can_return = run.attempt.resumable or run.kept
         wait_s = self.resume_s if can_return else self.orphan_s
--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -1,13 +1,15 @@
 """Support for calling the upstream and taking its answer as it streams."""
 
+import socket
 import time
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 import pycurl
 
-from lacewingdock.const import RAN_NO, RAN_UNKNOWN
+from lacewingdock.const import RAN_NO, RAN_UNKNOWN, RAN_YES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Finish
 from lacewingdock.world.run import Run
 
@@ -17,10 +19,23 @@
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
 BODY_PIECE_BYTES: Final = 256 * 1024
 
+# An engine that can resume and cancel a stream by its id says so.
+STREAMS_PATH: Final = "/v1/streams/"
+HEADER_STREAM_ID: Final = "X-Stream-Id"
+HEADER_STREAM_RESUME: Final = "x-stream-resume"
+# Pauses before each try to resume a stream; together well under what a caller
+# takes for a hang.
+RESUME_PAUSES_S: Final = (0.02, 0.2, 0.8)
+CANCEL_TIMEOUT_MS: Final = 1000
+
+_OK: Final = 200
 _SERVER_ERROR: Final = 500
 _ABORT: Final = -1
 
 
+log = get_logger("runs")
+
+
 class _Usage(msgspec.Struct):
     prompt_tokens: int = 0
     completion_tokens: int = 0
@@ -44,6 +59,7 @@
         pending: Bytes of a line or body not handed on yet.
         done: Whether the stream said that it is complete.
         received: Bytes received in all.
+        resumable: Whether the upstream can resume this stream.
         finish: The end as far as known.
     """
 
@@ -53,6 +69,7 @@
         "finish",
         "pending",
         "received",
+        "resumable",
         "run",
         "status",
     )
@@ -65,6 +82,7 @@
         self.pending = b""
         self.done = False
         self.received = 0
+        self.resumable = False
         self.finish = Finish(run.attempt.attempt, 0)
 
     def header(self, line: bytes) -> None:
@@ -73,8 +91,21 @@
         if text.startswith("HTTP/"):
             self.status = int(text.split()[1])
         name, _, value = text.partition(":")
-        if name.lower() == "content-type":
-            self.content_type = value.strip()
+        match name.lower():
+            case "content-type":
+                self.content_type = value.strip()
+            case _ if name.lower() == HEADER_STREAM_RESUME:
+                self.resumable = value.strip() == "yes"
+            case _:
+                pass
+
+    def restart(self) -> None:
+        """Start another response that goes on where the last one broke.
+
+        Half an event is dropped: the upstream sends it again, whole.
+        """
+        self.status = 0
+        self.pending = b""
 
     @property
     def is_stream(self) -> bool:
@@ -116,16 +147,21 @@
             self.finish.input_tokens = usage.prompt_tokens
             self.finish.output_tokens = usage.completion_tokens
 
-    def end(self) -> None:
-        """End the run's answer.
+    def check_whole(self) -> None:
+        """Check that a stream came to its end.
 
         Raises:
-            LacewingdockError: UPSTREAM_FAILED when the answer isn't whole.
+            LacewingdockError: UPSTREAM_FAILED when it did not.
         """
         if self.is_stream and not self.done:
             raise LacewingdockError(
-                ErrorKind.UPSTREAM_FAILED, "the stream ended too soon"
+                ErrorKind.UPSTREAM_FAILED,
+                "the stream ended too soon",
+                _ran(self.run),
             )
+
+    def end(self) -> None:
+        """End the run's answer as whole."""
         if self.pending and not self.is_stream:
             self.run.add(self.pending)
         self.finish.status = self.status
@@ -133,69 +169,176 @@
         self.run.end(self.finish)
 
 
-def call_upstream(url: str, run: Run, deadline: float) -> None:
+def call_upstream(url: str, run: Run, deadline: float, is_engine: bool) -> None:
     """Send a run's request to the upstream and take the answer.
 
+    A stream that breaks is resumed at its offset where the upstream can do
+    that. Where it can't, the answer ends with an error: sent again, the
+    request would give another answer than the part already shown.
+
     Args:
         url: URL of the upstream instance.
         run: The run; its answer is ended here.
         deadline: Monotonic time by which the answer must be whole.
+        is_engine: Whether the upstream is a model engine, which takes
+            orders about its streams.
 
     Raises:
         LacewingdockError: The upstream failed; `ran` says what is known.
     """
-    attempt = run.attempt
-    receiver = Receiver(run)
-    left_ms = int((deadline - time.monotonic()) * 1000)
-    if left_ms <= 0:
+    if deadline <= time.monotonic():
         raise LacewingdockError(
             ErrorKind.DEADLINE, "the deadline passed in the queue", RAN_NO
         )
+    receiver = Receiver(run)
+    try:
+        _send(url, run, receiver, deadline)
+    except LacewingdockError as error:
+        try:
+            _resume(url, run, receiver, deadline, error)
+        finally:
+            if run.cancelled.is_set() and is_engine:
+                _cancel(url, run)
+    if receiver.status >= _SERVER_ERROR and run.attempt.repeatable:
+        raise LacewingdockError(
+            ErrorKind.UPSTREAM_FAILED, f"status {receiver.status}"
+        )
+    receiver.end()
+
+
+def _send(url: str, run: Run, receiver: Receiver, deadline: float) -> None:
+    attempt = run.attempt
     headers = [f"Content-Type: {attempt.content_type}", "Expect:"]
     headers += [f"X-Request-Id: {attempt.request}"]
+    headers += [f"{HEADER_STREAM_ID}: {attempt.attempt}"]
     if attempt.traceparent:
         headers.append(f"traceparent: {attempt.traceparent}")
     if attempt.key:
         headers.append(f"Idempotency-Key: {attempt.key}")
     curl = pycurl.Curl()
     try:
-        curl.setopt(pycurl.URL, url + attempt.path)
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.NOPROXY, "*")
-        curl.setopt(pycurl.TCP_NODELAY, 1)
-        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        curl.setopt(pycurl.TIMEOUT_MS, left_ms)
+        _prepare(curl, url + attempt.path, run, receiver, deadline)
         curl.setopt(pycurl.HTTPHEADER, headers)
-        curl.setopt(pycurl.HEADERFUNCTION, receiver.header)
-        curl.setopt(pycurl.WRITEFUNCTION, receiver.body)
-        # Without data the write callback is silent; this one is asked about
-        # every second all the same, so a cancel is seen.
-        curl.setopt(pycurl.NOPROGRESS, 0)
-        curl.setopt(
-            pycurl.XFERINFOFUNCTION, lambda *_: int(run.cancelled.is_set())
-        )
         if attempt.body or attempt.method != "GET":
             curl.setopt(pycurl.POSTFIELDS, attempt.body)
         curl.setopt(pycurl.CUSTOMREQUEST, attempt.method)
         run.executed = True
         curl.perform()
     except pycurl.error as error:
+        if error.args[0] == pycurl.E_COULDNT_CONNECT:
+            # Nothing was sent, so the request can't have run.
+            run.executed = False
+            raise LacewingdockError(
+                ErrorKind.UPSTREAM_FAILED, str(error.args[1]), RAN_NO
+            ) from error
         raise _failure(error, run) from error
     finally:
+        run.on_cancel = None
         curl.close()
-    if receiver.status >= _SERVER_ERROR and run.attempt.repeatable:
+    receiver.check_whole()
+
+
+def _resume(
+    url: str,
+    run: Run,
+    receiver: Receiver,
+    deadline: float,
+    error: LacewingdockError,
+) -> None:
+    """Go on with a broken stream, or raise why that can't be done."""
+    for pause in RESUME_PAUSES_S:
+        if not receiver.resumable or error.kind is ErrorKind.DEADLINE:
+            raise error
+        if run.cancelled.wait(pause):
+            raise error
+        try:
+            _send_resume(url, run, receiver, deadline)
+            return
+        except LacewingdockError as later:
+            error = later
+    raise error
+
+
+def _send_resume(
+    url: str, run: Run, receiver: Receiver, deadline: float
+) -> None:
+    path = f"{STREAMS_PATH}{run.attempt.attempt}?after={len(run.chunks)}"
+    receiver.restart()
+    curl = pycurl.Curl()
+    try:
+        _prepare(curl, url + path, run, receiver, deadline)
+        curl.perform()
+    except pycurl.error as error:
+        raise _failure(error, run) from error
+    finally:
+        run.on_cancel = None
+        curl.close()
+    if receiver.status != _OK:
+        receiver.resumable = False
         raise LacewingdockError(
-            ErrorKind.UPSTREAM_FAILED, f"status {receiver.status}"
+            ErrorKind.UPSTREAM_FAILED,
+            f"the stream can't be resumed: status {receiver.status}",
+            _ran(run),
         )
-    receiver.end()
+    receiver.check_whole()
+
+
+def _cancel(url: str, run: Run) -> None:
+    """Tell the engine to stop a stream that it would keep for a resume.
+
+    Without it the engine goes on generating for nobody, in a slot that this
+    sidecar takes for free.
+    """
+    curl = pycurl.Curl()
+    try:
+        curl.setopt(pycurl.URL, url + STREAMS_PATH + run.attempt.attempt)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.TIMEOUT_MS, CANCEL_TIMEOUT_MS)
+        curl.setopt(pycurl.CUSTOMREQUEST, "DELETE")
+        curl.setopt(pycurl.WRITEFUNCTION, lambda _: None)
+        curl.perform()
+    except pycurl.error as error:
+        log.info(
+            "cancel not heard",
+            attempt_id=run.attempt.attempt,
+            error=str(error),
+        )
+    finally:
+        curl.close()
+
+
+def _prepare(
+    curl: pycurl.Curl, url: str, run: Run, receiver: Receiver, deadline: float
+) -> None:
+    left_ms = int((deadline - time.monotonic()) * 1000)
+    curl.setopt(pycurl.URL, url)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.NOPROXY, "*")
+    curl.setopt(pycurl.TCP_NODELAY, 1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    curl.setopt(pycurl.TIMEOUT_MS, max(left_ms, 1))
+    curl.setopt(pycurl.HEADERFUNCTION, receiver.header)
+    curl.setopt(pycurl.WRITEFUNCTION, receiver.body)
+
+    def open_socket(_purpose: int, address: Any) -> socket.socket:
+        # The library asks for a cancel once a second while no byte comes; a
+        # shutdown of its socket wakes it at once, and the slot is free.
+        sock = socket.socket(address.family, address.socktype, address.protocol)
+        run.on_cancel = lambda: sock.shutdown(socket.SHUT_RDWR)
+        return sock
+
+    curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
+    curl.setopt(pycurl.NOPROGRESS, 0)
+    curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(run.cancelled.is_set()))
+
+
+def _ran(run: Run) -> str:
+    return RAN_YES if run.chunks else RAN_UNKNOWN
 
 
 def _failure(error: pycurl.error, run: Run) -> LacewingdockError:
     code, text = error.args[0], str(error.args[1])
-    if code == pycurl.E_COULDNT_CONNECT:
-        # Nothing was sent, so the request can't have run.
-        run.executed = False
-        return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, RAN_NO)
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return LacewingdockError(ErrorKind.DEADLINE, text, RAN_UNKNOWN)
-    return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, RAN_UNKNOWN)
+    return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, _ran(run))
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -8,6 +8,7 @@
     membership,
     peers,
 )
+from lacewingdock.components.callers import departures
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
@@ -36,12 +37,14 @@
     open_answers = answers.setup(daemon, links, members)
     relay = Relay(open_answers, members, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
+    watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
         daemon,
         settings,
         config,
         Chat(config, relay, load_keys(settings.session_keys_file), ratings),
         ServiceCalls(config, relay),
+        watcher,
     )
     port = callers.setup(daemon, settings, app)
     admin_port = admin.setup(
@@ -49,6 +52,6 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (links, config, members, port, admin_port):
+    for component in (links, config, members, watcher, port, admin_port):
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/helpers/http_server.py
+++ b/lacewingdock/helpers/http_server.py
@@ -14,6 +14,20 @@
 BACKLOG: Final = 512
 
 
+# Key of the caller's socket in a request's WSGI environment.
+ENVIRON_SOCKET: Final = "lacewingdock.socket"
+
+
+class Gateway(wsgi.Gateway_10):
+    """Shows the application the socket that its caller is on."""
+
+    def get_environ(self) -> Any:
+        """Return the WSGI environment of the request."""
+        environ: Any = super().get_environ()
+        environ[ENVIRON_SOCKET] = self.req.conn.socket
+        return environ
+
+
 class CertificateReloader:
     """Takes a renewed certificate into use without a restart.
 
@@ -71,6 +85,7 @@
         request_queue_size=BACKLOG,
         shutdown_timeout=1,
     )
+    server.gateway = Gateway
     server.timeout = stall_s
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = max_body_bytes
--- a/lacewingdock/world/upstream.py
+++ b/lacewingdock/world/upstream.py
@@ -20,10 +20,12 @@
         sent_since_news: Attempts sent since the last load report; a report
             lags, and without them all entries would herd to the idlest.
         wanted: Whether the link shall be kept.
+        guest: Whether the link is only there to fetch an answer.
     """
 
     __slots__ = (
         "_changed",
+        "guest",
         "in_flight",
         "instance",
         "link",
@@ -40,6 +42,7 @@
         self.in_flight = Tally()
         self.sent_since_news = 0
         self.wanted = True
+        self.guest = False
         self._changed = threading.Condition()
 
     @property
@@ -52,6 +55,7 @@
         return (
             self.link is not None
             and not self.link.closed
+            and not self.guest
             and not self.status.leaving
             and self.instance.state == "live"
             and target in self.status.targets
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,9 +6,11 @@
 
 import hashlib
 import os
+import secrets
 import threading
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass, field
 from typing import Any, Final
 
 import fire
@@ -23,6 +25,21 @@
 # A weak version is unsure of a request with this word in it.
 HARD_WORD: Final = "hard"
 UNSURE: Final = "unsure"
+# How long a stream whose connection broke goes on.
+LINGER_S: Final = 5.0
+# What a test may change.
+CONTROLS: Final = frozenset(
+    {
+        "bad",
+        "cut_after",
+        "first_s",
+        "leaving",
+        "resumable",
+        "token_s",
+        "versions",
+        "weak",
+    }
+)
 
 
 def expected_words(version: str, prompt: str, count: int, weak: bool) -> str:
@@ -38,6 +55,28 @@
     return "\n".join(str(m.get("content", "")) for m in messages)
 
 
+@dataclass(slots=True)
+class Stream:
+    """An answer being generated, at its own pace whoever reads it.
+
+    Attributes:
+        version: The version that generates.
+        prompt: What was asked.
+        words: The whole answer.
+        due: Monotonic time of the first word.
+        stopped: Set when it shall generate no more.
+        cut_at: Monotonic time when its connection broke; None while it
+            stands.
+    """
+
+    version: str
+    prompt: str
+    words: list[str]
+    due: float
+    stopped: threading.Event = field(default_factory=threading.Event)
+    cut_at: float | None = None
+
+
 class EngineStandIn:
     """The engine's state.
 
@@ -47,18 +86,25 @@
         bad: Versions that answer every request with an error.
         token_s: Seconds between tokens.
         first_s: Seconds to the first token.
-        running: Requests running.
         served: Requests that reached the engine, by version.
         cancelled: Streams that were closed before their end.
+        streams: What runs, by stream id.
+        resumable: Whether a broken stream goes on and can be read again.
+        cut_after: Events after which the next stream's connection breaks,
+            once; 0 for never.
+        leaving: Whether it says that it takes no new work.
     """
 
     __slots__ = (
         "bad",
         "cancelled",
+        "cut_after",
         "first_s",
+        "leaving",
         "lock",
-        "running",
+        "resumable",
         "served",
+        "streams",
         "token_s",
         "versions",
         "weak",
@@ -77,9 +123,12 @@
         self.bad: list[str] = []
         self.first_s = first_s
         self.token_s = token_s
-        self.running = 0
         self.served: dict[str, int] = {}
         self.cancelled = 0
+        self.streams: dict[str, Stream] = {}
+        self.resumable = True
+        self.cut_after = 0
+        self.leaving = False
         self.lock = threading.Lock()
 
     def chat(self, request: Request) -> Response:
@@ -97,42 +146,87 @@
             return json_response({"error": "bad version"}, 500)
         count = int(body.get("max_tokens") or DEFAULT_TOKENS)
         text = expected_words(version, prompt, count, version in self.weak)
-        return Response(
-            self._events(version, prompt, text),
-            content_type="text/event-stream",
+        stream = Stream(
+            version, prompt, text.split(" "), time.monotonic() + self.first_s
         )
+        name = request.headers.get("X-Stream-Id") or secrets.token_hex(8)
+        with self.lock:
+            self.streams[name] = stream
+        return self._response(name, stream, 0)
 
-    def _events(self, version: str, prompt: str, text: str) -> Iterator[bytes]:
+    def resume(self, request: Request, name: str) -> Response:
+        """Answer with the rest of a stream whose connection broke."""
+        stream = self.running().get(name)
+        if stream is None or not self.resumable:
+            return json_response({"error": "no such stream"}, 404)
+        stream.cut_at = None
+        return self._response(name, stream, int(request.args.get("after", 0)))
+
+    def cancel(self, request: Request, name: str) -> Response:
+        """Stop a stream."""
+        stream = self.running().get(name)
+        if stream is None:
+            return json_response({"error": "no such stream"}, 404)
+        stream.stopped.set()
+        self._close(name)
+        return json_response({})
+
+    def running(self) -> dict[str, Stream]:
+        """Return what runs; a broken stream ends if nobody resumes it."""
+        now = time.monotonic()
         with self.lock:
-            self.running += 1
+            self.streams = {
+                name: stream
+                for name, stream in self.streams.items()
+                if stream.cut_at is None or now - stream.cut_at < LINGER_S
+            }
+            return dict(self.streams)
+
+    def _response(self, name: str, stream: Stream, after: int) -> Response:
+        response = Response(
+            self._events(name, stream, after),
+            content_type="text/event-stream",
+        )
+        response.headers["X-Stream-Resume"] = "yes" if self.resumable else "no"
+        return response
+
+    def _events(self, name: str, stream: Stream, after: int) -> Iterator[bytes]:
+        cut, self.cut_after = self.cut_after, 0
         whole = False
         try:
-            words = text.split(" ")
-            due = time.monotonic() + self.first_s
-            for index, word in enumerate(words):
-                time.sleep(max(0.0, due - time.monotonic()))
-                due += self.token_s
+            for index in range(after, len(stream.words)):
+                due = stream.due + index * self.token_s
+                if stream.stopped.wait(max(0.0, due - time.monotonic())):
+                    return
+                if cut and index - after >= cut:
+                    raise ConnectionAbortedError("cut by the test")
+                word = stream.words[index]
                 delta = {"content": word if index == 0 else f" {word}"}
-                yield _event(version, {"delta": delta, "index": 0})
-            usage = {
-                "prompt_tokens": len(prompt.split()),
-                "completion_tokens": len(words),
-                "total_tokens": len(prompt.split()) + len(words),
-            }
-            end = {"delta": {}, "index": 0, "finish_reason": "stop"}
-            yield _event(version, end, usage) + b"data: [DONE]\n\n"
+                yield _event(stream.version, {"delta": delta, "index": 0})
+            if after <= len(stream.words):
+                yield _last_event(stream)
+            yield b"data: [DONE]\n\n"
             whole = True
         finally:
-            with self.lock:
-                self.running -= 1
-                self.cancelled += not whole
+            if whole:
+                with self.lock:
+                    self.streams.pop(name, None)
+            elif self.resumable and not stream.stopped.is_set():
+                stream.cut_at = time.monotonic()
+            else:
+                self._close(name)
+
+    def _close(self, name: str) -> None:
+        with self.lock:
+            self.cancelled += self.streams.pop(name, None) is not None
 
     def status(self, request: Request) -> Response:
         """Answer with what is loaded and running."""
         return json_response(
             {
                 "versions": self.versions,
-                "running": self.running,
+                "running": len(self.running()),
+                "leaving": self.leaving,
                 "served": self.served,
                 "cancelled": self.cancelled,
             }
@@ -141,9 +235,8 @@
     def control(self, request: Request) -> Response:
         """Take a new state (from tests)."""
         change = msgspec.json.decode(request.get_data())
-        for name in ("versions", "weak", "bad", "first_s", "token_s"):
-            if name in change:
-                setattr(self, name, change[name])
+        for name in CONTROLS & change.keys():
+            setattr(self, name, change[name])
         return json_response({})
 
 
@@ -162,6 +255,17 @@
     return b"data: " + msgspec.json.encode(event) + b"\n\n"
 
 
+def _last_event(stream: Stream) -> bytes:
+    read, made = len(stream.prompt.split()), len(stream.words)
+    usage = {
+        "prompt_tokens": read,
+        "completion_tokens": made,
+        "total_tokens": read + made,
+    }
+    end = {"delta": {}, "index": 0, "finish_reason": "stop"}
+    return _event(stream.version, end, usage)
+
+
 def main(
     port: int,
     versions: str,
@@ -181,6 +285,8 @@
     engine = EngineStandIn(_split(versions), _split(weak), first_s, token_s)
     app = App()
     app.route("POST", "/v1/chat/completions", engine.chat)
+    app.route("GET", "/v1/streams/<name>", engine.resume)
+    app.route("DELETE", "/v1/streams/<name>", engine.cancel)
     app.route("GET", "/status", engine.status)
     app.route("POST", "/control", engine.control)
     serve(app, port)
--- a/tests/components/answers/test_replay.py
+++ b/tests/components/answers/test_replay.py
@@ -269,6 +269,7 @@
     run.add(b"x" * 70_000)
     run.end(Finish("a1", 0))
     pair.runs.shelf.sweep()
+    pair.upstream.in_flight.add(1)
     answer = pair.answers.resume(pair.upstream, "a1", "retail", 0)
     pair.settle()
     with pytest.raises(LacewingdockError) as caught:
--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -105,7 +105,9 @@
         )
         self.upstream = Upstream(instance)
         self.answers = Answers(
-            FakeDaemon("entry-0", "e"), self.entry_peers, SimpleNamespace()
+            FakeDaemon("entry-0", "e"),
+            self.entry_peers,
+            SimpleNamespace(release=lambda _upstream: None),
         )
         self.start_sidecar()
         self.connect()
