--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -1,5 +1,6 @@
 """Support for knowing which sidecars there are and keeping links to some."""
 
+import threading
 import time
 from typing import Final
 
@@ -45,17 +46,20 @@
         chosen: Names of the sidecars that links are kept to.
         entries: Number of entries in the list.
         backoff: Pauses while the platform does not answer.
+        listed: The platform's list as last read.
     """
 
     __slots__ = (
         "_choose_at",
         "_chosen_from",
+        "_guests",
         "_seen",
         "backoff",
         "chosen",
         "configuration",
         "daemon",
         "entries",
+        "listed",
         "peers",
         "subset",
         "upstreams",
@@ -80,6 +84,8 @@
         self._choose_at = 0.0
         self._chosen_from = 0
         self._seen: list[Instance] = []
+        self.listed: list[Instance] = []
+        self._guests = threading.Lock()
         peers.on_open.append(self._on_open)
         peers.on_close.append(self._on_close)
         peers.handle(Status, self._on_news)
@@ -113,6 +119,36 @@
         """Return the mean seconds between reads of the instance list."""
         return max(LIST_S, self.entries / LISTS_PER_S)
 
+    def reach(self, name: str) -> Upstream | None:
+        """Find an upstream, also one that no link is kept to, and hold it.
+
+        A caller may come back for its answer to an entry that keeps no link
+        to the sidecar that has it.
+
+        Returns:
+            The upstream, counted as having one more answer in flight.
+        """
+        with self._guests:
+            upstream = self.upstreams.get(name) or self._invite(name)
+            if upstream is not None:
+                upstream.in_flight.add(1)
+            return upstream
+
+    def _invite(self, name: str) -> Upstream | None:
+        for instance in self.listed:
+            if instance.name == name and instance.role == ROLE_SIDECAR:
+                upstream = self.upstreams[name] = Upstream(instance)
+                upstream.guest = True
+                self.daemon.spawn(self._keep_link, upstream)
+                return upstream
+        return None
+
+    def release(self, upstream: Upstream) -> None:
+        """Let the link to a guest go once no answer needs it."""
+        with self._guests:
+            if upstream.guest and upstream.in_flight.value == 0:
+                self._forget(upstream)
+
     def _keep_up(self) -> None:
         while not self.daemon.stopping.is_set():
             self.daemon.stopping.wait(self.step())
@@ -136,6 +172,7 @@
         me = self.daemon.me
         entries = [i for i in instances if i.role == ROLE_ENTRY]
         self.entries = len(entries)
+        self.listed = instances
         self.configuration.entries = [
             i.name
             for i in entries
@@ -192,6 +229,7 @@
         known = self.upstreams.get(instance.name)
         if known and known.instance.address == instance.address:
             known.instance = instance
+            known.guest = False
             return
         if known:
             self._forget(known)
--- a/tests/components/peers/test_peers.py
+++ b/tests/components/peers/test_peers.py
@@ -7,18 +7,22 @@
 
 from lacewingdock.components import peers
 from lacewingdock.helpers.tally import Tally
+from lacewingdock.links.link import Link
 from tests.fakes import FakeClock
 
 
 class PacedLink:
     """A link that notes when it was beaten and closed."""
 
+    silent_s = Link.silent_s
+
     def __init__(self, clock, busy):
         """Start as just heard."""
         self.clock = clock
         self.busy = Tally()
         self.busy.add(busy)
         self.last_heard = self.last_sent = clock.now
+        self.busy_since = clock.now
         self.beats = 0
         self.silent_at = None
 
