--- a/lacewingdock/components/configuration/__init__.py
+++ b/lacewingdock/components/configuration/__init__.py
@@ -67,6 +67,7 @@
 
     __slots__ = (
         "_check_at",
+        "_faults",
         "_listed",
         "_lock",
         "_pulled_at",
@@ -98,6 +99,7 @@
         self._check_at = 0.0
         self._pulled_at = 0.0
         self._listed = False
+        self._faults: set[str] = set()
         peers.handle(Beat, self._on_beat)
         peers.handle(Delta, self._on_delta)
         peers.handle(Pull, self._on_pull)
@@ -233,7 +235,10 @@
     def _rebuild(self) -> None:
         world, faults = build_world(self.table.live())
         for fault in faults:
-            log.error("faulty item left out", fault=fault)
+            # Once each, not with every change that comes after.
+            if fault not in self._faults:
+                log.error("faulty item left out", fault=fault)
+        self._faults = set(faults)
         self.world = world
         for callback in self.on_change:
             callback()
