--- a/lacewingdock/components/configuration/__init__.py
+++ b/lacewingdock/components/configuration/__init__.py
@@ -147,8 +147,12 @@
         """
         return max(CHECK_MIN_S, len(self.entries) / CHECKS_PER_S)
 
+    def start_pause(self) -> float:
+        """Return the seconds to wait before the first list."""
+        return START_SPREAD_S * self.daemon.random.random()
+
     def _keep_up(self) -> None:
-        self._pause(START_SPREAD_S * self.daemon.random.random())
+        self._pause(self.start_pause())
         while not self.daemon.stopping.is_set():
             self._pause(self.step())
 
--- a/tests/components/configuration/test_configuration.py
+++ b/tests/components/configuration/test_configuration.py
@@ -1,6 +1,8 @@
 """Tests for keeping the configuration up, on fakes of platform and links."""
 
 import copy
+import heapq
+from collections import Counter
 
 import pytest
 from hypothesis import settings
@@ -271,6 +273,54 @@
     assert node.config.step() > 0.2
 
 
+class BusyStore(FakeStore):
+    """A platform that refuses more than so many calls a second."""
+
+    def __init__(self, clock, limit):
+        """Take the clock and the limit."""
+        super().__init__()
+        self.clock = clock
+        self.limit = limit
+        self.by_second = Counter()
+
+    def list_all(self, *arguments, **options):
+        """List, unless this second is full."""
+        second = int(self.clock.now)
+        self.by_second[second] += 1
+        self.down = self.by_second[second] > self.limit
+        return super().list_all(*arguments, **options)
+
+
+def test_mass_start_drains_through_a_platform_that_refuses(clock):
+    """Symptom: after a power cut no daemon gets its configuration for minutes.
+
+    All start in the same second, more than the platform answers, and try
+    again in step. Cause: equal pauses; the refused calls fill each second.
+    """
+    store = BusyStore(clock, 60)
+    write(store, "version/a", OFFERED)
+    nodes = [
+        FakeNode(f"sidecar-{i}", ROLE_SIDECAR, "hall-a", store)
+        for i in range(600)
+    ]
+    due = [
+        (clock.now + node.config.start_pause(), index)
+        for index, node in enumerate(nodes)
+    ]
+    heapq.heapify(due)
+    start = clock.now
+    while due:
+        at, index = heapq.heappop(due)
+        clock.now = max(clock.now, at)
+        config = nodes[index].config
+        pause = config.step()
+        if not config.loaded.is_set():
+            heapq.heappush(due, (clock.now + pause, index))
+    # Ten seconds at the platform's full rate; twice that with the refusals.
+    assert clock.now - start < 20
+    assert sum(store.by_second.values()) < 6 * len(nodes)
+
+
 class Fleet(RuleBasedStateMachine):
     """Two failure domains under any order of changes, cuts and restarts.
 
