Orders to engines are checked against the lease before they reach them

Cause: some engines ignore fencing numbers, so a holder that was frozen past its lease could bring a version back that its successor had taken out. Change: the gate reads the lease, which is the highest number ever given out, for each order: one read an order, no write, nothing to lose when the sidecar is replaced. Orders run one at a time; one checked more than a second ago is checked again. An unload waits for the version's running requests. During a platform outage orders are refused. Not covered: two sidecars beside one engine at once, the older frozen for less than a second between check and order.

--- a/lacewingdock/components/engine/__init__.py
+++ b/lacewingdock/components/engine/__init__.py
@@ -36,9 +36,10 @@
         runs: Told of what is served.
         service: Name of the plain service; empty beside an engine.
         failures: Failed polls in a row.
+        retired: Versions about to be unloaded, which take no new work.
     """
 
-    __slots__ = ("failures", "runs", "service", "url")
+    __slots__ = ("failures", "retired", "runs", "service", "url")
 
     def __init__(self, url: str, runs: Runs, service: str) -> None:
         """Take the upstream's URL."""
@@ -46,6 +47,7 @@
         self.runs = runs
         self.service = service
         self.failures = 0
+        self.retired: set[str] = set()
 
     def poll(self) -> None:
         """Ask once; an upstream that doesn't answer serves nothing."""
@@ -59,9 +61,28 @@
             return
         self.failures = 0
         self.runs.set_targets(
-            [self.service] if self.service else sorted(report.versions)
+            [self.service]
+            if self.service
+            else sorted(set(report.versions) - self.retired)
         )
 
+    def retire(self, version: str) -> int:
+        """Give a version no new work here.
+
+        Returns:
+            The number of its requests that have not ended.
+        """
+        self.retired.add(version)
+        self.runs.set_targets([t for t in self.runs.targets if t != version])
+        return sum(
+            run.outcome is None and run.attempt.target == version
+            for run in self.runs.shelf.runs()
+        )
+
+    def revive(self, version: str) -> None:
+        """Let a version take work again once it is loaded."""
+        self.retired.discard(version)
+
     def _ask(self) -> EngineReport:
         received = io.BytesIO()
         curl = pycurl.Curl()
--- a/lacewingdock/components/leases/const.py
+++ b/lacewingdock/components/leases/const.py
@@ -22,3 +22,7 @@
 STALE_S: Final = 100.0
 # How often a holder does its work.
 WORK_S: Final = 1.0
+
+# The lease whose holder runs roll-outs and orders engines. An engine compares
+# one number, so all orders to engines come under one lease.
+LEASE_ROLLOUTS: Final = "rollouts"
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -6,6 +6,7 @@
     callers,
     configuration,
     membership,
+    orders,
     peers,
 )
 from lacewingdock.components.callers.app import CallersApp
@@ -33,6 +34,7 @@
     config = configuration.setup(daemon, links)
     links.beat = lambda: Beat(revision=config.revision)
     members = membership.setup(daemon, links, config, settings.subset)
+    orders.setup(daemon, links, None)
     open_answers = answers.setup(daemon, links, members)
     relay = Relay(open_answers, members, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
--- a/lacewingdock/daemons/sidecar.py
+++ b/lacewingdock/daemons/sidecar.py
@@ -5,6 +5,7 @@
     claims,
     configuration,
     engine,
+    orders,
     peers,
     runs,
 )
@@ -31,7 +32,8 @@
     if held is not None:
         held.on_change = work.announce
         held.start()
-    engine.setup(daemon, settings.upstream, work, settings.service)
+    beside = engine.setup(daemon, settings.upstream, work, settings.service)
+    orders.setup(daemon, links, None if settings.service else beside)
     admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
     for component in (links, config, work, admin_port):
         component.start()
--- a/lacewingdock/exceptions.py
+++ b/lacewingdock/exceptions.py
@@ -21,6 +21,7 @@
     BUDGET_EXHAUSTED = "budget_exhausted"
     CONFLICT = "conflict"
     DEADLINE = "deadline"
+    FENCED = "fenced"
     INTERNAL = "internal"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
@@ -88,6 +89,7 @@
     ErrorKind.DEADLINE: Answer(
         504, "The deadline passed", ran=RAN_UNKNOWN, retry_after_s=1.0
     ),
+    ErrorKind.FENCED: Answer(409, "The order is an earlier holder's"),
     ErrorKind.INTERNAL: Answer(500, "Internal error", ran=RAN_UNKNOWN),
     ErrorKind.KEY_REQUIRED: Answer(400, "This call needs an Idempotency-Key"),
     ErrorKind.KEY_REUSED: Answer(
--- a/lacewingdock/links/messages.py
+++ b/lacewingdock/links/messages.py
@@ -220,6 +220,48 @@
     since: int
 
 
+@dataclass(slots=True)
+class Order:
+    """Order an upstream's engine, or a daemon, to do something.
+
+    Attributes:
+        order: Id of the order; its answer carries it.
+        action: "load", "unload" or "role" for an engine, "stop" for a
+            daemon.
+        version: The version to load or unload.
+        role: The engine's new role.
+        fencing: Fencing number of the lease whose holder orders; unused
+            for "stop".
+        incarnation: The process that shall stop; no later one under its
+            name does.
+    """
+
+    order: str
+    action: str
+    version: str = ""
+    role: str = ""
+    fencing: int = 0
+    incarnation: str = ""
+
+
+@dataclass(slots=True)
+class Ordered:
+    """Answer an order.
+
+    Attributes:
+        order: Id of the order.
+        state: What came of it: "loading", "loaded", "unloaded", "busy",
+            "failed", "role" or "stopping"; empty when it was refused.
+        code: An `ErrorKind` when it was refused, else empty.
+        detail: What happened, for people.
+    """
+
+    order: str
+    state: str = ""
+    code: str = ""
+    detail: str = ""
+
+
 Message = (
     Hello
     | Proof
@@ -233,4 +275,6 @@
     | Beat
     | Delta
     | Pull
+    | Order
+    | Ordered
 )
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -98,6 +98,22 @@
   since @0 :UInt64;
 }
 
+struct Order {
+  order @0 :Text;
+  action @1 :Text;
+  version @2 :Text;
+  role @3 :Text;
+  fencing @4 :UInt64;
+  incarnation @5 :Text;
+}
+
+struct Ordered {
+  order @0 :Text;
+  state @1 :Text;
+  code @2 :Text;
+  detail @3 :Text;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -112,5 +128,7 @@
     beat @9 :Beat;
     delta @10 :Delta;
     pull @11 :Pull;
+    order @12 :Order;
+    ordered @13 :Ordered;
   }
 }
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -15,6 +15,7 @@
 import msgspec
 from werkzeug.wrappers import Request, Response
 
+from bench.http import call
 from standins.http import App, json_response, serve
 
 DEFAULT_TOKENS: Final = 16
@@ -23,6 +24,7 @@
 # A weak version is unsure of a request with this word in it.
 HARD_WORD: Final = "hard"
 UNSURE: Final = "unsure"
+_STATES: Final = {"load": "loading", "unload": "unloaded", "role": "role"}
 
 
 def expected_words(version: str, prompt: str, count: int, weak: bool) -> str:
@@ -50,18 +52,30 @@
         running: Requests running.
         served: Requests that reached the engine, by version.
         cancelled: Streams that were closed before their end.
+        orders: Orders as they took effect, oldest first.
+        weights: URL of the weight store; empty when loads need none.
+        checks_fencing: Whether an order with an old number is refused.
+        fencing: Highest fencing number seen.
+        loading: Versions being loaded.
+        role: The engine's role.
     """
 
     __slots__ = (
         "bad",
         "cancelled",
+        "checks_fencing",
+        "fencing",
         "first_s",
+        "loading",
         "lock",
+        "orders",
+        "role",
         "running",
         "served",
         "token_s",
         "versions",
         "weak",
+        "weights",
     )
 
     def __init__(
@@ -80,6 +94,12 @@
         self.running = 0
         self.served: dict[str, int] = {}
         self.cancelled = 0
+        self.orders: list[dict[str, Any]] = []
+        self.weights = ""
+        self.checks_fencing = False
+        self.fencing = 0
+        self.loading: list[str] = []
+        self.role = "mixed"
         self.lock = threading.Lock()
 
     def chat(self, request: Request) -> Response:
@@ -135,9 +155,49 @@
                 "running": self.running,
                 "served": self.served,
                 "cancelled": self.cancelled,
+                "orders": self.orders,
+                "loading": self.loading,
+                "role": self.role,
             }
         )
 
+    def order(self, request: Request) -> Response:
+        """Take an order: load, unload or role."""
+        order = msgspec.json.decode(request.get_data())
+        with self.lock:
+            if self.checks_fencing and order["fencing"] < self.fencing:
+                return json_response({"error": "old fencing number"}, 409)
+            self.fencing = max(self.fencing, order["fencing"])
+            return json_response({"state": self._carry_out(order)})
+
+    def _carry_out(self, order: dict[str, Any]) -> str:
+        version = order["version"]
+        match order["action"]:
+            case "load" if version in self.versions:
+                return "loaded"
+            case "load" if version not in self.loading:
+                self.loading.append(version)
+                threading.Thread(
+                    target=self._load, args=[version], daemon=True
+                ).start()
+            case "load":
+                return "loading"
+            case "unload":
+                self.versions = [v for v in self.versions if v != version]
+            case "role":
+                self.role = order["role"]
+        self.orders.append(order)
+        return _STATES[order["action"]]
+
+    def _load(self, version: str) -> None:
+        """Fetch a version's weights; the store may refuse for now."""
+        url = f"{self.weights}/weights/{version}"
+        fetched = not self.weights or call("GET", url).status == 200
+        with self.lock:
+            self.loading.remove(version)
+            if fetched and version not in self.versions:
+                self.versions = [*self.versions, version]
+
     def control(self, request: Request) -> Response:
         """Take a new state (from tests)."""
         change = msgspec.json.decode(request.get_data())
@@ -168,6 +228,8 @@
     weak: str = "",
     first_s: float = 0.03,
     token_s: float = 0.005,
+    weights: str = "",
+    checks_fencing: bool = False,
 ) -> None:
     """Serve the engine's stand-in on loopback.
 
@@ -177,12 +239,16 @@
         weak: Versions that are unsure of hard requests.
         first_s: Seconds to the first token.
         token_s: Seconds between tokens.
+        weights: URL of the weight store; empty when loads need none.
+        checks_fencing: Whether orders with an old number are refused.
     """
     engine = EngineStandIn(_split(versions), _split(weak), first_s, token_s)
+    engine.weights, engine.checks_fencing = weights, checks_fencing
     app = App()
     app.route("POST", "/v1/chat/completions", engine.chat)
     app.route("GET", "/status", engine.status)
     app.route("POST", "/control", engine.control)
+    app.route("POST", "/orders", engine.order)
     serve(app, port)
 
 
--- /dev/null
+++ b/tests/components/orders/test_gate.py
@@ -0,0 +1,149 @@
+"""Tests of the gate that refuses the orders of earlier lease holders."""
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lacewingdock.components.leases.const import LEASE_ROLLOUTS
+from lacewingdock.components.leases.lease import Lease, LeaseRecord
+from lacewingdock.components.orders.gate import OrderGate
+from lacewingdock.links.messages import Order
+from tests.fakes import FakeStore
+
+
+class FakeEngine:
+    """An engine that ignores fencing numbers, behind its door."""
+
+    def __init__(self, running=0):
+        """Start with requests running."""
+        self.running = running
+        self.orders = []
+        self.serving = {"v1"}
+
+    def submit(self, order):
+        self.orders.append(order)
+        return "done"
+
+    def retire(self, version):
+        self.serving.discard(version)
+        return self.running
+
+    def revive(self, version):
+        self.serving.add(version)
+
+
+def holder(store, name):
+    lease = Lease(LEASE_ROLLOUTS, store, LeaseRecord(holder=name))
+    lease.me.incarnation = f"{name}-1"
+    lease.read()
+    lease.take()
+    return lease
+
+
+def load(fencing, action="load"):
+    return Order("o", action, "v1", fencing=fencing)
+
+
+@pytest.mark.parametrize("replaced", [False, True])
+@pytest.mark.parametrize("seen", [False, True])
+def test_thawed_holder_orders_nothing_that_takes_effect(seen, replaced):
+    """A frozen holder's order comes after another took over.
+
+    Symptom: a version that was rolled back is on an engine again.
+    Events: the holder freezes; another takes the lease and, or not, orders
+    this engine; the sidecar is, or is not, replaced; the first thaws and
+    its order arrives.
+    Cause: engines that don't compare fencing numbers obey anyone.
+    """
+    store, engine = FakeStore(), FakeEngine()
+    gate = OrderGate(store, engine)
+    first = holder(store, "a")
+    assert gate.take(load(first.fencing)).state == "done"
+    second = holder(store, "b")
+    if seen:
+        gate.take(load(second.fencing, "unload"))
+    if replaced:
+        gate = OrderGate(store, engine)
+    before = len(engine.orders)
+    assert gate.take(load(first.fencing)).code == "fenced"
+    assert len(engine.orders) == before
+
+
+def test_sidecar_frozen_between_check_and_order():
+    """The sidecar itself is frozen between its check and the engine.
+
+    Symptom, events, cause: as above, with the sidecar frozen too.
+    """
+    store, engine = FakeStore(), FakeEngine()
+    first = holder(store, "a")
+    times = itertools.chain([0.0], itertools.repeat(9.0))
+
+    def clock():
+        now = next(times)
+        if now == 9.0 and not store.calls.get("taken"):
+            store.calls["taken"] = 1
+            holder(store, "b")
+        return now
+
+    gate = OrderGate(store, engine, clock)
+    assert gate.take(load(first.fencing)).code == "fenced"
+    assert engine.orders == []
+
+
+@pytest.mark.parametrize(
+    ("order", "down", "code"),
+    [
+        (load(1), True, "platform_unavailable"),
+        (load(7), False, "fenced"),
+        (load(0), False, "fenced"),
+        (load(1, "reboot"), False, "bad_request"),
+    ],
+)
+def test_refusals(order, down, code):
+    store, engine = FakeStore(), FakeEngine()
+    holder(store, "a")
+    store.down = down
+    assert OrderGate(store, engine).take(order).code == code
+    assert engine.orders == []
+
+
+def test_nobody_orders_without_a_lease():
+    engine = FakeEngine()
+    assert OrderGate(FakeStore(), engine).take(load(0)).code == "fenced"
+
+
+def test_unload_waits_for_running_requests():
+    store, engine = FakeStore(), FakeEngine(running=1)
+    fencing = holder(store, "a").fencing
+    gate = OrderGate(store, engine)
+    assert gate.take(load(fencing, "unload")).state == "busy"
+    assert (engine.orders, engine.serving) == ([], set())
+    engine.running = 0
+    assert gate.take(load(fencing, "unload")).state == "done"
+
+
+@given(
+    st.lists(
+        st.sampled_from(["take", "replace", "order", "old order", "outage"]),
+        max_size=30,
+    )
+)
+@settings(derandomize=True, deadline=None, max_examples=150)
+def test_numbers_at_the_engine_never_fall(events):
+    store, engine = FakeStore(), FakeEngine()
+    gate, leases = OrderGate(store, engine), []
+    for event in events:
+        store.down = event == "outage"
+        match event:
+            case "take":
+                leases.append(holder(store, f"e{len(leases)}"))
+            case "replace":
+                gate = OrderGate(store, engine)
+            case "order" | "outage" if leases:
+                gate.take(load(leases[-1].fencing))
+            case "old order" if leases:
+                gate.take(load(leases[0].fencing))
+    numbers = [order.fencing for order in engine.orders]
+    assert numbers == sorted(numbers)
