Roll-outs as records in the platform, resumed by the next lease holder

Cause: a roll-out is interrupted halfway, its holder freezes past its lease, operators race; none of it may leave or bring back shares that nobody ordered. Ruled out: progress in the holder's memory (starts over), steps that trust the lease, reading the record before the model (a holder frozen between the two reads the model after its successor sealed it, and its stale shares are taken). Change: one record a model; one step one conditional update; the next holder adopts the record with its fencing number, then seals the model by writing the same shares again. Versions load a few engines at a time, those that have the version already take no place. Another operator's newer shares hold the roll-out, naming the writer. A verdict (go on, hold, return) is the hook for whoever judges ratings; a return withdraws the version. A holder reads its lease every 5 s, so a thawed one finds out within seconds. The engine loads test failed first with a holder changing every 3 s: loads were asked for again from the start and nothing moved; now engines that have the version are passed. Open: unloading of old versions is left to operators.

--- a/lacewingdock/components/leases/__init__.py
+++ b/lacewingdock/components/leases/__init__.py
@@ -126,7 +126,15 @@
 
     def _work(self, duty: Duty) -> None:
         lease = duty.lease
-        if time.monotonic() - lease.seen_at > RENEW_S:
+        now = time.monotonic()
+        if now - duty.read_at > READ_S:
+            # A holder that was frozen finds out here that it was replaced,
+            # also when it has no step to do that would fail.
+            lease.read()
+            duty.read_at = now
+        if not lease.held:
+            return
+        if now - lease.seen_at > RENEW_S:
             lease.renew()
         try:
             duty.work(lease.fencing)
@@ -156,10 +164,8 @@
             duty.probes = 0
             return
         duty.probes += 1
-        needed = rank * PATIENCE
-        if lease.record.holder:
-            needed += FAILED_PROBES
-        if duty.probes > needed:
+        needed = FAILED_PROBES if lease.record.holder else 1
+        if duty.probes >= needed + rank * PATIENCE:
             self._take(duty)
 
     def _rank(self, lease: Lease) -> int | None:
--- a/lacewingdock/const.py
+++ b/lacewingdock/const.py
@@ -21,6 +21,7 @@
 COLLECTION_CONFIG: Final = "config"
 COLLECTION_LEASES: Final = "leases"
 COLLECTION_LEDGER: Final = "ledger"
+COLLECTION_ROLLOUTS: Final = "rollouts"
 
 # Whether a request ran, as said in answers.
 RAN_NO: Final = "no"
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -5,9 +5,11 @@
     answers,
     callers,
     configuration,
+    leases,
     membership,
     orders,
     peers,
+    rollouts,
 )
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
@@ -35,6 +37,8 @@
     links.beat = lambda: Beat(revision=config.revision)
     members = membership.setup(daemon, links, config, settings.subset)
     orders.setup(daemon, links, None)
+    held = leases.setup(daemon, links, members)
+    rollouts.setup(daemon, config, members, held)
     open_answers = answers.setup(daemon, links, members)
     relay = Relay(open_answers, members, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
@@ -51,6 +55,6 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (links, config, members, port, admin_port):
+    for component in (links, config, members, held, port, admin_port):
         component.start()
     return daemon.run(port.active)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -24,6 +24,15 @@
 # A weak version is unsure of a request with this word in it.
 HARD_WORD: Final = "hard"
 UNSURE: Final = "unsure"
+_CONTROLS: Final = (
+    "bad",
+    "checks_fencing",
+    "first_s",
+    "token_s",
+    "versions",
+    "weak",
+    "weights",
+)
 _STATES: Final = {"load": "loading", "unload": "unloaded", "role": "role"}
 
 
@@ -201,7 +210,7 @@
     def control(self, request: Request) -> Response:
         """Take a new state (from tests)."""
         change = msgspec.json.decode(request.get_data())
-        for name in ("versions", "weak", "bad", "first_s", "token_s"):
+        for name in _CONTROLS:
             if name in change:
                 setattr(self, name, change[name])
         return json_response({})
--- /dev/null
+++ b/tests/components/rollouts/test_processes.py
@@ -0,0 +1,104 @@
+"""Tests of a roll-out through processes, its holder frozen and thawed."""
+
+import signal
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from bench.deployment import Deployment, Shape, wait_until
+from bench.http import call
+from lacewingdock.components.leases.const import LEASE_ROLLOUTS
+from lacewingdock.components.orders import send_order
+from lacewingdock.components.rollouts.record import Rollout, decode_rollout
+from lacewingdock.const import COLLECTION_LEASES, COLLECTION_ROLLOUTS
+from lacewingdock.links.keys import load_keys
+from lacewingdock.links.messages import Hello, Order
+from lacewingdock.platform.store import ObjectStore
+from tests.common import apply_example
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    with Deployment(Shape(entries=2, workers=2, booking_workers=1)) as running:
+        weights = running.run_module(
+            "weights", "standins.weights", ["port"], "--load_s=0.5"
+        )
+        running.wait_port(weights)
+        for index in range(2):
+            url = running.processes[f"engine-{index}"].url()
+            call("POST", f"{url}/control", {"weights": weights.url()})
+        apply_example(running)
+        yield running
+
+
+def test_frozen_holder_orders_nothing_that_takes_effect(deployment):
+    """The holder is frozen while engines load, and thawed after the end.
+
+    Symptom: an engine takes an order of a holder that was replaced.
+    Events: SIGSTOP to the holder in mid-roll-out; the other entry takes the
+    lease and ends the roll-out; SIGCONT.
+    Cause: engines that don't compare numbers, a holder that can't know.
+    """
+    store = ObjectStore(deployment.processes["platform"].url())
+
+    def lease():
+        return store.get(COLLECTION_LEASES, LEASE_ROLLOUTS, "t").value
+
+    def rollout():
+        return decode_rollout(store.get(COLLECTION_ROLLOUTS, "drafter", "t"))
+
+    def orders():
+        urls = [deployment.processes[f"engine-{i}"].url() for i in range(2)]
+        found = [call("GET", f"{u}/status").json()["orders"] for u in urls]
+        return [order["fencing"] for one in found for order in one]
+
+    wait_until(lambda: (lease() or {}).get("holder"), "nobody took the lease")
+    begun = Rollout(
+        id="r1",
+        model="drafter",
+        version="drafter-2",
+        old_shares={"drafter-1": 1.0},
+        steps=[0.5, 1.0],
+        dwell_s=0.5,
+        parallel=1,
+        by="ana",
+        model_revision=store.get("config", "model/drafter", "t").revision,
+    )
+    store.put(
+        COLLECTION_ROLLOUTS, "drafter", msgspec.to_builtins(begun), 0, "t"
+    )
+    wait_until(lambda: len(orders()) == 1, "no engine was ordered to load")
+    first = lease()
+    holder = deployment.processes[first["holder"]]
+    holder.signal(signal.SIGSTOP)
+    wait_until(lambda: rollout().state == "done", "the roll-out stands still")
+    assert lease()["fencing"] == first["fencing"] + 1
+    ended = store.get(COLLECTION_ROLLOUTS, "drafter", "t").revision
+    numbers = orders()
+    holder.signal(signal.SIGCONT)
+    name = "lacewingdock_leases_held"
+    wait_until(
+        lambda: deployment.metric(holder, name) == 0.0,
+        "the thawed holder still believes",
+    )
+    assert orders() == numbers
+    assert rollout().fencing == first["fencing"] + 1
+    after = store.get(COLLECTION_ROLLOUTS, "drafter", "t")
+    assert after.revision == ended
+    # What it may still have had under way reaches a replaced sidecar.
+    sidecar = deployment.processes["worker-0"]
+    sidecar.kill()
+    deployment.wait_port(deployment.restart("worker-0"), "link_port")
+    stale = Order("o1", "unload", "drafter-2", fencing=first["fencing"])
+    assert send(deployment, sidecar, stale).code == "fenced"
+    assert orders() == numbers
+
+
+def send(deployment, sidecar, order):
+    """Send an order as an entry does."""
+    me = Hello("entry-9", "i1", "entry", "hall-a", b"")
+    keys = load_keys(str(deployment.folder / "link.keys"))
+    daemon = SimpleNamespace(me=me, keys=keys)
+    address = f"127.0.0.1:{sidecar.ports['link_port']}"
+    return send_order(daemon, address, order)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,7 @@
 """In-memory fakes of what the system meets."""
 
 import copy
+from collections.abc import Callable
 from typing import Any
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -16,6 +17,7 @@
         down: Whether every call fails.
         lose_answers: Writes whose answer is lost after they took effect.
         calls: Calls by purpose.
+        on_call: Called before each call, to let others act in between.
         history: Every write as (collection, name, value).
     """
 
@@ -26,10 +28,13 @@
         self.down = False
         self.lose_answers = 0
         self.calls: dict[str, int] = {}
+        self.on_call: Callable[[], None] | None = None
         self.history: list[tuple[str, str, Any]] = []
 
     def _enter(self, purpose: str) -> None:
         self.calls[purpose] = self.calls.get(purpose, 0) + 1
+        if self.on_call is not None:
+            self.on_call()
         if self.down:
             raise LacewingdockError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
 
