The operators' language: ask, explain, order; each order takes effect once

Cause: operators had no way to ask what runs where or to order roll-outs, withdrawals and stops, race one another, and lose answers. Ruled out: effects carried out as often as they come (a withdrawal sent again undid another's later offer), a lock for operators (a dead one blocks all), a lexer for each place in the grammar ("showleases" passed for a command). Change: a lark grammar, parsed on first use only; show with where, order by and limit; explain route; roll out, pause, resume, abort, withdraw, offer, stop, with if revision, dry run and command ids. A command's record names its one conditional write before that lands with the id as writer, so sending it again, at any entry, carries on or reads off what happened. The loser of a race is told who won. Operators are configuration (operator/NAME: role, digests). Served at the entry's admin port; what the entry knows answers in an outage. Open: the admin port has no TLS; command records are not cleared away yet.

--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -10,7 +10,7 @@
 
 from lacewingdock.const import VERSION
 from lacewingdock.core import exit_now
-from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import start_logging
 from lacewingdock.settings import (
     DaemonSettings,
@@ -53,6 +53,48 @@
         changes = apply_manifest(ObjectStore(url), manifest)
         return "\n".join(str(change) for change in changes) or "no changes"
 
+    def ask(
+        self,
+        text: str = "",
+        entry: str = "",
+        key: str = "",
+        id: str = "",
+        json: bool = False,
+    ) -> None:
+        """Ask or order in the operators' language; without TEXT, a prompt.
+
+        Args:
+            text: One command; see docs/operators/language.md.
+            entry: URL of an entry's admin port, or LACEWINGDOCK_ENTRY.
+            key: The operator's key, or better LACEWINGDOCK_OPERATOR_KEY:
+                flags can be seen by others on the machine.
+            id: Id under which an order takes effect once.
+            json: Whether to print JSON instead of a table.
+        """
+        from lacewingdock.components.language.client import (
+            Client,
+            as_text,
+            pointed,
+            prompt,
+        )
+
+        url = entry or os.environ.get("LACEWINGDOCK_ENTRY", "")
+        if not url:
+            raise LacewingdockError(
+                ErrorKind.BAD_SETTING, "--entry: required, not given"
+            )
+        client = Client(
+            url, key or os.environ.get("LACEWINGDOCK_OPERATOR_KEY", "")
+        )
+        if not text:
+            prompt(client, json)
+            return
+        try:
+            print(as_text(client.ask(str(text), str(id)), json))
+        except LacewingdockError as error:
+            print(pointed(str(text), error), file=sys.stderr)
+            exit_now(error.answer.exit_status)
+
     def version(self) -> str:
         """Print the version."""
         return VERSION
--- a/lacewingdock/components/admin/__init__.py
+++ b/lacewingdock/components/admin/__init__.py
@@ -12,6 +12,7 @@
 
 NAME: Final = "admin"
 THREADS: Final = 4
+MAX_BODY_BYTES: Final = 64 * 1024
 
 
 class Admin:
@@ -21,10 +22,11 @@
         daemon: The daemon.
         configuration: The configuration in force.
         has_upstream: Tells whether an upstream can be reached.
+        routes: More paths: method and handler of each, put in before `start`.
         server: The HTTP server.
     """
 
-    __slots__ = ("configuration", "daemon", "has_upstream", "server")
+    __slots__ = ("configuration", "daemon", "has_upstream", "routes", "server")
 
     def __init__(
         self,
@@ -36,9 +38,14 @@
         self.daemon = daemon
         self.configuration = configuration
         self.has_upstream = has_upstream
+        self.routes: dict[str, tuple[str, Callable[[Request], Response]]] = {}
         settings = daemon.settings
         self.server = build_server(
-            settings.host, settings.admin_port, self.answer, threads=THREADS
+            settings.host,
+            settings.admin_port,
+            self.answer,
+            threads=THREADS,
+            max_body_bytes=MAX_BODY_BYTES,
         )
         revision = prometheus_client.Gauge(
             "lacewingdock_configuration_revision",
@@ -55,7 +62,9 @@
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
         """Answer one request (WSGI)."""
-        match Request(environ).path:
+        request = Request(environ)
+        method, handler = self.routes.get(request.path, ("", None))
+        match request.path:
             case "/healthz":
                 response = Response("ok\n")
             case "/readyz":
@@ -65,6 +74,10 @@
                     prometheus_client.generate_latest(self.daemon.metrics),
                     content_type=prometheus_client.CONTENT_TYPE_LATEST,
                 )
+            case _ if handler is not None and method == request.method:
+                response = handler(request)
+            case _ if handler is not None:
+                response = Response("wrong method\n", status=405)
             case _:
                 response = Response("not found\n", status=404)
         return response(environ, start_response)
--- /dev/null
+++ b/lacewingdock/components/language/client.py
@@ -0,0 +1,178 @@
+"""Support for `lacewingdock ask`: one command, or a prompt."""
+
+import io
+import sys
+from pathlib import Path
+from typing import Any, Final
+
+import msgspec
+import pycurl
+
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+
+TIMEOUT_MS: Final = 15_000
+HISTORY: Final = Path("~/.lacewingdock_history")
+HISTORY_LINES: Final = 1000
+MAX_CELL_CHARS: Final = 60
+
+
+class Client:
+    """Talks to an entry's admin port as an operator.
+
+    Attributes:
+        entry: URL of the admin port.
+        key: The operator's bearer key.
+    """
+
+    __slots__ = ("entry", "key")
+
+    def __init__(self, entry: str, key: str) -> None:
+        """Take where to and who asks."""
+        self.entry = entry.rstrip("/")
+        self.key = key
+
+    def ask(self, text: str, command: str = "") -> dict[str, Any]:
+        """Send a command and return its reply.
+
+        Raises:
+            LacewingdockError: What the entry answers; PLATFORM_UNAVAILABLE
+                with ran "unknown" when it doesn't.
+        """
+        reply: dict[str, Any] = self._call(
+            "/ask", msgspec.json.encode({"text": text, "id": command})
+        )
+        return reply
+
+    def words(self) -> list[str]:
+        """Return what a line may complete to."""
+        words: list[str] = self._call("/words", None)
+        return words
+
+    def _call(self, path: str, body: bytes | None) -> Any:
+        received = io.BytesIO()
+        curl = pycurl.Curl()
+        try:
+            curl.setopt(pycurl.URL, self.entry + path)
+            curl.setopt(pycurl.NOSIGNAL, 1)
+            curl.setopt(pycurl.NOPROXY, "*")
+            curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
+            curl.setopt(
+                pycurl.HTTPHEADER,
+                [
+                    f"Authorization: Bearer {self.key}",
+                    "Content-Type: application/json",
+                    "Expect:",
+                ],
+            )
+            if body is not None:
+                curl.setopt(pycurl.POSTFIELDS, body)
+            curl.setopt(pycurl.WRITEFUNCTION, received.write)
+            curl.perform()
+            status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+            answer = msgspec.json.decode(received.getvalue())
+        except (pycurl.error, msgspec.DecodeError) as error:
+            raise LacewingdockError(
+                ErrorKind.PLATFORM_UNAVAILABLE,
+                f"{self.entry} does not answer: {error}",
+                ran="unknown",
+            ) from error
+        finally:
+            curl.close()
+        if status >= 400:
+            raise _error(answer)
+        return answer
+
+
+def _error(problem: Any) -> LacewingdockError:
+    try:
+        kind = ErrorKind(problem["code"])
+    except (KeyError, TypeError, ValueError):
+        return LacewingdockError(ErrorKind.INTERNAL, f"answer: {problem!r}")
+    error = LacewingdockError(
+        kind, problem.get("detail", ""), problem.get("ran")
+    )
+    # Where the line is faulty, for whoever points at it.
+    error.column = problem.get("column")  # type: ignore[attr-defined]
+    return error
+
+
+def pointed(line: str, error: LacewingdockError) -> str:
+    """Return the error, under the line with its place marked."""
+    column = getattr(error, "column", None)
+    if column is None:
+        return str(error)
+    return f"  {line}\n  {' ' * column}^\n{error}"
+
+
+def as_table(reply: dict[str, Any]) -> str:
+    """Return a reply as people read it."""
+    columns = reply["columns"]
+    lines = [reply["message"]] if reply["message"] else []
+    if reply["command"]:
+        lines.append(f"command {reply['command']}")
+    if columns:
+        cells = [[_cell(row[c]) for c in columns] for row in reply["rows"]]
+        widths = [
+            max([len(name), *(len(row[i]) for row in cells)])
+            for i, name in enumerate(columns)
+        ]
+        for row in [columns, *cells]:
+            padded = (c.ljust(w) for c, w in zip(row, widths, strict=True))
+            lines.append("  ".join(padded).rstrip())
+        lines.append(f"({len(cells)} rows, from {reply['source']})")
+    return "\n".join(lines)
+
+
+def _cell(value: Any) -> str:
+    match value:
+        case None:
+            return "-"
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:g}"
+        case list():
+            text = ",".join(map(str, value)) or "-"
+        case dict():
+            text = ",".join(f"{k}={_cell(v)}" for k, v in value.items())
+        case _:
+            text = str(value)
+    return text if len(text) <= MAX_CELL_CHARS else text[:57] + "..."
+
+
+def as_text(reply: dict[str, Any], as_json: bool) -> str:
+    """Return a reply as JSON or as a table."""
+    return msgspec.json.encode(reply).decode() if as_json else as_table(reply)
+
+
+def prompt(client: Client, as_json: bool) -> None:
+    """Read commands until the end of input, with history and completion."""
+    import atexit
+    import readline
+
+    history = HISTORY.expanduser()
+    if history.exists():
+        readline.read_history_file(history)
+    readline.set_history_length(HISTORY_LINES)
+    atexit.register(readline.write_history_file, history)
+    words = client.words()
+
+    def complete(text: str, state: int) -> str | None:
+        found = [f"{word} " for word in words if word.startswith(text)]
+        return found[state] if state < len(found) else None
+
+    readline.set_completer(complete)
+    readline.set_completer_delims(" ,")
+    readline.parse_and_bind("tab: complete")
+    while True:
+        try:
+            line = input("lacewingdock> ").strip()
+        except (EOFError, KeyboardInterrupt):
+            print()
+            return
+        if not line:
+            continue
+        try:
+            print(as_text(client.ask(line), as_json))
+        except LacewingdockError as error:
+            print(pointed(line, error), file=sys.stderr)
--- a/lacewingdock/components/rollouts/controller.py
+++ b/lacewingdock/components/rollouts/controller.py
@@ -164,6 +164,11 @@
         if self._foreign(basis):
             self._yield_model(basis)
             return
+        if rollout.state != STATE_RETURNING and _withdrawn(basis.version):
+            self._put(
+                basis, state=STATE_RETURNING, reason="the version is withdrawn"
+            )
+            return
         match rollout.state:
             case "loading":
                 self._load(basis)
@@ -310,16 +315,11 @@
 
     def _finish_return(self, basis: Basis) -> None:
         """Withdraw the version if it is bad, then end."""
-        version = basis.version.value
-        if (
-            basis.rollout.withdraw
-            and version
-            and version.get("state") != "withdrawn"
-        ):
+        if basis.rollout.withdraw and not _withdrawn(basis.version):
             self.store.put(
                 COLLECTION_CONFIG,
                 basis.version.name,
-                {**version, "state": "withdrawn"},
+                {**basis.version.value, "state": "withdrawn"},
                 basis.version.revision,
                 PURPOSE,
                 f"{basis.rollout.id}:{new_id()}",
@@ -367,3 +367,8 @@
             reason=rollout.reason,
             fencing=rollout.fencing,
         )
+
+
+def _withdrawn(version: Stored) -> bool:
+    value = version.value or {"state": "withdrawn"}
+    return bool(value.get("state") == "withdrawn")
--- a/lacewingdock/const.py
+++ b/lacewingdock/const.py
@@ -12,12 +12,14 @@
 # Kinds of configuration items; an item's key is "KIND/NAME".
 KIND_CASCADE: Final = "cascade"
 KIND_MODEL: Final = "model"
+KIND_OPERATOR: Final = "operator"
 KIND_SERVICE: Final = "service"
 KIND_VERSION: Final = "version"
 KIND_WORKSPACE: Final = "workspace"
 
 # Collections of the platform's object API.
 COLLECTION_CLAIMS: Final = "claims"
+COLLECTION_COMMANDS: Final = "commands"
 COLLECTION_CONFIG: Final = "config"
 COLLECTION_LEASES: Final = "leases"
 COLLECTION_LEDGER: Final = "ledger"
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -5,6 +5,7 @@
     answers,
     callers,
     configuration,
+    language,
     leases,
     membership,
     orders,
@@ -55,6 +56,7 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
+    language.setup(daemon, admin_port, config, members, open_answers)
     for component in (links, config, members, held, port, admin_port):
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -134,7 +134,21 @@
     partitions: Annotated[int, Meta(ge=1, le=64)] = 8
 
 
-ConfigObject = Cascade | Model | Service | Version | Workspace
+@dataclass(slots=True, kw_only=True)
+class Operator:
+    """Someone who may ask and order in the operators' language.
+
+    Attributes:
+        keys: SHA-256 digests, in hex, of the bearer keys.
+        role: "viewer" may ask, "operator" may also order roll-outs and
+            withdrawals, "admin" may also stop instances.
+    """
+
+    keys: list[Digest]
+    role: Literal["viewer", "operator", "admin"] = "viewer"
+
+
+ConfigObject = Cascade | Model | Operator | Service | Version | Workspace
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lacewingdock/world/world.py
+++ b/lacewingdock/world/world.py
@@ -10,6 +10,7 @@
 from lacewingdock.const import (
     KIND_CASCADE,
     KIND_MODEL,
+    KIND_OPERATOR,
     KIND_SERVICE,
     KIND_VERSION,
     KIND_WORKSPACE,
@@ -20,6 +21,7 @@
     ConfigObject,
     Model,
     Operation,
+    Operator,
     Service,
     Version,
     Workspace,
@@ -28,6 +30,7 @@
 CLASSES: Final[dict[str, type]] = {
     KIND_CASCADE: Cascade,
     KIND_MODEL: Model,
+    KIND_OPERATOR: Operator,
     KIND_SERVICE: Service,
     KIND_VERSION: Version,
     KIND_WORKSPACE: Workspace,
@@ -41,6 +44,7 @@
     Attributes:
         cascades: Cascades by name.
         models: Models by name.
+        operators: Operators by name.
         services: Plain services by name.
         versions: Model versions by name.
         workspaces: Workspaces by name.
@@ -49,6 +53,7 @@
 
     cascades: dict[str, Cascade] = field(default_factory=dict)
     models: dict[str, Model] = field(default_factory=dict)
+    operators: dict[str, Operator] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     versions: dict[str, Version] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
@@ -61,6 +66,8 @@
                 self.cascades[name] = item
             case Model():
                 self.models[name] = item
+            case Operator():
+                self.operators[name] = item
             case Service():
                 self.services[name] = item
             case Version():
@@ -84,6 +91,20 @@
             )
         return name, self.workspaces[name]
 
+    def operator(self, key: str) -> tuple[str, Operator]:
+        """Find the operator of a bearer key.
+
+        Raises:
+            LacewingdockError: UNAUTHORIZED when no operator has the key.
+        """
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        for name, operator in self.operators.items():
+            if digest in operator.keys:
+                return name, operator
+        raise LacewingdockError(
+            ErrorKind.UNAUTHORIZED, "the operator key is not known"
+        )
+
     def offered(self, version: str) -> bool:
         """Tell whether a version is configured and not withdrawn."""
         found = self.versions.get(version)
--- a/tests/common.py
+++ b/tests/common.py
@@ -1,10 +1,14 @@
 """Support for tests: callers and a small deployment."""
 
+from types import SimpleNamespace
 from typing import Any
 
-from bench.deployment import Deployment
+from bench.deployment import Deployment, Process
 from bench.http import Reply, call
 from lacewingdock.components.configuration.apply import apply_manifest
+from lacewingdock.components.orders import send_order
+from lacewingdock.links.keys import load_keys
+from lacewingdock.links.messages import Hello, Order, Ordered
 from lacewingdock.platform.store import ObjectStore
 from lacewingdock.world.manifest import parse_manifest
 
@@ -81,3 +85,14 @@
         if name.startswith("booking-") and "port" in process.ports:
             made += call("GET", f"{process.url()}/bookings").json()
     return made
+
+
+def send_order_as_entry(
+    deployment: Deployment, process: Process, order: Order
+) -> Ordered:
+    """Send an order to a daemon over a link, as an entry does."""
+    me = Hello("entry-9", "i1", "entry", "hall-a", b"")
+    keys = load_keys(str(deployment.folder / "link.keys"))
+    daemon: Any = SimpleNamespace(me=me, keys=keys)
+    address = f"127.0.0.1:{process.ports['link_port']}"
+    return send_order(daemon, address, order)
--- a/tests/components/rollouts/test_processes.py
+++ b/tests/components/rollouts/test_processes.py
@@ -1,7 +1,6 @@
 """Tests of a roll-out through processes, its holder frozen and thawed."""
 
 import signal
-from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -9,13 +8,11 @@
 from bench.deployment import Deployment, Shape, wait_until
 from bench.http import call
 from lacewingdock.components.leases.const import LEASE_ROLLOUTS
-from lacewingdock.components.orders import send_order
 from lacewingdock.components.rollouts.record import Rollout, decode_rollout
 from lacewingdock.const import COLLECTION_LEASES, COLLECTION_ROLLOUTS
-from lacewingdock.links.keys import load_keys
-from lacewingdock.links.messages import Hello, Order
+from lacewingdock.links.messages import Order
 from lacewingdock.platform.store import ObjectStore
-from tests.common import apply_example
+from tests.common import apply_example, send_order_as_entry
 
 
 @pytest.fixture(scope="module")
@@ -91,14 +88,5 @@
     sidecar.kill()
     deployment.wait_port(deployment.restart("worker-0"), "link_port")
     stale = Order("o1", "unload", "drafter-2", fencing=first["fencing"])
-    assert send(deployment, sidecar, stale).code == "fenced"
+    assert send_order_as_entry(deployment, sidecar, stale).code == "fenced"
     assert orders() == numbers
-
-
-def send(deployment, sidecar, order):
-    """Send an order as an entry does."""
-    me = Hello("entry-9", "i1", "entry", "hall-a", b"")
-    keys = load_keys(str(deployment.folder / "link.keys"))
-    daemon = SimpleNamespace(me=me, keys=keys)
-    address = f"127.0.0.1:{sidecar.ports['link_port']}"
-    return send_order(daemon, address, order)
