--- a/lacewingdock/components/language/audit.py
+++ b/lacewingdock/components/language/audit.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from lacewingdock.components.language.plans import PURPOSE, Plan, who_wrote
-from lacewingdock.const import COLLECTION_COMMANDS
+from lacewingdock.const import COLLECTION_COMMANDS, RAN_NO
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.store import ABSENT
 
@@ -161,6 +161,7 @@
     except LacewingdockError as error:
         if error.kind is not ErrorKind.CONFLICT:
             raise
+        refused = fresh and error.ran == RAN_NO
     else:
         return _done(record, written.revision)
     # It landed before, or another was first; only the object tells.
@@ -171,7 +172,7 @@
         f"{record.name} is at revision {found.revision}, not "
         f"{record.expect}; written by {who_wrote(store, found)}"
     )
-    if fresh:
+    if refused:
         return replace(record, state="refused", detail=detail)
     # An earlier try may have landed and been overwritten since. It is not
     # tried again: the object has moved on.
--- a/lacewingdock/components/language/const.py
+++ b/lacewingdock/components/language/const.py
@@ -16,6 +16,7 @@
     "cascades",
     "commands",
     "instances",
+    "items",
     "leases",
     "models",
     "operators",
--- a/lacewingdock/components/language/views.py
+++ b/lacewingdock/components/language/views.py
@@ -194,6 +194,27 @@
 
 
 def _revisions(sources: Sources) -> Rows:
+    """Say what is in force here and at each linked peer, lowest first."""
+    configuration = sources.configuration
+    me = configuration.daemon.me
+    shown = {me.instance: (me.role, configuration.revision)}
+    for link, revision in tuple(configuration.shown.items()):
+        shown[link.peer.instance] = (link.peer.role, revision)
+    newest = max(revision for _, revision in shown.values())
+    return [
+        {
+            "instance": name,
+            "role": role,
+            "revision": revision,
+            "behind": newest - revision,
+        }
+        for name, (role, revision) in sorted(
+            shown.items(), key=lambda item: item[1][1]
+        )
+    ]
+
+
+def _items(sources: Sources) -> Rows:
     table = sources.configuration.table
     return [
         {"key": i.key, "revision": i.revision, "deleted": not i.value}
@@ -258,7 +279,8 @@
     ),
     "models": View(("name", "shares", "revision"), _models),
     "operators": View(("name", "role", "keys", "revision"), _operators),
-    "revisions": View(("key", "revision", "deleted"), _revisions),
+    "items": View(("key", "revision", "deleted"), _items),
+    "revisions": View(("instance", "role", "revision", "behind"), _revisions),
     "rollouts": View(
         (
             "model",
--- a/tests/components/__init__.py
+++ b/tests/components/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the components."""
+"""Tests; the folders mirror the package."""
