--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -5,8 +5,12 @@
     answers,
     callers,
     configuration,
+    language,
+    leases,
     membership,
+    orders,
     peers,
+    rollouts,
 )
 from lacewingdock.components.callers import departures
 from lacewingdock.components.callers.app import CallersApp
@@ -34,6 +38,9 @@
     config = configuration.setup(daemon, links)
     links.beat = lambda: Beat(revision=config.revision)
     members = membership.setup(daemon, links, config, settings.subset)
+    orders.setup(daemon, links, None)
+    held = leases.setup(daemon, links, members)
+    rollouts.setup(daemon, config, members, held)
     open_answers = answers.setup(daemon, links, members)
     relay = Relay(open_answers, members, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
@@ -52,6 +59,8 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (links, config, members, watcher, port, admin_port):
+    language.setup(daemon, admin_port, config, members, open_answers)
+    started = (links, config, members, watcher, held, port, admin_port)
+    for component in started:
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/platform/store.py
+++ b/lacewingdock/platform/store.py
@@ -164,6 +164,7 @@
         value: Any,
         expect: int,
         purpose: str,
+        writer: str = "",
     ) -> Stored:
         """Write an object if its revision is the expected one.
 
@@ -179,6 +180,8 @@
                 which stays in the collection so that lists show it.
             expect: Revision it must have; `ABSENT` for none.
             purpose: What the call is for, in the count of calls.
+            writer: Id of this very write, never used for another; a fresh
+                one by default.
 
         Returns:
             The object as written.
@@ -188,7 +191,7 @@
                 PLATFORM_UNAVAILABLE with ran "unknown" when it can't be
                 settled.
         """
-        writer = secrets.token_hex(8)
+        writer = writer or secrets.token_hex(8)
         body = {"value": value, "expect": expect, "writer": writer}
         try:
             reply = self._call(
