--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -45,8 +45,8 @@
         upstreams: Upstreams by the name of their sidecar's instance.
         chosen: Names of the sidecars that links are kept to.
         entries: Number of entries in the list.
+        instances: The list as last read; it lags.
         backoff: Pauses while the platform does not answer.
-        listed: The platform's list as last read.
     """
 
     __slots__ = (
@@ -59,7 +59,7 @@
         "configuration",
         "daemon",
         "entries",
-        "listed",
+        "instances",
         "peers",
         "subset",
         "upstreams",
@@ -80,11 +80,11 @@
         self.upstreams: dict[str, Upstream] = {}
         self.chosen: set[str] = set()
         self.entries = 0
+        self.instances: list[Instance] = []
         self.backoff = Backoff(LIST_S, LIST_MAX_S, daemon.random)
         self._choose_at = 0.0
         self._chosen_from = 0
         self._seen: list[Instance] = []
-        self.listed: list[Instance] = []
         self._guests = threading.Lock()
         peers.on_open.append(self._on_open)
         peers.on_close.append(self._on_close)
@@ -135,7 +135,7 @@
             return upstream
 
     def _invite(self, name: str) -> Upstream | None:
-        for instance in self.listed:
+        for instance in self.instances:
             if instance.name == name and instance.role == ROLE_SIDECAR:
                 upstream = self.upstreams[name] = Upstream(instance)
                 upstream.guest = True
@@ -168,11 +168,10 @@
         """Keep links to what a list shows; it lags and may be wrong."""
         if instances is self._seen:
             return
-        self._seen = instances
+        self._seen = self.instances = instances
         me = self.daemon.me
         entries = [i for i in instances if i.role == ROLE_ENTRY]
         self.entries = len(entries)
-        self.listed = instances
         self.configuration.entries = [
             i.name
             for i in entries
