--- a/bench/control.py
+++ b/bench/control.py
@@ -114,6 +114,7 @@
             wait_until(
                 lambda p=process, c=count: fleet.metrics(p).get(LINKS, 0) >= c,  # type: ignore[misc]
                 f"{process.name} has not {count} links",
+                60,
             )
         time.sleep(WINDOW_S)
         return _daemon_figures(fleet, entries, sidecars, daemons)
--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -14,7 +14,6 @@
     Deployment,
     Process,
     Shape,
-    free_ports,
     wait_until,
 )
 from bench.http import call
@@ -241,35 +240,33 @@
     Returns:
         The light sidecars as the instance list shows them.
     """
-    ports = free_ports(sidecars)
     addresses = [
-        # A link to a light sidecar too: that is where news comes from.
-        "/".join(
-            [f"{HOST}:{p.ports['link_port']}" for p in found]
-            + [f"{HOST}:{ports[at % len(ports)]}"]
-        )
-        for at, found in enumerate(dial)
+        "/".join(f"{HOST}:{p.ports['link_port']}" for p in found)
+        for found in dial
     ]
     deployment = fleet.deployment
+    report = deployment.folder / "light.addresses"
     deployment.run_module(
         "light",
         "standins.peers",
         [],
         f"--platform={deployment.processes['platform'].url()}",
         f"--keys={deployment.folder}/link.keys",
-        f"--ports=[{','.join(map(str, ports))}]",
+        f"--report={report}",
+        f"--sidecars={sidecars}",
         f"--versions=[{','.join(VERSIONS)}]",
         f"--dial={','.join(addresses)}",
     )
+    wait_until(report.exists, "the light peers did not start", 60)
     return [
         {
-            "name": f"light-{port}",
+            "name": f"light-{index}",
             "role": "sidecar",
             "failure_domain": f"domain-{index % 7}",
-            "address": f"{HOST}:{port}",
+            "address": address,
             "pool": "light",
         }
-        for index, port in enumerate(ports)
+        for index, address in enumerate(report.read_text().split())
     ]
 
 
--- a/standins/peers.py
+++ b/standins/peers.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from pathlib import Path
 from typing import Any, Final
 
 import fire
@@ -27,15 +28,14 @@
 
 
 def start_sidecar(
-    platform: str, keys: str, port: int, versions: list[str]
-) -> Daemon:
-    """Start a light sidecar that listens on a port."""
+    platform: str, keys: str, index: int, versions: list[str]
+) -> str:
+    """Start a light sidecar; return the address it listens on."""
     daemon = Daemon(
         SidecarSettings(
-            instance=f"light-{port}",
+            instance=f"light-{index}",
             failure_domain="light",
             platform=platform,
-            link_port=port,
             link_keys_file=keys,
             upstream="http://127.0.0.1:1",
         )
@@ -47,12 +47,12 @@
     links.on_open.append(lambda link: link.send(status))
     config.step()
     links.start()
-    return daemon
+    return f"{HOST}:{links.port}"
 
 
 def start_entry(
     platform: str, keys: str, name: str, addresses: list[str]
-) -> Daemon:
+) -> None:
     """Start a light entry that keeps links to addresses."""
     daemon = Daemon(
         EntrySettings(
@@ -72,13 +72,13 @@
     links.start()
     for address in addresses:
         daemon.spawn(links.hold, address)
-    return daemon
 
 
 def main(
     platform: str,
     keys: str,
-    ports: Any = (),
+    report: str,
+    sidecars: int = 0,
     versions: Any = (),
     dial: Any = (),
 ) -> None:
@@ -87,22 +87,26 @@
     Args:
         platform: URL of the platform.
         keys: File of the link keys.
-        ports: Ports of light sidecars.
+        report: File that gets the light sidecars' addresses, a line each.
+        sidecars: Number of light sidecars, on ports that are free.
         versions: Versions that each light sidecar says it has.
-        dial: For each light entry its addresses, separated by "/".
+        dial: For each light entry its addresses, separated by "/"; each
+            dials a light sidecar besides, which is where news comes from.
     """
     start_logging("error", instance="light", failure_domain="light")
     threading.stack_size(THREAD_STACK_BYTES)
     loaded = [str(version) for version in _each(versions)]
-    daemons = [
-        start_sidecar(platform, keys, int(port), loaded)
-        for port in _each(ports)
+    addresses = [
+        start_sidecar(platform, keys, index, loaded)
+        for index in range(sidecars)
     ]
-    for index, addresses in enumerate(_each(dial)):
+    for index, others in enumerate(_each(dial)):
         name = f"light-entry-{index}"
-        daemons.append(
-            start_entry(platform, keys, name, str(addresses).split("/"))
-        )
+        bridge = addresses[index % len(addresses)]
+        start_entry(platform, keys, name, [*str(others).split("/"), bridge])
+    part = Path(f"{report}.part")
+    part.write_text("".join(f"{address}\n" for address in addresses))
+    part.rename(report)
     threading.Event().wait()
 
 
