--- a/bench/control.py
+++ b/bench/control.py
@@ -33,6 +33,7 @@
 WINDOW_S: Final = 8.0
 FLEETS: Final = (20, 50, 100)
 CHANGES: Final = 5
+FREEZES: Final = 3
 FROZEN_S: Final = 18.0
 
 Get = Callable[[Sample], float]
@@ -293,29 +294,53 @@
     progress(f"{label}: watchers frozen")
     watchers = fleet.watchers()
     others = [p for p in daemons if p not in watchers]
-    with frozen(watchers):
-        took = fleet.seconds_to_force(others, fleet.change(), 60)
-    thawed = time.time()
-    again = fleet.seconds_to_force(daemons, thawed, 60)
+    taken, thawed = _freeze(fleet, watchers, others, FREEZES, 0.0)
     figures += [
-        budget(f"{label}: watchers frozen", [took], "s", IN_FORCE_S),
-        budget(f"{label}: watchers thawed", [max(0, again)], "s", IN_FORCE_S),
+        budget(f"{label}: watchers frozen", taken, "s", IN_FORCE_S),
+        budget(f"{label}: watchers thawed", thawed, "s", IN_FORCE_S),
     ]
     progress(f"{label}: a domain frozen")
     lost = [p for p in daemons if fleet.domain(p) == "domain-1"]
     rest = [p for p in daemons if p not in lost]
-    with frozen(lost):
-        took = fleet.seconds_to_force(rest, fleet.change(), 60)
-        time.sleep(FROZEN_S)
-    thawed = time.time()
-    again = fleet.seconds_to_force(daemons, thawed, 60)
+    taken, thawed = _freeze(fleet, lost, rest, 1, FROZEN_S)
     return [
         *figures,
-        budget(f"{label}: domain frozen, the rest", [took], "s", IN_FORCE_S),
-        budget(f"{label}: domain thawed", [max(0, again)], "s", IN_FORCE_S),
+        budget(f"{label}: domain frozen, the rest", taken, "s", IN_FORCE_S),
+        budget(f"{label}: domain thawed", thawed, "s", IN_FORCE_S),
     ]
 
 
+def _freeze(
+    fleet: Fleet,
+    lost: list[Process],
+    rest: list[Process],
+    times: int,
+    before_s: float,
+) -> tuple[list[float], list[float]]:
+    """Freeze daemons, make a change, thaw them, several times.
+
+    Args:
+        fleet: The fleet.
+        lost: Daemons to freeze.
+        rest: All others.
+        times: How often.
+        before_s: Seconds frozen before the change; past the time in which
+            a silent link is given up, the thawed must link anew.
+
+    Returns:
+        Seconds until the rest had the change, and until the thawed had it.
+    """
+    taken, thawed = [], []
+    for _ in range(times):
+        with frozen(lost):
+            time.sleep(before_s)
+            taken.append(fleet.seconds_to_force(rest, fleet.change(), 60))
+        since = time.time()
+        again = fleet.seconds_to_force(lost, since, 60)
+        thawed.append(max(0.0, again))
+    return taken, thawed
+
+
 def main(json: bool = False, part: str = "all", seed: int = 0) -> None:
     """Measure control costs.
 
