Claims: hold under lost, late and failed writes, pauses and planned stops

Cause: review of the thin mechanism found, beside the home-in-the-head idea that holds, these faults: - a claim whose caller gave up stayed kept; the key was "unknown" for good; - two tasks could write one partition (the writer and the stop), each stating the head without the other's claims: a second run after a takeover; - "did not run" was written for a key, not for a claim: it could follow a later claim of the same key, and the next home would run it again; - outcomes whose write failed were dropped; - a take whose answer was lost, or whose segments could not be read, left a home in name that served nobody and answered probes; - a missing segment was taken for empty; - "not run" was said by whoever refused, also by a home that had been taken over, of a key that ran elsewhere; - another body met the run of a claim that was not kept yet; - runs and records stayed in memory for the window.

Ruled out: forgetting keys early (a second run), leases by time for "not run" in an outage (it lasts longer than any lease), a lock around the head in the platform (a write more for each batch).

Tickets: keys that name one process, for contracts with on_outage: tickets.

--- a/lacewingdock/components/callers/app.py
+++ b/lacewingdock/components/callers/app.py
@@ -13,7 +13,7 @@
 from lacewingdock.components.callers.requests import Caller, read_caller
 from lacewingdock.components.callers.services import ServiceCalls
 from lacewingdock.components.configuration import Configuration
-from lacewingdock.const import HEADER_REQUEST_ID
+from lacewingdock.const import HEADER_REQUEST_ID, RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
@@ -119,7 +119,13 @@
 
     def _dispatch(self, request: Request, caller: Caller) -> Response:
         if not self.configuration.loaded.is_set():
-            raise LacewingdockError(ErrorKind.NOT_READY, "no configuration yet")
+            # A key may have run before it came here; who knows nothing yet
+            # can't say that it did not.
+            raise LacewingdockError(
+                ErrorKind.NOT_READY,
+                "no configuration yet",
+                RAN_UNKNOWN if caller.key else RAN_NO,
+            )
         name, workspace = self.configuration.world.authenticate(caller.bearer)
         path = request.path
         if path == CHAT_PATH and request.method == "POST":
--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -1,21 +1,43 @@
 """Support for answering calls of plain services."""
 
+import time
+from dataclasses import replace
+from http import HTTPStatus
 from typing import Final
 
+import msgspec
 from werkzeug.wrappers import Request, Response
 
+from lacewingdock.components.answers import retry_of
 from lacewingdock.components.answers.answer import Answer
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.requests import Caller
 from lacewingdock.components.claims import partition_of
+from lacewingdock.components.claims.tickets import (
+    TICKET_S,
+    mint_ticket,
+    parse_ticket,
+)
 from lacewingdock.components.configuration import Configuration
+from lacewingdock.components.routing import choose_upstream
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.links.messages import Attempt
 from lacewingdock.world.objects import Workspace
+from lacewingdock.world.upstream import Upstream
 
 PREFIX: Final = "/services/"
+TICKETS_PATH: Final = "/tickets"
+MAX_SENDS: Final = 4
+SEND_PAUSE_S: Final = 0.25
+# A home that leaves in good order has a successor within a look; a request
+# that comes in between waits for it rather than being turned away.
+HOME_WAIT_S: Final = 1.5
+HOME_POLL_S: Final = 0.02
+HOME_RETRY_S: Final = 1.0
+# What a home says that is going, or whoever isn't home any more.
+_SEND_AGAIN: Final = frozenset({ErrorKind.LEAVING, ErrorKind.NOT_HOME})
 
 
 class ServiceCalls:
@@ -52,6 +74,8 @@
             raise LacewingdockError(
                 ErrorKind.MODEL_NOT_ALLOWED, f"service {service!r}"
             )
+        if self._takes_tickets(request, service, path):
+            return self._ticket(service)
         operation = world.operation(service, request.method, path)
         if not operation.repeatable and not caller.key:
             raise LacewingdockError(
@@ -80,32 +104,102 @@
             answer, pieces = self._once(attempt)
         return self._whole(answer, pieces)
 
-    def _once(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
-        """Get a call that may not be repeated answered by its home."""
-        service = self.configuration.world.services[attempt.target]
-        number = partition_of(
-            attempt.workspace, attempt.key, service.partitions
+    def _takes_tickets(self, request: Request, service: str, path: str) -> bool:
+        found = self.configuration.world.services.get(service)
+        return (
+            found is not None
+            and (request.method, path) == ("POST", TICKETS_PATH)
+            and any(o.on_outage == "tickets" for o in found.operations)
         )
-        home = self.relay.membership.home(f"{attempt.target}/{number}")
-        if home is None:
+
+    def _ticket(self, service: str) -> Response:
+        """Give out a key that names the process that will run it."""
+        upstream = choose_upstream(
+            self.relay.membership.serving(service), (), self.relay.source
+        )
+        link = upstream.link
+        if link is None:
             raise LacewingdockError(
-                ErrorKind.NOT_HOME,
-                f"partition {number} of {attempt.target} has no home",
-                RAN_NO,
+                ErrorKind.NO_UPSTREAM, f"no link to {upstream.name}", RAN_NO
             )
-        answer = self.relay.answers.ask(home, attempt)
+        ticket = mint_ticket(link.peer.instance, link.peer.incarnation)
+        body = {"ticket": ticket, "expires_in_s": TICKET_S}
+        return Response(
+            msgspec.json.encode(body),
+            status=HTTPStatus.CREATED,
+            content_type="application/json",
+        )
+
+    def _once(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
+        """Get a call that may not be repeated answered by its home.
+
+        The home runs a key once, so after a lost link the request may be
+        sent again: it meets its own run, or the record of it.
+        """
+        end = time.monotonic() + attempt.deadline_ms / 1000
+        last = _no_home(attempt)
+        for _ in range(MAX_SENDS):
+            home = self._wait_home(attempt, end)
+            if home is None:
+                break
+            try:
+                return self._ask_home(home, attempt)
+            except LacewingdockError as error:
+                if error.kind not in _SEND_AGAIN:
+                    raise
+                last = error
+            time.sleep(SEND_PAUSE_S)
+            left_ms = int((end - time.monotonic()) * 1000)
+            attempt = replace(retry_of(attempt), deadline_ms=max(left_ms, 1))
+        raise last
+
+    def _ask_home(
+        self, home: Upstream, attempt: Attempt
+    ) -> tuple[Answer, list[bytes]]:
+        """Send a request to a home and wait for its first pieces.
+
+        Raises:
+            LacewingdockError: As the home refused; NOT_HOME, run or not
+                unknown, when the home can't be reached.
+        """
+        try:
+            answer = self.relay.answers.ask(home, attempt)
+        except LacewingdockError as error:
+            raise _no_home(attempt) from error
         try:
             return answer, self.relay.take(answer)
         except LacewingdockError as error:
+            is_lost = answer.link is None or error.kind is ErrorKind.ANSWER_GONE
             self.relay.answers.drop(answer)
-            if error.kind is ErrorKind.ANSWER_GONE and error.ran == RAN_UNKNOWN:
-                # The link went before the home had read the request, or the
-                # home is another process now; either way it is not known.
-                raise LacewingdockError(
-                    ErrorKind.OUTCOME_UNKNOWN, error.detail
-                ) from error
+            if is_lost and error.ran == RAN_UNKNOWN:
+                # No link came back, or the home had not read the request
+                # when the link went.
+                raise _no_home(attempt) from error
             raise
 
+    def _wait_home(self, attempt: Attempt, end: float) -> Upstream | None:
+        """Find the home of a key, over the moment that it changes in."""
+        end = min(end, time.monotonic() + HOME_WAIT_S)
+        while True:
+            home = self._home(attempt)
+            if home is not None or time.monotonic() > end:
+                return home
+            time.sleep(HOME_POLL_S)
+
+    def _home(self, attempt: Attempt) -> Upstream | None:
+        membership = self.relay.membership
+        ticket = parse_ticket(attempt.key)
+        if ticket is not None:
+            upstream = membership.upstreams.get(ticket.instance)
+            link = upstream.link if upstream else None
+            is_it = link and link.peer.incarnation == ticket.incarnation
+            return upstream if is_it else None
+        service = self.configuration.world.services[attempt.target]
+        number = partition_of(
+            attempt.workspace, attempt.key, service.partitions
+        )
+        return membership.home(f"{attempt.target}/{number}")
+
     def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
         try:
             while pieces and (more := self.relay.take(answer)):
@@ -119,3 +213,18 @@
             status=finish.status,
             content_type=finish.content_type or "application/octet-stream",
         )
+
+
+def _no_home(attempt: Attempt) -> LacewingdockError:
+    """Refuse a key whose home can't be asked.
+
+    It may be the second time that the key is sent, and the first may have
+    run: only its home can say "not run".
+    """
+    if parse_ticket(attempt.key) is not None:
+        detail = "the process that the ticket names can't be reached"
+    else:
+        detail = f"the key's partition of {attempt.target} has no home now"
+    return LacewingdockError(
+        ErrorKind.NOT_HOME, detail, RAN_UNKNOWN, HOME_RETRY_S
+    )
--- a/lacewingdock/components/claims/__init__.py
+++ b/lacewingdock/components/claims/__init__.py
@@ -2,10 +2,10 @@
 
 import contextlib
 import hashlib
+import time
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as FutureTimeout
 from dataclasses import dataclass
-from typing import Final
 
 import msgspec
 import prometheus_client
@@ -13,14 +13,22 @@
 from lacewingdock.components.claims.const import (
     ADMIT_TIMEOUT_S,
     FAILED_PROBES,
+    LEAVE_S,
     LOOK_S,
     MAX_RECORDED_BODY_BYTES,
     NAME,
+    PATIENCE,
+    PAUSE_S,
     PROBE_TIMEOUT_S,
+    RETRY_S,
     STATE_DONE,
-    STATE_NOT_RUN,
+    TICK_S,
+)
+from lacewingdock.components.claims.partition import (
+    Claim,
+    Partition,
+    take_partition,
 )
-from lacewingdock.components.claims.partition import Partition, take_partition
 from lacewingdock.components.claims.record import (
     Head,
     Record,
@@ -28,11 +36,11 @@
     key_digest,
     partition_of,
 )
+from lacewingdock.components.claims.tickets import Tickets, parse_ticket
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.peers import Peers
 from lacewingdock.const import (
     COLLECTION_CLAIMS,
-    RAN_NO,
     RAN_UNKNOWN,
     ROLE_SIDECAR,
 )
@@ -42,15 +50,13 @@
 from lacewingdock.links.handshake import dial
 from lacewingdock.links.messages import Finish
 from lacewingdock.platform.store import Stored
+from lacewingdock.world.objects import Service
 from lacewingdock.world.run import Run
 
 log = get_logger(NAME)
 
 __all__ = ["Claims", "Duplicate", "Recorded", "partition_of", "setup"]
 
-# Looks that an unowned partition is left to its preferred taker.
-PATIENCE: Final = 3
-
 
 @dataclass(slots=True)
 class Duplicate:
@@ -76,18 +82,26 @@
         configuration: The configuration in force.
         service: Name of the service.
         partitions: The partitions by number.
+        tickets: Runs of keys that only this process may run.
         probes: Failed probes in a row by partition number.
+        held: The claim of each admitted run, and its partition.
+        ticked: Monotonic time of the last tick.
+        resumed: Monotonic time when the last pause was noticed.
         on_change: Called when partitions were taken or lost.
     """
 
     __slots__ = (
         "configuration",
         "daemon",
+        "held",
         "on_change",
         "partitions",
         "peers",
         "probes",
+        "resumed",
         "service",
+        "ticked",
+        "tickets",
     )
 
     def __init__(
@@ -103,7 +117,11 @@
         self.configuration = configuration
         self.service = service
         self.partitions: dict[int, Partition] = {}
+        self.tickets = Tickets(daemon.me.instance, daemon.me.incarnation)
         self.probes: dict[int, int] = {}
+        self.held: dict[Run, tuple[Partition, Claim]] = {}
+        self.ticked = time.monotonic()
+        self.resumed = 0.0
         self.on_change: Callable[[], None] = lambda: None
         held = prometheus_client.Gauge(
             "lacewingdock_claim_partitions",
@@ -114,19 +132,25 @@
 
     def start(self) -> None:
         """Start looking after the service's partitions."""
-        self.daemon.every(LOOK_S, self._look)
+        self.daemon.every(TICK_S, self.tick)
+        self.daemon.every(LOOK_S, self.look)
+        self.daemon.every(RETRY_S, self.write_again)
+        self.daemon.on_leave.append(self._leave_soon)
 
     def homes(self) -> list[str]:
         """Name the partitions held here, "SERVICE/NUMBER@TERM"."""
         return [
             f"{p.name}@{p.head.term}"
             for p in tuple(self.partitions.values())
-            if not p.lost
+            if not p.lost and not p.closing
         ]
 
     def admit(self, run: Run) -> Duplicate | Recorded | None:
         """Claim the right to run a request.
 
+        Whatever comes of it, `finish` must be called once the run's answer
+        has ended.
+
         Returns:
             None when this run has the claim, kept in the platform; else what
             the request repeats.
@@ -141,6 +165,11 @@
                 ErrorKind.KEY_REQUIRED,
                 f"{attempt.method} {attempt.path} may not be repeated",
             )
+        ticket = parse_ticket(attempt.key)
+        if ticket is not None:
+            self._check_tickets(run)
+            first = self.tickets.claim(ticket, run)
+            return None if first is run else Duplicate(first)
         partition = self._partition(attempt.workspace, attempt.key)
         record = Record(
             key_digest(attempt.workspace, attempt.key), body_digest(attempt)
@@ -149,18 +178,35 @@
             case Run() as first:
                 return Duplicate(first)
             case Record() as known:
-                return _answer_from(known, record)
-            case None:
-                self._commit(partition, record)
+                return _answer_from(known)
+            case Claim() as claim:
+                self.held[run] = partition, claim
+                self._commit(partition, claim)
                 return None
 
-    def _partition(self, workspace: str, key: str) -> Partition:
+    def _check_tickets(self, run: Run) -> None:
+        """Refuse a ticket where the contract does not know them."""
+        attempt = run.attempt
+        path = attempt.path.partition("?")[0]
+        operation = self.configuration.world.operation(
+            self.service, attempt.method, path
+        )
+        if operation.on_outage != "tickets":
+            raise LacewingdockError(
+                ErrorKind.BAD_REQUEST,
+                f"{attempt.method} {path} takes no tickets",
+            )
+
+    def _service(self) -> Service:
         service = self.configuration.world.services.get(self.service)
         if service is None:
             raise LacewingdockError(
                 ErrorKind.UNKNOWN_SERVICE, f"{self.service} is not configured"
             )
-        number = partition_of(workspace, key, service.partitions)
+        return service
+
+    def _partition(self, workspace: str, key: str) -> Partition:
+        number = partition_of(workspace, key, self._service().partitions)
         partition = self.partitions.get(number)
         if partition is None or partition.lost:
             raise LacewingdockError(
@@ -168,62 +214,94 @@
             )
         return partition
 
-    def _commit(self, partition: Partition, record: Record) -> None:
-        future, must_write = partition.commit(record)
-        if must_write:
-            self.daemon.spawn(self._write, partition)
+    def _commit(self, partition: Partition, claim: Claim) -> None:
+        self._write(partition)
         try:
-            future.result(ADMIT_TIMEOUT_S)
+            claim.kept.result(ADMIT_TIMEOUT_S)
         except FutureTimeout:
-            # Whoever resolves the future later finds it cancelled or finds
-            # nobody waiting; either way this request is not run.
-            partition.release(record.key)
+            # The write under way may still take effect; `finish` frees the
+            # key, and the platform then learns that it did not run.
             raise LacewingdockError(
-                ErrorKind.PLATFORM_UNAVAILABLE,
-                "the claim was not kept in time",
-                RAN_NO,
+                ErrorKind.PLATFORM_UNAVAILABLE, "the claim was not kept in time"
             ) from None
-        except LacewingdockError:
-            partition.release(record.key)
-            raise
 
     def _write(self, partition: Partition) -> None:
-        partition.write_all()
+        """See that what is queued gets written."""
+        if partition.start_writing():
+            self.daemon.spawn(self._flush, partition)
+
+    def _flush(self, partition: Partition) -> None:
+        partition.flush()
         if partition.lost:
             self._drop(partition)
 
-    def record(self, run: Run) -> None:
-        """Keep the outcome of a claimed run, for callers that ask again."""
+    def vouches(self, run: Run) -> bool:
+        """Tell whether this home knows that a request has not run.
+
+        "Not run" is said of the key, not of one attempt: its caller may have
+        sent it before, through another entry, to whoever was home then. Only
+        the partition's home knows, and only while it knows that it is home.
+        """
         attempt = run.attempt
+        ticket = parse_ticket(attempt.key)
+        if ticket is not None:
+            return self.tickets.is_new(ticket, run)
         try:
             partition = self._partition(attempt.workspace, attempt.key)
         except LacewingdockError:
-            return
+            return False
         key = key_digest(attempt.workspace, attempt.key)
-        record = Record(key, body_digest(attempt))
-        match run.outcome:
-            case Finish() as finish:
-                body = b"".join(run.chunks)
-                small = len(body) <= MAX_RECORDED_BODY_BYTES
-                record.state = STATE_DONE
-                record.status = finish.status
-                record.content_type = finish.content_type
-                record.answer = body if small else None
-            case _ if not run.executed:
-                record.state = STATE_NOT_RUN
-                partition.release(key)
-            case _:
-                return
-        if partition.note(record):
-            self.daemon.spawn(self._write, partition)
-
-    def _look(self) -> None:
+        return partition.is_new(key, run) and self._is_sure(partition)
+
+    def _is_sure(self, partition: Partition) -> bool:
+        """Tell whether no takeover can have passed this process by.
+
+        Others take over only from a home that answers no probe for longer
+        than PAUSE_S. A home that was paused that long, and thawed, believes
+        to be home still: until the platform has said so after the pause, a
+        key that is new here may have run at the next home.
+        """
+        self.tick()
+        return partition.verified >= self.resumed
+
+    def tick(self) -> None:
+        """Notice that this process was paused."""
+        now = time.monotonic()
+        if now - self.ticked > PAUSE_S:
+            self.resumed = now
+        self.ticked = now
+
+    def finish(self, run: Run) -> None:
+        """Keep what came of an admitted run, after its answer has ended.
+
+        The refusal comes before the key is free again: in the other order
+        the next attempt could run while this one still says "not run".
+        """
+        self.tickets.finish(run)
+        partition, claim = self.held.pop(run, (None, None))
+        if partition is None or claim is None:
+            return
+        if run.executed:
+            partition.note(claim, _outcome(run, claim.record))
+        else:
+            partition.release(claim)
+        self._write(partition)
+
+    def write_again(self) -> None:
+        """Write what earlier writes left behind, and forget ended runs."""
+        self.tickets.sweep()
+        for partition in tuple(self.partitions.values()):
+            partition.sweep()
+            self._write(partition)
+
+    def look(self) -> None:
         """Take partitions that have no home or a dead one."""
         if self.daemon.leaving.is_set():
             return
         service = self.configuration.world.services.get(self.service)
         if service is None:
             return
+        begun = time.monotonic()
         heads = {
             stored.name: stored
             for stored in self.daemon.store.list_all(
@@ -233,7 +311,12 @@
         live = self._live_sidecars()
         for number in range(service.partitions):
             name = f"{self.service}/{number}"
-            self._look_at(number, heads.get(name, Stored(name, 0)), live)
+            stored = heads.get(name, Stored(name, 0))
+            head = msgspec.convert(stored.value, Head) if stored.value else None
+            if head and head.incarnation == self.daemon.me.incarnation:
+                self._look_at_own(number, stored, head, begun)
+            else:
+                self._look_at(number, stored, head, live)
 
     def _live_sidecars(self) -> list[str]:
         return [
@@ -244,25 +327,52 @@
             and i.state == "live"
         ]
 
-    def _look_at(self, number: int, stored: Stored, live: list[str]) -> None:
-        head = msgspec.convert(stored.value, Head) if stored.value else None
-        if head and head.incarnation == self.daemon.me.incarnation:
-            return
-        rank = self._rank(stored.name, live, head.home if head else "")
+    def _look_at_own(
+        self, number: int, stored: Stored, head: Head, begun: float
+    ) -> None:
+        """Check a partition whose head names this process.
+
+        A take whose answer was lost leaves a head that names a home which
+        does not know: it would serve nobody, and its probes would keep the
+        others away for good. It is taken again.
+        """
+        held = self.partitions.get(number)
+        if held is None or held.lost:
+            self._take(number, stored)
+        elif held.head.term == head.term:
+            held.verified = max(held.verified, begun)
+
+    def _look_at(
+        self, number: int, stored: Stored, head: Head | None, live: list[str]
+    ) -> None:
+        """Judge a partition that another has, or nobody."""
+        self._check_lost(number, stored)
         if head and head.home and self._alive(head):
             self.probes.pop(number, None)
             return
+        gone = (head.home or head.left) if head else ""
         failed = self.probes[number] = self.probes.get(number, 0) + 1
-        needed = rank * PATIENCE
+        needed = self._rank(stored.name, live, gone) * PATIENCE
         if head and head.home:
             needed += FAILED_PROBES
         if failed > needed:
             self._take(number, stored)
 
-    def _rank(self, name: str, live: list[str], home: str) -> int:
+    def _check_lost(self, number: int, stored: Stored) -> None:
+        """Drop a partition that another has taken over.
+
+        Without claims to commit, a home that was paused would not learn of
+        the takeover, and entries would go on sending requests here.
+        """
+        held = self.partitions.get(number)
+        if held is not None and stored.revision > held.revision:
+            held.lost = True
+            self._drop(held)
+
+    def _rank(self, name: str, live: list[str], gone: str) -> int:
         """Place of this sidecar among those that may take a partition."""
         ranked = sorted(
-            {*live, self.daemon.me.instance} - {home},
+            {*live, self.daemon.me.instance} - {gone},
             key=lambda i: hashlib.sha256(f"{name}\0{i}".encode()).digest(),
         )
         me = self.daemon.me.instance
@@ -289,9 +399,9 @@
         try:
             self.partitions[number] = take_partition(
                 self.daemon.store,
-                stored.name,
                 stored,
                 Head(me.instance, me.incarnation, address, 0),
+                self._service().key_window_s,
             )
         except LacewingdockError as error:
             log.info("not taken", partition=stored.name, error=error.detail)
@@ -306,21 +416,49 @@
                 del self.partitions[number]
         self.on_change()
 
+    def _leave_soon(self) -> None:
+        """Give each partition up as soon as its own runs have ended."""
+        for partition in tuple(self.partitions.values()):
+            partition.close()
+            end = time.monotonic() + self.daemon.settings.grace_s
+            self.daemon.spawn(self._leave, partition, end)
+
+    def _leave(self, partition: Partition, end: float) -> None:
+        """Wait for a partition's runs to end, then give it up.
+
+        Leaving sooner would lose their outcomes: whoever asks again would be
+        told "unknown" of a request that ran to its end.
+        """
+        while partition.active() and time.monotonic() < end:
+            time.sleep(TICK_S / 10)
+        with contextlib.suppress(LacewingdockError):
+            partition.leave()
+
     def unload(self) -> None:
         """Leave every partition, so that others need not find out."""
+        end = time.monotonic() + LEAVE_S
         for partition in tuple(self.partitions.values()):
-            with contextlib.suppress(LacewingdockError):
-                partition.write_all()
-                partition.leave()
+            self._leave(partition, end)
         self.partitions.clear()
 
 
-def _answer_from(known: Record, asked: Record) -> Recorded:
+def _outcome(run: Run, claimed: Record) -> Record | None:
+    """Build the record of a run that reached the upstream."""
+    if not isinstance(run.outcome, Finish):
+        return None
+    finish, body = run.outcome, b"".join(run.chunks)
+    return Record(
+        claimed.key,
+        claimed.body,
+        STATE_DONE,
+        status=finish.status,
+        content_type=finish.content_type,
+        answer=body if len(body) <= MAX_RECORDED_BODY_BYTES else None,
+    )
+
+
+def _answer_from(known: Record) -> Recorded:
     """Answer a repeated request from its record."""
-    if known.body != asked.body:
-        raise LacewingdockError(
-            ErrorKind.KEY_REUSED, "the key belongs to another request", RAN_NO
-        )
     if known.state == STATE_DONE and known.answer is not None:
         finish = Finish("", 1, known.status, known.content_type)
         return Recorded(finish, known.answer)
--- a/lacewingdock/components/claims/record.py
+++ b/lacewingdock/components/claims/record.py
@@ -31,6 +31,21 @@
     answer: bytes | None = None
 
 
+@dataclass(slots=True)
+class SegmentRef:
+    """An object that holds older records, as the head names it.
+
+    Attributes:
+        name: Name of the object.
+        size: Bytes of its JSON.
+        newest: Wall-clock seconds of its newest record.
+    """
+
+    name: str
+    size: int
+    newest: float
+
+
 @dataclass(slots=True)
 class Head:
     """The one object of a partition: who is home, and its latest claims.
@@ -44,7 +59,8 @@
         address: Its link port, "IP:PORT".
         term: Grows with each change of home.
         records: The latest records.
-        segments: Names of the objects that hold older records.
+        segments: The objects that hold older records, the oldest first.
+        left: Instance that was home and left in good order.
     """
 
     home: str
@@ -52,7 +68,8 @@
     address: str
     term: int
     records: list[Record] = field(default_factory=list)
-    segments: list[str] = field(default_factory=list)
+    segments: list[SegmentRef] = field(default_factory=list)
+    left: str = ""
 
 
 def key_digest(workspace: str, key: str) -> str:
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -9,7 +9,7 @@
 from lacewingdock.components.peers import Peers
 from lacewingdock.components.runs.shelf import Shelf
 from lacewingdock.components.runs.upstream_call import call_upstream
-from lacewingdock.const import RAN_NO
+from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
@@ -31,6 +31,11 @@
 # link: long enough for the entry to come back over a new one.
 ORPHAN_S: Final = 5.0
 
+# The request itself is at fault and would never run, whoever refuses it.
+_REQUEST_FAULTS: Final = frozenset(
+    {ErrorKind.BAD_REQUEST, ErrorKind.KEY_REQUIRED, ErrorKind.KEY_REUSED}
+)
+
 log = get_logger(NAME)
 
 
@@ -128,7 +133,34 @@
         try:
             self._admit(run)
         except LacewingdockError as error:
-            run.refuse(error)
+            run.refuse(self._checked_ran(run, error))
+        except Exception as error:
+            log.exception("run failed", request_id=attempt.request)
+            run.refuse(LacewingdockError(ErrorKind.INTERNAL, repr(error)))
+        finally:
+            if self.claims is not None:
+                self.claims.finish(run)
+
+    def _checked_ran(
+        self, run: Run, error: LacewingdockError
+    ) -> LacewingdockError:
+        """Say "not run" of a key only where its home vouches for it.
+
+        The caller may send a key again after it lost the answer to a run;
+        "not run" from someone who doesn't know of that run would make it
+        book under another key.
+        """
+        if (
+            error.ran != RAN_NO
+            or run.attempt.repeatable
+            or self.claims is None
+            or error.kind in _REQUEST_FAULTS
+            or self.claims.vouches(run)
+        ):
+            return error
+        return LacewingdockError(
+            error.kind, error.detail, RAN_UNKNOWN, error.retry_after_s
+        )
 
     def _admit(self, run: Run) -> None:
         attempt = run.attempt
@@ -143,10 +175,7 @@
                 run.add(body)
                 run.end(finish)
             case None:
-                try:
-                    self._execute(run)
-                finally:
-                    self.claims.record(run)
+                self._execute(run)
 
     def _check(self, attempt: Attempt) -> None:
         """Refuse what may not run here; the entry's view may be older."""
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -111,14 +111,15 @@
         repeatable: Whether running it twice does no harm.
         timeout_s: Seconds the call may take.
         on_outage: What happens to a call that may not be repeated while
-            the platform is down.
+            the platform is down: "refuse" it, or take "tickets", which need
+            no platform but are lost with the process that they name.
     """
 
     method: Literal["GET", "POST", "PUT", "DELETE", "PATCH"]
     path: Annotated[str, Meta(pattern=r"^/")]
     repeatable: bool = False
     timeout_s: Annotated[float, Meta(gt=0.0, le=600.0)] = 10.0
-    on_outage: Literal["refuse"] = "refuse"
+    on_outage: Literal["refuse", "tickets"] = "refuse"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -128,10 +129,13 @@
     Attributes:
         operations: The calls that may be made; no other passes.
         partitions: Parts that the idempotency keys are spread over.
+        key_window_s: Seconds that an idempotency key is remembered; a key
+            sent again later counts as new.
     """
 
     operations: Annotated[list[Operation], Meta(min_length=1)]
     partitions: Annotated[int, Meta(ge=1, le=64)] = 8
+    key_window_s: Annotated[float, Meta(ge=3600.0)] = 86_400.0
 
 
 ConfigObject = Cascade | Model | Service | Version | Workspace
