--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -243,6 +243,7 @@
             f"--session_keys_file={self.folder}/session.keys",
             f"--ratings={self.processes['ratings'].url()}",
             "--plain_callers",
+            "--linger_s=0.4",
             *self.shape.entry_flags,
         )
         self.instances[name] = {
--- a/bench/load.py
+++ b/bench/load.py
@@ -59,6 +59,7 @@
         seed: Seed of the mix.
         tokens: Tokens of each answer.
         outcomes: What the callers got.
+        kinds: Kinds of requests, each as often as it is named.
     """
 
     entries: list[str]
@@ -68,6 +69,15 @@
     seed: int = 1
     tokens: int = 12
     outcomes: list[Outcome] = field(default_factory=list)
+    kinds: list[str] = field(
+        default_factory=lambda: [
+            "chat",
+            "chat",
+            "cascade",
+            "booking",
+            "booking",
+        ]
+    )
 
     def run(self, threads: int = 64) -> list[Outcome]:
         """Send the load at its pace and return every outcome."""
@@ -84,9 +94,7 @@
             for index in range(int(self.rate * self.seconds)):
                 due = start + index / self.rate
                 time.sleep(max(0.0, due - time.monotonic()))
-                kind = source.choice(
-                    ["chat", "chat", "cascade", "booking", "booking"]
-                )
+                kind = source.choice(self.kinds)
                 pool.submit(one, index, kind, source.choice(self.entries))
         return self.outcomes
 
--- a/lacewingdock/components/callers/__init__.py
+++ b/lacewingdock/components/callers/__init__.py
@@ -58,7 +58,8 @@
         return self.app.active.value
 
     def unload(self) -> None:
-        """Close the port."""
+        """Close the port; a caller that is cut off is told why."""
+        self.app.end_answers()
         self.server.stop()
 
 
--- a/lacewingdock/components/callers/app.py
+++ b/lacewingdock/components/callers/app.py
@@ -88,6 +88,10 @@
         body = response(environ, start_response)
         return _Counted(body, lambda: self._close(request_id, sock))
 
+    def end_answers(self) -> None:
+        """End what is still being answered with an error that says so."""
+        self.departures.answers.unload()
+
     def _close(self, request_id: str, sock: socket.socket) -> None:
         self.departures.forget(request_id, sock)
         self.active.add(-1)
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -31,6 +31,9 @@
 # link: long enough for the entry to come back over a new one.
 ORPHAN_S: Final = 5.0
 MS_PER_S: Final = 1000
+# How long aborted runs may take to tell their entries.
+ABORT_S: Final = 0.5
+ABORT_POLL_S: Final = 0.01
 
 log = get_logger(NAME)
 
@@ -288,9 +291,17 @@
             run.detach(link)
 
     def unload(self) -> None:
-        """Abort what still runs; the grace time is over."""
+        """Abort what still runs; the grace time is over.
+
+        The entries are told, so that their callers need not find out.
+        """
         for run in self.shelf.runs():
             run.cancel()
+        end = time.monotonic() + ABORT_S
+        while time.monotonic() < end and any(
+            run.outcome is None for run in self.shelf.runs()
+        ):
+            time.sleep(ABORT_POLL_S)
 
 
 def _never_came(attempt: str) -> LacewingdockError:
--- a/lacewingdock/core.py
+++ b/lacewingdock/core.py
@@ -12,7 +12,6 @@
 import prometheus_client
 
 from lacewingdock.const import (
-    BEAT_BUSY_S,
     ROLE_ENTRY,
     ROLE_SIDECAR,
     THREAD_STACK_BYTES,
@@ -148,9 +147,10 @@
 
     def _drain(self, drain: Callable[[], int]) -> int:
         end = time.monotonic() + self.settings.grace_s
-        # Peers hear of the stop with the next beat; what they sent before
-        # must still be served.
-        time.sleep(2 * BEAT_BUSY_S)
+        # Whoever sends here hears of the stop a little later: peers with the
+        # next frame, the balancer with its next check. What they send until
+        # then must still be served.
+        time.sleep(min(self.settings.linger_s, self.settings.grace_s))
         while time.monotonic() < end and drain():
             time.sleep(LEAVE_POLL_S)
         return drain()
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -37,6 +37,8 @@
             first signs, all are accepted.
         plain_links: Whether links may go without keys.
         grace_s: Seconds that a stop waits for running requests.
+        linger_s: Seconds that a stop serves on at least, until those who
+            send have heard of it.
         log_level: Lowest level that is logged.
     """
 
@@ -49,6 +51,7 @@
     link_keys_file: str = ""
     plain_links: bool = False
     grace_s: Seconds = 30.0
+    linger_s: Seconds = 0.4
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -67,8 +70,11 @@
         max_body_bytes: Largest request body that is read.
         slow_caller_s: Seconds a caller may stall a read or write.
         subset: Links kept for each model version.
+        linger_s: As for all daemons; longer than the balancer takes to
+            notice that /readyz fails.
     """
 
+    linger_s: Seconds = 5.0
     port: Port
     threads: Annotated[int, Meta(ge=4, le=2000)] = 320
     session_keys_file: str = ""
