--- a/bench/demo.py
+++ b/bench/demo.py
@@ -14,7 +14,7 @@
 from bench.deployment import Deployment, Shape
 from bench.http import call
 from bench.load import Load, Outcome
-from lacewingdock.components.configuration.apply import apply_manifest
+from lacewingdock.components.configuration.apply import Change, apply_manifest
 from lacewingdock.platform.store import ObjectStore
 from lacewingdock.world.manifest import Manifest, parse_manifest
 
@@ -52,9 +52,13 @@
         self.manifest = parse_manifest(MANIFEST.read_text("utf-8"))
         self.withdrawn_at = 0.0
 
+    def apply(self, manifest: Manifest) -> list[Change]:
+        """Have the platform accept a manifest."""
+        return apply_manifest(self.store, manifest)
+
     def configure(self, manifest: Manifest) -> None:
         """Bring a manifest into force everywhere."""
-        changes = apply_manifest(self.store, manifest)
+        changes = self.apply(manifest)
         if changes:
             self.deployment.wait_revision(max(c.revision for c in changes))
 
