--- a/tests/components/answers/test_guest.py
+++ b/tests/components/answers/test_guest.py
@@ -19,7 +19,7 @@
     daemon.spawn = lambda *_: None
     daemon.random = random.Random(1)
     held = Membership(daemon, FakePeers(), SimpleNamespace(entries=[]), 2)
-    held.listed = [
+    held.instances = [
         Instance(
             name=name,
             role="sidecar",
