--- a/lacewingdock/components/claims/__init__.py
+++ b/lacewingdock/components/claims/__init__.py
@@ -309,6 +309,9 @@
             ).objects
         }
         live = self._live_sidecars()
+        # One probe a home, not one a partition: a frozen home costs each
+        # probe its whole timeout, and takeovers would wait for all of them.
+        probed: dict[str, bool] = {}
         for number in range(service.partitions):
             name = f"{self.service}/{number}"
             stored = heads.get(name, Stored(name, 0))
@@ -316,7 +319,7 @@
             if head and head.incarnation == self.daemon.me.incarnation:
                 self._look_at_own(number, stored, head, begun)
             else:
-                self._look_at(number, stored, head, live)
+                self._look_at(number, stored, head, live, probed)
 
     def _live_sidecars(self) -> list[str]:
         return [
@@ -343,13 +346,21 @@
             held.verified = max(held.verified, begun)
 
     def _look_at(
-        self, number: int, stored: Stored, head: Head | None, live: list[str]
+        self,
+        number: int,
+        stored: Stored,
+        head: Head | None,
+        live: list[str],
+        probed: dict[str, bool],
     ) -> None:
         """Judge a partition that another has, or nobody."""
         self._check_lost(number, stored)
-        if head and head.home and self._alive(head):
-            self.probes.pop(number, None)
-            return
+        if head and head.home:
+            if head.incarnation not in probed:
+                probed[head.incarnation] = self._alive(head)
+            if probed[head.incarnation]:
+                self.probes.pop(number, None)
+                return
         gone = (head.home or head.left) if head else ""
         failed = self.probes[number] = self.probes.get(number, 0) + 1
         needed = self._rank(stored.name, live, gone) * PATIENCE
