Answers: a replaced sidecar finishes, a resumed answer leaves its old link

Cause: (1) a sidecar that is listed at a new address had its old link closed at once, and with it the streams that it was finishing; (2) a sidecar that did not see its silent link close counted it as waiting for the answer, so that a later cancel did not stop the run.

Change: a replaced upstream keeps its link until its answers have ended; a resume forgets the peer's other links.

Proofs: test_replaced_sidecar_finishes_what_it_has and test_resume_replaces_the_silent_link failed before, pass now.

--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -231,10 +231,21 @@
             known.guest = False
             return
         if known:
-            self._forget(known)
+            self._retire(known)
         upstream = self.upstreams[instance.name] = Upstream(instance)
         self.daemon.spawn(self._keep_link, upstream)
 
+    def _retire(self, upstream: Upstream) -> None:
+        """Let an upstream go that was replaced, once it has finished.
+
+        It may have been stopped as planned and still answer requests while
+        its replacement is listed already.
+        """
+        with self._guests:
+            upstream.guest, upstream.wanted = True, False
+            if upstream.in_flight.value == 0:
+                self._forget(upstream)
+
     def _forget(self, upstream: Upstream) -> None:
         upstream.wanted = False
         if self.upstreams.get(upstream.name) is upstream:
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -268,6 +268,9 @@
             )
             link.send(_refusal(attempt, error))
             return
+        # The entry gave its old link up; here that link may look open for long,
+        # and would count as somebody who waits.
+        run.detach_peer(link)
         self.shelf.alias(attempt, run)
         self.daemon.spawn(run.attach, link, attempt, offset)
 
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -207,6 +207,15 @@
             self.changed = time.monotonic()
             return True
 
+    def detach_peer(self, link: Link) -> None:
+        """Forget the watchers of a peer's other links."""
+        peer = link.peer.incarnation
+        for watcher in tuple(self.watchers):
+            if watcher.link is not link and (
+                watcher.link.peer.incarnation == peer
+            ):
+                self.detach(watcher.link)
+
     def hand_over(self, other: "Run") -> None:
         """Let another run serve this one's watchers, from the start."""
         with self.lock:
--- a/tests/components/answers/test_guest.py
+++ b/tests/components/answers/test_guest.py
@@ -1,6 +1,7 @@
 """Tests for fetching an answer from a sidecar outside the subset."""
 
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 
 import pytest
@@ -19,7 +20,7 @@
     daemon.spawn = lambda *_: None
     daemon.random = random.Random(1)
     held = Membership(daemon, FakePeers(), SimpleNamespace(entries=[]), 2)
-    held.listed = [
+    held.instances = [
         Instance(
             name=name,
             role="sidecar",
@@ -53,5 +54,28 @@
         assert (NAMES[0] in membership.upstreams) == bool(left)
 
 
+def test_replaced_sidecar_finishes_what_it_has(membership):
+    """Symptom: streams end with an error when an instance is replaced.
+
+    Sequence: a sidecar is stopped as planned; its replacement of the same
+    name is listed at another address while it still finishes. Cause: its link
+    was closed for the new one's sake.
+    """
+    closed = []
+    instance = membership.instances[0]
+    membership._want(instance)
+    old = membership.upstreams[instance.name]
+    link = MemoryLink(membership.daemon.me)
+    link.close = closed.append
+    old.set_link(link)
+    old.in_flight.add(1)
+    membership._want(replace(instance, address="127.0.0.1:2"))
+    assert membership.upstreams[instance.name] is not old
+    assert not closed
+    old.in_flight.add(-1)
+    membership.release(old)
+    assert closed
+
+
 def test_unknown_sidecar_is_not_reached(membership):
     assert membership.reach("worker-9") is None
--- a/tests/components/answers/test_replay.py
+++ b/tests/components/answers/test_replay.py
@@ -55,6 +55,24 @@
     assert run.cancelled.is_set()
 
 
+def test_resume_replaces_the_silent_link(pair):
+    """Symptom: an upstream runs on for nobody.
+
+    Sequence: a link goes silent so that its sidecar does not see it close;
+    the answer is resumed over a new one; the caller leaves. Cause: the old
+    link still counted as waiting for the answer.
+    """
+    answer, run = begin(pair)
+    answer.lose()
+    pair.connect()
+    pair.answers.reattach(answer)
+    pair.settle()
+    pair.answers.drop(answer)
+    pair.settle()
+    assert run.cancelled.is_set()
+    assert pair.links[0].other.busy.value == 0
+
+
 @pytest.mark.parametrize(
     ("resumable", "cancelled"), [(True, False), (False, True)]
 )
