--- a/lacewingdock/components/configuration/__init__.py
+++ b/lacewingdock/components/configuration/__init__.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections.abc import Callable
+from time import time as wall_clock
 from typing import Final
 
 import msgspec
@@ -61,14 +62,17 @@
         on_change: Called after each change of `world`.
         shown: The highest revision that each linked peer showed.
         backoff: Pauses while the platform does not answer.
+        changed_at: Unix time at which the revision last grew.
     """
 
     __slots__ = (
         "_check_at",
+        "_faults",
         "_listed",
         "_lock",
         "_pulled_at",
         "backoff",
+        "changed_at",
         "daemon",
         "entries",
         "loaded",
@@ -90,10 +94,12 @@
         self.on_change: list[Callable[[], None]] = []
         self.shown: dict[Link, int] = {}
         self.backoff = Backoff(RETRY_S, RETRY_MAX_S, daemon.random)
+        self.changed_at = 0.0
         self._lock = threading.Lock()
         self._check_at = 0.0
         self._pulled_at = 0.0
         self._listed = False
+        self._faults: set[str] = set()
         peers.handle(Beat, self._on_beat)
         peers.handle(Delta, self._on_delta)
         peers.handle(Pull, self._on_pull)
@@ -141,8 +147,12 @@
         """
         return max(CHECK_MIN_S, len(self.entries) / CHECKS_PER_S)
 
+    def start_pause(self) -> float:
+        """Return the seconds to wait before the first list."""
+        return START_SPREAD_S * self.daemon.random.random()
+
     def _keep_up(self) -> None:
-        self._pause(START_SPREAD_S * self.daemon.random.random())
+        self._pause(self.start_pause())
         while not self.daemon.stopping.is_set():
             self._pause(self.step())
 
@@ -221,13 +231,18 @@
             before = self.table.upto
             if self.table.join(delta):
                 self._rebuild()
+            if self.table.upto > before:
+                self.changed_at = wall_clock()
         if self.loaded.is_set() and self.table.upto > before:
             self._spread(before, source)
 
     def _rebuild(self) -> None:
         world, faults = build_world(self.table.live())
         for fault in faults:
-            log.error("faulty item left out", fault=fault)
+            # Once each, not with every change that comes after.
+            if fault not in self._faults:
+                log.error("faulty item left out", fault=fault)
+        self._faults = set(faults)
         self.world = world
         for callback in self.on_change:
             callback()
--- a/lacewingdock/components/engine/__init__.py
+++ b/lacewingdock/components/engine/__init__.py
@@ -23,9 +23,11 @@
 
     Attributes:
         versions: Versions loaded.
+        leaving: Whether it takes no new work.
     """
 
     versions: list[str] = msgspec.field(default_factory=list)
+    leaving: bool = False
 
 
 class Engine:
@@ -60,11 +62,14 @@
                 self.runs.set_targets([])
             return
         self.failures = 0
-        self.runs.set_targets(
+        served = (
             [self.service]
             if self.service
             else sorted(set(report.versions) - self.retired)
         )
+        # The platform's list lags; the upstream knows first that it leaves.
+        # What runs on it goes on.
+        self.runs.set_targets([] if report.leaving else served)
 
     def retire(self, version: str) -> int:
         """Give a version no new work here.
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -12,6 +12,7 @@
     peers,
     rollouts,
 )
+from lacewingdock.components.callers import departures
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
@@ -46,12 +47,14 @@
     stops.open = open_answers.open
     relay = Relay(open_answers, members, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
+    watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
         daemon,
         settings,
         config,
         Chat(config, relay, load_keys(settings.session_keys_file), ratings),
         ServiceCalls(config, relay),
+        watcher,
     )
     port = callers.setup(daemon, settings, app)
     admin_port = admin.setup(
@@ -60,6 +63,7 @@
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
     language.setup(daemon, admin_port, config, members, open_answers)
-    for component in (links, config, members, held, port, admin_port):
+    started = (links, config, members, watcher, held, port, admin_port)
+    for component in started:
         component.start()
     return daemon.run(port.active)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,9 +6,11 @@
 
 import hashlib
 import os
+import secrets
 import threading
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass, field
 from typing import Any, Final
 
 import fire
@@ -24,14 +26,22 @@
 # A weak version is unsure of a request with this word in it.
 HARD_WORD: Final = "hard"
 UNSURE: Final = "unsure"
-_CONTROLS: Final = (
-    "bad",
-    "checks_fencing",
-    "first_s",
-    "token_s",
-    "versions",
-    "weak",
-    "weights",
+# How long a stream whose connection broke goes on.
+LINGER_S: Final = 5.0
+# What a test may change.
+CONTROLS: Final = frozenset(
+    {
+        "bad",
+        "checks_fencing",
+        "cut_after",
+        "first_s",
+        "leaving",
+        "resumable",
+        "token_s",
+        "versions",
+        "weak",
+        "weights",
+    }
 )
 _STATES: Final = {"load": "loading", "unload": "unloaded", "role": "role"}
 
@@ -49,6 +59,28 @@
     return "\n".join(str(m.get("content", "")) for m in messages)
 
 
+@dataclass(slots=True)
+class Stream:
+    """An answer being generated, at its own pace whoever reads it.
+
+    Attributes:
+        version: The version that generates.
+        prompt: What was asked.
+        words: The whole answer.
+        due: Monotonic time of the first word.
+        stopped: Set when it shall generate no more.
+        cut_at: Monotonic time when its connection broke; None while it
+            stands.
+    """
+
+    version: str
+    prompt: str
+    words: list[str]
+    due: float
+    stopped: threading.Event = field(default_factory=threading.Event)
+    cut_at: float | None = None
+
+
 class EngineStandIn:
     """The engine's state.
 
@@ -58,9 +90,13 @@
         bad: Versions that answer every request with an error.
         token_s: Seconds between tokens.
         first_s: Seconds to the first token.
-        running: Requests running.
         served: Requests that reached the engine, by version.
         cancelled: Streams that were closed before their end.
+        streams: What runs, by stream id.
+        resumable: Whether a broken stream goes on and can be read again.
+        cut_after: Events after which the next stream's connection breaks,
+            once; 0 for never.
+        leaving: Whether it says that it takes no new work.
         orders: Orders as they took effect, oldest first.
         weights: URL of the weight store; empty when loads need none.
         checks_fencing: Whether an order with an old number is refused.
@@ -73,14 +109,17 @@
         "bad",
         "cancelled",
         "checks_fencing",
+        "cut_after",
         "fencing",
         "first_s",
+        "leaving",
         "loading",
         "lock",
         "orders",
+        "resumable",
         "role",
-        "running",
         "served",
+        "streams",
         "token_s",
         "versions",
         "weak",
@@ -100,9 +139,12 @@
         self.bad: list[str] = []
         self.first_s = first_s
         self.token_s = token_s
-        self.running = 0
         self.served: dict[str, int] = {}
         self.cancelled = 0
+        self.streams: dict[str, Stream] = {}
+        self.resumable = True
+        self.cut_after = 0
+        self.leaving = False
         self.orders: list[dict[str, Any]] = []
         self.weights = ""
         self.checks_fencing = False
@@ -126,42 +168,87 @@
             return json_response({"error": "bad version"}, 500)
         count = int(body.get("max_tokens") or DEFAULT_TOKENS)
         text = expected_words(version, prompt, count, version in self.weak)
-        return Response(
-            self._events(version, prompt, text),
-            content_type="text/event-stream",
+        stream = Stream(
+            version, prompt, text.split(" "), time.monotonic() + self.first_s
         )
+        name = request.headers.get("X-Stream-Id") or secrets.token_hex(8)
+        with self.lock:
+            self.streams[name] = stream
+        return self._response(name, stream, 0)
+
+    def resume(self, request: Request, name: str) -> Response:
+        """Answer with the rest of a stream whose connection broke."""
+        stream = self.running().get(name)
+        if stream is None or not self.resumable:
+            return json_response({"error": "no such stream"}, 404)
+        stream.cut_at = None
+        return self._response(name, stream, int(request.args.get("after", 0)))
+
+    def cancel(self, request: Request, name: str) -> Response:
+        """Stop a stream."""
+        stream = self.running().get(name)
+        if stream is None:
+            return json_response({"error": "no such stream"}, 404)
+        stream.stopped.set()
+        self._close(name)
+        return json_response({})
 
-    def _events(self, version: str, prompt: str, text: str) -> Iterator[bytes]:
+    def running(self) -> dict[str, Stream]:
+        """Return what runs; a broken stream ends if nobody resumes it."""
+        now = time.monotonic()
         with self.lock:
-            self.running += 1
+            self.streams = {
+                name: stream
+                for name, stream in self.streams.items()
+                if stream.cut_at is None or now - stream.cut_at < LINGER_S
+            }
+            return dict(self.streams)
+
+    def _response(self, name: str, stream: Stream, after: int) -> Response:
+        response = Response(
+            self._events(name, stream, after),
+            content_type="text/event-stream",
+        )
+        response.headers["X-Stream-Resume"] = "yes" if self.resumable else "no"
+        return response
+
+    def _events(self, name: str, stream: Stream, after: int) -> Iterator[bytes]:
+        cut, self.cut_after = self.cut_after, 0
         whole = False
         try:
-            words = text.split(" ")
-            due = time.monotonic() + self.first_s
-            for index, word in enumerate(words):
-                time.sleep(max(0.0, due - time.monotonic()))
-                due += self.token_s
+            for index in range(after, len(stream.words)):
+                due = stream.due + index * self.token_s
+                if stream.stopped.wait(max(0.0, due - time.monotonic())):
+                    return
+                if cut and index - after >= cut:
+                    raise ConnectionAbortedError("cut by the test")
+                word = stream.words[index]
                 delta = {"content": word if index == 0 else f" {word}"}
-                yield _event(version, {"delta": delta, "index": 0})
-            usage = {
-                "prompt_tokens": len(prompt.split()),
-                "completion_tokens": len(words),
-                "total_tokens": len(prompt.split()) + len(words),
-            }
-            end = {"delta": {}, "index": 0, "finish_reason": "stop"}
-            yield _event(version, end, usage) + b"data: [DONE]\n\n"
+                yield _event(stream.version, {"delta": delta, "index": 0})
+            if after <= len(stream.words):
+                yield _last_event(stream)
+            yield b"data: [DONE]\n\n"
             whole = True
         finally:
-            with self.lock:
-                self.running -= 1
-                self.cancelled += not whole
+            if whole:
+                with self.lock:
+                    self.streams.pop(name, None)
+            elif self.resumable and not stream.stopped.is_set():
+                stream.cut_at = time.monotonic()
+            else:
+                self._close(name)
+
+    def _close(self, name: str) -> None:
+        with self.lock:
+            self.cancelled += self.streams.pop(name, None) is not None
 
     def status(self, request: Request) -> Response:
         """Answer with what is loaded and running."""
         return json_response(
             {
                 "versions": self.versions,
-                "running": self.running,
+                "running": len(self.running()),
+                "leaving": self.leaving,
                 "served": self.served,
                 "cancelled": self.cancelled,
                 "orders": self.orders,
@@ -210,9 +297,8 @@
     def control(self, request: Request) -> Response:
         """Take a new state (from tests)."""
         change = msgspec.json.decode(request.get_data())
-        for name in _CONTROLS:
-            if name in change:
-                setattr(self, name, change[name])
+        for name in CONTROLS & change.keys():
+            setattr(self, name, change[name])
         return json_response({})
 
 
@@ -231,6 +317,17 @@
     return b"data: " + msgspec.json.encode(event) + b"\n\n"
 
 
+def _last_event(stream: Stream) -> bytes:
+    read, made = len(stream.prompt.split()), len(stream.words)
+    usage = {
+        "prompt_tokens": read,
+        "completion_tokens": made,
+        "total_tokens": read + made,
+    }
+    end = {"delta": {}, "index": 0, "finish_reason": "stop"}
+    return _event(stream.version, end, usage)
+
+
 def main(
     port: int,
     versions: str,
@@ -255,6 +352,8 @@
     engine.weights, engine.checks_fencing = weights, checks_fencing
     app = App()
     app.route("POST", "/v1/chat/completions", engine.chat)
+    app.route("GET", "/v1/streams/<name>", engine.resume)
+    app.route("DELETE", "/v1/streams/<name>", engine.cancel)
     app.route("GET", "/status", engine.status)
     app.route("POST", "/control", engine.control)
     app.route("POST", "/orders", engine.order)
