--- a/lacewingdock/components/cascades/const.py
+++ b/lacewingdock/components/cascades/const.py
@@ -37,3 +37,10 @@
 SHORTFALL_RATE: Final = 0.002
 SHORTFALL_MAX: Final = 0.03
 LAST_FADE: Final = 0.995
+NAME: Final = "cascades"
+# Part of answers handed in for a rating.
+SAMPLE: Final = 0.05
+SAMPLE_ROUND_S: Final = 2.0
+MAX_OPEN_SAMPLES: Final = 2048
+MAX_POLICIES: Final = 64
+CLASS_NAME_CHARS: Final = 32
--- a/lacewingdock/platform/ratings.py
+++ b/lacewingdock/platform/ratings.py
@@ -1,7 +1,13 @@
-"""Support for the service that rates answers."""
+"""Support for the service that rates answers.
+
+It gives a rough verdict on an answer at once, and a rating of a sample
+some time after it was handed in.
+"""
 
 import io
-from typing import Any, Final
+import urllib.parse
+from dataclasses import dataclass, field
+from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 import pycurl
@@ -9,10 +15,47 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 
 TIMEOUT_MS: Final = 1000
+MAX_ANSWER_BYTES: Final = 1024 * 1024
+_ERROR: Final = 400
+
+Score = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class Sample:
+    """An answer handed in for a rating.
+
+    Attributes:
+        id: Names it in the results.
+        messages: What was asked.
+        answer: What was answered.
+    """
+
+    id: str
+    messages: list[dict[str, Any]] = field(repr=False)
+    answer: str = field(repr=False)
+
+
+@dataclass(slots=True)
+class Result:
+    """A rating of a sample, 0 to 1."""
+
+    id: str
+    rating: Score
+
+
+@dataclass(slots=True)
+class Results:
+    """Ratings that came after some earlier one, and the last one's number."""
 
+    after: int
+    ratings: list[Result]
 
-class _Verdict(msgspec.Struct):
-    score: float
+
+@dataclass(slots=True)
+class _Verdict:
+    score: Score
 
 
 class Ratings:
@@ -29,29 +72,61 @@
         self.url = url
 
     def rate(self, messages: list[dict[str, Any]], text: str) -> float:
-        """Return the rating of an answer, from 0 to 1.
+        """Return the verdict on an answer, from 0 to 1.
 
         Raises:
             LacewingdockError: UPSTREAM_FAILED when there is no verdict.
         """
+        body = {"messages": messages, "answer": text}
+        return self._call("/rate", body, _Verdict).score
+
+    def submit(self, client: str, samples: list[Sample]) -> None:
+        """Hand samples in; handing one in again does no harm.
+
+        Raises:
+            LacewingdockError: UPSTREAM_FAILED when they were not taken.
+        """
+        body = {"client": client, "samples": samples}
+        self._call("/samples", body, dict[str, Any])
+
+    def results(self, client: str, after: int) -> Results:
+        """Fetch the ratings that came since.
+
+        Raises:
+            LacewingdockError: UPSTREAM_FAILED when there is no answer.
+        """
+        query = urllib.parse.urlencode({"client": client, "after": after})
+        return self._call(f"/samples?{query}", None, Results)
+
+    def _call(self, path: str, body: Any, cls: type[T]) -> T:
         received = io.BytesIO()
+
+        def take(data: bytes) -> int | None:
+            if received.tell() + len(data) > MAX_ANSWER_BYTES:
+                return -1
+            received.write(data)
+            return None
+
         curl = pycurl.Curl()
         try:
-            curl.setopt(pycurl.URL, self.url + "/rate")
+            curl.setopt(pycurl.URL, self.url + path)
             curl.setopt(pycurl.NOSIGNAL, 1)
             curl.setopt(pycurl.NOPROXY, "*")
             curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
-            curl.setopt(
-                pycurl.POSTFIELDS,
-                msgspec.json.encode({"messages": messages, "answer": text}),
-            )
-            curl.setopt(pycurl.WRITEFUNCTION, received.write)
+            curl.setopt(pycurl.HTTPHEADER, ["Expect:"])
+            if body is not None:
+                curl.setopt(pycurl.POSTFIELDS, msgspec.json.encode(body))
+            curl.setopt(pycurl.WRITEFUNCTION, take)
             curl.perform()
-            verdict = msgspec.json.decode(received.getvalue(), type=_Verdict)
-        except (pycurl.error, msgspec.DecodeError) as error:
+            status = curl.getinfo(pycurl.RESPONSE_CODE)
+            if status >= _ERROR:
+                raise LacewingdockError(
+                    ErrorKind.UPSTREAM_FAILED, f"rating service: {status}"
+                )
+            return msgspec.json.decode(received.getvalue(), type=cls)
+        except (pycurl.error, msgspec.DecodeError, RecursionError) as error:
             raise LacewingdockError(
                 ErrorKind.UPSTREAM_FAILED, f"rating service: {error}"
             ) from error
         finally:
             curl.close()
-        return verdict.score
