Quarantine: a request that crashes upstreams takes down two, not all

Cause: the relay retried a request whose upstream had crashed on the next upstream, and nothing remembered it when its caller sent it again, so one request took down every upstream it could reach.

Ruled out: counting failures by entry (the caller comes through another); convicting whatever was in flight at two crashes (popular healthy requests are); running suspects among others (a crash then proves nothing and takes healthy ones along).

Change: a request has a fingerprint. The sidecar tells a crash from a broken connection by probing the upstream's incarnation, and spreads what was in flight as evidence over links, ahead of the refusal. Evidence is a set that only grows, so order and repeats do not matter. A suspect runs alone, on one upstream that all entries choose alike; a crash there on another instance convicts. A conviction is refused everywhere and written as the configuration item quarantine/FINGERPRINT, which operators release. Copies sent before the first crash meet on one upstream by rendezvous hashing within a load bound. A sidecar's refusal by configuration carries its revision: the entry catches up and plans again; a sidecar behind the entry catches up before it refuses.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,7 @@
 from bench.http import Reply, call
 
 HOST: Final = "127.0.0.1"
+PORTS: Final = (15000, 32000)
 START_TIMEOUT_S: Final = 30.0
 STOP_TIMEOUT_S: Final = 15.0
 LINK_KEYS: Final = "k1 a-link-key-for-loopback-only\n"
@@ -23,13 +25,20 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on now."""
+    """Return ports that nobody listens on now.
+
+    They lie below the range that the system draws a connection's own port
+    from. From within that range a connection could take the port before its
+    process listens, and the deployment would not start.
+    """
+    source = random.SystemRandom()
     with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
+        ports: list[int] = []
+        while len(ports) < count:
             sock = stack.enter_context(socket.socket())
-            sock.bind((HOST, 0))
-            ports.append(sock.getsockname()[1])
+            with contextlib.suppress(OSError):
+                sock.bind((HOST, source.randrange(*PORTS)))
+                ports.append(sock.getsockname()[1])
     return ports
 
 
--- a/lacewingdock/components/admission/slots.py
+++ b/lacewingdock/components/admission/slots.py
@@ -25,17 +25,23 @@
 class Slots:
     """A fixed number of slots and a bounded queue for them.
 
+    A request may ask to run alone. It then waits until the upstream is
+    empty, and nothing else starts before it has ended.
+
     Attributes:
         capacity: Slots in all.
         queue_limit: Requests that may wait.
         running: Slots taken.
         queued: Requests that wait.
+        alone: Whether what runs holds the upstream for itself.
     """
 
     __slots__ = (
         "_arrivals",
         "_heap",
         "_lock",
+        "_loners",
+        "alone",
         "capacity",
         "queue_limit",
         "queued",
@@ -48,39 +54,53 @@
         self.queue_limit = queue_limit
         self.running = 0
         self.queued = 0
+        self.alone = False
         self._heap: list[_Waiting] = []
+        self._loners: list[_Waiting] = []
         self._arrivals = itertools.count()
         self._lock = threading.Lock()
 
+    @property
+    def occupied(self) -> int:
+        """Slots that new work can't have; all, while one wants to be alone.
+
+        Reported as load, it sends other requests to other upstreams while
+        this one empties.
+        """
+        if self.alone or self._loners:
+            return self.capacity
+        return self.running
+
     @contextlib.contextmanager
-    def hold(self, priority: int, deadline: float) -> Iterator[None]:
+    def hold(
+        self, priority: int, deadline: float, alone: bool = False
+    ) -> Iterator[None]:
         """Hold a slot for the length of a `with` block.
 
         Args:
             priority: 0 is the most urgent; equal ones go in order.
             deadline: Monotonic time after which waiting is useless.
+            alone: Whether nothing else may run meanwhile.
 
         Raises:
             LacewingdockError: OVERLOADED or DEADLINE, not run.
         """
-        self._take(priority, deadline)
+        self._take(priority, deadline, alone)
         try:
             yield
         finally:
             self._give_back()
 
-    def _take(self, priority: int, deadline: float) -> None:
+    def _take(self, priority: int, deadline: float, alone: bool) -> None:
         with self._lock:
-            if self.running < self.capacity:
-                self.running += 1
-                return
-            if self.queued >= self.queue_limit:
+            if self.queued >= self.queue_limit and not self._is_free(alone):
                 raise LacewingdockError(
                     ErrorKind.OVERLOADED, "the upstream's queue is full"
                 )
             waiting = _Waiting(priority, next(self._arrivals))
-            heapq.heappush(self._heap, waiting)
+            heapq.heappush(self._loners if alone else self._heap, waiting)
             self.queued += 1
+            self._grant_locked()
         if waiting.granted.wait(max(0.0, deadline - time.monotonic())):
             return
         with self._lock:
@@ -88,16 +108,48 @@
                 return
             waiting.gone = True
             self.queued -= 1
+            # The rest may have waited only for this one to be alone.
+            self._grant_locked()
         raise LacewingdockError(
             ErrorKind.DEADLINE, "the deadline passed in the queue", RAN_NO
         )
 
+    def _is_free(self, alone: bool) -> bool:
+        if self.alone or self._loners:
+            return False
+        return self.running == 0 if alone else self.running < self.capacity
+
     def _give_back(self) -> None:
         with self._lock:
-            while self._heap:
-                waiting = heapq.heappop(self._heap)
-                if not waiting.gone:
-                    self.queued -= 1
-                    waiting.granted.set()
-                    return
             self.running -= 1
+            self.alone = False
+            self._grant_locked()
+
+    def _grant_locked(self) -> None:
+        """Start what may start: those that want to be alone go first.
+
+        If others could slip in before them, they would wait for good.
+        """
+        _drop_gone(self._loners)
+        _drop_gone(self._heap)
+        if self.alone:
+            return
+        if self._loners:
+            if self.running == 0:
+                self.alone = True
+                self._start_locked(self._loners)
+            return
+        while self._heap and self.running < self.capacity:
+            self._start_locked(self._heap)
+            _drop_gone(self._heap)
+
+    def _start_locked(self, heap: list[_Waiting]) -> None:
+        waiting = heapq.heappop(heap)
+        self.queued -= 1
+        self.running += 1
+        waiting.granted.set()
+
+
+def _drop_gone(heap: list[_Waiting]) -> None:
+    while heap and heap[0].gone:
+        heapq.heappop(heap)
--- a/lacewingdock/components/answers/answer.py
+++ b/lacewingdock/components/answers/answer.py
@@ -151,4 +151,5 @@
         refusal.detail,
         refusal.ran,
         retry_ms / 1000 if retry_ms >= 0 else None,
+        refusal.revision,
     )
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -9,7 +9,7 @@
 from lacewingdock.components.answers.answer import Answer
 from lacewingdock.components.callers.assemble import assemble
 from lacewingdock.components.callers.problem import problem_body
-from lacewingdock.components.callers.relay import Relay
+from lacewingdock.components.callers.relay import BY_CONFIGURATION, Relay
 from lacewingdock.components.callers.requests import (
     Caller,
     ChatBody,
@@ -35,6 +35,8 @@
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 HEADER_MOVED: Final = "Lacewingdock-Moved-From"
 DEADLINE_MS: Final = 120_000
+# A withdrawal and a roll-out can follow each other closely.
+MAX_PLANS: Final = 3
 
 log = get_logger("chat")
 
@@ -78,14 +80,9 @@
         session = None
         if caller.session:
             session = open_session(caller.session, name, self.session_keys)
-        plan = plan_request(
-            self.configuration.world,
-            workspace,
-            chat.model,
-            session,
-            self.relay.source,
+        plan, step, answer, pieces = self._start(
+            chat, caller, name, workspace, session
         )
-        step, answer, pieces = self._run(plan, chat, caller, name)
         if chat.stream:
             response = self._stream(answer, pieces, caller)
         else:
@@ -93,8 +90,52 @@
         self._mark(response, plan, step, name)
         return response
 
+    def _start(
+        self,
+        chat: ChatBody,
+        caller: Caller,
+        name: str,
+        workspace: Workspace,
+        session: Session | None,
+    ) -> tuple[Plan, Step, Answer, list[bytes]]:
+        """Plan and run; plan again if the plan was made on old news.
+
+        An entry that was frozen or cut off plans with a version that has
+        been withdrawn. The sidecar refuses it, the entry catches up with
+        the sidecar, and the caller needn't know.
+        """
+        for _ in range(MAX_PLANS):
+            revision = self.configuration.revision
+            world = self.configuration.world
+            plan = plan_request(
+                world,
+                world.workspaces.get(name, workspace),
+                chat.model,
+                session,
+                self.relay.source,
+            )
+            try:
+                return plan, *self._run(plan, revision, chat, caller, name)
+            except LacewingdockError as error:
+                last = error
+                if not self._outdated(error, revision):
+                    break
+        raise last
+
+    def _outdated(self, error: LacewingdockError, revision: int) -> bool:
+        """Tell whether a refusal only shows that a plan was too old."""
+        return (
+            error.kind in BY_CONFIGURATION
+            and self.configuration.revision > revision
+        )
+
     def _run(
-        self, plan: Plan, chat: ChatBody, caller: Caller, workspace: str
+        self,
+        plan: Plan,
+        revision: int,
+        chat: ChatBody,
+        caller: Caller,
+        workspace: str,
     ) -> tuple[Step, Answer, list[bytes]]:
         """Run the steps until one's answer is good enough to give.
 
@@ -108,6 +149,8 @@
                 for more in self.relay.rest(answer) if pieces else ():
                     pieces += more
             except LacewingdockError as error:
+                if self._outdated(error, revision):
+                    raise
                 log.info(
                     "step failed",
                     request_id=caller.request_id,
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -6,8 +6,13 @@
 
 from lacewingdock.components.answers import Answers, retry_of
 from lacewingdock.components.answers.answer import Answer, LinkLost
+from lacewingdock.components.configuration.catch_up import catch_up
 from lacewingdock.components.membership import Membership
-from lacewingdock.components.routing import choose_upstream
+from lacewingdock.components.quarantine import (
+    Quarantine,
+    Verdict,
+    fingerprint_of,
+)
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
@@ -26,6 +31,11 @@
     }
 )
 
+# Refusals that follow from the configuration that the sidecar has.
+BY_CONFIGURATION: Final = frozenset(
+    {ErrorKind.MODEL_NOT_ALLOWED, ErrorKind.VERSION_WITHDRAWN}
+)
+
 log = get_logger("relay")
 
 
@@ -35,17 +45,23 @@
     Attributes:
         answers: The open answers.
         membership: The upstreams.
+        quarantine: Which requests crash upstreams, and where they may go.
         source: Source of draws.
     """
 
-    __slots__ = ("answers", "membership", "source")
+    __slots__ = ("answers", "membership", "quarantine", "source")
 
     def __init__(
-        self, answers: Answers, membership: Membership, source: random.Random
+        self,
+        answers: Answers,
+        membership: Membership,
+        quarantine: Quarantine,
+        source: random.Random,
     ) -> None:
         """Take what it works with."""
         self.answers = answers
         self.membership = membership
+        self.quarantine = quarantine
         self.source = source
 
     def start(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
@@ -61,37 +77,47 @@
             LacewingdockError: No upstream answers; `ran` says what is known.
         """
         tried: set[str] = set()
+        fingerprint = fingerprint_of(attempt)
         worst_ran = RAN_NO
         last: LacewingdockError | None = None
         for _ in range(MAX_TRIES):
             try:
-                upstream = self._choose(attempt, tried)
+                upstream = self.quarantine.choose(
+                    fingerprint,
+                    self.membership.serving(attempt.target),
+                    tried,
+                    self.source,
+                )
             except LacewingdockError as error:
-                raise _final(last or error, worst_ran) from error
+                raise _final(_told(last, error), worst_ran) from error
             tried.add(upstream.name)
             try:
-                answer = self.answers.ask(upstream, attempt)
-                return answer, self._first(answer)
+                with self.quarantine.sending(fingerprint, upstream):
+                    answer = self.answers.ask(upstream, attempt)
+                    return answer, self._first(answer)
             except LacewingdockError as error:
                 if error.ran != RAN_NO:
                     worst_ran = RAN_UNKNOWN
                 last = error
-                if not _may_retry(error, attempt):
+                if error.kind in BY_CONFIGURATION:
+                    catch_up(
+                        self.membership.configuration,
+                        upstream.link,
+                        error.revision,
+                    )
+                if not self._may_retry(error, attempt, fingerprint):
                     break
                 log.info(
                     "trying elsewhere",
                     request_id=attempt.request,
                     upstream=upstream.name,
                     error=error.kind,
+                    detail=error.detail,
                 )
                 attempt = retry_of(attempt)
         assert last is not None
         raise _final(last, worst_ran)
 
-    def _choose(self, attempt: Attempt, tried: set[str]) -> Upstream:
-        candidates = self.membership.serving(attempt.target)
-        return choose_upstream(candidates, tried, self.source)
-
     def _first(self, answer: Answer) -> list[bytes]:
         try:
             return self.take(answer)
@@ -107,15 +133,35 @@
         """
         while True:
             pieces = answer.take()
-            if not isinstance(pieces, LinkLost):
-                return pieces
-            self.answers.reattach(answer)
+            if isinstance(pieces, LinkLost):
+                self.answers.reattach(answer)
+                continue
+            if answer.finish is not None:
+                self.quarantine.prove(fingerprint_of(answer.attempt))
+            return pieces
 
     def rest(self, answer: Answer) -> Iterator[list[bytes]]:
         """Yield pieces until the end of the answer."""
         while pieces := self.take(answer):
             yield pieces
 
+    def _may_retry(
+        self, error: LacewingdockError, attempt: Attempt, fingerprint: str
+    ) -> bool:
+        """Tell whether another upstream may answer what this one refused."""
+        if error.kind in BY_CONFIGURATION:
+            # Only a sidecar that is behind may be wrong.
+            return error.revision < attempt.revision
+        if error.kind is ErrorKind.OVERLOADED:
+            # Another copy of a suspect may be running where this one was
+            # refused; a second upstream must not run it meanwhile.
+            return self.quarantine.verdict(fingerprint) is Verdict.CLEAR
+        if error.kind not in _ELSEWHERE and error.kind is not (
+            ErrorKind.OUTCOME_UNKNOWN
+        ):
+            return False
+        return error.ran == RAN_NO or attempt.repeatable
+
     def at_home(self, upstream: Upstream, attempt: Attempt) -> Answer:
         """Ask the home of a claim, with what it takes to know the outcome.
 
@@ -129,12 +175,17 @@
         return self.answers.ask(upstream, attempt)
 
 
-def _may_retry(error: LacewingdockError, attempt: Attempt) -> bool:
-    if error.kind not in _ELSEWHERE and error.kind is not (
-        ErrorKind.OUTCOME_UNKNOWN
-    ):
-        return False
-    return error.ran == RAN_NO or attempt.repeatable
+def _told(
+    last: LacewingdockError | None, error: LacewingdockError
+) -> LacewingdockError:
+    """Choose what to tell: the last try's error says more than "no upstream".
+
+    A quarantine says more than the crash that brought it about: the caller
+    must learn that sending again is useless.
+    """
+    if last is None or error.kind is ErrorKind.QUARANTINED:
+        return error
+    return last
 
 
 def _final(error: LacewingdockError, ran: str) -> LacewingdockError:
--- a/lacewingdock/components/configuration/apply.py
+++ b/lacewingdock/components/configuration/apply.py
@@ -9,6 +9,7 @@
     COLLECTION_CONFIG,
     KIND_CASCADE,
     KIND_MODEL,
+    KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
     KIND_WORKSPACE,
@@ -25,6 +26,7 @@
     KIND_CASCADE,
     KIND_SERVICE,
     KIND_WORKSPACE,
+    KIND_QUARANTINE,
 )
 
 
--- a/lacewingdock/components/engine/__init__.py
+++ b/lacewingdock/components/engine/__init__.py
@@ -1,33 +1,22 @@
 """Support for knowing what the upstream beside a sidecar has loaded."""
 
-import io
 from typing import Final
 
 import msgspec
 import pycurl
 
 from lacewingdock.components.runs import Runs
+from lacewingdock.components.runs.upstream_status import ask_upstream
 from lacewingdock.core import Daemon
 from lacewingdock.helpers.log import get_logger
 
 NAME: Final = "engine"
 POLL_S: Final = 0.5
-TIMEOUT_MS: Final = 1000
 FAILURES_UNTIL_DOWN: Final = 2
 
 log = get_logger(NAME)
 
 
-class EngineReport(msgspec.Struct):
-    """What a model engine says of itself.
-
-    Attributes:
-        versions: Versions loaded.
-    """
-
-    versions: list[str] = msgspec.field(default_factory=list)
-
-
 class Engine:
     """The upstream beside this sidecar, asked for its state regularly.
 
@@ -50,7 +39,7 @@
     def poll(self) -> None:
         """Ask once; an upstream that doesn't answer serves nothing."""
         try:
-            report = self._ask()
+            report = ask_upstream(self.url)
         except (pycurl.error, msgspec.DecodeError) as error:
             self.failures += 1
             if self.failures == FAILURES_UNTIL_DOWN:
@@ -58,25 +47,11 @@
                 self.runs.set_targets([])
             return
         self.failures = 0
+        self.runs.crashes.seen(report.incarnation)
         self.runs.set_targets(
             [self.service] if self.service else sorted(report.versions)
         )
 
-    def _ask(self) -> EngineReport:
-        received = io.BytesIO()
-        curl = pycurl.Curl()
-        try:
-            curl.setopt(pycurl.URL, f"{self.url}/status")
-            curl.setopt(pycurl.NOSIGNAL, 1)
-            curl.setopt(pycurl.NOPROXY, "*")
-            curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
-            curl.setopt(pycurl.FAILONERROR, 1)
-            curl.setopt(pycurl.WRITEFUNCTION, received.write)
-            curl.perform()
-        finally:
-            curl.close()
-        return msgspec.json.decode(received.getvalue(), type=EngineReport)
-
     def unload(self) -> None:
         """Nothing is held beyond the daemon's tasks."""
 
--- /dev/null
+++ b/lacewingdock/components/quarantine/evidence.py
@@ -0,0 +1,176 @@
+"""Support for weighing what was in flight when upstreams crashed.
+
+The evidence of a fingerprint is a set of crashes and a set of crashes it is
+excused of. Both only grow, so evidence may come late, twice and over any
+path, and every daemon that has the same evidence gives the same verdict.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from lacewingdock.components.quarantine.const import (
+    MAX_CRASHES,
+    MAX_RECORDS,
+    QUARANTINE_S,
+    SUSPECT_S,
+)
+from lacewingdock.links.messages import Evidence
+
+
+class Verdict(StrEnum):
+    """What is held of a fingerprint."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@dataclass(slots=True)
+class Crash:
+    """A crash that a request was in flight at.
+
+    Attributes:
+        id: "INSTANCE/ERA", one for each crash.
+        isolated: Whether the request ran alone there, as a suspect.
+        seen: Monotonic time at which it was first known.
+        excused: Whether the request was shown not to be the cause.
+    """
+
+    id: str
+    isolated: bool
+    seen: float
+    excused: bool = False
+
+    @property
+    def instance(self) -> str:
+        """Name of the sidecar's instance whose upstream crashed."""
+        return self.id.partition("/")[0]
+
+
+@dataclass(slots=True)
+class Record:
+    """The evidence of one fingerprint.
+
+    Attributes:
+        crashes: Crashes by id.
+    """
+
+    crashes: dict[str, Crash] = field(default_factory=dict)
+
+    def standing(self, released: Collection[str] = ()) -> list[Crash]:
+        """Return the crashes that still count."""
+        return [
+            crash
+            for crash in self.crashes.values()
+            if not crash.excused and crash.id not in released
+        ]
+
+    def verdict(self, released: Collection[str] = ()) -> Verdict:
+        """Weigh the crashes that still count.
+
+        One crash makes a suspect: a healthy request may merely have been in
+        flight. A second one convicts only if the suspect ran alone there,
+        on another instance than before; on the same instance it takes two
+        alone, because a broken upstream crashes whatever it runs.
+        """
+        crashes = self.standing(released)
+        if not crashes:
+            return Verdict.CLEAR
+        alone = sum(crash.isolated for crash in crashes)
+        instances = {crash.instance for crash in crashes}
+        if alone >= 2 or (alone == 1 and len(instances) >= 2):
+            return Verdict.QUARANTINED
+        return Verdict.SUSPECT
+
+
+class EvidenceTable:
+    """Evidence by fingerprint, bounded in time and memory.
+
+    Attributes:
+        records: Records by fingerprint, the one with the oldest news first.
+    """
+
+    __slots__ = ("records",)
+
+    def __init__(self) -> None:
+        """Start without evidence."""
+        self.records: dict[str, Record] = {}
+
+    def join(self, evidence: Evidence, now: float) -> list[str]:
+        """Take evidence in.
+
+        Args:
+            evidence: What a peer or this daemon saw.
+            now: Monotonic time.
+
+        Returns:
+            The fingerprints that it was news for.
+        """
+        seen = now - evidence.age_ms / 1000
+        if now - seen > QUARANTINE_S:
+            return []
+        news = [
+            fingerprint
+            for fingerprint in evidence.fingerprints
+            if self._join_one(fingerprint, evidence, seen)
+        ]
+        while len(self.records) > MAX_RECORDS:
+            self._evict()
+        return news
+
+    def _join_one(
+        self, fingerprint: str, evidence: Evidence, seen: float
+    ) -> bool:
+        record = self.records.get(fingerprint) or Record()
+        known = record.crashes.get(evidence.crash)
+        if known is None:
+            if len(record.crashes) >= MAX_CRASHES:
+                return False
+            known = Crash(evidence.crash, evidence.isolated, seen)
+            record.crashes[evidence.crash] = known
+        elif (known.isolated or not evidence.isolated) and (
+            known.excused or not evidence.excused
+        ):
+            return False
+        known.isolated = known.isolated or evidence.isolated
+        known.excused = known.excused or evidence.excused
+        self.records.pop(fingerprint, None)
+        self.records[fingerprint] = record
+        return True
+
+    def _evict(self) -> None:
+        """Drop the oldest suspicion; a conviction only if there is no other.
+
+        A caller that crashes upstreams with ever new bodies must not push
+        convictions out of memory.
+        """
+        for fingerprint, record in self.records.items():
+            if record.verdict() is not Verdict.QUARANTINED:
+                del self.records[fingerprint]
+                return
+        del self.records[next(iter(self.records))]
+
+    def get(self, fingerprint: str) -> Record:
+        """Return the evidence of a fingerprint; empty when there is none."""
+        return self.records.get(fingerprint) or Record()
+
+    def sweep(self, now: float) -> None:
+        """Forget what is too old to count."""
+        for fingerprint, record in tuple(self.records.items()):
+            convicted = record.verdict() is Verdict.QUARANTINED
+            limit = QUARANTINE_S if convicted else SUSPECT_S
+            newest = max(crash.seen for crash in record.crashes.values())
+            if now - newest > limit:
+                del self.records[fingerprint]
+
+    def dump(self, now: float) -> list[Evidence]:
+        """Return everything, one message for each crash."""
+        grouped: dict[tuple[str, bool, bool], Evidence] = {}
+        for fingerprint, record in tuple(self.records.items()):
+            for crash in tuple(record.crashes.values()):
+                key = (crash.id, crash.isolated, crash.excused)
+                age_ms = max(0, int((now - crash.seen) * 1000))
+                evidence = grouped.setdefault(key, Evidence(*key, [], age_ms))
+                evidence.fingerprints.append(fingerprint)
+        return list(grouped.values())
--- /dev/null
+++ b/lacewingdock/components/quarantine/fingerprint.py
@@ -0,0 +1,47 @@
+"""Support for telling that two requests are the same."""
+
+import hashlib
+from typing import Any, Final
+
+import msgspec
+
+from lacewingdock.links.messages import Attempt
+
+FINGERPRINT_BYTES: Final = 16
+# Fields of a chat completion that do not change what the engine runs.
+_IGNORED: Final = frozenset({"metadata", "stream", "stream_options", "user"})
+
+
+def fingerprint_of(attempt: Attempt) -> str:
+    """Return the fingerprint of a request: the same for every repeat of it.
+
+    Two requests are the same when workspace, target, method, path and the
+    normalised body are. The target belongs to it because a request that
+    crashes one version may be harmless to the next; the workspace, so that
+    one brand's request never gets another's refused.
+
+    Returns:
+        32 hex digits.
+    """
+    parts = (
+        attempt.workspace.encode(),
+        attempt.target.encode(),
+        attempt.method.encode(),
+        attempt.path.encode(),
+        _normalise(attempt.body),
+    )
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(4, "big") + part)
+    return digest.digest()[:FINGERPRINT_BYTES].hex()
+
+
+def _normalise(body: bytes) -> bytes:
+    """Take away key order, white space and what does not reach the model."""
+    try:
+        value: Any = msgspec.json.decode(body)
+        if isinstance(value, dict):
+            value = {k: v for k, v in value.items() if k not in _IGNORED}
+        return msgspec.json.encode(value, order="deterministic")
+    except (msgspec.DecodeError, RecursionError):
+        return body
--- /dev/null
+++ b/lacewingdock/components/quarantine/operate.py
@@ -0,0 +1,113 @@
+"""Support for listing and releasing quarantined requests, for operators."""
+
+import time
+from dataclasses import replace
+from typing import Final
+
+import msgspec
+
+from lacewingdock.const import COLLECTION_CONFIG, KIND_QUARANTINE
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.platform.store import ABSENT, ObjectStore
+from lacewingdock.world.objects import Quarantine
+
+PREFIX: Final = f"{KIND_QUARANTINE}/"
+
+
+def list_quarantines(store: ObjectStore) -> dict[str, Quarantine]:
+    """Return the quarantines kept by the platform, by fingerprint.
+
+    Raises:
+        LacewingdockError: PLATFORM_UNAVAILABLE.
+    """
+    listing = store.list_all(COLLECTION_CONFIG, "quarantine", PREFIX)
+    return {
+        stored.name.removeprefix(PREFIX): msgspec.convert(
+            stored.value, Quarantine
+        )
+        for stored in listing.objects
+        if stored.value is not None
+    }
+
+
+def release_quarantine(store: ObjectStore, fingerprint: str) -> int:
+    """Let a quarantined request run again.
+
+    It is excused of the crashes that convicted it. If it crashes upstreams
+    again, it is quarantined again.
+
+    Returns:
+        The configuration revision from which it runs.
+
+    Raises:
+        LacewingdockError: NOT_FOUND when it isn't quarantined; CONFLICT when
+            another change came first; PLATFORM_UNAVAILABLE.
+    """
+    key = PREFIX + fingerprint
+    stored = store.get(COLLECTION_CONFIG, key, "quarantine")
+    if stored.revision == ABSENT or stored.value is None:
+        raise LacewingdockError(
+            ErrorKind.NOT_FOUND, f"{fingerprint} is not quarantined"
+        )
+    released = replace(
+        msgspec.convert(stored.value, Quarantine), state="released"
+    )
+    return store.put(
+        COLLECTION_CONFIG,
+        key,
+        msgspec.to_builtins(released),
+        stored.revision,
+        "quarantine",
+    ).revision
+
+
+def write_quarantine(
+    store: ObjectStore, fingerprint: str, found: Quarantine
+) -> None:
+    """Keep a conviction in the platform, so that it outlives every daemon.
+
+    Crashes that an earlier quarantine of the same request already names stay
+    named: a release of it must go on excusing them.
+
+    Raises:
+        LacewingdockError: CONFLICT when another change came first;
+            PLATFORM_UNAVAILABLE.
+    """
+    key = PREFIX + fingerprint
+    stored = store.get(COLLECTION_CONFIG, key, "quarantine")
+    if stored.value is not None:
+        known = msgspec.convert(stored.value, Quarantine)
+        if set(found.crashes) <= set(known.crashes):
+            return
+        crashes = sorted({*known.crashes, *found.crashes})
+        found = replace(found, crashes=crashes)
+    store.put(
+        COLLECTION_CONFIG,
+        key,
+        msgspec.to_builtins(found),
+        stored.revision,
+        "quarantine",
+    )
+
+
+def clear_expired(store: ObjectStore) -> int:
+    """Delete what expired; returns how many were deleted.
+
+    Raises:
+        LacewingdockError: CONFLICT or PLATFORM_UNAVAILABLE.
+    """
+    now, count = time.time(), 0
+    listing = store.list_all(COLLECTION_CONFIG, "quarantine", PREFIX)
+    for stored in listing.objects:
+        if stored.value is None:
+            continue
+        if msgspec.convert(stored.value, Quarantine).expires < now:
+            store.put(
+                COLLECTION_CONFIG,
+                stored.name,
+                None,
+                stored.revision,
+                "quarantine",
+            )
+            count += 1
+    return count
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -6,9 +6,17 @@
 from lacewingdock.components.admission.slots import Slots
 from lacewingdock.components.claims import Claims, Duplicate, Recorded
 from lacewingdock.components.configuration import Configuration
+from lacewingdock.components.configuration.catch_up import catch_up
 from lacewingdock.components.peers import Peers
+from lacewingdock.components.quarantine import (
+    Quarantine,
+    Verdict,
+    fingerprint_of,
+)
+from lacewingdock.components.quarantine.crash_watch import CrashWatch
 from lacewingdock.components.runs.shelf import Shelf
 from lacewingdock.components.runs.upstream_call import call_upstream
+from lacewingdock.components.runs.upstream_status import probe_upstream
 from lacewingdock.const import RAN_NO
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -43,6 +51,8 @@
         peers: The links.
         configuration: The configuration in force.
         claims: The claims; None beside an engine.
+        quarantine: Which requests crash upstreams.
+        crashes: Notices that the upstream crashed.
         slots: The upstream's capacity.
         shelf: The runs and the answers kept.
         targets: Versions that the engine has loaded, or the service.
@@ -51,8 +61,10 @@
     __slots__ = (
         "claims",
         "configuration",
+        "crashes",
         "daemon",
         "peers",
+        "quarantine",
         "settings",
         "shelf",
         "slots",
@@ -66,6 +78,7 @@
         peers: Peers,
         configuration: Configuration,
         claims: Claims | None,
+        quarantine: Quarantine,
     ) -> None:
         """Join the links."""
         self.daemon = daemon
@@ -73,6 +86,12 @@
         self.peers = peers
         self.configuration = configuration
         self.claims = claims
+        self.quarantine = quarantine
+        self.crashes = CrashWatch(
+            settings.instance,
+            lambda: probe_upstream(settings.upstream),
+            self._on_crash,
+        )
         self.slots = Slots(settings.capacity, settings.queue)
         self.shelf = Shelf(settings.replay_bytes, settings.resume_s, ORPHAN_S)
         self.targets: list[str] = [settings.service] if settings.service else []
@@ -91,7 +110,7 @@
         """What entries are told."""
         return Status(
             list(self.targets),
-            self.slots.running,
+            self.slots.occupied,
             self.slots.queued,
             self.settings.capacity,
             self.daemon.leaving.is_set(),
@@ -108,13 +127,20 @@
             self.targets = targets
             self.announce()
 
+    def _on_crash(
+        self, crash: str, isolated: bool, fingerprints: list[str]
+    ) -> None:
+        """Tell of a crash, and that nothing is served until the next poll."""
+        self.quarantine.report(crash, isolated, fingerprints)
+        self.set_targets([])
+
     def active(self) -> int:
         """Count the runs that have not ended or been fetched."""
         return self.shelf.active()
 
     def _beat(self) -> Beat:
         return Beat(
-            self.slots.running, self.slots.queued, self.configuration.revision
+            self.slots.occupied, self.slots.queued, self.configuration.revision
         )
 
     def _on_attempt(self, link: Link, attempt: Attempt) -> None:
@@ -126,13 +152,21 @@
         self.shelf.put(run)
         run.attach(link, attempt.attempt, 0)
         try:
-            self._admit(run)
+            self._admit(run, link)
         except LacewingdockError as error:
-            run.refuse(error)
+            run.refuse(error, self.configuration.revision)
 
-    def _admit(self, run: Run) -> None:
+    def _admit(self, run: Run, link: Link) -> None:
         attempt = run.attempt
-        self._check(attempt)
+        try:
+            self._check(attempt)
+        except LacewingdockError:
+            # The entry decided at a later revision, at which the request may
+            # be permitted: a version just offered must not be refused.
+            if attempt.revision <= self.configuration.revision:
+                raise
+            catch_up(self.configuration, link, attempt.revision)
+            self._check(attempt)
         if attempt.repeatable or self.claims is None:
             self._execute(run)
             return
@@ -180,17 +214,43 @@
             )
 
     def _execute(self, run: Run) -> None:
-        """Wait for a slot, check once more, and call the upstream."""
+        """Wait for a slot and run; a suspect waits until it can run alone."""
         attempt = run.attempt
         deadline = time.monotonic() + attempt.deadline_ms / 1000
-        with self.slots.hold(attempt.priority, deadline):
-            # A withdrawal may have come in force while this one queued.
-            self._check_permitted(attempt)
-            if run.cancelled.is_set():
-                raise LacewingdockError(
-                    ErrorKind.DEADLINE, "nobody waits any more", RAN_NO
-                )
-            call_upstream(self.settings.upstream, run, deadline)
+        fingerprint = fingerprint_of(attempt)
+        done = False
+        while not done:
+            alone = self.quarantine.check(fingerprint) is Verdict.SUSPECT
+            with self.slots.hold(attempt.priority, deadline, alone):
+                done = self._run(run, fingerprint, alone, deadline)
+
+    def _run(
+        self, run: Run, fingerprint: str, alone: bool, deadline: float
+    ) -> bool:
+        """Check once more and call the upstream.
+
+        Returns:
+            False when the request became suspect, or was cleared, while it
+            waited, and so has to wait for another kind of slot.
+        """
+        # A withdrawal or a crash may have become known while this one queued.
+        self._check_permitted(run.attempt)
+        suspect = self.quarantine.check(fingerprint) is Verdict.SUSPECT
+        if run.cancelled.is_set():
+            raise LacewingdockError(
+                ErrorKind.DEADLINE, "nobody waits any more", RAN_NO
+            )
+        if suspect != alone:
+            return False
+        try:
+            with self.crashes.call(fingerprint, alone):
+                call_upstream(self.settings.upstream, run, deadline)
+        except LacewingdockError:
+            self.quarantine.convict(run.attempt, fingerprint)
+            raise
+        if alone:
+            self.quarantine.excuse(fingerprint)
+        return True
 
     def _follow(self, run: Run, first: Run) -> None:
         """Give a repeated request the answer of the run it repeats."""
@@ -233,8 +293,9 @@
     peers: Peers,
     configuration: Configuration,
     claims: Claims | None,
+    quarantine: Quarantine,
 ) -> Runs:
     """Set the runs up."""
-    runs = Runs(daemon, settings, peers, configuration, claims)
+    runs = Runs(daemon, settings, peers, configuration, claims, quarantine)
     daemon.add(NAME, runs)
     return runs
--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -7,7 +7,11 @@
 import pycurl
 
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
-from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.exceptions import (
+    ErrorKind,
+    LacewingdockError,
+    UpstreamLost,
+)
 from lacewingdock.links.messages import Finish
 from lacewingdock.world.run import Run
 
@@ -19,6 +23,8 @@
 
 _SERVER_ERROR: Final = 500
 _ABORT: Final = -1
+# Errors that this side brought about by cancelling.
+_OWN_ABORTS: Final = (pycurl.E_WRITE_ERROR, pycurl.E_ABORTED_BY_CALLBACK)
 
 
 class _Usage(msgspec.Struct):
@@ -123,9 +129,7 @@
             LacewingdockError: UPSTREAM_FAILED when the answer isn't whole.
         """
         if self.is_stream and not self.done:
-            raise LacewingdockError(
-                ErrorKind.UPSTREAM_FAILED, "the stream ended too soon"
-            )
+            raise UpstreamLost("the stream ended too soon")
         if self.pending and not self.is_stream:
             self.run.add(self.pending)
         self.finish.status = self.status
@@ -195,7 +199,9 @@
     if code == pycurl.E_COULDNT_CONNECT:
         # Nothing was sent, so the request can't have run.
         run.executed = False
-        return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, RAN_NO)
+        return UpstreamLost(text, RAN_NO)
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return LacewingdockError(ErrorKind.DEADLINE, text, RAN_UNKNOWN)
-    return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, RAN_UNKNOWN)
+    if code in _OWN_ABORTS:
+        return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, RAN_UNKNOWN)
+    return UpstreamLost(text)
--- /dev/null
+++ b/lacewingdock/components/runs/upstream_status.py
@@ -0,0 +1,74 @@
+"""Support for asking the upstream for its state."""
+
+import io
+import time
+from typing import Final
+
+import msgspec
+import pycurl
+
+from lacewingdock.const import RAN_NO
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+
+TIMEOUT_MS: Final = 1000
+PROBES: Final = 3
+PROBE_PAUSE_S: Final = 0.05
+
+
+class EngineReport(msgspec.Struct):
+    """What a model engine says of itself.
+
+    Attributes:
+        versions: Versions loaded.
+        incarnation: Unique to each start of the process; empty when the
+            upstream does not tell.
+    """
+
+    versions: list[str] = msgspec.field(default_factory=list)
+    incarnation: str = ""
+
+
+def ask_upstream(url: str) -> EngineReport:
+    """Ask an upstream for its state.
+
+    Raises:
+        pycurl.error: It does not answer.
+        msgspec.DecodeError: The answer is not understood.
+    """
+    received = io.BytesIO()
+    curl = pycurl.Curl()
+    try:
+        curl.setopt(pycurl.URL, f"{url}/status")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
+        curl.setopt(pycurl.FAILONERROR, 1)
+        curl.setopt(pycurl.WRITEFUNCTION, received.write)
+        curl.perform()
+    finally:
+        curl.close()
+    return msgspec.json.decode(received.getvalue(), type=EngineReport)
+
+
+def probe_upstream(url: str) -> str | None:
+    """Return an upstream's incarnation, or None when nothing listens.
+
+    A process that is just ending may take a connection and drop it, so a
+    dropped one is tried again.
+
+    Raises:
+        LacewingdockError: UPSTREAM_FAILED, not run, when it can't be told:
+            what hangs has not crashed.
+    """
+    detail = ""
+    for _ in range(PROBES):
+        try:
+            return ask_upstream(url).incarnation
+        except pycurl.error as error:
+            if error.args[0] == pycurl.E_COULDNT_CONNECT:
+                return None
+            detail = str(error.args[1])
+        except msgspec.DecodeError as error:
+            detail = str(error)
+        time.sleep(PROBE_PAUSE_S)
+    raise LacewingdockError(ErrorKind.UPSTREAM_FAILED, detail, RAN_NO)
--- a/lacewingdock/const.py
+++ b/lacewingdock/const.py
@@ -12,6 +12,7 @@
 # Kinds of configuration items; an item's key is "KIND/NAME".
 KIND_CASCADE: Final = "cascade"
 KIND_MODEL: Final = "model"
+KIND_QUARANTINE: Final = "quarantine"
 KIND_SERVICE: Final = "service"
 KIND_VERSION: Final = "version"
 KIND_WORKSPACE: Final = "workspace"
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -7,6 +7,7 @@
     configuration,
     membership,
     peers,
+    quarantine,
 )
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
@@ -34,7 +35,8 @@
     links.beat = lambda: Beat(revision=config.revision)
     members = membership.setup(daemon, links, config, settings.subset)
     open_answers = answers.setup(daemon, links, members)
-    relay = Relay(open_answers, members, daemon.random)
+    suspects = quarantine.setup(daemon, links, config)
+    relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
     app = CallersApp(
         daemon,
@@ -49,6 +51,6 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (links, config, members, port, admin_port):
+    for component in (links, config, suspects, members, port, admin_port):
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/daemons/sidecar.py
+++ b/lacewingdock/daemons/sidecar.py
@@ -6,6 +6,7 @@
     configuration,
     engine,
     peers,
+    quarantine,
     runs,
 )
 from lacewingdock.core import Daemon
@@ -27,13 +28,14 @@
     held = None
     if settings.service:
         held = claims.setup(daemon, links, config, settings.service)
-    work = runs.setup(daemon, settings, links, config, held)
+    suspects = quarantine.setup(daemon, links, config)
+    work = runs.setup(daemon, settings, links, config, held, suspects)
     if held is not None:
         held.on_change = work.announce
         held.start()
     engine.setup(daemon, settings.upstream, work, settings.service)
     admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
-    for component in (links, config, work, admin_port):
+    for component in (links, config, suspects, work, admin_port):
         component.start()
     daemon.on_leave.append(work.announce)
     return daemon.run(work.active)
--- a/lacewingdock/exceptions.py
+++ b/lacewingdock/exceptions.py
@@ -143,6 +143,8 @@
         detail: What happened, for people; never holds a secret.
         ran: Whether the request ran: "no", "yes" or "unknown".
         retry_after_s: Seconds until trying again can help, or None.
+        revision: Configuration revision that a sidecar refused at; 0 if
+            that is not known.
     """
 
     def __init__(
@@ -151,6 +153,7 @@
         detail: str,
         ran: str | None = None,
         retry_after_s: float | None = None,
+        revision: int = 0,
     ) -> None:
         """Take kind and detail; the rest defaults to the kind's answer."""
         super().__init__(f"{kind}: {detail}")
@@ -158,6 +161,7 @@
         self.kind = kind
         self.detail = detail
         self.ran = answer.ran if ran is None else ran
+        self.revision = revision
         self.retry_after_s = (
             answer.retry_after_s if retry_after_s is None else retry_after_s
         )
@@ -166,3 +170,11 @@
     def answer(self) -> Answer:
         """The kind's row in `ANSWERS`."""
         return ANSWERS[self.kind]
+
+
+class UpstreamLost(LacewingdockError):
+    """The connection to the upstream broke, or there was none."""
+
+    def __init__(self, detail: str, ran: str = RAN_UNKNOWN) -> None:
+        """Take the detail, and "no" if the request was never sent."""
+        super().__init__(ErrorKind.UPSTREAM_FAILED, detail, ran)
--- a/lacewingdock/links/messages.py
+++ b/lacewingdock/links/messages.py
@@ -120,6 +120,8 @@
         detail: What happened, for people.
         retry_after_ms: Milliseconds until trying again can help; -1 if it
             can't.
+        revision: Configuration revision in force at the sidecar; 0 if
+            that played no part.
     """
 
     attempt: str
@@ -127,6 +129,7 @@
     ran: str
     detail: str
     retry_after_ms: int = -1
+    revision: int = 0
 
 
 @dataclass(slots=True)
@@ -220,6 +223,25 @@
     since: int
 
 
+@dataclass(slots=True)
+class Evidence:
+    """Tell what was in flight when an upstream crashed.
+
+    Attributes:
+        crash: Id of the crash, "INSTANCE/ERA".
+        isolated: Whether the request ran alone there, as a suspect.
+        excused: Whether the requests were shown not to be the cause.
+        fingerprints: Fingerprints of the requests.
+        age_ms: Milliseconds since the crash was seen.
+    """
+
+    crash: str
+    isolated: bool = False
+    excused: bool = False
+    fingerprints: list[str] = field(default_factory=list)
+    age_ms: int = 0
+
+
 Message = (
     Hello
     | Proof
@@ -233,4 +255,5 @@
     | Beat
     | Delta
     | Pull
+    | Evidence
 )
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -54,6 +54,7 @@
   ran @2 :Text;
   detail @3 :Text;
   retryAfterMs @4 :Int32;
+  revision @5 :UInt64;
 }
 
 struct Resume {
@@ -98,6 +99,14 @@
   since @0 :UInt64;
 }
 
+struct Evidence {
+  crash @0 :Text;
+  isolated @1 :Bool;
+  excused @2 :Bool;
+  fingerprints @3 :List(Text);
+  ageMs @4 :UInt64;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -112,5 +121,6 @@
     beat @9 :Beat;
     delta @10 :Delta;
     pull @11 :Pull;
+    evidence @12 :Evidence;
   }
 }
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -134,7 +134,31 @@
     partitions: Annotated[int, Meta(ge=1, le=64)] = 8
 
 
-ConfigObject = Cascade | Model | Service | Version | Workspace
+@dataclass(slots=True, kw_only=True)
+class Quarantine:
+    """A request that is refused because it crashes upstreams.
+
+    Its name is the request's fingerprint.
+
+    Attributes:
+        workspace: Whose request it is.
+        target: The version or service that it crashes.
+        state: "quarantined", or "released" by an operator.
+        reason: Why, for people.
+        crashes: Ids of the crashes that convicted it; a release excuses it
+            of these, and of no later one.
+        expires: Unix time, in seconds, after which it is not refused.
+    """
+
+    workspace: Name
+    target: Name
+    state: Literal["quarantined", "released"] = "quarantined"
+    reason: str = ""
+    crashes: list[str] = field(default_factory=list)
+    expires: Annotated[int, Meta(ge=0)] = 0
+
+
+ConfigObject = Cascade | Model | Quarantine | Service | Version | Workspace
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -78,8 +78,8 @@
         with self.lock:
             self._end_locked(replace(finish, chunks=len(self.chunks)))
 
-    def refuse(self, error: LacewingdockError) -> None:
-        """End the answer with an error."""
+    def refuse(self, error: LacewingdockError, revision: int = 0) -> None:
+        """End the answer with an error, decided at a revision."""
         retry = error.retry_after_s
         refusal = Refusal(
             self.attempt.attempt,
@@ -87,6 +87,7 @@
             error.ran,
             error.detail,
             -1 if retry is None else int(retry * 1000),
+            revision,
         )
         with self.lock:
             self._end_locked(refusal)
--- a/lacewingdock/world/world.py
+++ b/lacewingdock/world/world.py
@@ -10,6 +10,7 @@
 from lacewingdock.const import (
     KIND_CASCADE,
     KIND_MODEL,
+    KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
     KIND_WORKSPACE,
@@ -20,6 +21,7 @@
     ConfigObject,
     Model,
     Operation,
+    Quarantine,
     Service,
     Version,
     Workspace,
@@ -28,6 +30,7 @@
 CLASSES: Final[dict[str, type]] = {
     KIND_CASCADE: Cascade,
     KIND_MODEL: Model,
+    KIND_QUARANTINE: Quarantine,
     KIND_SERVICE: Service,
     KIND_VERSION: Version,
     KIND_WORKSPACE: Workspace,
@@ -41,6 +44,7 @@
     Attributes:
         cascades: Cascades by name.
         models: Models by name.
+        quarantines: Quarantined requests by fingerprint.
         services: Plain services by name.
         versions: Model versions by name.
         workspaces: Workspaces by name.
@@ -49,6 +53,7 @@
 
     cascades: dict[str, Cascade] = field(default_factory=dict)
     models: dict[str, Model] = field(default_factory=dict)
+    quarantines: dict[str, Quarantine] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     versions: dict[str, Version] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
@@ -61,6 +66,8 @@
                 self.cascades[name] = item
             case Model():
                 self.models[name] = item
+            case Quarantine():
+                self.quarantines[name] = item
             case Service():
                 self.services[name] = item
             case Version():
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import os
+import secrets
 import threading
 import time
 from collections.abc import Iterator
@@ -50,12 +51,14 @@
         running: Requests running.
         served: Requests that reached the engine, by version.
         cancelled: Streams that were closed before their end.
+        incarnation: Unique to each start of the process.
     """
 
     __slots__ = (
         "bad",
         "cancelled",
         "first_s",
+        "incarnation",
         "lock",
         "running",
         "served",
@@ -80,6 +83,7 @@
         self.running = 0
         self.served: dict[str, int] = {}
         self.cancelled = 0
+        self.incarnation = secrets.token_hex(8)
         self.lock = threading.Lock()
 
     def chat(self, request: Request) -> Response:
@@ -135,6 +139,7 @@
                 "running": self.running,
                 "served": self.served,
                 "cancelled": self.cancelled,
+                "incarnation": self.incarnation,
             }
         )
 
