--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -23,9 +23,11 @@
 # Refusals that another upstream may not share.
 _ELSEWHERE: Final = frozenset(
     {
+        ErrorKind.ANSWER_GONE,
         ErrorKind.LEAVING,
         ErrorKind.NO_UPSTREAM,
         ErrorKind.NOT_READY,
+        ErrorKind.OUTCOME_UNKNOWN,
         ErrorKind.OVERLOADED,
         ErrorKind.UPSTREAM_FAILED,
     }
@@ -156,9 +158,7 @@
             # Another copy of a suspect may be running where this one was
             # refused; a second upstream must not run it meanwhile.
             return self.quarantine.verdict(fingerprint) is Verdict.CLEAR
-        if error.kind not in _ELSEWHERE and error.kind is not (
-            ErrorKind.OUTCOME_UNKNOWN
-        ):
+        if error.kind not in _ELSEWHERE:
             return False
         return error.ran == RAN_NO or attempt.repeatable
 
