Plans: a session stays on its offered version when its model has no other

Cause: the plan chose among the model's own versions before it looked at the session, so a session on an offered version was refused as withdrawn when the shares named only withdrawn ones, as after a roll-out that was taken back.

Ruled out: the token (it opened), the shares (a session does not depend on them).

Change: the name is checked first, then the session's version, then the name's versions. Table and property tests of plans and of session tokens, among them key rotation, forged, truncated and foreign tokens.

Before: one of the table's rows failed with version_withdrawn. After: 29 pass.

--- a/lacewingdock/components/routing/plan.py
+++ b/lacewingdock/components/routing/plan.py
@@ -44,28 +44,38 @@
         LacewingdockError: UNKNOWN_MODEL, MODEL_NOT_ALLOWED or
             VERSION_WITHDRAWN; none of them ran.
     """
-    steps = _permitted(world, workspace, name, source)
+    _check_name(world, workspace, name)
     if session is None or session.name != name:
-        return Plan(name, steps)
+        return Plan(name, _steps(world, workspace, name, source))
+    # Before the name's own versions are looked at: the session's one may be
+    # offered still when no new session would get it, nor any other.
     if session.version in workspace.versions and world.offered(session.version):
         return Plan(name, [Step(version=session.version)])
     # Withdrawal goes before stickiness; the caller is told in a header.
+    steps = _steps(world, workspace, name, source)
     return Plan(name, steps, moved_from=session.version)
 
 
-def _permitted(
+def _check_name(world: World, workspace: Workspace, name: str) -> None:
+    """Refuse a name that the workspace may not ask for."""
+    if name in workspace.models:
+        return
+    if name in workspace.versions and name in world.versions:
+        return
+    known = name in world.models or name in world.cascades
+    known = known or name in world.versions
+    raise LacewingdockError(
+        ErrorKind.MODEL_NOT_ALLOWED if known else ErrorKind.UNKNOWN_MODEL,
+        f"model {name!r}",
+    )
+
+
+def _steps(
     world: World, workspace: Workspace, name: str, source: random.Random
 ) -> list[Step]:
     """Return the steps of a name that the workspace allows now."""
     if name in world.versions and name in workspace.versions:
         return _offered(world, name, [Step(version=name)])
-    if name not in workspace.models:
-        known = name in world.models or name in world.cascades
-        known = known or name in world.versions
-        raise LacewingdockError(
-            ErrorKind.MODEL_NOT_ALLOWED if known else ErrorKind.UNKNOWN_MODEL,
-            f"model {name!r}",
-        )
     match world.cascades.get(name) or world.models.get(name):
         case Cascade(steps=steps):
             allowed = [s for s in steps if s.version in workspace.versions]
