Two gates: tests of an entry or a sidecar that is behind the other

Cause: a withdrawal, an offer or a permission may be known to one gate and not to the other; each used to refuse on what it had.

Ruled out: raising the push rate (a frozen or cut-off daemon hears nothing); letting the entry decide alone (the sidecar is the last gate).

Change: the gate of an attempt has a name, and a table of who is behind, with the real plan, relay and gate over a link in memory.

No row ran a withdrawn version.

--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -171,15 +171,7 @@
 
     def _admit(self, run: Run, link: Link) -> None:
         attempt = run.attempt
-        try:
-            self._check(attempt)
-        except LacewingdockError:
-            # The entry decided at a later revision, at which the request may
-            # be permitted: a version just offered must not be refused.
-            if attempt.revision <= self.configuration.revision:
-                raise
-            catch_up(self.configuration, link, attempt.revision)
-            self._check(attempt)
+        self._gate(attempt, link)
         if attempt.repeatable or self.claims is None:
             self._execute(run)
             return
@@ -195,6 +187,20 @@
                 finally:
                     self.claims.record(run)
 
+    def _gate(self, attempt: Attempt, link: Link) -> None:
+        """Check an attempt, on no older configuration than its entry's.
+
+        The entry may have decided at a later revision, at which the request
+        is permitted: a version just offered must not be refused.
+        """
+        try:
+            self._check(attempt)
+        except LacewingdockError:
+            if attempt.revision <= self.configuration.revision:
+                raise
+            catch_up(self.configuration, link, attempt.revision)
+            self._check(attempt)
+
     def _check(self, attempt: Attempt) -> None:
         """Refuse what may not run here; the entry's view may be older."""
         if self.daemon.leaving.is_set():
--- /dev/null
+++ b/tests/components/runs/test_two_gates.py
@@ -0,0 +1,189 @@
+"""Tests for the two gates when entry and sidecar know different things."""
+
+import random
+import threading
+from types import SimpleNamespace
+
+import pytest
+
+from lacewingdock.components.callers.chat import Chat
+from lacewingdock.components.callers.relay import Relay
+from lacewingdock.components.callers.requests import Caller, read_chat
+from lacewingdock.components.routing.choice import choose_upstream
+from lacewingdock.components.runs import Runs
+from lacewingdock.components.sessions import Session
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.links.keys import KeyRing
+from lacewingdock.links.messages import Pull
+from lacewingdock.world.objects import Model, Version, Workspace
+from lacewingdock.world.world import World
+
+BODY = b'{"model": "m", "messages": [{"role": "user", "content": "x"}]}'
+CALLER = Caller("r", "", "", "", "", 1, "")
+VERSIONS = ["m-1", "m-2"]
+
+
+def world_of(offered, allowed=VERSIONS):
+    """Build a world in which new sessions prefer m-1."""
+    return World(
+        versions={
+            v: Version(
+                model="m", state="offered" if v in offered else "withdrawn"
+            )
+            for v in VERSIONS
+        },
+        models={"m": Model(shares={"m-1": 1.0, "m-2": 1e-9})},
+        workspaces={
+            "w": Workspace(keys=[], models=["m"], versions=list(allowed))
+        },
+    )
+
+
+class FakeConfiguration:
+    """A configuration, and a link over which another can be pulled."""
+
+    def __init__(self, revision, world, source=None):
+        self.revision = revision
+        self.world = world
+        self.source = source
+        self.loaded = threading.Event()
+        self.loaded.set()
+        self._lock = threading.Lock()
+
+    def send(self, message):
+        """Take a pull as the peer would."""
+        assert isinstance(message, Pull)
+        if self.source and self.source.revision > self.revision:
+            self.world = self.source.world
+            self.revision = self.source.revision
+
+
+class FakeSidecar:
+    """The real gate behind a link that always works."""
+
+    name = "worker-0"
+
+    def __init__(self, configuration, entry):
+        self.runs = Runs.__new__(Runs)
+        self.runs.configuration = configuration
+        self.runs.daemon = SimpleNamespace(leaving=threading.Event())
+        self.runs.targets = VERSIONS
+        self.runs.settings = SimpleNamespace(service="")
+        self.link = entry
+        self.ran = []
+
+    def load(self):
+        """Tell the load."""
+        return 0.0
+
+    def ask(self, attempt):
+        """Judge an attempt; what passes runs."""
+        try:
+            self.runs._gate(attempt, self.runs.configuration)
+        except LacewingdockError as error:
+            error.revision = self.runs.configuration.revision
+            raise
+        self.ran.append(attempt.target)
+
+
+class FakeQuarantine:
+    """Holds nothing against any request."""
+
+    def choose(self, _, candidates, tried, source):
+        """Choose any."""
+        return choose_upstream(candidates, tried, source)
+
+    def sending(self, *_):
+        """Return any context."""
+        return threading.Lock()
+
+    def prove(self, _):
+        """Take no note."""
+
+
+def ask(entry, sidecar, session=None):
+    """Ask as a caller does; returns the plan that was carried out."""
+
+    def take_attempt(_, attempt):
+        return SimpleNamespace(
+            take=lambda: sidecar.ask(attempt) or [b"{}"],
+            finish=None,
+            attempt=attempt,
+        )
+
+    relay = Relay(
+        SimpleNamespace(ask=take_attempt, drop=lambda *_: None),
+        SimpleNamespace(serving=lambda _: [sidecar], configuration=entry),
+        FakeQuarantine(),
+        random.Random(1),
+    )
+    workspace = entry.world.workspaces["w"]
+    chat = Chat(entry, relay, KeyRing(""), None)
+    return chat._start(read_chat(BODY), CALLER, "w", workspace, session)[0]
+
+
+@pytest.mark.parametrize(
+    ("entry", "sidecar", "session", "ran"),
+    [
+        # The entry has not heard of the withdrawal: it catches up.
+        ((1, VERSIONS), (2, ["m-2"]), "", "m-2"),
+        ((1, VERSIONS), (2, ["m-2"]), "m-1", "m-2"),
+        ((1, VERSIONS), (2, ["m-2"]), "m-2", "m-2"),
+        ((1, VERSIONS), (2, []), "", ErrorKind.VERSION_WITHDRAWN),
+        # The sidecar has not heard of it.
+        ((2, ["m-2"]), (1, VERSIONS), "m-1", "m-2"),
+        ((2, []), (1, VERSIONS), "", ErrorKind.VERSION_WITHDRAWN),
+        # The sidecar has not heard that the version is offered again.
+        ((2, VERSIONS), (1, ["m-2"]), "", "m-1"),
+        ((2, VERSIONS), (1, []), "m-1", "m-1"),
+        ((1, VERSIONS), (1, VERSIONS), "", "m-1"),
+    ],
+)
+def test_whoever_is_behind_catches_up(entry, sidecar, session, ran):
+    """A version is withdrawn or offered while one gate can't hear of it.
+
+    Symptom: the caller is refused although another version may answer, or a
+    version just offered is called withdrawn.
+    Events: the entry plans on one revision; the sidecar judges on another.
+    Cause: each relied on the news to come round by itself.
+    """
+    old = FakeConfiguration(entry[0], world_of(entry[1]))
+    new = FakeConfiguration(sidecar[0], world_of(sidecar[1]), old)
+    old.source = new
+    guard = FakeSidecar(new, old)
+    token = Session("w", "m", session) if session else None
+    try:
+        plan = ask(old, guard, token)
+        assert guard.ran == [ran]
+        assert plan.moved_from == (session if session not in ("", ran) else "")
+    except LacewingdockError as error:
+        assert (error.kind, error.ran, guard.ran) == (ran, "no", [])
+
+
+@pytest.mark.parametrize(
+    ("allowed", "ran"), [(["m-2"], "m-2"), ([], ErrorKind.MODEL_NOT_ALLOWED)]
+)
+def test_a_permission_taken_away(allowed, ran):
+    old = FakeConfiguration(1, world_of(VERSIONS))
+    new = FakeConfiguration(2, world_of(VERSIONS, allowed), old)
+    old.source = new
+    guard = FakeSidecar(new, old)
+    try:
+        ask(old, guard)
+        assert guard.ran == [ran]
+    except LacewingdockError as error:
+        assert (error.kind, error.ran, guard.ran) == (ran, "no", [])
+
+
+def test_an_entry_that_can_not_catch_up_says_so():
+    """The refusal arrives and the news does not.
+
+    Symptom: the request is tried for ever, or the refusal is made up.
+    Cause: the link fails after the refusal.
+    """
+    old = FakeConfiguration(1, world_of(VERSIONS))
+    guard = FakeSidecar(FakeConfiguration(2, world_of(["m-2"])), old)
+    with pytest.raises(LacewingdockError) as refused:
+        ask(old, guard)
+    assert refused.value.kind is ErrorKind.VERSION_WITHDRAWN
+    assert (refused.value.ran, guard.ran) == ("no", [])
