--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -93,6 +93,7 @@
             except LacewingdockError as error:
                 raise _final(_told(last, error), worst_ran) from error
             tried.add(upstream.name)
+            answer = None
             try:
                 with self.quarantine.sending(fingerprint, upstream):
                     answer = self.answers.ask(upstream, attempt)
@@ -109,6 +110,9 @@
                     )
                 if not self._may_retry(error, attempt, fingerprint):
                     break
+                if _never_came(error, answer):
+                    # Its link was at fault, and there is a new one.
+                    tried.discard(upstream.name)
                 log.info(
                     "trying elsewhere",
                     request_id=attempt.request,
@@ -188,6 +192,16 @@
     return last
 
 
+def _never_came(error: LacewingdockError, answer: Answer | None) -> bool:
+    """Tell whether a sidecar said over a new link that it got nothing."""
+    return (
+        answer is not None
+        and answer.current != answer.attempt.attempt
+        and error.kind is ErrorKind.NO_UPSTREAM
+        and error.ran == RAN_NO
+    )
+
+
 def _final(error: LacewingdockError, ran: str) -> LacewingdockError:
     """Say of all tries together whether the request ran."""
     if error.ran == RAN_NO and ran != RAN_NO:
--- a/lacewingdock/components/configuration/apply.py
+++ b/lacewingdock/components/configuration/apply.py
@@ -9,6 +9,7 @@
     COLLECTION_CONFIG,
     KIND_CASCADE,
     KIND_MODEL,
+    KIND_OPERATOR,
     KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
@@ -27,6 +28,7 @@
     KIND_SERVICE,
     KIND_WORKSPACE,
     KIND_QUARANTINE,
+    KIND_OPERATOR,
 )
 
 
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -263,7 +263,12 @@
             return False
         try:
             with self.crashes.call(fingerprint, alone):
-                call_upstream(self.settings.upstream, run, deadline)
+                call_upstream(
+                    self.settings.upstream,
+                    run,
+                    deadline,
+                    is_engine=not self.settings.service,
+                )
         except LacewingdockError:
             self.quarantine.convict(run.attempt, fingerprint)
             raise
@@ -296,7 +301,9 @@
             resume.incarnation == self.daemon.me.incarnation
             and resume.age_ms < self.settings.resume_s * MS_PER_S / 2
         )
-        if is_remembered and self.shelf.fence(resume.original):
+        never_came = is_remembered and self.shelf.fence(resume.original)
+        # Of a key only its claim can say that it did not run.
+        if never_came and self.claims is None:
             return _never_came(resume.original)
         return LacewingdockError(
             ErrorKind.ANSWER_GONE,
--- a/lacewingdock/components/runs/upstream_status.py
+++ b/lacewingdock/components/runs/upstream_status.py
@@ -20,11 +20,13 @@
 
     Attributes:
         versions: Versions loaded.
+        leaving: Whether it takes no new work.
         incarnation: Unique to each start of the process; empty when the
             upstream does not tell.
     """
 
     versions: list[str] = msgspec.field(default_factory=list)
+    leaving: bool = False
     incarnation: str = ""
 
 
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -5,10 +5,15 @@
     answers,
     callers,
     configuration,
+    language,
+    leases,
     membership,
+    orders,
     peers,
     quarantine,
+    rollouts,
 )
+from lacewingdock.components.callers import departures
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
@@ -34,16 +39,21 @@
     config = configuration.setup(daemon, links)
     links.beat = lambda: Beat(revision=config.revision)
     members = membership.setup(daemon, links, config, settings.subset)
+    orders.setup(daemon, links, None)
+    held = leases.setup(daemon, links, members)
+    rollouts.setup(daemon, config, members, held)
     open_answers = answers.setup(daemon, links, members)
     suspects = quarantine.setup(daemon, links, config)
     relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
+    watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
         daemon,
         settings,
         config,
         Chat(config, relay, load_keys(settings.session_keys_file), ratings),
         ServiceCalls(config, relay),
+        watcher,
     )
     port = callers.setup(daemon, settings, app)
     admin_port = admin.setup(
@@ -51,6 +61,17 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (links, config, suspects, members, port, admin_port):
+    language.setup(daemon, admin_port, config, members, open_answers)
+    started = (
+        links,
+        config,
+        suspects,
+        members,
+        watcher,
+        held,
+        port,
+        admin_port,
+    )
+    for component in started:
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/links/link.py
+++ b/lacewingdock/links/link.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 from typing import Any, Final
 
 from lacewingdock.const import MAX_FRAME_BYTES
@@ -26,6 +27,30 @@
 Spawn = Callable[[Callable[[], None]], Any]
 
 
+@dataclass(slots=True)
+class Traffic:
+    """What went over links.
+
+    Attributes:
+        sent_bytes: Bytes sent, without TCP's own.
+        sent_messages: Messages sent.
+        heard_bytes: Bytes received.
+        heard_messages: Messages received.
+    """
+
+    sent_bytes: int = 0
+    sent_messages: int = 0
+    heard_bytes: int = 0
+    heard_messages: int = 0
+
+    def add(self, other: "Traffic") -> None:
+        """Add another's figures to these."""
+        self.sent_bytes += other.sent_bytes
+        self.sent_messages += other.sent_messages
+        self.heard_bytes += other.heard_bytes
+        self.heard_messages += other.heard_messages
+
+
 class Link:
     """A connection to a peer; one task reads it, any task may send.
 
@@ -41,6 +66,7 @@
         busy_since: Monotonic time at which the first of them began.
         last_heard: Monotonic time of the last bytes received.
         last_sent: Monotonic time of the last frame sent.
+        traffic: Bytes and messages over this link.
         closed: Whether the link was given up.
         reason: Why it was given up.
         spawn: Starts the task that empties the backlog; None closes the link
@@ -62,6 +88,7 @@
         "reason",
         "sock",
         "spawn",
+        "traffic",
     )
 
     def __init__(self, sock: socket.socket, peer: Hello) -> None:
@@ -73,6 +100,7 @@
         self.busy_since = self.last_heard
         self.closed = False
         self.reason = ""
+        self.traffic = Traffic()
         self.spawn: Spawn | None = None
         self._lock = threading.Lock()
         self._room = threading.Condition(self._lock)
@@ -125,11 +153,16 @@
             except OSError as error:
                 self._close_locked(f"send: {error}")
                 return False
-            self.last_sent = time.monotonic()
+            self._count_sent(len(frame))
             if sent == len(frame):
                 return True
             return self._keep_locked(frame[sent:])
 
+    def _count_sent(self, size: int) -> None:
+        self.last_sent = time.monotonic()
+        self.traffic.sent_bytes += size
+        self.traffic.sent_messages += 1
+
     def _keep_locked(self, data: bytes) -> bool:
         """Keep what the socket does not take now."""
         waiting = self._backlog_bytes
@@ -173,8 +206,8 @@
                 self._room.wait(SEND_TIMEOUT_S)
             return not self.closed
 
-    def beat(self, message: Message) -> None:
-        """Send a message unless the link is being sent on or is full.
+    def beat(self, frame: bytes) -> None:
+        """Send an encoded frame unless the link is being sent on or is full.
 
         A link that is being sent on or is full needs no beat, and the pacer,
         which beats many links in turn, need not wait for it.
@@ -184,11 +217,10 @@
         try:
             if self.closed or self._emptying:
                 return
-            frame = encode(message)
             sent = self.sock.send(frame, socket.MSG_DONTWAIT)
+            self._count_sent(sent)
             if sent < len(frame):
                 self._keep_locked(frame[sent:])
-            self.last_sent = time.monotonic()
         except BlockingIOError:
             pass
         except OSError as error:
@@ -214,7 +246,10 @@
                 return
             self.last_heard = time.monotonic()
             pending += data
-            yield from _split(pending)
+            self.traffic.heard_bytes += len(data)
+            for message in _split(pending):
+                self.traffic.heard_messages += 1
+                yield message
 
     def close(self, reason: str) -> None:
         """Give the link up; the reading task ends soon after."""
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -103,6 +103,22 @@
   since @0 :UInt64;
 }
 
+struct Order {
+  order @0 :Text;
+  action @1 :Text;
+  version @2 :Text;
+  role @3 :Text;
+  fencing @4 :UInt64;
+  incarnation @5 :Text;
+}
+
+struct Ordered {
+  order @0 :Text;
+  state @1 :Text;
+  code @2 :Text;
+  detail @3 :Text;
+}
+
 struct Evidence {
   crash @0 :Text;
   isolated @1 :Bool;
@@ -125,6 +141,8 @@
     beat @9 :Beat;
     delta @10 :Delta;
     pull @11 :Pull;
-    evidence @12 :Evidence;
+    order @12 :Order;
+    ordered @13 :Ordered;
+    evidence @14 :Evidence;
   }
 }
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -134,6 +134,20 @@
     partitions: Annotated[int, Meta(ge=1, le=64)] = 8
 
 
+@dataclass(slots=True, kw_only=True)
+class Operator:
+    """Someone who may ask and order in the operators' language.
+
+    Attributes:
+        keys: SHA-256 digests, in hex, of the bearer keys.
+        role: "viewer" may ask, "operator" may also order roll-outs and
+            withdrawals, "admin" may also stop instances.
+    """
+
+    keys: list[Digest]
+    role: Literal["viewer", "operator", "admin"] = "viewer"
+
+
 @dataclass(slots=True, kw_only=True)
 class Quarantine:
     """A request that is refused because it crashes upstreams.
@@ -158,7 +172,9 @@
     expires: Annotated[int, Meta(ge=0)] = 0
 
 
-ConfigObject = Cascade | Model | Quarantine | Service | Version | Workspace
+ConfigObject = (
+    Cascade | Model | Operator | Quarantine | Service | Version | Workspace
+)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lacewingdock/world/world.py
+++ b/lacewingdock/world/world.py
@@ -10,6 +10,7 @@
 from lacewingdock.const import (
     KIND_CASCADE,
     KIND_MODEL,
+    KIND_OPERATOR,
     KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
@@ -21,6 +22,7 @@
     ConfigObject,
     Model,
     Operation,
+    Operator,
     Quarantine,
     Service,
     Version,
@@ -30,6 +32,7 @@
 CLASSES: Final[dict[str, type]] = {
     KIND_CASCADE: Cascade,
     KIND_MODEL: Model,
+    KIND_OPERATOR: Operator,
     KIND_QUARANTINE: Quarantine,
     KIND_SERVICE: Service,
     KIND_VERSION: Version,
@@ -44,6 +47,7 @@
     Attributes:
         cascades: Cascades by name.
         models: Models by name.
+        operators: Operators by name.
         quarantines: Quarantined requests by fingerprint.
         services: Plain services by name.
         versions: Model versions by name.
@@ -53,6 +57,7 @@
 
     cascades: dict[str, Cascade] = field(default_factory=dict)
     models: dict[str, Model] = field(default_factory=dict)
+    operators: dict[str, Operator] = field(default_factory=dict)
     quarantines: dict[str, Quarantine] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     versions: dict[str, Version] = field(default_factory=dict)
@@ -66,6 +71,8 @@
                 self.cascades[name] = item
             case Model():
                 self.models[name] = item
+            case Operator():
+                self.operators[name] = item
             case Quarantine():
                 self.quarantines[name] = item
             case Service():
@@ -91,6 +98,20 @@
             )
         return name, self.workspaces[name]
 
+    def operator(self, key: str) -> tuple[str, Operator]:
+        """Find the operator of a bearer key.
+
+        Raises:
+            LacewingdockError: UNAUTHORIZED when no operator has the key.
+        """
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        for name, operator in self.operators.items():
+            if digest in operator.keys:
+                return name, operator
+        raise LacewingdockError(
+            ErrorKind.UNAUTHORIZED, "the operator key is not known"
+        )
+
     def offered(self, version: str) -> bool:
         """Tell whether a version is configured and not withdrawn."""
         found = self.versions.get(version)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -10,12 +10,14 @@
 import threading
 import time
 from collections.abc import Iterator
+from dataclasses import dataclass, field
 from typing import Any, Final
 
 import fire
 import msgspec
 from werkzeug.wrappers import Request, Response
 
+from bench.http import call
 from standins.http import App, json_response, serve
 
 DEFAULT_TOKENS: Final = 16
@@ -24,6 +26,24 @@
 # A weak version is unsure of a request with this word in it.
 HARD_WORD: Final = "hard"
 UNSURE: Final = "unsure"
+# How long a stream whose connection broke goes on.
+LINGER_S: Final = 5.0
+# What a test may change.
+CONTROLS: Final = frozenset(
+    {
+        "bad",
+        "checks_fencing",
+        "cut_after",
+        "first_s",
+        "leaving",
+        "resumable",
+        "token_s",
+        "versions",
+        "weak",
+        "weights",
+    }
+)
+_STATES: Final = {"load": "loading", "unload": "unloaded", "role": "role"}
 
 
 def expected_words(version: str, prompt: str, count: int, weak: bool) -> str:
@@ -39,6 +59,28 @@
     return "\n".join(str(m.get("content", "")) for m in messages)
 
 
+@dataclass(slots=True)
+class Stream:
+    """An answer being generated, at its own pace whoever reads it.
+
+    Attributes:
+        version: The version that generates.
+        prompt: What was asked.
+        words: The whole answer.
+        due: Monotonic time of the first word.
+        stopped: Set when it shall generate no more.
+        cut_at: Monotonic time when its connection broke; None while it
+            stands.
+    """
+
+    version: str
+    prompt: str
+    words: list[str]
+    due: float
+    stopped: threading.Event = field(default_factory=threading.Event)
+    cut_at: float | None = None
+
+
 class EngineStandIn:
     """The engine's state.
 
@@ -48,23 +90,42 @@
         bad: Versions that answer every request with an error.
         token_s: Seconds between tokens.
         first_s: Seconds to the first token.
-        running: Requests running.
         served: Requests that reached the engine, by version.
         cancelled: Streams that were closed before their end.
+        streams: What runs, by stream id.
+        resumable: Whether a broken stream goes on and can be read again.
+        cut_after: Events after which the next stream's connection breaks,
+            once; 0 for never.
+        leaving: Whether it says that it takes no new work.
+        orders: Orders as they took effect, oldest first.
+        weights: URL of the weight store; empty when loads need none.
+        checks_fencing: Whether an order with an old number is refused.
+        fencing: Highest fencing number seen.
+        loading: Versions being loaded.
+        role: The engine's role.
         incarnation: Unique to each start of the process.
     """
 
     __slots__ = (
         "bad",
         "cancelled",
+        "checks_fencing",
+        "cut_after",
+        "fencing",
         "first_s",
         "incarnation",
+        "leaving",
+        "loading",
         "lock",
-        "running",
+        "orders",
+        "resumable",
+        "role",
         "served",
+        "streams",
         "token_s",
         "versions",
         "weak",
+        "weights",
     )
 
     def __init__(
@@ -80,9 +141,18 @@
         self.bad: list[str] = []
         self.first_s = first_s
         self.token_s = token_s
-        self.running = 0
         self.served: dict[str, int] = {}
         self.cancelled = 0
+        self.streams: dict[str, Stream] = {}
+        self.resumable = True
+        self.cut_after = 0
+        self.leaving = False
+        self.orders: list[dict[str, Any]] = []
+        self.weights = ""
+        self.checks_fencing = False
+        self.fencing = 0
+        self.loading: list[str] = []
+        self.role = "mixed"
         self.incarnation = secrets.token_hex(8)
         self.lock = threading.Lock()
 
@@ -101,54 +171,138 @@
             return json_response({"error": "bad version"}, 500)
         count = int(body.get("max_tokens") or DEFAULT_TOKENS)
         text = expected_words(version, prompt, count, version in self.weak)
-        return Response(
-            self._events(version, prompt, text),
-            content_type="text/event-stream",
+        stream = Stream(
+            version, prompt, text.split(" "), time.monotonic() + self.first_s
         )
+        name = request.headers.get("X-Stream-Id") or secrets.token_hex(8)
+        with self.lock:
+            self.streams[name] = stream
+        return self._response(name, stream, 0)
+
+    def resume(self, request: Request, name: str) -> Response:
+        """Answer with the rest of a stream whose connection broke."""
+        stream = self.running().get(name)
+        if stream is None or not self.resumable:
+            return json_response({"error": "no such stream"}, 404)
+        stream.cut_at = None
+        return self._response(name, stream, int(request.args.get("after", 0)))
+
+    def cancel(self, request: Request, name: str) -> Response:
+        """Stop a stream."""
+        stream = self.running().get(name)
+        if stream is None:
+            return json_response({"error": "no such stream"}, 404)
+        stream.stopped.set()
+        self._close(name)
+        return json_response({})
 
-    def _events(self, version: str, prompt: str, text: str) -> Iterator[bytes]:
+    def running(self) -> dict[str, Stream]:
+        """Return what runs; a broken stream ends if nobody resumes it."""
+        now = time.monotonic()
         with self.lock:
-            self.running += 1
+            self.streams = {
+                name: stream
+                for name, stream in self.streams.items()
+                if stream.cut_at is None or now - stream.cut_at < LINGER_S
+            }
+            return dict(self.streams)
+
+    def _response(self, name: str, stream: Stream, after: int) -> Response:
+        response = Response(
+            self._events(name, stream, after),
+            content_type="text/event-stream",
+        )
+        response.headers["X-Stream-Resume"] = "yes" if self.resumable else "no"
+        return response
+
+    def _events(self, name: str, stream: Stream, after: int) -> Iterator[bytes]:
+        cut, self.cut_after = self.cut_after, 0
         whole = False
         try:
-            words = text.split(" ")
-            due = time.monotonic() + self.first_s
-            for index, word in enumerate(words):
-                time.sleep(max(0.0, due - time.monotonic()))
-                due += self.token_s
+            for index in range(after, len(stream.words)):
+                due = stream.due + index * self.token_s
+                if stream.stopped.wait(max(0.0, due - time.monotonic())):
+                    return
+                if cut and index - after >= cut:
+                    raise ConnectionAbortedError("cut by the test")
+                word = stream.words[index]
                 delta = {"content": word if index == 0 else f" {word}"}
-                yield _event(version, {"delta": delta, "index": 0})
-            usage = {
-                "prompt_tokens": len(prompt.split()),
-                "completion_tokens": len(words),
-                "total_tokens": len(prompt.split()) + len(words),
-            }
-            end = {"delta": {}, "index": 0, "finish_reason": "stop"}
-            yield _event(version, end, usage) + b"data: [DONE]\n\n"
+                yield _event(stream.version, {"delta": delta, "index": 0})
+            if after <= len(stream.words):
+                yield _last_event(stream)
+            yield b"data: [DONE]\n\n"
             whole = True
         finally:
-            with self.lock:
-                self.running -= 1
-                self.cancelled += not whole
+            if whole:
+                with self.lock:
+                    self.streams.pop(name, None)
+            elif self.resumable and not stream.stopped.is_set():
+                stream.cut_at = time.monotonic()
+            else:
+                self._close(name)
+
+    def _close(self, name: str) -> None:
+        with self.lock:
+            self.cancelled += self.streams.pop(name, None) is not None
 
     def status(self, request: Request) -> Response:
         """Answer with what is loaded and running."""
         return json_response(
             {
                 "versions": self.versions,
-                "running": self.running,
+                "running": len(self.running()),
+                "leaving": self.leaving,
                 "served": self.served,
                 "cancelled": self.cancelled,
+                "orders": self.orders,
+                "loading": self.loading,
+                "role": self.role,
                 "incarnation": self.incarnation,
             }
         )
 
+    def order(self, request: Request) -> Response:
+        """Take an order: load, unload or role."""
+        order = msgspec.json.decode(request.get_data())
+        with self.lock:
+            if self.checks_fencing and order["fencing"] < self.fencing:
+                return json_response({"error": "old fencing number"}, 409)
+            self.fencing = max(self.fencing, order["fencing"])
+            return json_response({"state": self._carry_out(order)})
+
+    def _carry_out(self, order: dict[str, Any]) -> str:
+        version = order["version"]
+        match order["action"]:
+            case "load" if version in self.versions:
+                return "loaded"
+            case "load" if version not in self.loading:
+                self.loading.append(version)
+                threading.Thread(
+                    target=self._load, args=[version], daemon=True
+                ).start()
+            case "load":
+                return "loading"
+            case "unload":
+                self.versions = [v for v in self.versions if v != version]
+            case "role":
+                self.role = order["role"]
+        self.orders.append(order)
+        return _STATES[order["action"]]
+
+    def _load(self, version: str) -> None:
+        """Fetch a version's weights; the store may refuse for now."""
+        url = f"{self.weights}/weights/{version}"
+        fetched = not self.weights or call("GET", url).status == 200
+        with self.lock:
+            self.loading.remove(version)
+            if fetched and version not in self.versions:
+                self.versions = [*self.versions, version]
+
     def control(self, request: Request) -> Response:
         """Take a new state (from tests)."""
         change = msgspec.json.decode(request.get_data())
-        for name in ("versions", "weak", "bad", "first_s", "token_s"):
-            if name in change:
-                setattr(self, name, change[name])
+        for name in CONTROLS & change.keys():
+            setattr(self, name, change[name])
         return json_response({})
 
 
@@ -167,12 +321,25 @@
     return b"data: " + msgspec.json.encode(event) + b"\n\n"
 
 
+def _last_event(stream: Stream) -> bytes:
+    read, made = len(stream.prompt.split()), len(stream.words)
+    usage = {
+        "prompt_tokens": read,
+        "completion_tokens": made,
+        "total_tokens": read + made,
+    }
+    end = {"delta": {}, "index": 0, "finish_reason": "stop"}
+    return _event(stream.version, end, usage)
+
+
 def main(
     port: int,
     versions: str,
     weak: str = "",
     first_s: float = 0.03,
     token_s: float = 0.005,
+    weights: str = "",
+    checks_fencing: bool = False,
 ) -> None:
     """Serve the engine's stand-in on loopback.
 
@@ -182,12 +349,18 @@
         weak: Versions that are unsure of hard requests.
         first_s: Seconds to the first token.
         token_s: Seconds between tokens.
+        weights: URL of the weight store; empty when loads need none.
+        checks_fencing: Whether orders with an old number are refused.
     """
     engine = EngineStandIn(_split(versions), _split(weak), first_s, token_s)
+    engine.weights, engine.checks_fencing = weights, checks_fencing
     app = App()
     app.route("POST", "/v1/chat/completions", engine.chat)
+    app.route("GET", "/v1/streams/<name>", engine.resume)
+    app.route("DELETE", "/v1/streams/<name>", engine.cancel)
     app.route("GET", "/status", engine.status)
     app.route("POST", "/control", engine.control)
+    app.route("POST", "/orders", engine.order)
     serve(app, port)
 
 
