--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -8,7 +8,11 @@
 import pycurl
 
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN, RAN_YES
-from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.exceptions import (
+    ErrorKind,
+    LacewingdockError,
+    UpstreamLost,
+)
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Finish
 from lacewingdock.world.run import Run
@@ -31,6 +35,8 @@
 _OK: Final = 200
 _SERVER_ERROR: Final = 500
 _ABORT: Final = -1
+# Errors that this side brought about by cancelling.
+_OWN_ABORTS: Final = (pycurl.E_WRITE_ERROR, pycurl.E_ABORTED_BY_CALLBACK)
 
 
 log = get_logger("runs")
@@ -154,11 +160,7 @@
             LacewingdockError: UPSTREAM_FAILED when it did not.
         """
         if self.is_stream and not self.done:
-            raise LacewingdockError(
-                ErrorKind.UPSTREAM_FAILED,
-                "the stream ended too soon",
-                _ran(self.run),
-            )
+            raise UpstreamLost("the stream ended too soon", _ran(self.run))
 
     def end(self) -> None:
         """End the run's answer as whole."""
@@ -228,9 +230,7 @@
         if error.args[0] == pycurl.E_COULDNT_CONNECT:
             # Nothing was sent, so the request can't have run.
             run.executed = False
-            raise LacewingdockError(
-                ErrorKind.UPSTREAM_FAILED, str(error.args[1]), RAN_NO
-            ) from error
+            raise UpstreamLost(str(error.args[1]), RAN_NO) from error
         raise _failure(error, run) from error
     finally:
         run.on_cancel = None
@@ -275,10 +275,8 @@
         curl.close()
     if receiver.status != _OK:
         receiver.resumable = False
-        raise LacewingdockError(
-            ErrorKind.UPSTREAM_FAILED,
-            f"the stream can't be resumed: status {receiver.status}",
-            _ran(run),
+        raise UpstreamLost(
+            f"the stream can't be resumed: status {receiver.status}", _ran(run)
         )
     receiver.check_whole()
 
@@ -341,4 +339,6 @@
     code, text = error.args[0], str(error.args[1])
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return LacewingdockError(ErrorKind.DEADLINE, text, RAN_UNKNOWN)
-    return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, _ran(run))
+    if run.cancelled.is_set() or code in _OWN_ABORTS:
+        return LacewingdockError(ErrorKind.UPSTREAM_FAILED, text, _ran(run))
+    return UpstreamLost(text, _ran(run))
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -155,7 +155,33 @@
     role: Literal["viewer", "operator", "admin"] = "viewer"
 
 
-ConfigObject = Cascade | Model | Operator | Service | Version | Workspace
+@dataclass(slots=True, kw_only=True)
+class Quarantine:
+    """A request that is refused because it crashes upstreams.
+
+    Its name is the request's fingerprint.
+
+    Attributes:
+        workspace: Whose request it is.
+        target: The version or service that it crashes.
+        state: "quarantined", or "released" by an operator.
+        reason: Why, for people.
+        crashes: Ids of the crashes that convicted it; a release excuses it
+            of these, and of no later one.
+        expires: Unix time, in seconds, after which it is not refused.
+    """
+
+    workspace: Name
+    target: Name
+    state: Literal["quarantined", "released"] = "quarantined"
+    reason: str = ""
+    crashes: list[str] = field(default_factory=list)
+    expires: Annotated[int, Meta(ge=0)] = 0
+
+
+ConfigObject = (
+    Cascade | Model | Operator | Quarantine | Service | Version | Workspace
+)
 
 
 @dataclass(slots=True, kw_only=True)
