--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -98,8 +98,8 @@
         with self.lock:
             self._end_locked(replace(finish, chunks=len(self.chunks)))
 
-    def refuse(self, error: LacewingdockError) -> None:
-        """End the answer with an error."""
+    def refuse(self, error: LacewingdockError, revision: int = 0) -> None:
+        """End the answer with an error, decided at a revision."""
         retry = error.retry_after_s
         refusal = Refusal(
             self.attempt.attempt,
@@ -107,6 +107,7 @@
             error.ran,
             error.detail,
             -1 if retry is None else int(retry * 1000),
+            revision,
         )
         with self.lock:
             self._end_locked(refusal)
@@ -207,6 +208,15 @@
             self.changed = time.monotonic()
             return True
 
+    def detach_peer(self, link: Link) -> None:
+        """Forget the watchers of a peer's other links."""
+        peer = link.peer.incarnation
+        for watcher in tuple(self.watchers):
+            if watcher.link is not link and (
+                watcher.link.peer.incarnation == peer
+            ):
+                self.detach(watcher.link)
+
     def hand_over(self, other: "Run") -> None:
         """Let another run serve this one's watchers, from the start."""
         with self.lock:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -103,6 +103,7 @@
         fencing: Highest fencing number seen.
         loading: Versions being loaded.
         role: The engine's role.
+        incarnation: Unique to each start of the process.
     """
 
     __slots__ = (
@@ -112,6 +113,7 @@
         "cut_after",
         "fencing",
         "first_s",
+        "incarnation",
         "leaving",
         "loading",
         "lock",
@@ -151,6 +153,7 @@
         self.fencing = 0
         self.loading: list[str] = []
         self.role = "mixed"
+        self.incarnation = secrets.token_hex(8)
         self.lock = threading.Lock()
 
     def chat(self, request: Request) -> Response:
@@ -254,6 +257,7 @@
                 "orders": self.orders,
                 "loading": self.loading,
                 "role": self.role,
+                "incarnation": self.incarnation,
             }
         )
 
