--- a/bench/control.py
+++ b/bench/control.py
@@ -341,12 +341,13 @@
     return taken, thawed
 
 
-def main(json: bool = False, part: str = "all", seed: int = 0) -> None:
+def main(json: bool = False, part: Any = "all", seed: int = 0) -> None:
     """Measure control costs.
 
     Args:
         json: Print one JSON object.
-        part: "subset", "daemons", "20", "50", "100" or "all".
+        part: "subset", "daemons", "20", "50", "100", several of them
+            separated by commas, or "all".
         seed: Printed only; nothing is drawn at random here.
     """
     parts: dict[str, Callable[[], list[Figure]]] = {
@@ -355,7 +356,8 @@
     }
     for count in FLEETS:
         parts[str(count)] = lambda n=count: measure_fleet(n)  # type: ignore[misc]
-    names = list(parts) if part == "all" else [str(part)]
+    given = part if isinstance(part, list | tuple) else [part]
+    names = list(parts) if part == "all" else [str(name) for name in given]
     figures: list[Any] = []
     for name in names:
         progress(f"control: {name}")
