Configuration: pulls of much are answered two at a time

Every passed-over peer pulled in the same beat and each link's reading task encoded the whole delta. Ruled out: a leak per change (20 changes/s for 6 s: 61.8 to 61.8 MB). Change: pulls of more than 16 revisions are answered by tasks, two at a time; a reading task no longer holds up a caller's answer for it.

--- a/lacewingdock/components/configuration/__init__.py
+++ b/lacewingdock/components/configuration/__init__.py
@@ -40,6 +40,9 @@
 FANOUT: Final = 4
 # A pull that was not answered for this long may be made again, of another.
 PULL_WAIT_S: Final = 0.5
+# A pull of more revisions than this waits its turn.
+SMALL_PULL: Final = 16
+ANSWERS_AT_ONCE: Final = 2
 # A pause that took this much longer than asked for means that the process
 # slept, and what it knows may be old.
 SLEPT_S: Final = 3.0
@@ -66,6 +69,7 @@
     """
 
     __slots__ = (
+        "_answering",
         "_check_at",
         "_faults",
         "_listed",
@@ -100,6 +104,7 @@
         self._pulled_at = 0.0
         self._listed = False
         self._faults: set[str] = set()
+        self._answering = threading.BoundedSemaphore(ANSWERS_AT_ONCE)
         peers.handle(Beat, self._on_beat)
         peers.handle(Delta, self._on_delta)
         peers.handle(Pull, self._on_pull)
@@ -313,8 +318,23 @@
         self._show(link, message.upto)
 
     def _on_pull(self, link: Link, message: Pull) -> None:
-        if message.since < self.revision:
+        if message.since >= self.revision:
+            return
+        if self.table.upto - message.since <= SMALL_PULL:
             self._send(link, message.since)
+        else:
+            self.daemon.spawn(self._answer, link, message.since)
+
+    def _answer(self, link: Link, since: int) -> None:
+        """Answer a pull of many changes.
+
+        After a bulk change all peers that were passed over pull at once, and
+        a table encoded for each of them at the same time would take more
+        memory than the daemon has. So few are answered at a time, and not by
+        the links' reading tasks, which carry answers to callers.
+        """
+        with self._answering:
+            self._send(link, since)
 
     def unload(self) -> None:
         """Nothing is held beyond the daemon's tasks."""
--- a/tests/components/configuration/test_configuration.py
+++ b/tests/components/configuration/test_configuration.py
@@ -273,6 +273,30 @@
     assert node.config.step() > 0.2
 
 
+def test_pulls_of_much_are_answered_few_at_a_time(clock):
+    """Symptom: a bulk change takes an entry with many links past its memory.
+
+    300 items change at once; 168 peers pull them in the same moment, and the
+    reading task of each link encodes the whole delta.
+    """
+    store = FakeStore()
+    write(store, "version/a", OFFERED)
+    late = started(store, 6)
+    for index in range(configuration.SMALL_PULL + 1):
+        write(store, f"version/b{index}", OFFERED)
+    (entry,) = started(store, 1, ROLE_ENTRY)
+    for node in late:
+        connect(entry, node)
+        settle([entry, node])
+    answers = entry.daemon.spawned
+    assert len(answers) == len(late)
+    assert entry.config._answering._initial_value < len(late)
+    for function, arguments in answers:
+        function(*arguments)
+    settle([entry, *late])
+    assert {node.config.revision for node in late} == {store.revision}
+
+
 class BusyStore(FakeStore):
     """A platform that refuses more than so many calls a second."""
 
