--- a/bench/control.py
+++ b/bench/control.py
@@ -112,6 +112,8 @@
         deployment.publish()
         daemons = [*entries.values(), *sidecars.values()]
         for count, process in [*entries.items(), *sidecars.items()]:
+            # Shows the log of a process that ended, as when a port was taken.
+            deployment.wait_port(process, "admin_port")
             wait_until(
                 lambda p=process, c=count: fleet.metrics(p).get(LINKS, 0) >= c,  # type: ignore[misc]
                 f"{process.name} has not {count} links",
