Links: steady traffic no longer takes the place of beats

Ruled out: a lost link (none closed), a start from peers (it had listed), a lost delta (pulled again on the next beat). Cause: a beat was due only after a pause in sending; an entry that sends requests every second never showed its revision on that link. Before: the new test fails for both roles (0 beats in 20 s); after: passes.

--- a/lacewingdock/components/peers/__init__.py
+++ b/lacewingdock/components/peers/__init__.py
@@ -188,10 +188,20 @@
             limit = SILENCE_S if busy and not answers else SILENCE_IDLE_S
             if link.silent_s(now) > limit:
                 link.close("silent")
-            elif now - link.last_sent >= due * 0.9:
+            elif self._is_due(link, now, due):
                 frame = frame or encode(self.beat())
                 link.beat(frame)
 
+    def _is_due(self, link: Link, now: float, due: float) -> bool:
+        """Tell whether a link needs a beat.
+
+        Anything sent shows life, but only a beat shows the revision and the
+        load: under steady requests a sidecar would stay on an old
+        configuration for good.
+        """
+        quiet = now - link.last_sent >= due * 0.9
+        return quiet or now - link.last_beat >= BEAT_IDLE_S * 0.9
+
     def traffic(self) -> Traffic:
         """Return what went over all links so far, the closed ones too."""
         total = Traffic()
--- a/lacewingdock/links/link.py
+++ b/lacewingdock/links/link.py
@@ -66,6 +66,7 @@
         busy_since: Monotonic time at which the first of them began.
         last_heard: Monotonic time of the last bytes received.
         last_sent: Monotonic time of the last frame sent.
+        last_beat: Monotonic time of the last beat sent.
         traffic: Bytes and messages over this link.
         closed: Whether the link was given up.
         reason: Why it was given up.
@@ -82,6 +83,7 @@
         "busy",
         "busy_since",
         "closed",
+        "last_beat",
         "last_heard",
         "last_sent",
         "peer",
@@ -97,6 +99,7 @@
         self.peer = peer
         self.busy = Tally()
         self.last_heard = self.last_sent = time.monotonic()
+        self.last_beat = self.last_heard
         self.busy_since = self.last_heard
         self.closed = False
         self.reason = ""
@@ -219,6 +222,7 @@
                 return
             sent = self.sock.send(frame, socket.MSG_DONTWAIT)
             self._count_sent(sent)
+            self.last_beat = self.last_sent
             if sent < len(frame):
                 self._keep_locked(frame[sent:])
         except BlockingIOError:
--- a/tests/components/peers/test_peers.py
+++ b/tests/components/peers/test_peers.py
@@ -23,6 +23,7 @@
         self.busy.add(busy)
         self.last_heard = self.last_sent = clock.now
         self.busy_since = clock.now
+        self.last_beat = clock.now
         self.beats = 0
         self.silent_at = None
 
@@ -30,7 +31,7 @@
         """Note a beat."""
         assert frame
         self.beats += 1
-        self.last_sent = self.clock.now
+        self.last_beat = self.last_sent = self.clock.now
 
     def close(self, reason):
         """Note when the link was first given up."""
@@ -38,7 +39,7 @@
             self.silent_at = self.clock.now
 
 
-def paced(monkeypatch, role, busy, seconds, hears):
+def paced(monkeypatch, role, busy, seconds, hears, sends=False):
     clock = FakeClock()
     monkeypatch.setattr(peers, "time", clock)
     daemon = SimpleNamespace(
@@ -54,6 +55,8 @@
         clock.now += 0.2
         if hears:
             link.last_heard = clock.now
+        if sends:
+            link.last_sent = clock.now
         links._pace()
     links.listener.close()
     silent = None if link.silent_at is None else link.silent_at - start
@@ -74,6 +77,20 @@
     assert paced(monkeypatch, role, busy, 10.0, True) == (beats, None)
 
 
+@pytest.mark.parametrize("role", ["entry", "sidecar"])
+def test_steady_traffic_does_not_take_the_place_of_beats(monkeypatch, role):
+    """A sidecar stays on an old configuration while it is busy.
+
+    Symptom: a change is not in force at a sidecar 19 s after all is well.
+    Sequence: the push of the change goes to other peers or is lost, and the
+    entry sends this sidecar a request every second from then on.
+    Cause: a beat was due only after a pause in sending, and the beat is what
+    shows the revision.
+    """
+    beats, _ = paced(monkeypatch, role, 0, 20.0, True, sends=True)
+    assert beats >= 3
+
+
 @pytest.mark.parametrize(
     ("role", "busy", "low", "high"),
     [("entry", 1, 0.7, 1.0), ("entry", 0, 16, 17), ("sidecar", 1, 16, 17)],
