--- a/lacewingdock/components/claims/__init__.py
+++ b/lacewingdock/components/claims/__init__.py
@@ -19,6 +19,9 @@
     NAME,
     PATIENCE,
     PAUSE_S,
+    PROBE_REFUSED,
+    PROBE_REPLACED,
+    PROBE_SILENT,
     PROBE_TIMEOUT_S,
     RETRY_S,
     STATE_DONE,
@@ -311,7 +314,7 @@
         live = self._live_sidecars()
         # One probe a home, not one a partition: a frozen home costs each
         # probe its whole timeout, and takeovers would wait for all of them.
-        probed: dict[str, bool] = {}
+        probed: dict[str, int] = {}
         for number in range(service.partitions):
             name = f"{self.service}/{number}"
             stored = heads.get(name, Stored(name, 0))
@@ -351,18 +354,19 @@
         stored: Stored,
         head: Head | None,
         live: list[str],
-        probed: dict[str, bool],
+        probed: dict[str, int],
     ) -> None:
         """Judge a partition that another has, or nobody."""
         self._check_lost(number, stored)
         if head and head.home:
             if head.incarnation not in probed:
-                probed[head.incarnation] = self._alive(head)
-            if probed[head.incarnation]:
+                probed[head.incarnation] = self._probe(head)
+            if not probed[head.incarnation]:
                 self.probes.pop(number, None)
                 return
         gone = (head.home or head.left) if head else ""
-        failed = self.probes[number] = self.probes.get(number, 0) + 1
+        weight = probed.get(head.incarnation, 1) if head else 1
+        failed = self.probes[number] = self.probes.get(number, 0) + weight
         needed = self._rank(stored.name, live, gone) * PATIENCE
         if head and head.home:
             needed += FAILED_PROBES
@@ -389,8 +393,12 @@
         me = self.daemon.me.instance
         return ranked.index(me) if me in ranked else 0
 
-    def _alive(self, head: Head) -> bool:
-        """Probe a home by a handshake on its link port."""
+    def _probe(self, head: Head) -> int:
+        """Probe a home by a handshake on its link port.
+
+        Returns:
+            How many looks the probe counts for against it; 0 when it lives.
+        """
         try:
             link = dial(
                 head.address,
@@ -398,11 +406,13 @@
                 self.daemon.keys,
                 PROBE_TIMEOUT_S,
             )
+        except ConnectionRefusedError:
+            return PROBE_REFUSED
         except (OSError, LacewingdockError):
-            return False
-        alive = link.peer.incarnation == head.incarnation
+            return PROBE_SILENT
+        found = link.peer.incarnation
         link.dispose()
-        return alive
+        return 0 if found == head.incarnation else PROBE_REPLACED
 
     def _take(self, number: int, stored: Stored) -> None:
         me = self.daemon.me
--- a/lacewingdock/components/claims/const.py
+++ b/lacewingdock/components/claims/const.py
@@ -6,17 +6,22 @@
 SEGMENTS: Final = "claim-segments"
 
 LOOK_S: Final = 1.0
-# A home whose link port takes no handshake for this many looks is presumed
-# dead. Being wrong costs a takeover, never a second run: the takeover's
-# conditional write makes the old home's next commit fail.
+# A home whose link port takes no handshake for more than this many looks is
+# presumed dead. Being wrong costs a takeover, never a second run: the
+# takeover's conditional write makes the old home's next commit fail.
 FAILED_PROBES: Final = 3
 PROBE_TIMEOUT_S: Final = 0.5
-# Looks that an unowned partition is left to its preferred taker.
-PATIENCE: Final = 3
-# A takeover needs more than FAILED_PROBES looks, so a home that was never
-# paused for this long can't have lost a partition without the platform's
-# telling it. One that was paused doesn't say "not run" until the platform
-# has named it home again.
+# How many looks a probe counts for: nobody listens on a dead process's port,
+# while a frozen one's kernel still accepts.
+PROBE_SILENT: Final = 1
+PROBE_REFUSED: Final = 2
+PROBE_REPLACED: Final = 4
+# Looks that a partition is left to each preferred taker.
+PATIENCE: Final = 1
+# A takeover from a process that lives needs more than FAILED_PROBES looks, so
+# a home that was never paused for this long can't have lost a partition
+# without the platform's telling it. One that was paused doesn't say "not run"
+# until the platform has named it home again.
 TICK_S: Final = 0.25
 PAUSE_S: Final = 1.5
 
--- a/tests/components/claims/fakes.py
+++ b/tests/components/claims/fakes.py
@@ -117,8 +117,8 @@
 class ProbedClaims(Claims):
     """Claims whose probes ask the store which processes live."""
 
-    def _alive(self, head) -> bool:
-        return head.incarnation in self.daemon.store.living
+    def _probe(self, head) -> int:
+        return int(head.incarnation not in self.daemon.store.living)
 
 
 class FakeHome:
--- a/tests/components/claims/test_processes.py
+++ b/tests/components/claims/test_processes.py
@@ -11,7 +11,17 @@
 
 from bench.deployment import Deployment, Shape, wait_until
 from bench.http import call
-from tests.common import PARTITIONS, apply_example, ask, book, bookings
+from lacewingdock.components.configuration.apply import apply_manifest
+from lacewingdock.platform.store import ObjectStore
+from lacewingdock.world.manifest import parse_manifest
+from tests.common import (
+    MANIFEST,
+    PARTITIONS,
+    apply_example,
+    ask,
+    book,
+    bookings,
+)
 
 SLOW_S = 1.0
 
@@ -213,6 +223,44 @@
     heal(deployment, home)
 
 
-def test_tickets_where_the_contract_has_none(deployment):
+def test_tickets_in_an_outage(deployment, pool):
+    """Symptom: no bookings for minutes, or a doubled one after a freeze.
+
+    Events: the platform is down; tickets are booked and sent again to the
+    other entry; a ticket's process freezes with it, is sent again, and thaws;
+    another's is killed. Cause: someone else runs a ticket.
+    """
     path = "/services/booking/tickets"
     assert ask(deployment, path, {}).status == 404
+    allow_tickets(deployment)
+    tickets = [ask(deployment, path, {}).json()["ticket"] for _ in range(12)]
+    deployment.faults(down=True)
+    for ticket in tickets[:6]:
+        replies = [
+            book(deployment, ticket, ticket, entry=entry)
+            for entry in ("entry-0", "entry-1")
+        ]
+        assert [r.status for r in replies] == [200, 200], replies
+        assert replies[0].body == replies[1].body
+    home = home_of(deployment, tickets[0])
+    home.signal(signal.SIGSTOP)
+    first = [pool.submit(book, deployment, t, t) for t in tickets]
+    time.sleep(1.0)
+    home.signal(signal.SIGCONT)
+    assert {said(f.result())[1] for f in first} <= {"", "unknown"}
+    again = [book(deployment, t, t, entry="entry-1") for t in tickets]
+    assert [r.status for r in again] == [200] * 12
+    assert [count(deployment, t) for t in tickets] == [1] * 12
+    home.kill()
+    gone = book(deployment, tickets[0], tickets[0])
+    assert said(gone) == ("not_home", "unknown")
+    assert count(deployment, tickets[0]) == 1
+
+
+def allow_tickets(deployment):
+    with open(MANIFEST, encoding="utf-8") as file:
+        service = parse_manifest(file.read())["service/booking"]
+    service["operations"][0]["on_outage"] = "tickets"
+    url = deployment.processes["platform"].url()
+    changes = apply_manifest(ObjectStore(url), {"service/booking": service})
+    deployment.wait_revision(max(c.revision for c in changes))
