Callers' port: refuse at once, time limits, coded parse errors, TLS

Cause: the server library answered its own refusals as plain text without a code; a caller that trickled bytes, opened connections in silence or never read held a thread for good; with all threads taken the next caller waited in a queue; a stalled TLS handshake blocked the accepting task; a certificate renewed half-way was loaded over the one in use; an unread chunked body was taken for the next request on the connection.

Ruled out: growing the pool on demand (its library sleeps 0.1 s for each growth and the bound is reached all the same); a second port for refusals.

--- a/lacewingdock/components/callers/__init__.py
+++ b/lacewingdock/components/callers/__init__.py
@@ -4,8 +4,9 @@
 
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.core import Daemon
-from lacewingdock.helpers.http_server import CertificateReloader, build_server
+from lacewingdock.helpers.http_server import build_server
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.tls import CertificateReloader
 from lacewingdock.settings import EntrySettings
 
 NAME: Final = "callers"
@@ -41,12 +42,11 @@
             threads=settings.threads,
             max_body_bytes=settings.max_body_bytes,
             stall_s=settings.slow_caller_s,
+            read_s=settings.request_s,
             tls=tls,
         )
         if tls:
-            reloader = CertificateReloader(
-                self.server.ssl_adapter.context, *tls
-            )
+            reloader = CertificateReloader(self.server.ssl_adapter, *tls)
             daemon.every(TLS_CHECK_S, reloader.reload)
 
     def start(self) -> None:
--- a/lacewingdock/components/callers/app.py
+++ b/lacewingdock/components/callers/app.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 import msgspec
-from werkzeug.exceptions import ClientDisconnected, RequestEntityTooLarge
 from werkzeug.wrappers import Request, Response
 
 from lacewingdock.components.callers.chat import Chat
-from lacewingdock.components.callers.problem import problem_response
-from lacewingdock.components.callers.requests import Caller, read_caller
+from lacewingdock.components.callers.requests import (
+    Caller,
+    read_body,
+    read_caller,
+)
 from lacewingdock.components.callers.services import ServiceCalls
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.const import HEADER_REQUEST_ID
@@ -18,6 +20,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.problem import problem_response
 from lacewingdock.helpers.tally import Tally
 from lacewingdock.settings import EntrySettings
 from lacewingdock.world.objects import Workspace
@@ -25,6 +28,7 @@
 CHAT_PATH = "/v1/chat/completions"
 MODELS_PATH = "/v1/models"
 SERVICES_PREFIX = "/services/"
+_BODY_UNREAD = frozenset({ErrorKind.BODY_TOO_LARGE, ErrorKind.SLOW_CALLER})
 
 log = get_logger("callers")
 
@@ -91,24 +95,22 @@
                 ran=error.ran,
                 detail=error.detail,
             )
-            return problem_response(error, request_id)
+            return self._refuse(error, request_id)
         response.headers[HEADER_REQUEST_ID] = request_id
         return response
 
+    def _refuse(self, error: LacewingdockError, request_id: str) -> Response:
+        response = problem_response(error, request_id)
+        if error.kind in _BODY_UNREAD:
+            # What is left of the body would be taken for the next request.
+            response.headers["Connection"] = "close"
+        return response
+
     def _checked(self, request: Request, request_id: str) -> Response:
         """Answer a request; whatever goes wrong is an error kind."""
         try:
-            request.max_content_length = self.settings.max_body_bytes
-            return self._dispatch(request, read_caller(request, request_id))
-        except RequestEntityTooLarge as error:
-            raise LacewingdockError(
-                ErrorKind.BODY_TOO_LARGE,
-                f"more than {self.settings.max_body_bytes} bytes",
-            ) from error
-        except ClientDisconnected as error:
-            raise LacewingdockError(
-                ErrorKind.BAD_REQUEST, "the body was cut off"
-            ) from error
+            caller = read_caller(request, request_id, self.settings.deadline_s)
+            return self._dispatch(request, caller)
         except LacewingdockError:
             raise
         except Exception as error:
@@ -123,11 +125,13 @@
         name, workspace = self.configuration.world.authenticate(caller.bearer)
         path = request.path
         if path == CHAT_PATH and request.method == "POST":
-            return self.chat.answer(request.get_data(), caller, name, workspace)
+            body = read_body(request, self.settings.max_body_bytes)
+            return self.chat.answer(body, caller, name, workspace)
         if path == MODELS_PATH and request.method == "GET":
             return self._models(workspace)
         if path.startswith(SERVICES_PREFIX):
-            return self.services.answer(request, caller, name, workspace)
+            body = read_body(request, self.settings.max_body_bytes)
+            return self.services.answer(request, body, caller, name, workspace)
         raise LacewingdockError(ErrorKind.NOT_FOUND, f"{request.method} {path}")
 
     def _models(self, workspace: Workspace) -> Response:
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -8,7 +8,6 @@
 
 from lacewingdock.components.answers.answer import Answer
 from lacewingdock.components.callers.assemble import assemble
-from lacewingdock.components.callers.problem import problem_body
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.requests import (
     Caller,
@@ -26,6 +25,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.problem import problem_body
 from lacewingdock.links.keys import KeyRing
 from lacewingdock.links.messages import Attempt
 from lacewingdock.platform.ratings import Ratings
@@ -34,7 +34,6 @@
 EVENT_STREAM: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 HEADER_MOVED: Final = "Lacewingdock-Moved-From"
-DEADLINE_MS: Final = 120_000
 
 log = get_logger("chat")
 
@@ -141,7 +140,7 @@
                 body=msgspec.json.encode(fields),
                 key=caller.key,
                 priority=caller.priority,
-                deadline_ms=DEADLINE_MS,
+                deadline_ms=caller.left_ms(),
                 traceparent=caller.traceparent,
                 revision=self.configuration.revision,
                 resumable=bool(caller.key),
--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -1,9 +1,11 @@
 """Support for reading what callers send."""
 
+import time
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 import msgspec
+from cheroot.errors import MaxSizeExceeded
 from werkzeug.wrappers import Request
 
 from lacewingdock.const import (
@@ -11,12 +13,17 @@
     HEADER_LAST_EVENT_ID,
     HEADER_PRIORITY,
     HEADER_SESSION,
+    HEADER_TIMEOUT,
+    RAN_NO,
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 
 MAX_KEY_CHARS: Final = 255
 PRIORITIES: Final = {"interactive": 0, "normal": 1, "background": 2}
 DEFAULT_PRIORITY: Final = "normal"
+# A caller may ask for more time than the default, but not hold a thread for
+# good: long drafts take minutes, not hours.
+LONGEST_DEADLINES: Final = 10
 
 
 @dataclass(slots=True)
@@ -31,6 +38,7 @@
         last_event: Id of the last event the caller has, or empty.
         priority: 0 is the most urgent.
         traceparent: W3C trace context, or empty.
+        deadline: Monotonic time by which the answer must be whole.
     """
 
     request_id: str
@@ -40,6 +48,20 @@
     last_event: str
     priority: int
     traceparent: str
+    deadline: float
+
+    def left_ms(self) -> int:
+        """Return the milliseconds left until the deadline.
+
+        Raises:
+            LacewingdockError: DEADLINE, not run, when none are left.
+        """
+        left = int((self.deadline - time.monotonic()) * 1000)
+        if left <= 0:
+            raise LacewingdockError(
+                ErrorKind.DEADLINE, "the caller's time is over", RAN_NO
+            )
+        return left
 
 
 @dataclass(slots=True)
@@ -59,9 +81,14 @@
     fields: dict[str, Any]
 
 
-def read_caller(request: Request, request_id: str) -> Caller:
+def read_caller(request: Request, request_id: str, deadline_s: float) -> Caller:
     """Read the headers.
 
+    Args:
+        request: The request.
+        request_id: Id given to it here.
+        deadline_s: Seconds that the answer may take unless the caller says.
+
     Raises:
         LacewingdockError: UNAUTHORIZED or BAD_REQUEST.
     """
@@ -91,6 +118,69 @@
         last_event=request.headers.get(HEADER_LAST_EVENT_ID, ""),
         priority=PRIORITIES[priority],
         traceparent=request.headers.get("traceparent", ""),
+        deadline=time.monotonic() + _timeout(request, deadline_s),
+    )
+
+
+def _timeout(request: Request, default_s: float) -> float:
+    """Return the seconds that the caller gives the answer."""
+    text = request.headers.get(HEADER_TIMEOUT, "")
+    if not text:
+        return default_s
+    longest = LONGEST_DEADLINES * default_s
+    try:
+        given = float(text)
+    except ValueError:
+        given = 0.0
+    if not 0.0 < given <= longest:
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST,
+            f"{HEADER_TIMEOUT}: {text!r} is not a number of seconds above 0 "
+            f"and at most {longest:g}",
+        )
+    return given
+
+
+def read_body(request: Request, limit: int) -> bytes:
+    """Read the body.
+
+    Args:
+        request: The request.
+        limit: Largest body accepted, in bytes.
+
+    Raises:
+        LacewingdockError: BODY_TOO_LARGE, SLOW_CALLER or BAD_REQUEST.
+    """
+    # Not through werkzeug's stream: it turns whatever goes wrong in the read,
+    # a body too large or too slow, into one and the same error.
+    stream = request.environ["wsgi.input"]
+    try:
+        body: bytes = stream.read(limit + 1)
+    except MaxSizeExceeded as error:
+        raise _too_large(limit) from error
+    except TimeoutError as error:
+        raise LacewingdockError(
+            ErrorKind.SLOW_CALLER, "the body did not come in time"
+        ) from error
+    except ValueError as error:
+        raise LacewingdockError(ErrorKind.BAD_REQUEST, str(error)) from error
+    except OSError as error:
+        # The server library gives a chunk beyond the limit no type of its own.
+        if "Too Large" in str(error):
+            raise _too_large(limit) from error
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST, f"body: {error}"
+        ) from error
+    if len(body) > limit:
+        raise _too_large(limit)
+    if len(body) < (request.content_length or 0):
+        raise LacewingdockError(ErrorKind.BAD_REQUEST, "the body is cut off")
+    return body
+
+
+def _too_large(limit: int) -> LacewingdockError:
+    return LacewingdockError(
+        ErrorKind.BODY_TOO_LARGE, f"more than {limit} bytes"
     )
 
 
--- a/lacewingdock/const.py
+++ b/lacewingdock/const.py
@@ -31,6 +31,7 @@
 HEADER_PRIORITY: Final = "Lacewingdock-Priority"
 HEADER_REQUEST_ID: Final = "Lacewingdock-Request-Id"
 HEADER_SESSION: Final = "Lacewingdock-Session"
+HEADER_TIMEOUT: Final = "Lacewingdock-Timeout"
 HEADER_VERSION: Final = "Lacewingdock-Version"
 
 # A link that carries work beats this often; an idle one rarely, because at
--- a/lacewingdock/exceptions.py
+++ b/lacewingdock/exceptions.py
@@ -21,6 +21,7 @@
     BUDGET_EXHAUSTED = "budget_exhausted"
     CONFLICT = "conflict"
     DEADLINE = "deadline"
+    HEADERS_TOO_LARGE = "headers_too_large"
     INTERNAL = "internal"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
@@ -36,6 +37,7 @@
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     PORT_TAKEN = "port_taken"
     QUARANTINED = "quarantined"
+    SLOW_CALLER = "slow_caller"
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
@@ -88,6 +90,9 @@
     ErrorKind.DEADLINE: Answer(
         504, "The deadline passed", ran=RAN_UNKNOWN, retry_after_s=1.0
     ),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(
+        431, "The request line or the headers are too large"
+    ),
     ErrorKind.INTERNAL: Answer(500, "Internal error", ran=RAN_UNKNOWN),
     ErrorKind.KEY_REQUIRED: Answer(400, "This call needs an Idempotency-Key"),
     ErrorKind.KEY_REUSED: Answer(
@@ -123,6 +128,9 @@
     ErrorKind.QUARANTINED: Answer(
         422, "This request crashed upstreams and is quarantined"
     ),
+    ErrorKind.SLOW_CALLER: Answer(
+        408, "The request did not come in time", retry_after_s=1.0
+    ),
     ErrorKind.UNAUTHORIZED: Answer(401, "The workspace key is not valid"),
     ErrorKind.UNKNOWN_MODEL: Answer(404, "No such model"),
     ErrorKind.UNKNOWN_SERVICE: Answer(404, "No such service or operation"),
--- a/lacewingdock/helpers/http_server.py
+++ b/lacewingdock/helpers/http_server.py
@@ -1,43 +1,115 @@
 """Support for serving WSGI applications."""
 
 import errno
-import ssl
+import logging
 from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Final
 
+import logbook
 from cheroot import wsgi
-from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_connection import Connection, Request
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.tally import Tally
+from lacewingdock.helpers.tls import tls_adapter
 
 MAX_HEADER_BYTES: Final = 32 * 1024
 BACKLOG: Final = 512
+# Connections that are open and idle; more would run into the limit on files.
+MAX_IDLE: Final = 1024
+# Threads that only refuse. A refusal takes a moment unless the caller stalls.
+REFUSERS: Final = 4
+# Refusals waiting for a thread; beyond, connections are closed unanswered.
+MAX_REFUSALS: Final = 256
+REFUSAL_TIMEOUT_S: Final = 0.5
+_IDLE_CHECK_S: Final = 0.5
 
+log = get_logger("http")
 
-class CertificateReloader:
-    """Takes a renewed certificate into use without a restart.
+
+class Server(wsgi.Server):
+    """A server that answers at once when all its threads are taken.
+
+    A connection takes a thread only once it has something to read: one that
+    was merely opened costs no thread.
 
     Attributes:
-        context: The TLS context that new connections use.
-        cert: PEM file of the certificate chain.
-        key: PEM file of the private key.
+        taken: Connections that wait for a thread or have one.
+        refusals: Connections being refused.
+        read_s: Seconds by which a whole request must be here.
+        refusers: Runs the refusals.
     """
 
-    __slots__ = ("cert", "context", "key")
+    ConnectionClass = Connection
 
-    def __init__(self, context: ssl.SSLContext, cert: str, key: str) -> None:
-        """Take the context that the server serves with."""
-        self.context = context
-        self.cert = cert
-        self.key = key
+    def __init__(
+        self, address: tuple[str, int], app: Any, threads: int, read_s: float
+    ) -> None:
+        """Take what it serves; nothing is bound yet."""
+        super().__init__(
+            address,
+            app,
+            numthreads=threads,
+            request_queue_size=BACKLOG,
+            shutdown_timeout=1,
+        )
+        self.taken = Tally()
+        self.refusals = Tally()
+        self.read_s = read_s
+        self.refusers = ThreadPoolExecutor(REFUSERS, "refuse")
+        self.keep_alive_conn_limit = MAX_IDLE
 
-    def reload(self) -> None:
-        """Load the files again; open connections keep the old certificate.
+    def process_conn(self, conn: Connection) -> None:
+        """Give a connection to a thread, or refuse it at once.
 
-        Raises:
-            OSError: A file can't be read or does not match the other.
+        In a queue behind busy threads a caller would wait as long as the
+        longest stream, and no other instance could serve it meanwhile.
         """
-        self.context.load_cert_chain(self.cert, self.key)
+        if conn.last_used is None and self.can_add_keepalive_connection:
+            # Accepted just now: it waits for its first bytes without a thread.
+            self._connections.put(conn)  # type: ignore[attr-defined]
+            return
+        if conn.last_used is not None:
+            if self.taken.add(1) <= self.numthreads:
+                self.requests.put(conn)
+                return
+            self.taken.add(-1)
+        self._refuse_later(conn)
+
+    def _refuse_later(self, conn: Connection) -> None:
+        if self.refusals.add(1) > MAX_REFUSALS:
+            self.refusals.add(-1)
+            conn.close()
+            return
+        self.refusers.submit(self._refuse, conn)
+
+    def _refuse(self, conn: Connection) -> None:
+        try:
+            conn.socket.settimeout(REFUSAL_TIMEOUT_S)
+            conn.shake_hands()
+            error = LacewingdockError(
+                ErrorKind.OVERLOADED, "every thread of this instance is taken"
+            )
+            Request(self, conn).refuse(error)
+        except OSError:
+            pass
+        finally:
+            self.refusals.add(-1)
+            conn.close()
+
+    def stop(self) -> None:
+        """Stop serving."""
+        super().stop()
+        self.refusers.shutdown(wait=False, cancel_futures=True)
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Log what the server library has to say."""
+        name = logging.getLevelName(level)
+        log.log(logbook.lookup_level(name), msg, exc_info=traceback)
 
 
 def build_server(
@@ -48,39 +120,31 @@
     threads: int,
     max_body_bytes: int = 0,
     stall_s: float = 10.0,
+    read_s: float = 30.0,
     tls: tuple[str, str] | None = None,
-) -> wsgi.Server:
+) -> Server:
     """Bind a server; `serve` runs it.
 
     Args:
         host: IP number to listen on.
         port: Port; 0 takes a free one, found in `bind_addr` afterwards.
         app: The WSGI application.
-        threads: Requests served at once.
+        threads: Requests served at once; more are refused.
         max_body_bytes: Largest body accepted; 0 for no limit.
         stall_s: Seconds that a caller may stall a read or write.
+        read_s: Seconds by which a whole request must have come.
         tls: Files of certificate chain and private key.
 
     Raises:
         LacewingdockError: PORT_TAKEN, or BAD_SETTING for a bad certificate.
     """
-    server = wsgi.Server(
-        (host, port),
-        app,
-        numthreads=threads,
-        request_queue_size=BACKLOG,
-        shutdown_timeout=1,
-    )
+    server = Server((host, port), app, threads, read_s)
     server.timeout = stall_s
+    server.expiration_interval = min(_IDLE_CHECK_S, stall_s)
     server.max_request_header_size = MAX_HEADER_BYTES
     server.max_request_body_size = max_body_bytes
     if tls:
-        try:
-            server.ssl_adapter = BuiltinSSLAdapter(*tls)
-        except (OSError, ValueError) as error:
-            raise LacewingdockError(
-                ErrorKind.BAD_SETTING, f"TLS files {tls}: {error}"
-            ) from error
+        server.ssl_adapter = tls_adapter(*tls)
     try:
         server.prepare()
     except OSError as error:
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -66,6 +66,9 @@
         plain_callers: Whether callers may come without TLS.
         max_body_bytes: Largest request body that is read.
         slow_caller_s: Seconds a caller may stall a read or write.
+        request_s: Seconds by which a whole request must have come.
+        deadline_s: Seconds that an answer may take where the caller does not
+            say; it may ask for as much as ten times this.
         subset: Links kept for each model version.
     """
 
@@ -80,6 +83,8 @@
         1024 * 1024
     )
     slow_caller_s: Seconds = 10.0
+    request_s: Seconds = 30.0
+    deadline_s: Seconds = 120.0
     subset: Annotated[int, Meta(ge=2, le=1000)] = 24
 
 
--- /dev/null
+++ b/tests/helpers/test_http_server.py
@@ -0,0 +1,272 @@
+"""Tests for the HTTP server against callers that misbehave."""
+
+import contextlib
+import json
+import socket
+import ssl
+import subprocess
+import threading
+import time
+
+import pytest
+from werkzeug.wrappers import Request, Response
+
+from lacewingdock.components.callers.requests import read_body
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_server import build_server
+from lacewingdock.helpers.problem import problem_response
+from lacewingdock.helpers.tls import CertificateReloader
+
+LIMIT = 4096
+HELLO = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: x\r\n"
+
+
+class Echo:
+    """Answers with the body; GET /wait waits until told to go on."""
+
+    def __init__(self):
+        self.go_on = threading.Event()
+        self.waiting = threading.Semaphore(0)
+
+    def __call__(self, environ, start_response):
+        """Answer one request (WSGI)."""
+        request = Request(environ)
+        if request.path == "/wait":
+            self.waiting.release()
+            self.go_on.wait(10)
+        if request.path == "/unread":
+            return Response("no", status=401)(environ, start_response)
+        if request.path == "/flood":
+            return Response(b"x" * 65536 for _ in range(1024))(
+                environ, start_response
+            )
+        try:
+            response = Response(read_body(request, LIMIT))
+        except LacewingdockError as error:
+            response = problem_response(error, "r")
+            response.headers["Connection"] = "close"
+        return response(environ, start_response)
+
+
+@contextlib.contextmanager
+def serving(app, **options):
+    server = build_server("127.0.0.1", 0, app, max_body_bytes=LIMIT, **options)
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    try:
+        yield server
+    finally:
+        if isinstance(app, Echo):
+            app.go_on.set()
+        server.stop()
+        thread.join()
+
+
+def connect(server):
+    return socket.create_connection(server.bind_addr, 5)
+
+
+def send(server, *pieces):
+    """Send raw bytes and return all that comes until the server closes."""
+    with connect(server) as sock:
+        for piece in pieces:
+            sock.sendall(piece)
+        return receive_all(sock)
+
+
+def receive_all(sock):
+    received = b""
+    with contextlib.suppress(TimeoutError):
+        while data := sock.recv(65536):
+            received += data
+    return received
+
+
+def problem(raw):
+    head, _, body = raw.partition(b"\r\n\r\n")
+    assert b"application/problem+json" in head, raw
+    found = json.loads(body)
+    assert int(head.split()[1]) == found["status"]
+    assert found["ran"] == "no"
+    return found["code"]
+
+
+BIG_HEADER = b"X-Big: " + b"x" * 40_000 + b"\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("raw", "code"),
+    [
+        (b"nonsense\r\n\r\n", "bad_request"),
+        (b"GET / HTTP/9.9\r\nHost: x\r\n\r\n", "bad_request"),
+        (b"GET / HTTP/1.1\r\nno colon\r\n\r\n", "bad_request"),
+        (b"GET /" + b"x" * 40_000 + b" HTTP/1.1\r\n\r\n", "headers_too_large"),
+        (b"GET / HTTP/1.1\r\n" + BIG_HEADER + b"\r\n", "headers_too_large"),
+        (POST + b"Content-Length: x\r\n\r\n", "bad_request"),
+        (
+            POST + b"Content-Length: 9999\r\n\r\n" + b"y" * 9999,
+            "body_too_large",
+        ),
+        (CHUNKED + b"zz\r\n", "bad_request"),
+        (CHUNKED + b"2000\r\n" + b"y" * 0x2000, "body_too_large"),
+        (POST + b"Transfer-Encoding: gzip\r\n\r\n", "bad_request"),
+        (POST + b"Content-Length: 9\r\n\r\nhalf", "slow_caller"),
+        (b"GET / HTTP/1.1\r\nHost:", "slow_caller"),
+    ],
+)
+def test_malformed_requests_get_problem_details(raw, code):
+    with serving(Echo(), threads=2, stall_s=0.3) as server:
+        assert problem(send(server, raw)) == code
+
+
+def test_chunked_body_and_keep_alive():
+    request = CHUNKED + b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    with serving(Echo(), threads=2, stall_s=0.3) as server:
+        answer = send(server, request, request)
+    assert answer.count(b"200 OK") == 2
+    assert answer.count(b"abcde") == 2
+
+
+def test_unread_chunked_body_is_not_taken_for_a_request():
+    # Symptom: a caller gets the answer to a request it never sent.
+    # Sequence: a chunked request is refused before its body is read; the body
+    # holds the text of another request; the connection is kept open.
+    # Cause: the server read on from where the refusal left the connection.
+    inner = HELLO
+    request = CHUNKED.replace(b"POST /", b"POST /unread") + (
+        b"%x\r\n" % len(inner) + inner + b"\r\n0\r\n\r\n"
+    )
+    with serving(Echo(), threads=2, stall_s=0.3) as server:
+        answer = send(server, request)
+    assert answer.count(b"HTTP/1.1 ") == 1, answer
+
+
+def test_taken_threads_refuse_at_once():
+    # Symptom: callers hang while every other instance is idle.
+    # Sequence: as many long answers as threads; then one more request.
+    # Cause: it queued behind answers that take minutes.
+    app = Echo()
+    with serving(app, threads=2) as server, contextlib.ExitStack() as stack:
+        for _ in range(2):
+            sock = stack.enter_context(connect(server))
+            sock.sendall(HELLO.replace(b"/ ", b"/wait "))
+            assert app.waiting.acquire(timeout=5)
+        answer = send(server, HELLO)
+        assert problem(answer) == "overloaded"
+        assert b"Retry-After: 1" in answer
+        app.go_on.set()
+        assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_silent_connections_take_no_thread():
+    # Symptom: a few opened connections keep every caller out.
+    # Sequence: more connections than threads are opened and say nothing.
+    # Cause: each took a thread from the moment it was accepted.
+    with serving(Echo(), threads=2) as server, contextlib.ExitStack() as stack:
+        for _ in range(8):
+            stack.enter_context(connect(server))
+        with connect(server) as sock:
+            sock.sendall(HELLO)
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+@pytest.mark.parametrize("path", [b"/", b"/flood"])
+def test_stalled_callers_free_their_threads(path):
+    # Symptom: an instance's threads run out although nobody is answered.
+    # Sequence: callers trickle their headers, or ask and never read.
+    # Cause: each byte started the read's time limit again; a write had none.
+    options = {"threads": 1, "stall_s": 0.4, "read_s": 0.6}
+    with serving(Echo(), **options) as server, connect(server) as slow:
+        if path == b"/":
+            trickle = threading.Thread(target=_trickle, args=(slow,))
+            trickle.start()
+        else:
+            slow.sendall(HELLO.replace(b"/ ", path + b" "))
+        _wait(lambda: server.taken.value == 1)
+        _wait(lambda: server.taken.value == 0)
+        assert b"200 OK" in send(server, HELLO)
+        if path == b"/":
+            trickle.join()
+
+
+def _trickle(sock):
+    with contextlib.suppress(OSError):
+        for byte in b"GET / HTTP/1.1\r\nX-Slow: " + b"x" * 60:
+            sock.sendall(bytes([byte]))
+            time.sleep(0.05)
+
+
+def _wait(condition):
+    end = time.monotonic() + 5
+    while not condition():
+        assert time.monotonic() < end
+        time.sleep(0.01)
+
+
+def make_certificate(folder, name):
+    """Write a self-signed pair; return its certificate and key files."""
+    cert, key = folder / f"{name}.pem", folder / f"{name}.key"
+    command = (
+        "openssl req -x509 -newkey ec -pkeyopt ec_paramgen_curve:prime256v1 "
+        f"-nodes -days 1 -subj /CN={name} -keyout {key} -out {cert}"
+    )
+    subprocess.run(
+        command.split(),
+        check=True,
+        capture_output=True,
+    )
+    return cert, key
+
+
+def served_certificate(server):
+    pem = ssl.get_server_certificate(server.bind_addr, timeout=5)
+    return ssl.PEM_cert_to_DER_cert(pem)
+
+
+def der(path):
+    return ssl.PEM_cert_to_DER_cert(path.read_text())
+
+
+def test_certificate_rotates_in_place(tmp_path):
+    # Symptom: after a renewal every new caller is refused.
+    # Sequence: the renewal has written the certificate and not yet the key
+    # when the files are read again.
+    # Cause: half a pair was loaded over the one in use.
+    cert, key = make_certificate(tmp_path, "in-use")
+    new_cert, new_key = make_certificate(tmp_path, "renewed")
+    old = der(cert)
+    with serving(Echo(), threads=2, tls=(str(cert), str(key))) as server:
+        reloader = CertificateReloader(server.ssl_adapter, str(cert), str(key))
+        assert served_certificate(server) == old
+        cert.write_text(new_cert.read_text())
+        reloader.reload()
+        assert served_certificate(server) == old
+        key.write_text(new_key.read_text())
+        reloader.reload()
+        assert served_certificate(server) == der(new_cert)
+
+
+def test_stalled_handshake_keeps_nobody_out(tmp_path):
+    # Symptom: no caller gets in for ten seconds at a time.
+    # Sequence: one caller connects and sends half a TLS hello.
+    # Cause: the accepting task did the handshake.
+    cert, key = make_certificate(tmp_path, "in-use")
+    with (
+        serving(Echo(), threads=2, tls=(str(cert), str(key))) as server,
+        connect(server) as stalled,
+    ):
+        stalled.sendall(b"\x16\x03\x01\x02")
+        context = ssl.create_default_context(cafile=str(cert))
+        context.check_hostname = False
+        with context.wrap_socket(connect(server)) as sock:
+            sock.sendall(HELLO)
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def test_port_taken_is_coded():
+    with serving(Echo(), threads=1) as server:
+        with pytest.raises(LacewingdockError) as caught:
+            build_server("127.0.0.1", server.bind_addr[1], Echo(), threads=1)
+        assert caught.value.kind is ErrorKind.PORT_TAKEN
