--- a/tests/links/__init__.py
+++ b/tests/links/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the links."""
+"""Tests; the folders mirror the package."""
