Cascades: entries learn which step suffices

Cause: the fixed threshold escalated by itself whatever the target. Change: callers/steps.py runs plans by the cascades' choice, held answers get their verdict, streamed ones a late one on a sample; chat.py only speaks HTTP.

--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -1,7 +1,7 @@
 """Support for answering chat completions."""
 
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Final
 
 import msgspec
@@ -20,8 +20,9 @@
     event_bytes,
     sink_for,
 )
+from lacewingdock.components.callers.steps import Asked, Begun, Steps
 from lacewingdock.components.configuration import Configuration
-from lacewingdock.components.routing import Plan, plan_request
+from lacewingdock.components.routing import plan_request
 from lacewingdock.components.sessions import (
     Session,
     open_session,
@@ -29,13 +30,10 @@
 )
 from lacewingdock.const import HEADER_SESSION, HEADER_VERSION, RAN_YES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.problem import problem_body
 from lacewingdock.links.keys import KeyRing
-from lacewingdock.links.messages import Attempt
-from lacewingdock.platform.ratings import Ratings
-from lacewingdock.world.objects import Step, Workspace
+from lacewingdock.world.objects import Workspace
 
 EVENT_STREAM: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
@@ -56,23 +54,23 @@
         configuration: The configuration in force.
         relay: Gets attempts answered.
         session_keys: Keys that sign session tokens.
-        ratings: The rating service; None when there is none.
+        steps: Runs the plans.
     """
 
-    __slots__ = ("configuration", "ratings", "relay", "session_keys")
+    __slots__ = ("configuration", "relay", "session_keys", "steps")
 
     def __init__(
         self,
         configuration: Configuration,
         relay: Relay,
         session_keys: KeyRing,
-        ratings: Ratings | None,
+        steps: Steps,
     ) -> None:
         """Take what it works with."""
         self.configuration = configuration
         self.relay = relay
         self.session_keys = session_keys
-        self.ratings = ratings
+        self.steps = steps
 
     def answer(
         self, body: bytes, caller: Caller, name: str, workspace: Workspace
@@ -88,14 +86,13 @@
         session = None
         if caller.session:
             session = open_session(caller.session, name, self.session_keys)
-        plan, step, answer, pieces = self._start(
-            chat, caller, name, workspace, session
-        )
+        begun = self._start(chat, caller, name, workspace, session)
         if chat.stream:
-            response = self._stream(answer, pieces, caller)
+            events = self._events(begun.answer, begun.pieces, caller, begun)
+            response = Response(events, content_type=EVENT_STREAM)
         else:
-            response = self._whole(answer, pieces)
-        self._mark(response, plan, step, name)
+            response = self._whole(begun)
+        self._mark(response, begun)
         return response
 
     def _start(
@@ -105,7 +102,7 @@
         name: str,
         workspace: Workspace,
         session: Session | None,
-    ) -> tuple[Plan, Step, Answer, list[bytes]]:
+    ) -> Begun:
         """Plan and run; plan again if the plan was made on old news.
 
         An entry that was frozen or cut off plans with a version that has
@@ -115,115 +112,39 @@
         for _ in range(MAX_PLANS):
             revision = self.configuration.revision
             world = self.configuration.world
+            workspace = world.workspaces.get(name, workspace)
             plan = plan_request(
-                world,
-                world.workspaces.get(name, workspace),
-                chat.model,
-                session,
-                self.relay.source,
+                world, workspace, chat.model, session, self.relay.source
             )
+            asked = Asked(chat, caller, name, workspace, world, revision, plan)
             try:
-                return plan, *self._run(plan, revision, chat, caller, name)
+                return self.steps.run(asked, self._outdated(revision))
             except LacewingdockError as error:
                 last = error
-                if not self._outdated(error, revision):
+                if not self._outdated(revision)(error):
                     break
         raise last
 
-    def _outdated(self, error: LacewingdockError, revision: int) -> bool:
-        """Tell whether a refusal only shows that a plan was too old."""
-        return (
+    def _outdated(self, revision: int) -> Callable[[LacewingdockError], bool]:
+        """Tell of refusals whether they only show that a plan was too old."""
+        return lambda error: (
             error.kind in BY_CONFIGURATION
             and self.configuration.revision > revision
         )
 
-    def _run(
+    def _events(
         self,
-        plan: Plan,
-        revision: int,
-        chat: ChatBody,
+        answer: Answer,
+        pieces: list[bytes],
         caller: Caller,
-        workspace: str,
-    ) -> tuple[Step, Answer, list[bytes]]:
-        """Run the steps until one's answer is good enough to give.
-
-        An answer that waits for a verdict is held back whole: what the
-        caller has seen can't be taken back. Its price is the first token's
-        latency; the last step streams.
-        """
-        for step in plan.steps[:-1]:
-            try:
-                answer, pieces = self._ask(step, chat, caller, workspace)
-                if pieces:
-                    self.relay.collect(answer, pieces)
-            except LacewingdockError as error:
-                gone = error.kind is ErrorKind.CALLER_LEFT
-                if gone or self._outdated(error, revision):
-                    raise
-                log.info(
-                    "step failed",
-                    request_id=caller.request_id,
-                    version=step.version,
-                    code=error.kind,
-                )
-                continue
-            if self._accepts(step, chat, pieces):
-                return step, answer, pieces
-            self.relay.answers.drop(answer)
-        last = plan.steps[-1]
-        return last, *self._ask(last, chat, caller, workspace)
-
-    def _ask(
-        self, step: Step, chat: ChatBody, caller: Caller, workspace: str
-    ) -> tuple[Answer, list[bytes]]:
-        fields = {
-            **chat.fields,
-            "model": step.version,
-            "stream": True,
-            "stream_options": {"include_usage": True},
-        }
-        return self.relay.start(
-            Attempt(
-                attempt=new_id(),
-                request=caller.request_id,
-                workspace=workspace,
-                target=step.version,
-                method="POST",
-                path="/v1/chat/completions",
-                body=msgspec.json.encode(fields),
-                key=caller.key,
-                priority=caller.priority,
-                deadline_ms=caller.left_ms(),
-                traceparent=caller.traceparent,
-                revision=self.configuration.revision,
-                resumable=bool(caller.key),
-            )
-        )
-
-    def _accepts(self, step: Step, chat: ChatBody, pieces: list[bytes]) -> bool:
-        """Ask the rating service whether a cheap answer will do."""
-        if self.ratings is None:
-            return True
-        text = assemble(pieces)["choices"][0]["message"]["content"]
-        try:
-            return self.ratings.rate(chat.messages, text) >= step.accept
-        except LacewingdockError:
-            # Without a verdict the quality target decides: go to the dearer.
-            return False
-
-    def _stream(
-        self, answer: Answer, first: list[bytes], caller: Caller
-    ) -> Response:
-        return Response(
-            self._events(answer, first, caller), content_type=EVENT_STREAM
-        )
-
-    def _events(
-        self, answer: Answer, pieces: list[bytes], caller: Caller
+        begun: Begun | None = None,
     ) -> Iterator[bytes]:
         """Yield server-sent events; pieces that wait together go together."""
+        sampled = begun is not None and begun.sampled
+        seen: list[bytes] = []
         prefix = f"{answer.upstream.name}/{answer.attempt.attempt}".encode()
-        sink = sink_for(caller.served, prefix)
+        # A sampled answer's text is wanted here, not only at the caller.
+        sink = None if sampled else sink_for(caller.served, prefix)
         whole = False
         try:
             while pieces:
@@ -232,9 +153,12 @@
                     event_bytes(prefix, index, data)
                     for index, data in enumerate(pieces, start)
                 )
+                seen += pieces if sampled else ()
                 pieces = [] if answer.finish else self._more(answer, sink)
             whole = True
             yield DONE_EVENT
+            if begun is not None:
+                self.steps.ended(begun, seen)
         except LacewingdockError as error:
             whole = True
             if answer.next_offset:
@@ -259,12 +183,14 @@
             if len(pieces) > 1:
                 return pieces[1:]
 
-    def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
+    def _whole(self, begun: Begun) -> Response:
+        answer, pieces = begun.answer, begun.pieces
         try:
             if answer.finish is None and pieces:
                 self.relay.collect(answer, pieces)
         finally:
             self.relay.answers.drop(answer)
+        self.steps.ended(begun, pieces)
         return Response(
             msgspec.json.encode(assemble(pieces)),
             content_type="application/json",
@@ -294,16 +220,16 @@
         except LacewingdockError:
             self.relay.answers.drop(answer)
             raise
-        return self._stream(answer, pieces, caller)
+        events = self._events(answer, pieces, caller)
+        return Response(events, content_type=EVENT_STREAM)
 
-    def _mark(
-        self, response: Response, plan: Plan, step: Step, workspace: str
-    ) -> None:
+    def _mark(self, response: Response, begun: Begun) -> None:
         """Tell the caller which version answered, and how to stay on it."""
-        session = Session(workspace, plan.name, step.version)
+        plan, version = begun.asked.plan, begun.step.version
+        session = Session(begun.asked.name, plan.name, version)
         response.headers[HEADER_SESSION] = sign_session(
             session, self.session_keys
         )
-        response.headers[HEADER_VERSION] = step.version
+        response.headers[HEADER_VERSION] = version
         if plan.moved_from:
             response.headers[HEADER_MOVED] = plan.moved_from
--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -9,6 +9,7 @@
 from werkzeug.wrappers import Request
 
 from lacewingdock.const import (
+    HEADER_CLASS,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_LAST_EVENT_ID,
     HEADER_PRIORITY,
@@ -40,6 +41,7 @@
         last_event: Id of the last event the caller has, or empty.
         priority: 0 is the most urgent.
         traceparent: W3C trace context, or empty.
+        request_class: What the caller calls requests like this, or empty.
         deadline: Monotonic time by which the answer must be whole.
         served: The server's request, for direct writes.
     """
@@ -52,6 +54,7 @@
     priority: int
     traceparent: str
     deadline: float
+    request_class: str = ""
     served: ServedRequest | None = None
 
     def left_ms(self) -> int:
@@ -123,6 +126,7 @@
         priority=PRIORITIES[priority],
         traceparent=request.headers.get("traceparent", ""),
         deadline=time.monotonic() + _timeout(request, deadline_s),
+        request_class=request.headers.get(HEADER_CLASS, ""),
         served=request.environ.get(ENVIRON_REQUEST),
     )
 
--- a/lacewingdock/components/cascades/coordinator.py
+++ b/lacewingdock/components/cascades/coordinator.py
@@ -92,6 +92,8 @@
         policies: Policies by workspace, cascade and versions.
         open: Samples whose rating has not come, the oldest first.
         waiting: Samples to hand in.
+        unjudged: Sampled answers that were given without a verdict; they
+            get one off the caller's path.
         after: The last result fetched.
     """
 
@@ -102,6 +104,7 @@
         "open",
         "policies",
         "ratings",
+        "unjudged",
         "waiting",
     )
 
@@ -116,6 +119,9 @@
         self.waiting: collections.deque[Sample] = collections.deque(
             maxlen=MAX_OPEN_SAMPLES
         )
+        self.unjudged: collections.deque[tuple[Route, Seen]] = (
+            collections.deque(maxlen=MAX_OPEN_SAMPLES)
+        )
         self.after = 0
         self._lock = threading.Lock()
 
@@ -185,9 +191,15 @@
         """Learn from an answer; a sampled one is handed in for rating."""
         if route.policy is None:
             return
-        route.policy.add_answer(route.name, seen.step, seen.score, seen.cost)
-        if not sampled:
+        is_last = seen.step == len(route.policy.prices) - 1
+        if sampled and seen.score is None and not is_last:
+            self.unjudged.append((route, seen))
             return
+        route.policy.add_answer(route.name, seen.step, seen.score, seen.cost)
+        if sampled:
+            self._hand_in(route, seen)
+
+    def _hand_in(self, route: Route, seen: Seen) -> None:
         sample = Sample(new_id(), seen.messages, seen.text)
         with self._lock:
             self.open[sample.id] = Open(
@@ -203,8 +215,9 @@
         if self.ratings is None:
             return
         client = self.daemon.me.incarnation
-        handed = list(self.waiting)
         try:
+            self._judge_late(self.ratings)
+            handed = list(self.waiting)
             if handed:
                 self.ratings.submit(client, handed)
                 for _ in handed:
@@ -226,8 +239,17 @@
                     known.given,
                 )
 
+    def _judge_late(self, ratings: Ratings) -> None:
+        """Get verdicts on sampled answers that were streamed without one."""
+        while self.unjudged:
+            route, seen = self.unjudged[0]
+            seen.score = ratings.rate(seen.messages, seen.text)
+            self.unjudged.popleft()
+            self.saw(route, seen, sampled=True)
+
     def unload(self) -> None:
         """Forget the samples; nobody will fetch their ratings."""
+        self.unjudged.clear()
         self.waiting.clear()
         self.open.clear()
 
--- a/lacewingdock/const.py
+++ b/lacewingdock/const.py
@@ -31,6 +31,7 @@
 RAN_UNKNOWN: Final = "unknown"
 RAN_YES: Final = "yes"
 
+HEADER_CLASS: Final = "Lacewingdock-Class"
 HEADER_IDEMPOTENCY_KEY: Final = "Idempotency-Key"
 HEADER_LAST_EVENT_ID: Final = "Last-Event-ID"
 HEADER_PRIORITY: Final = "Lacewingdock-Priority"
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -4,6 +4,7 @@
     admin,
     answers,
     callers,
+    cascades,
     configuration,
     language,
     leases,
@@ -18,6 +19,7 @@
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.services import ServiceCalls
+from lacewingdock.components.callers.steps import Steps
 from lacewingdock.components.rollouts import emergency
 from lacewingdock.core import Daemon
 from lacewingdock.links.keys import load_keys
@@ -49,12 +51,18 @@
     suspects = quarantine.setup(daemon, links, config)
     relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
+    learning = cascades.setup(daemon, ratings)
     watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
         daemon,
         settings,
         config,
-        Chat(config, relay, load_keys(settings.session_keys_file), ratings),
+        Chat(
+            config,
+            relay,
+            load_keys(settings.session_keys_file),
+            Steps(relay, learning),
+        ),
         ServiceCalls(config, relay),
         watcher,
     )
@@ -68,6 +76,7 @@
     started = (
         links,
         config,
+        learning,
         suspects,
         members,
         watcher,
