--- a/lacewingdock/components/claims/__init__.py
+++ b/lacewingdock/components/claims/__init__.py
@@ -85,6 +85,7 @@
         configuration: The configuration in force.
         service: Name of the service.
         partitions: The partitions by number.
+        count: Number of partitions; fixed once a head is written.
         tickets: Runs of keys that only this process may run.
         probes: Failed probes in a row by partition number.
         held: The claim of each admitted run, and its partition.
@@ -95,6 +96,7 @@
 
     __slots__ = (
         "configuration",
+        "count",
         "daemon",
         "held",
         "on_change",
@@ -120,6 +122,7 @@
         self.configuration = configuration
         self.service = service
         self.partitions: dict[int, Partition] = {}
+        self.count = 0
         self.tickets = Tickets(daemon.me.instance, daemon.me.incarnation)
         self.probes: dict[int, int] = {}
         self.held: dict[Run, tuple[Partition, Claim]] = {}
@@ -209,7 +212,9 @@
         return service
 
     def _partition(self, workspace: str, key: str) -> Partition:
-        number = partition_of(workspace, key, self._service().partitions)
+        if not self.count:
+            raise LacewingdockError(ErrorKind.NOT_HOME, "not home yet")
+        number = partition_of(workspace, key, self.count)
         partition = self.partitions.get(number)
         if partition is None or partition.lost:
             raise LacewingdockError(
@@ -305,25 +310,46 @@
         if service is None:
             return
         begun = time.monotonic()
+        found = self.daemon.store.list_all(
+            COLLECTION_CLAIMS, "claims-look", f"{self.service}/"
+        )
         heads = {
-            stored.name: stored
-            for stored in self.daemon.store.list_all(
-                COLLECTION_CLAIMS, "claims-look", f"{self.service}/"
-            ).objects
+            stored.name: (stored, msgspec.convert(stored.value, Head))
+            for stored in found.objects
+            if stored.value is not None
         }
+        if not self._fix_count([h for _, h in heads.values()], service):
+            return
         live = self._live_sidecars()
         # One probe a home, not one a partition: a frozen home costs each
         # probe its whole timeout, and takeovers would wait for all of them.
         probed: dict[str, int] = {}
-        for number in range(service.partitions):
+        for number in range(self.count):
             name = f"{self.service}/{number}"
-            stored = heads.get(name, Stored(name, 0))
-            head = msgspec.convert(stored.value, Head) if stored.value else None
+            stored, head = heads.get(name, (Stored(name, 0), None))
             if head and head.incarnation == self.daemon.me.incarnation:
                 self._look_at_own(number, stored, head, begun)
             else:
                 self._look_at(number, stored, head, live, probed)
 
+    def _fix_count(self, heads: list[Head], service: Service) -> bool:
+        """Find the number of partitions; return whether it is certain.
+
+        Symptom otherwise: a slot is confirmed twice after the number was
+        changed. Its key moves to another partition, whose home has never
+        heard of it. So the heads have the word, not the configuration.
+        """
+        counts = {head.partitions for head in heads} or {service.partitions}
+        self.count = max(counts)
+        if counts != {service.partitions}:
+            log.error(
+                "partitions of a service can't be changed",
+                service=self.service,
+                configured=service.partitions,
+                kept=sorted(counts),
+            )
+        return len(counts) == 1
+
     def _live_sidecars(self) -> list[str]:
         return [
             i.name
@@ -421,7 +447,13 @@
             self.partitions[number] = take_partition(
                 self.daemon.store,
                 stored,
-                Head(me.instance, me.incarnation, address, 0),
+                Head(
+                    me.instance,
+                    me.incarnation,
+                    address,
+                    0,
+                    partitions=self.count,
+                ),
                 self._service().key_window_s,
             )
         except LacewingdockError as error:
--- a/lacewingdock/components/claims/record.py
+++ b/lacewingdock/components/claims/record.py
@@ -61,6 +61,7 @@
         records: The latest records.
         segments: The objects that hold older records, the oldest first.
         left: Instance that was home and left in good order.
+        partitions: Number of partitions that the keys are spread over.
     """
 
     home: str
@@ -70,6 +71,7 @@
     records: list[Record] = field(default_factory=list)
     segments: list[SegmentRef] = field(default_factory=list)
     left: str = ""
+    partitions: int = 0
 
 
 def key_digest(workspace: str, key: str) -> str:
--- a/tests/components/claims/fakes.py
+++ b/tests/components/claims/fakes.py
@@ -148,6 +148,7 @@
         peers: Any = SimpleNamespace(port=1)
         configuration: Any = SimpleNamespace(world=world)
         self.claims = ProbedClaims(daemon, peers, configuration, SERVICE)
+        self.claims.count = 1
         store.living.add(daemon.me.incarnation)
         self.granted: list[Run] = []
 
--- a/tests/components/claims/test_claims.py
+++ b/tests/components/claims/test_claims.py
@@ -12,7 +12,7 @@
     SEGMENTS,
 )
 from lacewingdock.exceptions import LacewingdockError
-from tests.components.claims.fakes import FakeHome, FakeStore
+from tests.components.claims.fakes import SERVICE, FakeHome, FakeStore
 
 
 @pytest.fixture(autouse=True)
@@ -288,3 +288,21 @@
     FakeHome(store, "home-1").take()
     home.claims.look()
     assert home.claims.homes() == []
+
+
+def test_partitions_stay_as_many_as_they_were(store, home, booked):
+    """Symptom: a slot is confirmed twice after a change of configuration.
+
+    Events: a key runs; the number of partitions is raised; the key is sent
+    again. Cause: it belongs to another partition now, where it is new.
+    """
+    keys = [f"k{number}" for number in range(8)]
+    for key in keys:
+        home.run(home.send(key), booked)
+    world = home.claims.configuration.world
+    world.services[SERVICE].partitions = 8
+    for _ in range(4):
+        home.claims.look()
+    for key in keys:
+        assert isinstance(home.send(key), Recorded)
+    assert len(home.claims.partitions) == 1
