--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -9,13 +9,17 @@
 
 from lacewingdock.components.answers.answer import Answer
 from lacewingdock.components.callers.assemble import assemble
-from lacewingdock.components.callers.problem import problem_body
-from lacewingdock.components.callers.relay import Relay
+from lacewingdock.components.callers.relay import BY_CONFIGURATION, Relay
 from lacewingdock.components.callers.requests import (
     Caller,
     ChatBody,
     read_chat,
 )
+from lacewingdock.components.callers.sink import (
+    Sink,
+    event_bytes,
+    sink_for,
+)
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.routing import Plan, plan_request
 from lacewingdock.components.sessions import (
@@ -27,6 +31,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.problem import problem_body
 from lacewingdock.links.keys import KeyRing
 from lacewingdock.links.messages import Attempt
 from lacewingdock.platform.ratings import Ratings
@@ -35,7 +40,8 @@
 EVENT_STREAM: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 HEADER_MOVED: Final = "Lacewingdock-Moved-From"
-DEADLINE_MS: Final = 120_000
+# A withdrawal and a roll-out can follow each other closely.
+MAX_PLANS: Final = 3
 
 # An offset fits the frame's field.
 _OFFSET: Final = re.compile("[0-9]{1,9}")
@@ -82,14 +88,9 @@
         session = None
         if caller.session:
             session = open_session(caller.session, name, self.session_keys)
-        plan = plan_request(
-            self.configuration.world,
-            workspace,
-            chat.model,
-            session,
-            self.relay.source,
+        plan, step, answer, pieces = self._start(
+            chat, caller, name, workspace, session
         )
-        step, answer, pieces = self._run(plan, chat, caller, name)
         if chat.stream:
             response = self._stream(answer, pieces, caller)
         else:
@@ -97,8 +98,52 @@
         self._mark(response, plan, step, name)
         return response
 
+    def _start(
+        self,
+        chat: ChatBody,
+        caller: Caller,
+        name: str,
+        workspace: Workspace,
+        session: Session | None,
+    ) -> tuple[Plan, Step, Answer, list[bytes]]:
+        """Plan and run; plan again if the plan was made on old news.
+
+        An entry that was frozen or cut off plans with a version that has
+        been withdrawn. The sidecar refuses it, the entry catches up with
+        the sidecar, and the caller needn't know.
+        """
+        for _ in range(MAX_PLANS):
+            revision = self.configuration.revision
+            world = self.configuration.world
+            plan = plan_request(
+                world,
+                world.workspaces.get(name, workspace),
+                chat.model,
+                session,
+                self.relay.source,
+            )
+            try:
+                return plan, *self._run(plan, revision, chat, caller, name)
+            except LacewingdockError as error:
+                last = error
+                if not self._outdated(error, revision):
+                    break
+        raise last
+
+    def _outdated(self, error: LacewingdockError, revision: int) -> bool:
+        """Tell whether a refusal only shows that a plan was too old."""
+        return (
+            error.kind in BY_CONFIGURATION
+            and self.configuration.revision > revision
+        )
+
     def _run(
-        self, plan: Plan, chat: ChatBody, caller: Caller, workspace: str
+        self,
+        plan: Plan,
+        revision: int,
+        chat: ChatBody,
+        caller: Caller,
+        workspace: str,
     ) -> tuple[Step, Answer, list[bytes]]:
         """Run the steps until one's answer is good enough to give.
 
@@ -109,10 +154,11 @@
         for step in plan.steps[:-1]:
             try:
                 answer, pieces = self._ask(step, chat, caller, workspace)
-                for more in self.relay.rest(answer) if pieces else ():
-                    pieces += more
+                if pieces:
+                    self.relay.collect(answer, pieces)
             except LacewingdockError as error:
-                if error.kind is ErrorKind.CALLER_LEFT:
+                gone = error.kind is ErrorKind.CALLER_LEFT
+                if gone or self._outdated(error, revision):
                     raise
                 log.info(
                     "step failed",
@@ -147,7 +193,7 @@
                 body=msgspec.json.encode(fields),
                 key=caller.key,
                 priority=caller.priority,
-                deadline_ms=DEADLINE_MS,
+                deadline_ms=caller.left_ms(),
                 traceparent=caller.traceparent,
                 revision=self.configuration.revision,
                 resumable=bool(caller.key),
@@ -176,37 +222,47 @@
         self, answer: Answer, pieces: list[bytes], caller: Caller
     ) -> Iterator[bytes]:
         """Yield server-sent events; pieces that wait together go together."""
-        prefix = f"{answer.upstream.name}/{answer.attempt.attempt}"
-        sent = answer.next_offset - len(pieces)
+        prefix = f"{answer.upstream.name}/{answer.attempt.attempt}".encode()
+        sink = sink_for(caller.served, prefix)
         whole = False
         try:
             while pieces:
+                start = answer.next_offset - len(pieces)
                 yield b"".join(
-                    b"id: %b/%d\ndata: %b\n\n" % (prefix.encode(), index, data)
-                    for index, data in enumerate(pieces, sent)
+                    event_bytes(prefix, index, data)
+                    for index, data in enumerate(pieces, start)
                 )
-                sent += len(pieces)
-                pieces = [] if answer.finish else self.relay.take(answer)
+                pieces = [] if answer.finish else self._more(answer, sink)
             whole = True
             yield DONE_EVENT
         except LacewingdockError as error:
             whole = True
-            if sent:
+            if answer.next_offset:
                 error.ran = RAN_YES
             body = problem_body(error, caller.request_id)
             yield b"event: error\ndata: " + body + b"\n\n"
         finally:
             # A caller that went away and has no key can't come back.
             gone = not whole and not caller.key
+            # Before the connection closes: another may get its number.
+            answer.divert(None)
             self.relay.answers.drop(answer, cancel=gone)
 
+    def _more(self, answer: Answer, sink: Sink | None) -> list[bytes]:
+        """Return the next pieces that the sink does not take."""
+        while True:
+            if sink is not None:
+                answer.divert(sink.write)
+            pieces = self.relay.take(answer)
+            if sink is None or not sink.finish():
+                return pieces
+            if len(pieces) > 1:
+                return pieces[1:]
+
     def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
         try:
-            while answer.finish is None and pieces:
-                more = self.relay.take(answer)
-                if not more:
-                    break
-                pieces += more
+            if answer.finish is None and pieces:
+                self.relay.collect(answer, pieces)
         finally:
             self.relay.answers.drop(answer)
         return Response(
--- a/lacewingdock/const.py
+++ b/lacewingdock/const.py
@@ -12,6 +12,7 @@
 # Kinds of configuration items; an item's key is "KIND/NAME".
 KIND_CASCADE: Final = "cascade"
 KIND_MODEL: Final = "model"
+KIND_QUARANTINE: Final = "quarantine"
 KIND_OPERATOR: Final = "operator"
 KIND_SERVICE: Final = "service"
 KIND_VERSION: Final = "version"
@@ -35,6 +36,7 @@
 HEADER_PRIORITY: Final = "Lacewingdock-Priority"
 HEADER_REQUEST_ID: Final = "Lacewingdock-Request-Id"
 HEADER_SESSION: Final = "Lacewingdock-Session"
+HEADER_TIMEOUT: Final = "Lacewingdock-Timeout"
 HEADER_VERSION: Final = "Lacewingdock-Version"
 
 # A link that carries work beats this often; an idle one rarely, because at
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -10,6 +10,7 @@
     membership,
     orders,
     peers,
+    quarantine,
     rollouts,
 )
 from lacewingdock.components.callers import departures
@@ -17,6 +18,7 @@
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.services import ServiceCalls
+from lacewingdock.components.rollouts import emergency
 from lacewingdock.core import Daemon
 from lacewingdock.links.keys import load_keys
 from lacewingdock.links.messages import Beat
@@ -41,8 +43,11 @@
     orders.setup(daemon, links, None)
     held = leases.setup(daemon, links, members)
     rollouts.setup(daemon, config, members, held)
+    stops = emergency.setup(daemon, links, config)
     open_answers = answers.setup(daemon, links, members)
-    relay = Relay(open_answers, members, daemon.random)
+    stops.open = open_answers.open
+    suspects = quarantine.setup(daemon, links, config)
+    relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
     watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
@@ -60,7 +65,16 @@
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
     language.setup(daemon, admin_port, config, members, open_answers)
-    started = (links, config, members, watcher, held, port, admin_port)
+    started = (
+        links,
+        config,
+        suspects,
+        members,
+        watcher,
+        held,
+        port,
+        admin_port,
+    )
     for component in started:
         component.start()
     return daemon.run(port.active)
