--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -181,18 +181,6 @@
             return False
         return error.ran == RAN_NO or attempt.repeatable
 
-    def at_home(self, upstream: Upstream, attempt: Attempt) -> Answer:
-        """Ask the home of a claim, with what it takes to know the outcome.
-
-        The home runs a key once, so after a lost link the same request is
-        sent again rather than resumed: it meets its own run.
-
-        Raises:
-            LacewingdockError: As refused by the home; OUTCOME_UNKNOWN when
-                the home can't be reached any more.
-        """
-        return self.answers.ask(upstream, attempt)
-
 
 def _told(
     last: LacewingdockError | None, error: LacewingdockError
--- a/lacewingdock/components/claims/__init__.py
+++ b/lacewingdock/components/claims/__init__.py
@@ -1,28 +1,20 @@
 """Support for running a request that may not be repeated at most once."""
 
 import contextlib
-import hashlib
 import time
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as FutureTimeout
 from dataclasses import dataclass
 
-import msgspec
 import prometheus_client
 
 from lacewingdock.components.claims.const import (
     ADMIT_TIMEOUT_S,
-    FAILED_PROBES,
     LEAVE_S,
     LOOK_S,
     MAX_RECORDED_BODY_BYTES,
     NAME,
-    PATIENCE,
     PAUSE_S,
-    PROBE_REFUSED,
-    PROBE_REPLACED,
-    PROBE_SILENT,
-    PROBE_TIMEOUT_S,
     RETRY_S,
     STATE_DONE,
     TICK_S,
@@ -30,29 +22,24 @@
 from lacewingdock.components.claims.partition import (
     Claim,
     Partition,
-    take_partition,
 )
 from lacewingdock.components.claims.record import (
-    Head,
     Record,
     body_digest,
     key_digest,
     partition_of,
 )
+from lacewingdock.components.claims.takeover import Takeover
 from lacewingdock.components.claims.tickets import Tickets, parse_ticket
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.peers import Peers
 from lacewingdock.const import (
-    COLLECTION_CLAIMS,
     RAN_UNKNOWN,
-    ROLE_SIDECAR,
 )
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.links.handshake import dial
 from lacewingdock.links.messages import Finish
-from lacewingdock.platform.store import Stored
 from lacewingdock.world.objects import Service
 from lacewingdock.world.run import Run
 
@@ -87,7 +74,7 @@
         partitions: The partitions by number.
         count: Number of partitions; fixed once a head is written.
         tickets: Runs of keys that only this process may run.
-        probes: Failed probes in a row by partition number.
+        takeover: Takes partitions that have no home.
         held: The claim of each admitted run, and its partition.
         ticked: Monotonic time of the last tick.
         resumed: Monotonic time when the last pause was noticed.
@@ -102,9 +89,9 @@
         "on_change",
         "partitions",
         "peers",
-        "probes",
         "resumed",
         "service",
+        "takeover",
         "ticked",
         "tickets",
     )
@@ -124,7 +111,7 @@
         self.partitions: dict[int, Partition] = {}
         self.count = 0
         self.tickets = Tickets(daemon.me.instance, daemon.me.incarnation)
-        self.probes: dict[int, int] = {}
+        self.takeover = Takeover(self)
         self.held: dict[Run, tuple[Partition, Claim]] = {}
         self.ticked = time.monotonic()
         self.resumed = 0.0
@@ -139,7 +126,7 @@
     def start(self) -> None:
         """Start looking after the service's partitions."""
         self.daemon.every(TICK_S, self.tick)
-        self.daemon.every(LOOK_S, self.look)
+        self.daemon.every(LOOK_S, self.takeover.look)
         self.daemon.every(RETRY_S, self.write_again)
         self.daemon.on_leave.append(self._leave_soon)
 
@@ -203,13 +190,9 @@
                 f"{attempt.method} {path} takes no tickets",
             )
 
-    def _service(self) -> Service:
-        service = self.configuration.world.services.get(self.service)
-        if service is None:
-            raise LacewingdockError(
-                ErrorKind.UNKNOWN_SERVICE, f"{self.service} is not configured"
-            )
-        return service
+    def configured(self) -> Service | None:
+        """Return the service as configured now."""
+        return self.configuration.world.services.get(self.service)
 
     def _partition(self, workspace: str, key: str) -> Partition:
         if not self.count:
@@ -241,7 +224,7 @@
     def _flush(self, partition: Partition) -> None:
         partition.flush()
         if partition.lost:
-            self._drop(partition)
+            self.drop(partition)
 
     def vouches(self, run: Run) -> bool:
         """Tell whether this home knows that a request has not run.
@@ -302,167 +285,8 @@
             partition.sweep()
             self._write(partition)
 
-    def look(self) -> None:
-        """Take partitions that have no home or a dead one."""
-        if self.daemon.leaving.is_set():
-            return
-        service = self.configuration.world.services.get(self.service)
-        if service is None:
-            return
-        begun = time.monotonic()
-        found = self.daemon.store.list_all(
-            COLLECTION_CLAIMS, "claims-look", f"{self.service}/"
-        )
-        heads = {
-            stored.name: (stored, msgspec.convert(stored.value, Head))
-            for stored in found.objects
-            if stored.value is not None
-        }
-        if not self._fix_count([h for _, h in heads.values()], service):
-            return
-        live = self._live_sidecars()
-        # One probe a home, not one a partition: a frozen home costs each
-        # probe its whole timeout, and takeovers would wait for all of them.
-        probed: dict[str, int] = {}
-        for number in range(self.count):
-            name = f"{self.service}/{number}"
-            stored, head = heads.get(name, (Stored(name, 0), None))
-            if head and head.incarnation == self.daemon.me.incarnation:
-                self._look_at_own(number, stored, head, begun)
-            else:
-                self._look_at(number, stored, head, live, probed)
-
-    def _fix_count(self, heads: list[Head], service: Service) -> bool:
-        """Find the number of partitions; return whether it is certain.
-
-        Symptom otherwise: a slot is confirmed twice after the number was
-        changed. Its key moves to another partition, whose home has never
-        heard of it. So the heads have the word, not the configuration.
-        """
-        counts = {head.partitions for head in heads} or {service.partitions}
-        self.count = max(counts)
-        if counts != {service.partitions}:
-            log.error(
-                "partitions of a service can't be changed",
-                service=self.service,
-                configured=service.partitions,
-                kept=sorted(counts),
-            )
-        return len(counts) == 1
-
-    def _live_sidecars(self) -> list[str]:
-        return [
-            i.name
-            for i in self.daemon.store.instances()
-            if i.role == ROLE_SIDECAR
-            and i.pool == self.service
-            and i.state == "live"
-        ]
-
-    def _look_at_own(
-        self, number: int, stored: Stored, head: Head, begun: float
-    ) -> None:
-        """Check a partition whose head names this process.
-
-        A take whose answer was lost leaves a head that names a home which
-        does not know: it would serve nobody, and its probes would keep the
-        others away for good. It is taken again.
-        """
-        held = self.partitions.get(number)
-        if held is None or held.lost:
-            self._take(number, stored)
-        elif held.head.term == head.term:
-            held.verified = max(held.verified, begun)
-
-    def _look_at(
-        self,
-        number: int,
-        stored: Stored,
-        head: Head | None,
-        live: list[str],
-        probed: dict[str, int],
-    ) -> None:
-        """Judge a partition that another has, or nobody."""
-        self._check_lost(number, stored)
-        if head and head.home:
-            if head.incarnation not in probed:
-                probed[head.incarnation] = self._probe(head)
-            if not probed[head.incarnation]:
-                self.probes.pop(number, None)
-                return
-        gone = (head.home or head.left) if head else ""
-        weight = probed.get(head.incarnation, 1) if head else 1
-        failed = self.probes[number] = self.probes.get(number, 0) + weight
-        needed = self._rank(stored.name, live, gone) * PATIENCE
-        if head and head.home:
-            needed += FAILED_PROBES
-        if failed > needed:
-            self._take(number, stored)
-
-    def _check_lost(self, number: int, stored: Stored) -> None:
-        """Drop a partition that another has taken over.
-
-        Without claims to commit, a home that was paused would not learn of
-        the takeover, and entries would go on sending requests here.
-        """
-        held = self.partitions.get(number)
-        if held is not None and stored.revision > held.revision:
-            held.lost = True
-            self._drop(held)
-
-    def _rank(self, name: str, live: list[str], gone: str) -> int:
-        """Place of this sidecar among those that may take a partition."""
-        ranked = sorted(
-            {*live, self.daemon.me.instance} - {gone},
-            key=lambda i: hashlib.sha256(f"{name}\0{i}".encode()).digest(),
-        )
-        me = self.daemon.me.instance
-        return ranked.index(me) if me in ranked else 0
-
-    def _probe(self, head: Head) -> int:
-        """Probe a home by a handshake on its link port.
-
-        Returns:
-            How many looks the probe counts for against it; 0 when it lives.
-        """
-        try:
-            link = dial(
-                head.address,
-                self.daemon.me,
-                self.daemon.keys,
-                PROBE_TIMEOUT_S,
-            )
-        except ConnectionRefusedError:
-            return PROBE_REFUSED
-        except (OSError, LacewingdockError):
-            return PROBE_SILENT
-        found = link.peer.incarnation
-        link.dispose()
-        return 0 if found == head.incarnation else PROBE_REPLACED
-
-    def _take(self, number: int, stored: Stored) -> None:
-        me = self.daemon.me
-        address = f"{self.daemon.settings.host}:{self.peers.port}"
-        try:
-            self.partitions[number] = take_partition(
-                self.daemon.store,
-                stored,
-                Head(
-                    me.instance,
-                    me.incarnation,
-                    address,
-                    0,
-                    partitions=self.count,
-                ),
-                self._service().key_window_s,
-            )
-        except LacewingdockError as error:
-            log.info("not taken", partition=stored.name, error=error.detail)
-            return
-        self.probes.pop(number, None)
-        self.on_change()
-
-    def _drop(self, partition: Partition) -> None:
+    def drop(self, partition: Partition) -> None:
+        """Let a partition go that another has taken over."""
         log.warning("partition lost", partition=partition.name)
         for number, held in tuple(self.partitions.items()):
             if held is partition:
--- a/lacewingdock/components/claims/partition.py
+++ b/lacewingdock/components/claims/partition.py
@@ -16,10 +16,9 @@
     MAX_KEYS,
     MAX_OPEN_RECORDS,
     STATE_CLAIMED,
-    STATE_DONE,
     STATE_NOT_RUN,
 )
-from lacewingdock.components.claims.record import Head, Record, SegmentRef
+from lacewingdock.components.claims.record import Head, Record
 from lacewingdock.components.claims.segments import (
     KeyIndex,
     merged,
@@ -470,9 +469,9 @@
                 remove_segment(self.store, name)
 
     def _put(self, head: Head, purpose: str) -> Stored:
-        value = msgspec.to_builtins(head)
+        value, expect = msgspec.to_builtins(head), self.revision
         return self.store.put(
-            COLLECTION_CLAIMS, self.name, value, self.revision, purpose
+            COLLECTION_CLAIMS, self.name, value, expect, purpose
         )
 
     def close(self) -> None:
@@ -500,52 +499,3 @@
             )
             self.lost = True
             self._put(head, "claims-leave")
-
-
-def take_partition(
-    store: ObjectStore, stored: Stored, me: Head, window_s: float
-) -> Partition:
-    """Become the home of a partition.
-
-    One conditional update seals the old home out: its next commit expects
-    the revision that this one replaces. The older records are read before:
-    a home in name that lacks them could serve nobody and keep others out.
-
-    Args:
-        store: The platform.
-        stored: The head as read, named "SERVICE/NUMBER".
-        me: Home, incarnation and address of this process.
-        window_s: Seconds that a key is remembered.
-
-    Raises:
-        LacewingdockError: CONFLICT when another was first, or the old home
-            was alive after all; PLATFORM_UNAVAILABLE.
-    """
-    old = msgspec.convert(stored.value, Head) if stored.value else None
-    segments: list[SegmentRef] = old.segments if old else []
-    older = [(ref.name, read_segment(store, ref.name)) for ref in segments]
-    head = replace(
-        me,
-        term=old.term + 1 if old else 1,
-        records=old.records if old else [],
-        segments=segments,
-    )
-    written = store.put(
-        COLLECTION_CLAIMS,
-        stored.name,
-        msgspec.to_builtins(head),
-        stored.revision,
-        "claims-take",
-    )
-    partition = Partition(store, written, head, window_s)
-    for name, records in older:
-        partition.index.add(name, records)
-    log.info(
-        "partition taken",
-        partition=stored.name,
-        term=head.term,
-        keys=partition.index.count() + len(head.records),
-        unresolved=sum(r.state == STATE_CLAIMED for r in head.records),
-        done=sum(r.state == STATE_DONE for r in head.records),
-    )
-    return partition
--- a/tests/components/claims/fakes.py
+++ b/tests/components/claims/fakes.py
@@ -12,6 +12,7 @@
 import prometheus_client
 
 from lacewingdock.components.claims import Claims
+from lacewingdock.components.claims.takeover import Takeover
 from lacewingdock.const import RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.links.messages import Attempt, Finish, Hello
@@ -114,11 +115,11 @@
             self.late.pop(0)()
 
 
-class ProbedClaims(Claims):
-    """Claims whose probes ask the store which processes live."""
+class ProbedTakeover(Takeover):
+    """A takeover whose probes ask the store which processes live."""
 
     def _probe(self, head) -> int:
-        return int(head.incarnation not in self.daemon.store.living)
+        return int(head.incarnation not in self.claims.daemon.store.living)
 
 
 class FakeHome:
@@ -147,7 +148,8 @@
         )
         peers: Any = SimpleNamespace(port=1)
         configuration: Any = SimpleNamespace(world=world)
-        self.claims = ProbedClaims(daemon, peers, configuration, SERVICE)
+        self.claims = Claims(daemon, peers, configuration, SERVICE)
+        self.claims.takeover = ProbedTakeover(self.claims)
         self.claims.count = 1
         store.living.add(daemon.me.incarnation)
         self.granted: list[Run] = []
@@ -167,7 +169,7 @@
         """Take the partition over, whoever has it."""
         store = self.claims.daemon.store
         name = f"{SERVICE}/0"
-        self.claims._take(0, store.get("claims", name, "test"))
+        self.claims.takeover.take(0, store.get("claims", name, "test"))
 
     def send(self, key: str, slot: str = "slot") -> Any:
         """Ask for a run; returns the run, or what it repeats, or an error.
--- a/tests/components/claims/test_claims.py
+++ b/tests/components/claims/test_claims.py
@@ -124,7 +124,7 @@
     store.get = real
     store.deliver_late()
     for _ in range(6):
-        home.claims.look()
+        home.claims.takeover.look()
     home.run(home.send("a"), booked)
     assert booked["a"] == 1
 
@@ -161,7 +161,7 @@
     home.run(run, booked)
     home.claims.unload()
     successor = FakeHome(store, "home-1")
-    successor.claims.look()
+    successor.claims.takeover.look()
     assert isinstance(successor.send("a"), Recorded)
 
 
@@ -286,7 +286,7 @@
 def test_lost_home_is_noticed_without_claims(store, home):
     """Symptom: entries go on asking a thawed home that has nothing to do."""
     FakeHome(store, "home-1").take()
-    home.claims.look()
+    home.claims.takeover.look()
     assert home.claims.homes() == []
 
 
@@ -302,7 +302,7 @@
     world = home.claims.configuration.world
     world.services[SERVICE].partitions = 8
     for _ in range(4):
-        home.claims.look()
+        home.claims.takeover.look()
     for key in keys:
         assert isinstance(home.send(key), Recorded)
     assert len(home.claims.partitions) == 1
--- a/tests/components/claims/test_claims_machine.py
+++ b/tests/components/claims/test_claims_machine.py
@@ -158,7 +158,7 @@
     def look(self, home):
         """A sidecar's look comes round."""
         if not self.store.down:
-            self.homes[home].claims.look()
+            self.homes[home].claims.takeover.look()
 
     def deliver_late(self):
         """A write under way takes effect, if it still can."""
