--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -16,7 +16,6 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Attempt
-from lacewingdock.world.upstream import Upstream
 
 MAX_TRIES: Final = 3
 # Refusals that another upstream may not share.
--- a/lacewingdock/components/claims/partition.py
+++ b/lacewingdock/components/claims/partition.py
@@ -334,17 +334,15 @@
         with self._lock:
             self.failing = False
             for record in batch:
-                key = record.key
-                claim = self.claims.get(key)
-                if record.state == STATE_CLAIMED:
-                    if claim is not None and claim.record is record:
-                        self.records[key] = record
-                        claim.kept.set_result(None)
-                    elif claim is None and key not in self._dirty:
-                        # Whoever waited gave up while this was written.
-                        self._note_locked(
-                            Record(key, record.body, STATE_NOT_RUN)
-                        )
+                key, claim = record.key, self.claims.get(record.key)
+                if record.state != STATE_CLAIMED:
+                    continue
+                if claim is not None and claim.record is record:
+                    self.records[key] = record
+                    claim.kept.set_result(None)
+                elif claim is None and key not in self._dirty:
+                    # Whoever waited gave up while this was written.
+                    self._note_locked(Record(key, record.body, STATE_NOT_RUN))
 
     def _fail(self, batch: list[Record], error: LacewingdockError) -> None:
         """Refuse the claims of a batch; its outcomes are written later.
