--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -16,7 +16,6 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Attempt
-from lacewingdock.world.upstream import Upstream
 
 MAX_TRIES: Final = 3
 # Refusals that another upstream may not share.
@@ -181,18 +180,6 @@
             return False
         return error.ran == RAN_NO or attempt.repeatable
 
-    def at_home(self, upstream: Upstream, attempt: Attempt) -> Answer:
-        """Ask the home of a claim, with what it takes to know the outcome.
-
-        The home runs a key once, so after a lost link the same request is
-        sent again rather than resumed: it meets its own run.
-
-        Raises:
-            LacewingdockError: As refused by the home; OUTCOME_UNKNOWN when
-                the home can't be reached any more.
-        """
-        return self.answers.ask(upstream, attempt)
-
 
 def _told(
     last: LacewingdockError | None, error: LacewingdockError
