--- a/tests/relay.py
+++ b/bench/relay.py
@@ -101,6 +101,11 @@
         super().__init__(*arguments)
         self.relays: dict[str, Relay] = {}
 
+    def __enter__(self) -> "RelayedDeployment":
+        """Start everything."""
+        super().__enter__()
+        return self
+
     def publish(self) -> None:
         """Show the platform the relays' addresses."""
         for name, instance in self.instances.items():
--- a/tests/components/answers/test_faults.py
+++ b/tests/components/answers/test_faults.py
@@ -10,10 +10,10 @@
 
 from bench.deployment import Shape, wait_until
 from bench.http import call
+from bench.relay import RelayedDeployment
 from bench.stream import Stream
 from standins.engine import expected_words
 from tests.common import NOTES_KEY, RETAIL_KEY, apply_example
-from tests.relay import RelayedDeployment
 
 TOKENS = 120
 SLOW_FIRST_S = 1.0
