--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -54,6 +54,7 @@
   ran @2 :Text;
   detail @3 :Text;
   retryAfterMs @4 :Int32;
+  revision @5 :UInt64;
 }
 
 struct Resume {
@@ -118,6 +119,14 @@
   detail @3 :Text;
 }
 
+struct Evidence {
+  crash @0 :Text;
+  isolated @1 :Bool;
+  excused @2 :Bool;
+  fingerprints @3 :List(Text);
+  ageMs @4 :UInt64;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -134,5 +143,6 @@
     pull @11 :Pull;
     order @12 :Order;
     ordered @13 :Ordered;
+    evidence @14 :Evidence;
   }
 }
--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -118,7 +118,12 @@
         self.daemon = FakeDaemon("worker-0", f"w{self.starts}")
         self.peers = FakePeers()
         self.runs = Runs(
-            self.daemon, self.settings, self.peers, SimpleNamespace(), None
+            self.daemon,
+            self.settings,
+            self.peers,
+            SimpleNamespace(),
+            None,
+            SimpleNamespace(report=None),
         )
 
     def connect(self) -> MemoryLink:
