Runs: a cancelled request leaves the queue; a dead engine is known at once

Cause: a request whose caller left kept its place in an upstream's queue until its turn, so that live callers were refused; a stream whose engine had died was tried again for a second before the crash became known.

Change: a cancel wakes the waiting request; a refused connection ends the resuming, since an engine's streams die with its process.

Proof: test_cancelled_request_leaves_the_queue (the waiting had no way to be ended before: `hold` took no `on_wait`).

--- a/lacewingdock/components/admission/slots.py
+++ b/lacewingdock/components/admission/slots.py
@@ -5,7 +5,7 @@
 import itertools
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from lacewingdock.const import RAN_NO
@@ -16,9 +16,10 @@
 class _Waiting:
     priority: int
     arrival: int
-    granted: threading.Event = field(
+    woken: threading.Event = field(
         default_factory=threading.Event, compare=False
     )
+    granted: bool = field(default=False, compare=False)
     gone: bool = field(default=False, compare=False)
 
 
@@ -73,7 +74,11 @@
 
     @contextlib.contextmanager
     def hold(
-        self, priority: int, deadline: float, alone: bool = False
+        self,
+        priority: int,
+        deadline: float,
+        alone: bool = False,
+        on_wait: Callable[[Callable[[], object]], None] | None = None,
     ) -> Iterator[None]:
         """Hold a slot for the length of a `with` block.
 
@@ -81,17 +86,25 @@
             priority: 0 is the most urgent; equal ones go in order.
             deadline: Monotonic time after which waiting is useless.
             alone: Whether nothing else may run meanwhile.
+            on_wait: Called with what ends the waiting, for a request that
+                nobody waits for any more must not keep a place.
 
         Raises:
             LacewingdockError: OVERLOADED or DEADLINE, not run.
         """
-        self._take(priority, deadline, alone)
+        self._take(priority, deadline, alone, on_wait)
         try:
             yield
         finally:
             self._give_back()
 
-    def _take(self, priority: int, deadline: float, alone: bool) -> None:
+    def _take(
+        self,
+        priority: int,
+        deadline: float,
+        alone: bool,
+        on_wait: Callable[[Callable[[], object]], None] | None,
+    ) -> None:
         with self._lock:
             if self.queued >= self.queue_limit and not self._is_free(alone):
                 raise LacewingdockError(
@@ -101,17 +114,18 @@
             heapq.heappush(self._loners if alone else self._heap, waiting)
             self.queued += 1
             self._grant_locked()
-        if waiting.granted.wait(max(0.0, deadline - time.monotonic())):
-            return
+        if on_wait is not None:
+            on_wait(waiting.woken.set)
+        waiting.woken.wait(max(0.0, deadline - time.monotonic()))
         with self._lock:
-            if waiting.granted.is_set():
+            if waiting.granted:
                 return
             waiting.gone = True
             self.queued -= 1
             # The rest may have waited only for this one to be alone.
             self._grant_locked()
         raise LacewingdockError(
-            ErrorKind.DEADLINE, "the deadline passed in the queue", RAN_NO
+            ErrorKind.DEADLINE, "it waited in the queue for too long", RAN_NO
         )
 
     def _is_free(self, alone: bool) -> bool:
@@ -147,7 +161,8 @@
         waiting = heapq.heappop(heap)
         self.queued -= 1
         self.running += 1
-        waiting.granted.set()
+        waiting.granted = True
+        waiting.woken.set()
 
 
 def _drop_gone(heap: list[_Waiting]) -> None:
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -274,7 +274,9 @@
         done = False
         while not done:
             alone = self.quarantine.check(fingerprint) is Verdict.SUSPECT
-            with self.slots.hold(attempt.priority, deadline, alone):
+            with self.slots.hold(
+                attempt.priority, deadline, alone, run.let_cancel
+            ):
                 done = self._run(run, fingerprint, alone, deadline)
 
     def _run(
--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -269,6 +269,10 @@
         _prepare(curl, url + path, run, receiver, deadline)
         curl.perform()
     except pycurl.error as error:
+        if error.args[0] == pycurl.E_COULDNT_CONNECT:
+            # Nobody listens beside this sidecar: the engine died, and its
+            # streams with it. Trying on would only tell of it later.
+            receiver.resumable = False
         raise _failure(error, run) from error
     finally:
         run.on_cancel = None
@@ -323,7 +327,7 @@
         # The library asks for a cancel once a second while no byte comes; a
         # shutdown of its socket wakes it at once, and the slot is free.
         sock = socket.socket(address.family, address.socktype, address.protocol)
-        run.on_cancel = lambda: sock.shutdown(socket.SHUT_RDWR)
+        run.let_cancel(lambda: sock.shutdown(socket.SHUT_RDWR))
         return sock
 
     curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -76,7 +76,7 @@
         self.watchers: list[Watcher] = []
         self.lock = threading.Lock()
         self.cancelled = threading.Event()
-        self.on_cancel: Callable[[], None] | None = None
+        self.on_cancel: Callable[[], object] | None = None
         self.changed = time.monotonic()
         self.executed = False
         self.evicted = False
@@ -120,6 +120,13 @@
             with contextlib.suppress(OSError):
                 hook()
 
+    def let_cancel(self, hook: Callable[[], object]) -> None:
+        """Take what a cancel has to call now."""
+        self.on_cancel = hook
+        # A cancel that came just before did not see the hook.
+        if self.cancelled.is_set():
+            self.cancel()
+
     def _end_locked(self, outcome: Finish | Refusal) -> None:
         self.outcome = outcome
         self.changed = time.monotonic()
--- a/tests/components/admission/test_slots.py
+++ b/tests/components/admission/test_slots.py
@@ -93,3 +93,30 @@
     with pytest.raises(LacewingdockError), slots.hold(1, FAR, alone):
         pass
     first.end()
+
+
+def test_cancelled_request_leaves_the_queue():
+    """Symptom: live callers are refused though few wait.
+
+    Sequence: callers leave while their requests are queued. Cause: those kept
+    their places until their turn or deadline.
+    """
+    slots = Slots(1, 1)
+    wakes = []
+    errors = []
+
+    def wait_in_queue():
+        try:
+            with slots.hold(1, time.monotonic() + 60, on_wait=wakes.append):
+                pass
+        except LacewingdockError as error:
+            errors.append(error.ran)
+
+    with slots.hold(1, time.monotonic() + 60):
+        task = threading.Thread(target=wait_in_queue)
+        task.start()
+        while not wakes:
+            time.sleep(0.001)
+        wakes[0]()
+        task.join(5)
+        assert (slots.queued, errors) == (0, ["no"])
