--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -6,9 +6,17 @@
 from lacewingdock.components.admission.slots import Slots
 from lacewingdock.components.claims import Claims, Duplicate, Recorded
 from lacewingdock.components.configuration import Configuration
+from lacewingdock.components.configuration.catch_up import catch_up
 from lacewingdock.components.peers import Peers
+from lacewingdock.components.quarantine import (
+    Quarantine,
+    Verdict,
+    fingerprint_of,
+)
+from lacewingdock.components.quarantine.crash_watch import CrashWatch
 from lacewingdock.components.runs.shelf import Shelf
 from lacewingdock.components.runs.upstream_call import call_upstream
+from lacewingdock.components.runs.upstream_status import probe_upstream
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -31,6 +39,14 @@
 # link: long enough for the entry to come back over a new one.
 ORPHAN_S: Final = 5.0
 MS_PER_S: Final = 1000
+# How long aborted runs may take to tell their entries.
+ABORT_S: Final = 0.5
+ABORT_POLL_S: Final = 0.01
+
+# The request itself is at fault and would never run, whoever refuses it.
+_REQUEST_FAULTS: Final = frozenset(
+    {ErrorKind.BAD_REQUEST, ErrorKind.KEY_REQUIRED, ErrorKind.KEY_REUSED}
+)
 
 log = get_logger(NAME)
 
@@ -44,6 +60,8 @@
         peers: The links.
         configuration: The configuration in force.
         claims: The claims; None beside an engine.
+        quarantine: Which requests crash upstreams.
+        crashes: Notices that the upstream crashed.
         slots: The upstream's capacity.
         shelf: The runs and the answers kept.
         targets: Versions that the engine has loaded, or the service.
@@ -52,8 +70,10 @@
     __slots__ = (
         "claims",
         "configuration",
+        "crashes",
         "daemon",
         "peers",
+        "quarantine",
         "settings",
         "shelf",
         "slots",
@@ -67,6 +87,7 @@
         peers: Peers,
         configuration: Configuration,
         claims: Claims | None,
+        quarantine: Quarantine,
     ) -> None:
         """Join the links."""
         self.daemon = daemon
@@ -74,6 +95,12 @@
         self.peers = peers
         self.configuration = configuration
         self.claims = claims
+        self.quarantine = quarantine
+        self.crashes = CrashWatch(
+            settings.instance,
+            lambda: probe_upstream(settings.upstream),
+            self._on_crash,
+        )
         self.slots = Slots(settings.capacity, settings.queue)
         self.shelf = Shelf(settings.replay_bytes, settings.resume_s, ORPHAN_S)
         self.targets: list[str] = [settings.service] if settings.service else []
@@ -92,7 +119,7 @@
         """What entries are told."""
         return Status(
             list(self.targets),
-            self.slots.running,
+            self.slots.occupied,
             self.slots.queued,
             self.settings.capacity,
             self.daemon.leaving.is_set(),
@@ -109,13 +136,20 @@
             self.targets = targets
             self.announce()
 
+    def _on_crash(
+        self, crash: str, isolated: bool, fingerprints: list[str]
+    ) -> None:
+        """Tell of a crash, and that nothing is served until the next poll."""
+        self.quarantine.report(crash, isolated, fingerprints)
+        self.set_targets([])
+
     def active(self) -> int:
         """Count the runs that have not ended or been fetched."""
         return self.shelf.active()
 
     def _beat(self) -> Beat:
         return Beat(
-            self.slots.running, self.slots.queued, self.configuration.revision
+            self.slots.occupied, self.slots.queued, self.configuration.revision
         )
 
     def _on_attempt(self, link: Link, attempt: Attempt) -> None:
@@ -130,22 +164,51 @@
                 run.refuse(_never_came(attempt.attempt))
             case first if first is run:
                 run.attach(link, attempt.attempt, 0)
-                self.daemon.spawn(self._serve, run)
+                self.daemon.spawn(self._serve, run, link)
             case first:
                 # The frame came twice; the id of another workspace's attempt
                 # must not open its answer.
                 self._send_rest(link, attempt.attempt, attempt.workspace, first)
 
-    def _serve(self, run: Run) -> None:
+    def _serve(self, run: Run, link: Link) -> None:
         """Take one attempt through the gate and run it."""
         try:
-            self._admit(run)
+            self._admit(run, link)
         except LacewingdockError as error:
-            run.refuse(error)
+            run.refuse(
+                self._checked_ran(run, error), self.configuration.revision
+            )
+        except Exception as error:
+            log.exception("run failed", request_id=run.attempt.request)
+            run.refuse(LacewingdockError(ErrorKind.INTERNAL, repr(error)))
+        finally:
+            if self.claims is not None:
+                self.claims.finish(run)
+
+    def _checked_ran(
+        self, run: Run, error: LacewingdockError
+    ) -> LacewingdockError:
+        """Say "not run" of a key only where its home vouches for it.
+
+        The caller may send a key again after it lost the answer to a run;
+        "not run" from someone who doesn't know of that run would make it
+        book under another key.
+        """
+        if (
+            error.ran != RAN_NO
+            or run.attempt.repeatable
+            or self.claims is None
+            or error.kind in _REQUEST_FAULTS
+            or self.claims.vouches(run)
+        ):
+            return error
+        return LacewingdockError(
+            error.kind, error.detail, RAN_UNKNOWN, error.retry_after_s
+        )
 
-    def _admit(self, run: Run) -> None:
+    def _admit(self, run: Run, link: Link) -> None:
         attempt = run.attempt
-        self._check(attempt)
+        self._gate(attempt, link)
         if attempt.repeatable or self.claims is None:
             self._execute(run)
             return
@@ -156,10 +219,21 @@
                 run.add(body)
                 run.end(finish)
             case None:
-                try:
-                    self._execute(run)
-                finally:
-                    self.claims.record(run)
+                self._execute(run)
+
+    def _gate(self, attempt: Attempt, link: Link) -> None:
+        """Check an attempt, on no older configuration than its entry's.
+
+        The entry may have decided at a later revision, at which the request
+        is permitted: a version just offered must not be refused.
+        """
+        try:
+            self._check(attempt)
+        except LacewingdockError:
+            if attempt.revision <= self.configuration.revision:
+                raise
+            catch_up(self.configuration, link, attempt.revision)
+            self._check(attempt)
 
     def _check(self, attempt: Attempt) -> None:
         """Refuse what may not run here; the entry's view may be older."""
@@ -193,17 +267,48 @@
             )
 
     def _execute(self, run: Run) -> None:
-        """Wait for a slot, check once more, and call the upstream."""
+        """Wait for a slot and run; a suspect waits until it can run alone."""
         attempt = run.attempt
         deadline = time.monotonic() + attempt.deadline_ms / 1000
-        with self.slots.hold(attempt.priority, deadline):
-            # A withdrawal may have come in force while this one queued.
-            self._check_permitted(attempt)
-            if run.cancelled.is_set():
-                raise LacewingdockError(
-                    ErrorKind.DEADLINE, "nobody waits any more", RAN_NO
+        fingerprint = fingerprint_of(attempt)
+        done = False
+        while not done:
+            alone = self.quarantine.check(fingerprint) is Verdict.SUSPECT
+            with self.slots.hold(attempt.priority, deadline, alone):
+                done = self._run(run, fingerprint, alone, deadline)
+
+    def _run(
+        self, run: Run, fingerprint: str, alone: bool, deadline: float
+    ) -> bool:
+        """Check once more and call the upstream.
+
+        Returns:
+            False when the request became suspect, or was cleared, while it
+            waited, and so has to wait for another kind of slot.
+        """
+        # A withdrawal or a crash may have become known while this one queued.
+        self._check_permitted(run.attempt)
+        suspect = self.quarantine.check(fingerprint) is Verdict.SUSPECT
+        if run.cancelled.is_set():
+            raise LacewingdockError(
+                ErrorKind.DEADLINE, "nobody waits any more", RAN_NO
+            )
+        if suspect != alone:
+            return False
+        try:
+            with self.crashes.call(fingerprint, alone):
+                call_upstream(
+                    self.settings.upstream,
+                    run,
+                    deadline,
+                    is_engine=not self.settings.service,
                 )
-            call_upstream(self.settings.upstream, run, deadline)
+        except LacewingdockError:
+            self.quarantine.convict(run.attempt, fingerprint)
+            raise
+        if alone:
+            self.quarantine.excuse(fingerprint)
+        return True
 
     def _follow(self, run: Run, first: Run) -> None:
         """Give a repeated request the answer of the run it repeats."""
@@ -230,7 +335,9 @@
             resume.incarnation == self.daemon.me.incarnation
             and resume.age_ms < self.settings.resume_s * MS_PER_S / 2
         )
-        if is_remembered and self.shelf.fence(resume.original):
+        never_came = is_remembered and self.shelf.fence(resume.original)
+        # Of a key only its claim can say that it did not run.
+        if never_came and self.claims is None:
             return _never_came(resume.original)
         return LacewingdockError(
             ErrorKind.ANSWER_GONE,
@@ -258,6 +365,9 @@
             )
             link.send(_refusal(attempt, error))
             return
+        # The entry gave its old link up; here that link may look open for long,
+        # and would count as somebody who waits.
+        run.detach_peer(link)
         self.shelf.alias(attempt, run)
         self.daemon.spawn(run.attach, link, attempt, offset)
 
@@ -281,9 +391,17 @@
             run.detach(link)
 
     def unload(self) -> None:
-        """Abort what still runs; the grace time is over."""
+        """Abort what still runs; the grace time is over.
+
+        The entries are told, so that their callers need not find out.
+        """
         for run in self.shelf.runs():
             run.cancel()
+        end = time.monotonic() + ABORT_S
+        while time.monotonic() < end and any(
+            run.outcome is None for run in self.shelf.runs()
+        ):
+            time.sleep(ABORT_POLL_S)
 
 
 def _never_came(attempt: str) -> LacewingdockError:
@@ -304,8 +422,9 @@
     peers: Peers,
     configuration: Configuration,
     claims: Claims | None,
+    quarantine: Quarantine,
 ) -> Runs:
     """Set the runs up."""
-    runs = Runs(daemon, settings, peers, configuration, claims)
+    runs = Runs(daemon, settings, peers, configuration, claims, quarantine)
     daemon.add(NAME, runs)
     return runs
--- a/lacewingdock/exceptions.py
+++ b/lacewingdock/exceptions.py
@@ -22,6 +22,7 @@
     CALLER_LEFT = "caller_left"
     CONFLICT = "conflict"
     DEADLINE = "deadline"
+    FENCED = "fenced"
     HEADERS_TOO_LARGE = "headers_too_large"
     INTERNAL = "internal"
     KEY_REQUIRED = "key_required"
@@ -95,6 +96,7 @@
     ErrorKind.DEADLINE: Answer(
         504, "The deadline passed", ran=RAN_UNKNOWN, retry_after_s=1.0
     ),
+    ErrorKind.FENCED: Answer(409, "The order is an earlier holder's"),
     ErrorKind.HEADERS_TOO_LARGE: Answer(
         431, "The request line or the headers are too large"
     ),
@@ -156,6 +158,8 @@
         detail: What happened, for people; never holds a secret.
         ran: Whether the request ran: "no", "yes" or "unknown".
         retry_after_s: Seconds until trying again can help, or None.
+        revision: Configuration revision that a sidecar refused at; 0 if
+            that is not known.
     """
 
     def __init__(
@@ -164,6 +168,7 @@
         detail: str,
         ran: str | None = None,
         retry_after_s: float | None = None,
+        revision: int = 0,
     ) -> None:
         """Take kind and detail; the rest defaults to the kind's answer."""
         super().__init__(f"{kind}: {detail}")
@@ -171,6 +176,7 @@
         self.kind = kind
         self.detail = detail
         self.ran = answer.ran if ran is None else ran
+        self.revision = revision
         self.retry_after_s = (
             answer.retry_after_s if retry_after_s is None else retry_after_s
         )
@@ -179,3 +185,11 @@
     def answer(self) -> Answer:
         """The kind's row in `ANSWERS`."""
         return ANSWERS[self.kind]
+
+
+class UpstreamLost(LacewingdockError):
+    """The connection to the upstream broke, or there was none."""
+
+    def __init__(self, detail: str, ran: str = RAN_UNKNOWN) -> None:
+        """Take the detail, and "no" if the request was never sent."""
+        super().__init__(ErrorKind.UPSTREAM_FAILED, detail, ran)
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -54,6 +54,7 @@
   ran @2 :Text;
   detail @3 :Text;
   retryAfterMs @4 :Int32;
+  revision @5 :UInt64;
 }
 
 struct Resume {
@@ -102,6 +103,30 @@
   since @0 :UInt64;
 }
 
+struct Order {
+  order @0 :Text;
+  action @1 :Text;
+  version @2 :Text;
+  role @3 :Text;
+  fencing @4 :UInt64;
+  incarnation @5 :Text;
+}
+
+struct Ordered {
+  order @0 :Text;
+  state @1 :Text;
+  code @2 :Text;
+  detail @3 :Text;
+}
+
+struct Evidence {
+  crash @0 :Text;
+  isolated @1 :Bool;
+  excused @2 :Bool;
+  fingerprints @3 :List(Text);
+  ageMs @4 :UInt64;
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -116,5 +141,8 @@
     beat @9 :Beat;
     delta @10 :Delta;
     pull @11 :Pull;
+    order @12 :Order;
+    ordered @13 :Ordered;
+    evidence @14 :Evidence;
   }
 }
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -35,9 +35,12 @@
     Attributes:
         shares: Part of new sessions for each version; parts need not sum
             to one.
+        incoming: Version that a roll-out brings in or brought in last;
+            empty when there was none.
     """
 
     shares: dict[Name, Share]
+    incoming: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -111,14 +114,15 @@
         repeatable: Whether running it twice does no harm.
         timeout_s: Seconds the call may take.
         on_outage: What happens to a call that may not be repeated while
-            the platform is down.
+            the platform is down: "refuse" it, or take "tickets", which need
+            no platform but are lost with the process that they name.
     """
 
     method: Literal["GET", "POST", "PUT", "DELETE", "PATCH"]
     path: Annotated[str, Meta(pattern=r"^/")]
     repeatable: bool = False
     timeout_s: Annotated[float, Meta(gt=0.0, le=600.0)] = 10.0
-    on_outage: Literal["refuse"] = "refuse"
+    on_outage: Literal["refuse", "tickets"] = "refuse"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -128,13 +132,56 @@
     Attributes:
         operations: The calls that may be made; no other passes.
         partitions: Parts that the idempotency keys are spread over.
+        key_window_s: Seconds that an idempotency key is remembered; a key
+            sent again later counts as new.
     """
 
     operations: Annotated[list[Operation], Meta(min_length=1)]
     partitions: Annotated[int, Meta(ge=1, le=64)] = 8
+    key_window_s: Annotated[float, Meta(ge=3600.0)] = 86_400.0
 
 
-ConfigObject = Cascade | Model | Service | Version | Workspace
+@dataclass(slots=True, kw_only=True)
+class Operator:
+    """Someone who may ask and order in the operators' language.
+
+    Attributes:
+        keys: SHA-256 digests, in hex, of the bearer keys.
+        role: "viewer" may ask, "operator" may also order roll-outs and
+            withdrawals, "admin" may also stop instances.
+    """
+
+    keys: list[Digest]
+    role: Literal["viewer", "operator", "admin"] = "viewer"
+
+
+@dataclass(slots=True, kw_only=True)
+class Quarantine:
+    """A request that is refused because it crashes upstreams.
+
+    Its name is the request's fingerprint.
+
+    Attributes:
+        workspace: Whose request it is.
+        target: The version or service that it crashes.
+        state: "quarantined", or "released" by an operator.
+        reason: Why, for people.
+        crashes: Ids of the crashes that convicted it; a release excuses it
+            of these, and of no later one.
+        expires: Unix time, in seconds, after which it is not refused.
+    """
+
+    workspace: Name
+    target: Name
+    state: Literal["quarantined", "released"] = "quarantined"
+    reason: str = ""
+    crashes: list[str] = field(default_factory=list)
+    expires: Annotated[int, Meta(ge=0)] = 0
+
+
+ConfigObject = (
+    Cascade | Model | Operator | Quarantine | Service | Version | Workspace
+)
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -105,7 +105,9 @@
         )
         self.upstream = Upstream(instance)
         self.answers = Answers(
-            FakeDaemon("entry-0", "e"), self.entry_peers, SimpleNamespace()
+            FakeDaemon("entry-0", "e"),
+            self.entry_peers,
+            SimpleNamespace(release=lambda _upstream: None),
         )
         self.start_sidecar()
         self.connect()
@@ -116,7 +118,12 @@
         self.daemon = FakeDaemon("worker-0", f"w{self.starts}")
         self.peers = FakePeers()
         self.runs = Runs(
-            self.daemon, self.settings, self.peers, SimpleNamespace(), None
+            self.daemon,
+            self.settings,
+            self.peers,
+            SimpleNamespace(),
+            None,
+            SimpleNamespace(report=None),
         )
 
     def connect(self) -> MemoryLink:
