Admission: retries stay within a share of the requests

Cause: each refused request was tried at two more upstreams. With a pool full that is three times the load that it could not carry, and it stays full after the callers' own load went down.

Ruled out: fewer tries for each request (one lost upstream needs them); a budget by time (forbids retries where traffic is low).

Change: a token bucket in each entry, 0.2 retries a request, 32 saved up. Refusals of a sidecar that is leaving, starting or behind in configuration are free.

Without the budget the test's two overload rows fail with 1,500 tries for 500 requests; with it at most 632.

--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -3,6 +3,7 @@
 import random
 from typing import Final
 
+from lacewingdock.components.admission.retry_budget import RetryBudget
 from lacewingdock.components.answers import Answers, retry_of
 from lacewingdock.components.answers.answer import Answer, LinkLost
 from lacewingdock.components.configuration.catch_up import catch_up
@@ -37,6 +38,10 @@
     {ErrorKind.MODEL_NOT_ALLOWED, ErrorKind.VERSION_WITHDRAWN}
 )
 
+# Retries that are no sign of too much load: each sidecar says so only until
+# this entry has its news.
+_FREE: Final = BY_CONFIGURATION | {ErrorKind.LEAVING, ErrorKind.NOT_READY}
+
 log = get_logger("relay")
 
 
@@ -48,9 +53,10 @@
         membership: The upstreams.
         quarantine: Which requests crash upstreams, and where they may go.
         source: Source of draws.
+        retries: Retries that this entry may make.
     """
 
-    __slots__ = ("answers", "membership", "quarantine", "source")
+    __slots__ = ("answers", "membership", "quarantine", "retries", "source")
 
     def __init__(
         self,
@@ -64,6 +70,7 @@
         self.membership = membership
         self.quarantine = quarantine
         self.source = source
+        self.retries = RetryBudget()
 
     def start(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
         """Ask until an upstream begins to answer.
@@ -81,6 +88,7 @@
         fingerprint = fingerprint_of(attempt)
         worst_ran = RAN_NO
         last: LacewingdockError | None = None
+        self.retries.count_request()
         for _ in range(MAX_TRIES):
             try:
                 upstream = self.quarantine.choose(
@@ -109,6 +117,8 @@
                     )
                 if not self._may_retry(error, attempt, fingerprint):
                     break
+                if error.kind not in _FREE and not self.retries.take():
+                    break
                 if _never_came(error, answer):
                     # Its link was at fault, and there is a new one.
                     tried.discard(upstream.name)
--- /dev/null
+++ b/tests/components/admission/test_retry_budget.py
@@ -0,0 +1,86 @@
+"""Tests for retries as a share of the requests."""
+
+import contextlib
+import random
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lacewingdock.components.admission.retry_budget import (
+    RETRY_BURST,
+    RETRY_SHARE,
+    RetryBudget,
+)
+from lacewingdock.components.callers.relay import MAX_TRIES, Relay
+from lacewingdock.components.quarantine import Verdict
+from lacewingdock.const import RAN_NO
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.links.messages import Attempt
+
+REQUESTS = 500
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(st.booleans(), max_size=300),
+    st.floats(0.01, 1.0),
+    st.floats(1.0, 40.0),
+)
+def test_retries_stay_within_burst_and_share(steps, share, burst):
+    budget = RetryBudget(share, burst)
+    requests = retries = 0
+    for is_request in steps:
+        if is_request:
+            budget.count_request()
+            requests += 1
+        else:
+            retries += budget.take()
+        assert retries <= burst + share * requests + 1e-6
+
+
+class Refusing:
+    """Upstreams that refuse everything, and what was sent to them."""
+
+    def __init__(self, kind):
+        self.kind = kind
+        self.sent = 0
+
+    def ask(self, upstream, attempt):
+        """Refuse an attempt."""
+        self.sent += 1
+        raise LacewingdockError(self.kind, "refused", RAN_NO)
+
+
+@pytest.mark.parametrize(
+    ("kind", "most"),
+    [
+        (ErrorKind.OVERLOADED, REQUESTS * (1 + RETRY_SHARE) + RETRY_BURST),
+        (ErrorKind.UPSTREAM_FAILED, REQUESTS * (1 + RETRY_SHARE) + RETRY_BURST),
+        (ErrorKind.LEAVING, REQUESTS * MAX_TRIES),
+    ],
+)
+def test_full_pool_is_not_flooded_with_retries(kind, most):
+    # Symptom: a pool stays full long after the callers' load went down.
+    # Sequence: it runs out; each refused request is tried at two more
+    # upstreams, which are as full.
+    # Cause: tries were bounded for each request and not for all together.
+    # A stop is no sign of load: what it refuses goes elsewhere every time.
+    upstreams = iter(range(10**6))
+    quarantine = SimpleNamespace(
+        choose=lambda *_: SimpleNamespace(name=str(next(upstreams)), link=None),
+        sending=lambda *_: contextlib.nullcontext(),
+        verdict=lambda _: Verdict.CLEAR,
+    )
+    refusing = Refusing(kind)
+    members = SimpleNamespace(serving=lambda _: [], configuration=None)
+    relay = Relay(refusing, members, quarantine, random.Random(1))
+    attempt = Attempt("a", "r", "retail", "drafter-1", "POST", "/", b"")
+    for _ in range(REQUESTS):
+        with pytest.raises(LacewingdockError) as caught:
+            relay.start(attempt)
+        assert (caught.value.kind, caught.value.ran) == (kind, RAN_NO)
+        assert caught.value.retry_after_s is not None
+    assert refusing.sent > REQUESTS * (1 + RETRY_SHARE)
+    assert refusing.sent <= most
