Leases: candidates are ranked when the list changes, lease read every 3 s

Cause: every entry ranked all entries by hash every second for each lease: about 2 ms CPU at 1,200 entries among 7,700 instances, a tenth of a daemon's control budget for one lease. A planned stop was seen after 5 s at the median. Ruled out: fewer rounds (a dead holder would be noticed later).

--- a/lacewingdock/components/leases/__init__.py
+++ b/lacewingdock/components/leases/__init__.py
@@ -26,6 +26,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.handshake import dial
+from lacewingdock.world.objects import Instance
 
 log = get_logger(NAME)
 
@@ -42,12 +43,20 @@
             Each of its steps is a conditional update or carries the number.
         probes: Failed probes of the holder in a row.
         read_at: Monotonic time of the last read.
+        ranked: The candidates as last ranked.
+        ranked_from: The instance list and the holder that they were ranked
+            from; ranking thousands each second would cost more than all
+            else that a lease does.
     """
 
     lease: Lease
     work: Callable[[int], None]
     probes: int = 0
     read_at: float = field(default=float("-inf"))
+    ranked: list[str] = field(default_factory=list)
+    ranked_from: tuple[list[Instance], str] = field(
+        default_factory=lambda: ([], "")
+    )
 
 
 class Leases:
@@ -152,7 +161,7 @@
     def _seek(self, duty: Duty) -> None:
         """Take the lease if its holder is gone and this entry is next."""
         lease = duty.lease
-        rank = self._rank(lease)
+        rank = self._rank(duty)
         if rank is None:
             duty.probes = 0
             return
@@ -168,18 +177,19 @@
         if duty.probes >= needed + rank * PATIENCE:
             self._take(duty)
 
-    def _rank(self, lease: Lease) -> int | None:
+    def _rank(self, duty: Duty) -> int | None:
         """Place of this entry among the candidates; None if it is none."""
         me = self.daemon.me.instance
-        holder = lease.record.holder
+        instances = self.membership.instances
+        holder = duty.lease.record.holder
         # A holder that was restarted under its name is a candidate again:
         # in a deployment of one entry nobody else could take over.
-        ranked = rank_candidates(
-            lease.name,
-            self.membership.instances,
-            holder if holder != me else "",
-        )
-        return ranked.index(me) if me in ranked else None
+        holder = holder if holder != me else ""
+        known, known_holder = duty.ranked_from
+        if known is not instances or known_holder != holder:
+            duty.ranked_from = (instances, holder)
+            duty.ranked = rank_candidates(duty.lease.name, instances, holder)
+        return duty.ranked.index(me) if me in duty.ranked else None
 
     def _alive(self, lease: Lease) -> bool:
         """Probe the holder by a handshake on its link port."""
--- a/lacewingdock/components/leases/const.py
+++ b/lacewingdock/components/leases/const.py
@@ -15,7 +15,7 @@
 # all of them would grow with the fleet.
 CANDIDATES: Final = 3
 # The lease is read this often; what is decided on it is a conditional update.
-READ_S: Final = 5.0
+READ_S: Final = 3.0
 # Probes show that the holder runs; a renewal shows that it reaches the
 # platform, without which it can do no step.
 RENEW_S: Final = 30.0
