--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -11,6 +12,7 @@
 from lacewingdock.const import VERSION
 from lacewingdock.core import exit_now
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import start_logging
 from lacewingdock.settings import (
     DaemonSettings,
@@ -60,6 +62,7 @@
         key: str = "",
         id: str = "",
         json: bool = False,
+        watch: float = 0.0,
     ) -> None:
         """Ask or order in the operators' language; without TEXT, a prompt.
 
@@ -70,6 +73,7 @@
                 flags can be seen by others on the machine.
             id: Id under which an order takes effect once.
             json: Whether to print JSON instead of a table.
+            watch: Ask again every so many seconds until interrupted.
         """
         from lacewingdock.components.language.client import (
             Client,
@@ -89,8 +93,15 @@
         if not text:
             prompt(client, json)
             return
+        # Under one id, so that an order that is watched is given once.
+        command = str(id) or f"c-{new_id()}"
         try:
-            print(as_text(client.ask(str(text), str(id)), json))
+            print(as_text(client.ask(str(text), command), json), flush=True)
+            while watch > 0:
+                time.sleep(watch)
+                print(as_text(client.ask(str(text), command), json), flush=True)
+        except KeyboardInterrupt:
+            return
         except LacewingdockError as error:
             print(pointed(str(text), error), file=sys.stderr)
             exit_now(error.answer.exit_status)
--- a/lacewingdock/components/rollouts/controller.py
+++ b/lacewingdock/components/rollouts/controller.py
@@ -121,22 +121,26 @@
                 changed, perhaps since another holds the lease.
         """
         active: set[str] = set()
-        conflict = None
-        for stored in self.store.list_all(COLLECTION_ROLLOUTS, PURPOSE).objects:
-            rollout = decode_rollout(stored)
-            if rollout is None or not rollout.active:
-                continue
-            active.add(rollout.id)
+        failed: LacewingdockError | None = None
+        listing = self.store.list_all(COLLECTION_ROLLOUTS, PURPOSE)
+        for stored in listing.objects:
             try:
+                rollout = decode_rollout(stored)
+                if rollout is None or not rollout.active:
+                    continue
+                active.add(rollout.id)
                 self.advance(rollout.model, rollout.version, fencing)
             except LacewingdockError as error:
-                if error.kind is not ErrorKind.CONFLICT:
+                if error.kind is ErrorKind.PLATFORM_UNAVAILABLE:
                     raise
-                # The other roll-outs must not wait for this one.
-                conflict = error
+                # One roll-out in conflict, or one unreadable record, must
+                # not stop the others. A conflict is what the lease's holder
+                # has to hear of.
+                if failed is None or error.kind is ErrorKind.CONFLICT:
+                    failed = error
         self.loadings = {k: v for k, v in self.loadings.items() if k in active}
-        if conflict is not None:
-            raise conflict
+        if failed is not None:
+            raise failed
 
     def advance(self, model: str, version: str, fencing: int) -> None:
         """Do the next step of one model's roll-out.
--- a/tests/components/rollouts/test_controller.py
+++ b/tests/components/rollouts/test_controller.py
@@ -18,6 +18,7 @@
 from lacewingdock.components.rollouts.verdict import GoOn, Hold, Return
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.links.messages import Ordered
+from lacewingdock.platform.store import Stored
 from lacewingdock.world.objects import Instance, Model, Version
 from tests.fakes import FakeStore
 
@@ -239,6 +240,17 @@
     assert (stage.rollout.state, stage.shares["v2"]) == (state, share)
 
 
+def test_an_unreadable_record_stops_no_other_rollout():
+    stage = Stage()
+    bad = Stored("a", 1, {"id": 1})
+    stage.store.objects["rollouts"] = {
+        "a": bad,
+        **stage.store.objects["rollouts"],
+    }
+    stage.run(stage.holder(), 1)
+    assert stage.rollout.state == "done"
+
+
 def test_conflicting_operators_are_told_who_won():
     stage = Stage()
     stage.order("abort", "bob")
