Withdrawn versions are unloaded from the engines on order

Cause: a withdrawn version stayed in the engines' memory; the orders to unload it existed, and nobody gave them. Ruled out: unloading with the withdrawal (an offer soon after would load it everywhere again), unloading at once (cuts the streams that still run). Change: unload VERSION makes a record of the roll-outs' kind, only for a withdrawn version; the lease's holder orders engine after engine, each lets it go once its last request has ended. A version that left an engine's report is no longer hidden by the sidecar, so that starting it there again serves it.

--- a/lacewingdock/components/engine/__init__.py
+++ b/lacewingdock/components/engine/__init__.py
@@ -62,6 +62,8 @@
                 self.runs.set_targets([])
             return
         self.failures = 0
+        # Once it is gone it may be loaded again by whoever starts the engine.
+        self.retired &= set(report.versions)
         served = (
             [self.service]
             if self.service
--- a/lacewingdock/components/language/__init__.py
+++ b/lacewingdock/components/language/__init__.py
@@ -147,6 +147,7 @@
             SetState,
             Show,
             Stop,
+            Unload,
         )
 
         if question.id:
@@ -161,7 +162,7 @@
                 return self._explain(statement)
             case Stop():
                 _require(role, ROLE_ADMIN)
-            case RollOut() | Change() | SetState():
+            case RollOut() | Unload() | Change() | SetState():
                 _require(role, ROLE_OPERATOR)
         return self._order(statement, question, operator)
 
--- a/lacewingdock/components/language/const.py
+++ b/lacewingdock/components/language/const.py
@@ -55,6 +55,7 @@
     "show",
     "steps",
     "stop",
+    "unload",
     "where",
     "withdraw",
 )
--- a/lacewingdock/components/language/parser.py
+++ b/lacewingdock/components/language/parser.py
@@ -24,6 +24,7 @@
     Statement,
     Stop,
     Tail,
+    Unload,
     Word,
 )
 
@@ -93,6 +94,8 @@
             return Explain(workspace, model)
         case "roll_out":
             return _roll_out(tree)
+        case "unload":
+            return _unload(tree)
         case "change":
             verb, model, *rest = tree.children
             return Change(str(verb), _word(model), _tail(rest))
@@ -146,6 +149,17 @@
     )
 
 
+def _unload(tree: Any) -> Unload:
+    version, *rest = tree.children
+    parts = _parts(rest, ("parallel", "pool"))
+    return Unload(
+        _word(version),
+        _tail([p for p in rest if p.data not in parts]),
+        _whole(parts["parallel"][0], 1) if "parallel" in parts else None,
+        _word(parts["pool"][0]).text if "pool" in parts else None,
+    )
+
+
 def _tail(rest: list[Any]) -> Tail:
     parts = _parts(rest, ("if_revision", "dry_run", "command_id"))
     return Tail(
--- a/lacewingdock/components/language/plans.py
+++ b/lacewingdock/components/language/plans.py
@@ -10,12 +10,15 @@
     CommandError,
     RollOut,
     SetState,
+    Unload,
     Word,
 )
 from lacewingdock.components.rollouts.commands import (
     begin_rollout,
+    begin_unload,
     change_rollout,
 )
+from lacewingdock.components.rollouts.const import DEFAULT_PARALLEL
 from lacewingdock.components.rollouts.record import Rollout
 from lacewingdock.const import (
     COLLECTION_COMMANDS,
@@ -52,7 +55,7 @@
 
 
 def plan_order(
-    order: RollOut | Change | SetState, operator: str, store: Any
+    order: RollOut | Unload | Change | SetState, operator: str, store: Any
 ) -> Plan:
     """Plan an order on the platform's present objects.
 
@@ -68,6 +71,8 @@
     match order:
         case RollOut():
             return _plan_rollout(order, operator, store)
+        case Unload():
+            return _plan_unload(order, operator, store)
         case Change(verb=verb, model=model):
             return _plan_change(order, verb, model, operator, store)
         case SetState(version=version, state=state):
@@ -111,6 +116,30 @@
     )
 
 
+def _plan_unload(order: Unload, operator: str, store: Any) -> Plan:
+    stored, value = _item(store, KIND_VERSION, order.version)
+    if order.tail.if_revision is not None:
+        check_revision(store, stored, order.tail.if_revision)
+    version = msgspec.convert(value, Version)
+    wanted = Rollout(
+        id=f"r-{new_id()}",
+        model=version.model,
+        version=order.version.text,
+        old_shares={},
+        by=operator,
+        pool=order.pool or "",
+        parallel=order.parallel or DEFAULT_PARALLEL,
+    )
+    present = store.get(COLLECTION_ROLLOUTS, version.model, PURPOSE)
+    return Plan(
+        COLLECTION_ROLLOUTS,
+        version.model,
+        present.revision,
+        msgspec.to_builtins(begin_unload(present, version, wanted)),
+        f"unload {order.version.text} from the engines",
+    )
+
+
 def _plan_change(
     order: Change, verb: str, model: Word, operator: str, store: Any
 ) -> Plan:
--- a/lacewingdock/components/language/statements.py
+++ b/lacewingdock/components/language/statements.py
@@ -99,6 +99,16 @@
     pool: str | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class Unload:
+    """Order that a version leave the engines' memory."""
+
+    version: Word
+    tail: Tail
+    parallel: int | None = None
+    pool: str | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Change:
     """Order a roll-out to pause, resume or abort."""
@@ -125,5 +135,5 @@
     tail: Tail
 
 
-Order = RollOut | Change | SetState | Stop
+Order = RollOut | Unload | Change | SetState | Stop
 Statement = Show | Explain | Order
--- a/lacewingdock/components/orders/const.py
+++ b/lacewingdock/components/orders/const.py
@@ -15,6 +15,7 @@
 STATE_LOADED: Final = "loaded"
 STATE_LOADING: Final = "loading"
 STATE_STOPPING: Final = "stopping"
+STATE_UNLOADED: Final = "unloaded"
 
 ENGINE_TIMEOUT_S: Final = 2.0
 ORDER_TIMEOUT_S: Final = 6.0
--- a/lacewingdock/components/rollouts/commands.py
+++ b/lacewingdock/components/rollouts/commands.py
@@ -2,7 +2,11 @@
 
 from dataclasses import replace
 
-from lacewingdock.components.rollouts.const import STATE_RETURNING
+from lacewingdock.components.rollouts.const import (
+    STATE_RETURNED,
+    STATE_RETURNING,
+    STATE_UNLOADING,
+)
 from lacewingdock.components.rollouts.record import (
     Rollout,
     check_steps,
@@ -28,13 +32,7 @@
         LacewingdockError: CONFLICT when one is under way; BAD_COMMAND or
             VERSION_WITHDRAWN when it can't be.
     """
-    known = decode_rollout(present)
-    if known is not None and known.active:
-        raise LacewingdockError(
-            ErrorKind.CONFLICT,
-            f"{known.by} has a roll-out of {known.version} under way "
-            f"({known.state}, revision {present.revision})",
-        )
+    _refuse_another(present)
     if version.state != "offered":
         raise LacewingdockError(
             ErrorKind.VERSION_WITHDRAWN, f"{wanted.version} is withdrawn"
@@ -44,6 +42,32 @@
     return replace(wanted, old_shares=dict(model.shares))
 
 
+def begin_unload(present: Stored, version: Version, wanted: Rollout) -> Rollout:
+    """Return the record that takes a version out of the engines.
+
+    Raises:
+        LacewingdockError: CONFLICT when a roll-out of the model is under
+            way or the version is offered.
+    """
+    _refuse_another(present)
+    if version.state == "offered":
+        raise LacewingdockError(
+            ErrorKind.CONFLICT,
+            f"{wanted.version} is offered: withdraw it first",
+        )
+    return replace(wanted, state=STATE_UNLOADING, steps=[0.0])
+
+
+def _refuse_another(present: Stored) -> None:
+    known = decode_rollout(present)
+    if known is not None and known.active:
+        raise LacewingdockError(
+            ErrorKind.CONFLICT,
+            f"{known.by} has a roll-out of {known.version} under way "
+            f"({known.state}, revision {present.revision})",
+        )
+
+
 def change_rollout(
     present: Stored, verb: str, operator: str, model: Stored
 ) -> Rollout:
@@ -78,9 +102,10 @@
         case "resume":
             return _resume(rollout, operator, model)
         case _:
+            unloading = rollout.state == STATE_UNLOADING
             return replace(
                 rollout,
-                state=STATE_RETURNING,
+                state=STATE_RETURNED if unloading else STATE_RETURNING,
                 paused=False,
                 by=operator,
                 reason="aborted by operator",
--- a/lacewingdock/components/rollouts/const.py
+++ b/lacewingdock/components/rollouts/const.py
@@ -9,7 +9,13 @@
 STATE_RAISING: Final = "raising"
 STATE_RETURNED: Final = "returned"
 STATE_RETURNING: Final = "returning"
-STATES_ACTIVE: Final = (STATE_LOADING, STATE_RAISING, STATE_RETURNING)
+STATE_UNLOADING: Final = "unloading"
+STATES_ACTIVE: Final = (
+    STATE_LOADING,
+    STATE_RAISING,
+    STATE_RETURNING,
+    STATE_UNLOADING,
+)
 
 # Shares of new sessions that the version gets, step by step. The first is
 # small enough that a bad version meets few callers before a verdict.
--- a/lacewingdock/components/rollouts/controller.py
+++ b/lacewingdock/components/rollouts/controller.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from lacewingdock.components.orders.const import ACTION_LOAD, ACTION_UNLOAD
 from lacewingdock.components.rollouts.const import (
     BY_CONTROLLER,
     MAX_LEFT_OUT,
@@ -29,6 +30,7 @@
     STATE_RAISING,
     STATE_RETURNED,
     STATE_RETURNING,
+    STATE_UNLOADING,
 )
 from lacewingdock.components.rollouts.loading import Loading, SendOrder
 from lacewingdock.components.rollouts.record import Rollout, decode_rollout
@@ -159,6 +161,9 @@
         if rollout.fencing < fencing:
             self._put(basis, fencing=fencing, sealed=False)
             return
+        if rollout.state == STATE_UNLOADING:
+            self._unload(basis)
+            return
         if basis.model.value is None:
             self._put(basis, state=STATE_RETURNED, reason="the model is gone")
             return
@@ -266,9 +271,36 @@
             engines=len(engines),
         )
 
-    def _load_some(self, rollout: Rollout) -> tuple[list[Instance], Loading]:
+    def _unload(self, basis: Basis) -> None:
+        """Order the version out of the engines; shares are not touched."""
+        rollout = basis.rollout
+        if rollout.paused:
+            return
+        if not _withdrawn(basis.version):
+            self._put(
+                basis, state=STATE_RETURNED, reason="the version is offered"
+            )
+            return
+        engines, loading = self._load_some(rollout, ACTION_UNLOAD)
+        left_out = loading.left_out() & {e.address for e in engines}
+        count = len(loading.loaded)
+        if count + len(left_out) >= len(engines):
+            reason = f"{len(left_out)} left out" if left_out else ""
+            self._put(
+                basis,
+                state=STATE_DONE,
+                reason=reason,
+                loaded=count,
+                engines=len(engines),
+            )
+        elif rollout.loaded != count:
+            self._put(basis, loaded=count, engines=len(engines))
+
+    def _load_some(
+        self, rollout: Rollout, action: str = ACTION_LOAD
+    ) -> tuple[list[Instance], Loading]:
         engines = self.engines(rollout.pool)
-        loading = self.loadings.setdefault(rollout.id, Loading())
+        loading = self.loadings.setdefault(rollout.id, Loading(action))
         loading.advance(
             engines,
             rollout.version,
--- a/lacewingdock/components/rollouts/emergency.py
+++ b/lacewingdock/components/rollouts/emergency.py
@@ -17,7 +17,7 @@
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.peers import Peers
 from lacewingdock.components.rollouts.const import (
-    STATE_LOADING,
+    STATE_RAISING,
     STATE_RETURNING,
 )
 from lacewingdock.components.rollouts.record import decode_rollout
@@ -192,8 +192,7 @@
         if (
             rollout is None
             or rollout.version != version
-            or not rollout.active
-            or rollout.state == STATE_LOADING
+            or rollout.state not in (STATE_RAISING, STATE_RETURNING)
         ):
             return False
         if rollout.state == STATE_RETURNING and rollout.withdraw:
--- a/lacewingdock/components/rollouts/loading.py
+++ b/lacewingdock/components/rollouts/loading.py
@@ -1,13 +1,17 @@
-"""Support for loading a version on engines, a few at a time."""
+"""Support for loading or unloading a version, a few engines at a time."""
 
 from collections.abc import Callable
 from concurrent.futures import Executor
 from dataclasses import dataclass, field
+from typing import Final
 
 from lacewingdock.components.orders.const import (
     ACTION_LOAD,
+    ACTION_UNLOAD,
+    STATE_BUSY,
     STATE_LOADED,
     STATE_LOADING,
+    STATE_UNLOADED,
 )
 from lacewingdock.components.rollouts.const import MAX_ASKED, MAX_FAILURES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -17,20 +21,28 @@
 
 SendOrder = Callable[[str, Order], Ordered]
 
+# For each action, what an engine says at the end and on the way.
+STATES: Final = {
+    ACTION_LOAD: (STATE_LOADED, STATE_LOADING),
+    ACTION_UNLOAD: (STATE_UNLOADED, STATE_BUSY),
+}
+
 
 @dataclass(slots=True)
 class Loading:
     """What this holder knows of the engines of one roll-out.
 
-    It is no state of the roll-out: the next holder orders every load again,
-    and an engine that has the version says so.
+    It is no state of the roll-out: the next holder gives every order again,
+    and an engine that is there already says so.
 
     Attributes:
-        loaded: Addresses of engines that have the version.
-        loading: Addresses of engines that are fetching it.
+        action: "load" or "unload".
+        loaded: Addresses of engines that are done.
+        loading: Addresses of engines that are at it.
         failures: Failed orders in a row by address.
     """
 
+    action: str = ACTION_LOAD
     loaded: set[str] = field(default_factory=set)
     loading: set[str] = field(default_factory=set)
     failures: dict[str, int] = field(default_factory=dict)
@@ -52,7 +64,7 @@
         send: SendOrder,
         executor: Executor,
     ) -> None:
-        """Order a load from the next few engines.
+        """Give the order to the next few engines.
 
         Those that are fetching are asked again first; only what they leave
         of `parallel` goes to new ones, so that the weight store is never
@@ -91,7 +103,7 @@
     def _order(
         self, address: str, version: str, fencing: int, send: SendOrder
     ) -> Ordered:
-        order = Order(new_id(), ACTION_LOAD, version, fencing=fencing)
+        order = Order(new_id(), self.action, version, fencing=fencing)
         try:
             return send(address, order)
         except LacewingdockError as error:
@@ -101,10 +113,11 @@
         if answer.code == ErrorKind.FENCED:
             raise LacewingdockError(ErrorKind.CONFLICT, answer.detail)
         self.loading.discard(address)
-        if answer.state == STATE_LOADED:
+        done, under_way = STATES[self.action]
+        if answer.state == done:
             self.loaded.add(address)
             self.failures.pop(address, None)
-        elif answer.state == STATE_LOADING:
+        elif answer.state == under_way:
             self.loading.add(address)
         else:
             self.failures[address] = self.failures.get(address, 0) + 1
--- a/lacewingdock/components/rollouts/record.py
+++ b/lacewingdock/components/rollouts/record.py
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True, kw_only=True)
 class Rollout:
-    """A roll-out of a version of a model; one at a time for each model.
+    """A version brought in or taken out; one at a time for each model.
 
     Attributes:
         id: Unique to this roll-out.
@@ -44,8 +44,8 @@
         fencing: Fencing number of the holder that adopted it.
         sealed: Whether that holder has shut earlier ones out of the model.
         model_revision: Revision of the model as last written or read.
-        loaded: Engines that have the version.
-        engines: Engines that shall have it.
+        loaded: Engines that have the version, or are rid of it.
+        engines: Engines that shall have it, or be rid of it.
     """
 
     id: str
@@ -58,9 +58,9 @@
     dwell_s: Annotated[float, Meta(ge=0.0, le=86400.0)] = DEFAULT_DWELL_S
     parallel: Annotated[int, Meta(ge=1, le=1000)] = DEFAULT_PARALLEL
     pool: str = ""
-    state: Literal["loading", "raising", "returning", "done", "returned"] = (
-        STATE_LOADING
-    )
+    state: Literal[
+        "loading", "raising", "returning", "unloading", "done", "returned"
+    ] = STATE_LOADING
     step: int = 0
     entered: float = field(default_factory=time.time)
     paused: bool = False
--- a/tests/components/language/test_audit.py
+++ b/tests/components/language/test_audit.py
@@ -93,6 +93,7 @@
         ("withdraw v2", "roll out v2", "withdrawn"),
         ("roll out v2", "pause m if revision 1", "ana"),
         ("withdraw v1", "pause m", "column 7: no roll-out of 'm'"),
+        ("withdraw v1", "unload v2", "withdraw it first"),
         ("withdraw v1", "withdraw v9", "column 10: no version 'v9'"),
     ],
 )
--- a/tests/components/language/test_parser.py
+++ b/tests/components/language/test_parser.py
@@ -16,6 +16,7 @@
     Show,
     Stop,
     Tail,
+    Unload,
     Word,
 )
 
@@ -53,6 +54,10 @@
         ),
         ("withdraw v", SetState(Word("v", 9), "withdrawn", Tail())),
         ("offer v", SetState(Word("v", 6), "offered", Tail())),
+        (
+            "unload v parallel 3 as c",
+            Unload(Word("v", 7), Tail(command_id="c"), 3),
+        ),
         ("stop w1", Stop(Word("w1", 5), Tail())),
     ],
 )
--- a/tests/components/rollouts/test_controller.py
+++ b/tests/components/rollouts/test_controller.py
@@ -11,6 +11,7 @@
 
 from lacewingdock.components.rollouts.commands import (
     begin_rollout,
+    begin_unload,
     change_rollout,
 )
 from lacewingdock.components.rollouts.controller import Controller
@@ -35,6 +36,7 @@
         self.asked = {f"127.0.0.1:{i}": 0 for i in range(count)}
         self.broken = set(list(self.asked)[:broken])
         self.peak = 0
+        self.actions = set()
 
     def engines(self, pool):
         return [
@@ -45,6 +47,11 @@
         ]
 
     def send(self, address, order):
+        self.actions.add(order.action)
+        if order.action == "unload":
+            self.asked[address] = max(0, self.asked[address] - 1)
+            rid = self.asked[address] < 1
+            return Ordered(order.order, "unloaded" if rid else "busy")
         if address in self.broken:
             return Ordered(order.order, "", "upstream_failed")
         self.asked[address] += 1
@@ -240,6 +247,29 @@
     assert (stage.rollout.state, stage.shares["v2"]) == (state, share)
 
 
+@pytest.mark.parametrize("every", [2, 40])
+def test_a_withdrawn_version_is_unloaded(every):
+    stage = Stage()
+    stage.run(stage.holder(), 1)
+    present = stage.store.get("rollouts", "m")
+    wanted = Rollout(id="r2", model="m", version="v1", old_shares={})
+    with pytest.raises(LacewingdockError, match="withdraw it first"):
+        begin_unload(present, Version(model="m"), wanted)
+    withdrawn = Version(model="m", state="withdrawn")
+    begun = begin_unload(present, withdrawn, wanted)
+    value = msgspec.to_builtins(begun)
+    stage.store.put("rollouts", "m", value, present.revision)
+    version = stage.store.get("config", "version/v1")
+    value = {"model": "m", "state": "withdrawn"}
+    stage.store.put("config", "version/v1", value, version.revision)
+    shares = stage.shares
+    for fencing in range(2, 10):
+        stage.run(stage.holder(), fencing, every)
+    assert stage.rollout.state == "done"
+    assert set(stage.fleet.asked.values()) == {0}
+    assert stage.shares == shares
+
+
 def test_an_unreadable_record_stops_no_other_rollout():
     stage = Stage()
     bad = Stored("a", 1, {"id": 1})
