Orders: one sent to two entries at once is not called refused when it landed

Cause: an entry that went on from another's record took the moved object for a refusal, though the other's write may have landed and been overwritten; a refusal says ran no, and that was not known. Ruled out: reading the record again before the verdict (its note may be lost). Change: only the call that wrote the record may say refused; else the answer is a conflict with ran unknown. Proof: the new test failed with ran no; it passes.

--- a/lacewingdock/components/language/audit.py
+++ b/lacewingdock/components/language/audit.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from lacewingdock.components.language.plans import PURPOSE, Plan, who_wrote
-from lacewingdock.const import COLLECTION_COMMANDS, RAN_NO
+from lacewingdock.const import COLLECTION_COMMANDS, RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.store import ABSENT
 
@@ -84,7 +84,7 @@
     stored = store.get(COLLECTION_COMMANDS, command, PURPOSE)
     fresh = stored.revision == ABSENT
     if fresh:
-        stored = _begin(store, command, operator, text, plan())
+        stored, fresh = _begin(store, command, operator, text, plan())
     record = msgspec.convert(stored.value, CommandRecord)
     if (record.operator, record.text) != (operator, text):
         raise LacewingdockError(
@@ -95,7 +95,8 @@
         record = settle(store, record, fresh)
         _note(store, record, stored.revision)
     if record.state != "done":
-        raise LacewingdockError(ErrorKind.CONFLICT, record.detail)
+        ran = RAN_NO if record.state == "refused" else RAN_UNKNOWN
+        raise LacewingdockError(ErrorKind.CONFLICT, record.detail, ran)
     return record
 
 
@@ -117,7 +118,8 @@
 
 def _begin(
     store: Any, command: str, operator: str, text: str, plan: Plan
-) -> Any:
+) -> tuple[Any, bool]:
+    """Write a command's record; tell whether it is this call's own."""
     record = CommandRecord(
         id=command,
         operator=operator,
@@ -129,7 +131,7 @@
         summary=plan.summary,
     )
     try:
-        return store.put(
+        stored = store.put(
             COLLECTION_COMMANDS,
             command,
             msgspec.to_builtins(record),
@@ -139,8 +141,10 @@
     except LacewingdockError as error:
         if error.kind is not ErrorKind.CONFLICT:
             raise
-        # The same command was sent twice at once; the other's record counts.
-        return store.get(COLLECTION_COMMANDS, command, PURPOSE)
+        # The same command was sent twice at once; the other's record counts,
+        # and its effect may land at any moment.
+        return store.get(COLLECTION_COMMANDS, command, PURPOSE), False
+    return stored, True
 
 
 def settle_write(
--- a/lacewingdock/components/language/client.py
+++ b/lacewingdock/components/language/client.py
@@ -108,7 +108,8 @@
 def pointed(line: str, error: LacewingdockError) -> str:
     """Return the error, under the line with its place marked."""
     column = getattr(error, "column", None)
-    if error.ran == RAN_UNKNOWN:
+    unsettled = error.kind is ErrorKind.PLATFORM_UNAVAILABLE
+    if unsettled and error.ran == RAN_UNKNOWN:
         command = getattr(error, "command", "")
         return f"{error}\nsend the same line again with --id {command}"
     if column is None:
--- a/tests/components/language/test_audit.py
+++ b/tests/components/language/test_audit.py
@@ -123,6 +123,31 @@
     assert store.objects["commands"]["c-2"].value["state"] == "refused"
 
 
+def test_the_same_command_at_two_entries_at_once():
+    """A command reaches two entries, and its effect is overwritten at once.
+
+    Symptom: an order that took effect is reported as refused.
+    Events: one entry begins the record and its effect lands; another operator
+    undoes it; the second entry goes on from the first one's record.
+    Cause: "the object has moved on" taken for "it never landed".
+    """
+    store = platform()
+
+    def plan():
+        planned = plan_order(parse("withdraw v1"), "ana", store)
+        order(store, "withdraw v1")
+        order(store, "offer v1", "bob", "c-2")
+        # The first entry's note of what came of it was lost.
+        stored = store.objects["commands"]["c-1"]
+        stored.value |= {"state": "begun", "detail": ""}
+        return planned
+
+    with pytest.raises(LacewingdockError) as caught:
+        carry_out(store, "c-1", "ana", "withdraw v1", plan, settle_write)
+    assert caught.value.ran == "unknown"
+    assert state(store) == "offered"
+
+
 def test_an_id_belongs_to_one_command():
     store = platform()
     order(store, "withdraw v1")
