--- a/bench/leases.py
+++ b/bench/leases.py
@@ -2,11 +2,13 @@
 
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import fire
 
 from bench.deployment import Deployment, Shape, wait_until
 from bench.http import call
+from bench.proc import usage
 from bench.report import Figure, figure, progress, show
 from lacewingdock.components.leases.candidates import rank_candidates
 from lacewingdock.components.leases.const import LEASE_ROLLOUTS
@@ -52,6 +54,28 @@
     return taken
 
 
+def _cpu_by_part(
+    deployment: Deployment, holder: str, seconds: float
+) -> dict[str, list[float]]:
+    """Return the CPU milliseconds a second of the entries, idle.
+
+    The candidates can't be told from outside; they are among the others.
+    """
+    entries = {
+        name: process
+        for name, process in deployment.processes.items()
+        if name.startswith("entry-")
+    }
+    before = {n: usage(p.popen.pid).cpu_s for n, p in entries.items()}
+    time.sleep(seconds)
+    taken = {
+        name: 1000 * (usage(process.popen.pid).cpu_s - before[name]) / seconds
+        for name, process in entries.items()
+    }
+    others = [value for name, value in taken.items() if name != holder]
+    return {"holder": [taken[holder]], "other": others}
+
+
 def _calls(deployment: Deployment, seconds: float) -> dict[str, float]:
     """Return the platform's calls a second by purpose."""
     url = f"{deployment.processes['platform'].url()}/calls"
@@ -79,7 +103,11 @@
         wait_until(lambda: bool(_holder(store)), "nobody took the lease")
         time.sleep(6.0)
         progress("counting calls")
-        calls = _calls(deployment, window_s)
+        with ThreadPoolExecutor(1) as executor:
+            cpu = executor.submit(
+                _cpu_by_part, deployment, _holder(store), window_s
+            )
+            calls = _calls(deployment, window_s)
         strikes = {
             "killed": signal.SIGKILL,
             "frozen": signal.SIGSTOP,
@@ -91,7 +119,7 @@
             taken[name] = [
                 _takeover(deployment, store, how) for _ in range(runs)
             ]
-    show("leases", 0, _figures(taken, calls), json)
+    show("leases", 0, _figures(taken, calls, cpu.result()), json)
 
 
 def _ranking_ms(runs: int) -> list[float]:
@@ -114,7 +142,9 @@
 
 
 def _figures(
-    taken: dict[str, list[float]], calls: dict[str, float]
+    taken: dict[str, list[float]],
+    calls: dict[str, float],
+    cpu: dict[str, list[float]],
 ) -> list[Figure]:
     writes = calls.get("lease", 0.0)
     reads = calls.get("lease-read", 0.0)
@@ -151,6 +181,10 @@
             _ranking_ms(5),
             "ms CPU",
         ),
+        *(
+            figure(f"CPU of an idle entry, {part}", values, "ms/s")
+            for part, values in cpu.items()
+        ),
         figure(
             "reads and writes of the roll-outs' controller, idle",
             [calls.get("rollouts", 0.0)],
