--- a/lacewingdock/components/configuration/apply.py
+++ b/lacewingdock/components/configuration/apply.py
@@ -10,6 +10,7 @@
     KIND_CASCADE,
     KIND_MODEL,
     KIND_OPERATOR,
+    KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
     KIND_WORKSPACE,
@@ -26,6 +27,7 @@
     KIND_CASCADE,
     KIND_SERVICE,
     KIND_WORKSPACE,
+    KIND_QUARANTINE,
     KIND_OPERATOR,
 )
 
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -10,6 +10,7 @@
     membership,
     orders,
     peers,
+    quarantine,
     rollouts,
 )
 from lacewingdock.components.callers import departures
@@ -45,7 +46,8 @@
     stops = emergency.setup(daemon, links, config)
     open_answers = answers.setup(daemon, links, members)
     stops.open = open_answers.open
-    relay = Relay(open_answers, members, daemon.random)
+    suspects = quarantine.setup(daemon, links, config)
+    relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
     watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
@@ -63,7 +65,16 @@
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
     language.setup(daemon, admin_port, config, members, open_answers)
-    started = (links, config, members, watcher, held, port, admin_port)
+    started = (
+        links,
+        config,
+        suspects,
+        members,
+        watcher,
+        held,
+        port,
+        admin_port,
+    )
     for component in started:
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/world/world.py
+++ b/lacewingdock/world/world.py
@@ -11,6 +11,7 @@
     KIND_CASCADE,
     KIND_MODEL,
     KIND_OPERATOR,
+    KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
     KIND_WORKSPACE,
@@ -22,6 +23,7 @@
     Model,
     Operation,
     Operator,
+    Quarantine,
     Service,
     Version,
     Workspace,
@@ -31,6 +33,7 @@
     KIND_CASCADE: Cascade,
     KIND_MODEL: Model,
     KIND_OPERATOR: Operator,
+    KIND_QUARANTINE: Quarantine,
     KIND_SERVICE: Service,
     KIND_VERSION: Version,
     KIND_WORKSPACE: Workspace,
@@ -45,6 +48,7 @@
         cascades: Cascades by name.
         models: Models by name.
         operators: Operators by name.
+        quarantines: Quarantined requests by fingerprint.
         services: Plain services by name.
         versions: Model versions by name.
         workspaces: Workspaces by name.
@@ -56,6 +60,7 @@
     cascades: dict[str, Cascade] = field(default_factory=dict)
     models: dict[str, Model] = field(default_factory=dict)
     operators: dict[str, Operator] = field(default_factory=dict)
+    quarantines: dict[str, Quarantine] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     versions: dict[str, Version] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
@@ -71,6 +76,8 @@
                 self.models[name] = item
             case Operator():
                 self.operators[name] = item
+            case Quarantine():
+                self.quarantines[name] = item
             case Service():
                 self.services[name] = item
             case Version():
