--- a/lacewingdock/components/language/__init__.py
+++ b/lacewingdock/components/language/__init__.py
@@ -8,7 +8,6 @@
 
 from lacewingdock.components.admin import Admin
 from lacewingdock.components.answers import Answers
-from lacewingdock.components.callers.problem import problem_response
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.language.const import (
     KEYWORDS,
@@ -24,6 +23,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.problem import problem_response
 
 log = get_logger(NAME)
 
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -39,6 +39,14 @@
 # link: long enough for the entry to come back over a new one.
 ORPHAN_S: Final = 5.0
 MS_PER_S: Final = 1000
+# How long aborted runs may take to tell their entries.
+ABORT_S: Final = 0.5
+ABORT_POLL_S: Final = 0.01
+
+# The request itself is at fault and would never run, whoever refuses it.
+_REQUEST_FAULTS: Final = frozenset(
+    {ErrorKind.BAD_REQUEST, ErrorKind.KEY_REQUIRED, ErrorKind.KEY_REUSED}
+)
 
 log = get_logger(NAME)
 
@@ -167,7 +175,36 @@
         try:
             self._admit(run, link)
         except LacewingdockError as error:
-            run.refuse(error, self.configuration.revision)
+            run.refuse(
+                self._checked_ran(run, error), self.configuration.revision
+            )
+        except Exception as error:
+            log.exception("run failed", request_id=run.attempt.request)
+            run.refuse(LacewingdockError(ErrorKind.INTERNAL, repr(error)))
+        finally:
+            if self.claims is not None:
+                self.claims.finish(run)
+
+    def _checked_ran(
+        self, run: Run, error: LacewingdockError
+    ) -> LacewingdockError:
+        """Say "not run" of a key only where its home vouches for it.
+
+        The caller may send a key again after it lost the answer to a run;
+        "not run" from someone who doesn't know of that run would make it
+        book under another key.
+        """
+        if (
+            error.ran != RAN_NO
+            or run.attempt.repeatable
+            or self.claims is None
+            or error.kind in _REQUEST_FAULTS
+            or self.claims.vouches(run)
+        ):
+            return error
+        return LacewingdockError(
+            error.kind, error.detail, RAN_UNKNOWN, error.retry_after_s
+        )
 
     def _admit(self, run: Run, link: Link) -> None:
         attempt = run.attempt
@@ -182,10 +219,7 @@
                 run.add(body)
                 run.end(finish)
             case None:
-                try:
-                    self._execute(run)
-                finally:
-                    self.claims.record(run)
+                self._execute(run)
 
     def _gate(self, attempt: Attempt, link: Link) -> None:
         """Check an attempt, on no older configuration than its entry's.
@@ -331,6 +365,9 @@
             )
             link.send(_refusal(attempt, error))
             return
+        # The entry gave its old link up; here that link may look open for long,
+        # and would count as somebody who waits.
+        run.detach_peer(link)
         self.shelf.alias(attempt, run)
         self.daemon.spawn(run.attach, link, attempt, offset)
 
@@ -354,9 +391,17 @@
             run.detach(link)
 
     def unload(self) -> None:
-        """Abort what still runs; the grace time is over."""
+        """Abort what still runs; the grace time is over.
+
+        The entries are told, so that their callers need not find out.
+        """
         for run in self.shelf.runs():
             run.cancel()
+        end = time.monotonic() + ABORT_S
+        while time.monotonic() < end and any(
+            run.outcome is None for run in self.shelf.runs()
+        ):
+            time.sleep(ABORT_POLL_S)
 
 
 def _never_came(attempt: str) -> LacewingdockError:
