--- a/tests/components/runs/test_two_gates.py
+++ b/tests/components/runs/test_two_gates.py
@@ -9,6 +9,8 @@
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.requests import Caller, read_chat
+from lacewingdock.components.callers.steps import Steps
+from lacewingdock.components.cascades import Cascades
 from lacewingdock.components.routing.choice import choose_upstream
 from lacewingdock.components.runs import Runs
 from lacewingdock.components.sessions import Session
@@ -19,7 +21,7 @@
 from lacewingdock.world.world import World
 
 BODY = b'{"model": "m", "messages": [{"role": "user", "content": "x"}]}'
-CALLER = Caller("r", "", "", "", "", 1, "")
+CALLER = Caller("r", "", "", "", "", 1, "", 1e9)
 VERSIONS = ["m-1", "m-2"]
 
 
@@ -118,8 +120,11 @@
         random.Random(1),
     )
     workspace = entry.world.workspaces["w"]
-    chat = Chat(entry, relay, KeyRing(""), None)
-    return chat._start(read_chat(BODY), CALLER, "w", workspace, session)[0]
+    daemon = SimpleNamespace(random=random.Random(1))
+    steps = Steps(relay, Cascades(daemon, None))
+    chat = Chat(entry, relay, KeyRing(""), steps)
+    begun = chat._start(read_chat(BODY), CALLER, "w", workspace, session)
+    return begun.asked.plan
 
 
 @pytest.mark.parametrize(
