Deployments: each port is given out once

Symptom: 'entry-0 did not start: port_taken' in one full test run. Cause: ports were drawn at random from 17,000 for each process before the earlier ones had bound theirs; with some 40 ports of a deployment two are the same in about one run of twenty, by arithmetic. Change: a cycle through the range that begins at a place of the process's own.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,8 +1,8 @@
 """Support for starting a whole deployment on loopback, for tests and demos."""
 
 import contextlib
+import itertools
 import os
-import random
 import signal
 import socket
 import subprocess
@@ -24,6 +24,14 @@
 SESSION_KEYS: Final = "s1 a-session-key-for-loopback-only\n"
 
 
+# Each port is given out once: two daemons that have not bound theirs yet must
+# not be handed the same one. Where to begin differs from process to process,
+# so that deployments side by side seldom meet.
+_next_port = itertools.cycle(range(*PORTS))
+for _ in range(os.getpid() * 97 % (PORTS[1] - PORTS[0])):
+    next(_next_port)
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports that nobody listens on now.
 
@@ -31,14 +39,12 @@
     from. From within that range a connection could take the port before its
     process listens, and the deployment would not start.
     """
-    source = random.SystemRandom()
-    with contextlib.ExitStack() as stack:
-        ports: list[int] = []
-        while len(ports) < count:
-            sock = stack.enter_context(socket.socket())
-            with contextlib.suppress(OSError):
-                sock.bind((HOST, source.randrange(*PORTS)))
-                ports.append(sock.getsockname()[1])
+    ports: list[int] = []
+    while len(ports) < count:
+        port = next(_next_port)
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.bind((HOST, port))
+            ports.append(port)
     return ports
 
 
