--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -1,9 +1,9 @@
 """Support for getting one request answered, over links and retries."""
 
 import random
-from collections.abc import Iterator
 from typing import Final
 
+from lacewingdock.components.admission.retry_budget import RetryBudget
 from lacewingdock.components.answers import Answers, retry_of
 from lacewingdock.components.answers.answer import Answer, LinkLost
 from lacewingdock.components.configuration.catch_up import catch_up
@@ -17,7 +17,6 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Attempt
-from lacewingdock.world.upstream import Upstream
 
 MAX_TRIES: Final = 3
 # Refusals that another upstream may not share.
@@ -38,6 +37,10 @@
     {ErrorKind.MODEL_NOT_ALLOWED, ErrorKind.VERSION_WITHDRAWN}
 )
 
+# Retries that are no sign of too much load: each sidecar says so only until
+# this entry has its news.
+_FREE: Final = BY_CONFIGURATION | {ErrorKind.LEAVING, ErrorKind.NOT_READY}
+
 log = get_logger("relay")
 
 
@@ -49,9 +52,10 @@
         membership: The upstreams.
         quarantine: Which requests crash upstreams, and where they may go.
         source: Source of draws.
+        retries: Retries that this entry may make.
     """
 
-    __slots__ = ("answers", "membership", "quarantine", "source")
+    __slots__ = ("answers", "membership", "quarantine", "retries", "source")
 
     def __init__(
         self,
@@ -65,6 +69,7 @@
         self.membership = membership
         self.quarantine = quarantine
         self.source = source
+        self.retries = RetryBudget()
 
     def start(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
         """Ask until an upstream begins to answer.
@@ -82,6 +87,7 @@
         fingerprint = fingerprint_of(attempt)
         worst_ran = RAN_NO
         last: LacewingdockError | None = None
+        self.retries.count_request()
         for _ in range(MAX_TRIES):
             try:
                 upstream = self.quarantine.choose(
@@ -110,6 +116,8 @@
                     )
                 if not self._may_retry(error, attempt, fingerprint):
                     break
+                if error.kind not in _FREE and not self.retries.take():
+                    break
                 if _never_came(error, answer):
                     # Its link was at fault, and there is a new one.
                     tried.discard(upstream.name)
@@ -146,10 +154,26 @@
                 self.quarantine.prove(fingerprint_of(answer.attempt))
             return pieces
 
-    def rest(self, answer: Answer) -> Iterator[list[bytes]]:
-        """Yield pieces until the end of the answer."""
-        while pieces := self.take(answer):
-            yield pieces
+    def collect(self, answer: Answer, pieces: list[bytes]) -> None:
+        """Add the rest of an answer to its first pieces.
+
+        The task that reads the link does so; the calling one is woken at the
+        end, not for every piece.
+
+        Raises:
+            LacewingdockError: The answer can't be had whole.
+        """
+
+        def keep(_: int, data: bytes) -> bool:
+            pieces.append(data)
+            return True
+
+        while True:
+            answer.divert(keep)
+            more = self.take(answer)
+            if not more:
+                return
+            pieces += more
 
     def _may_retry(
         self, error: LacewingdockError, attempt: Attempt, fingerprint: str
@@ -166,18 +190,6 @@
             return False
         return error.ran == RAN_NO or attempt.repeatable
 
-    def at_home(self, upstream: Upstream, attempt: Attempt) -> Answer:
-        """Ask the home of a claim, with what it takes to know the outcome.
-
-        The home runs a key once, so after a lost link the same request is
-        sent again rather than resumed: it meets its own run.
-
-        Raises:
-            LacewingdockError: As refused by the home; OUTCOME_UNKNOWN when
-                the home can't be reached any more.
-        """
-        return self.answers.ask(upstream, attempt)
-
 
 def _told(
     last: LacewingdockError | None, error: LacewingdockError
--- a/lacewingdock/components/rollouts/controller.py
+++ b/lacewingdock/components/rollouts/controller.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from lacewingdock.components.orders.const import ACTION_LOAD, ACTION_UNLOAD
 from lacewingdock.components.rollouts.const import (
     BY_CONTROLLER,
     MAX_LEFT_OUT,
@@ -29,6 +30,7 @@
     STATE_RAISING,
     STATE_RETURNED,
     STATE_RETURNING,
+    STATE_UNLOADING,
 )
 from lacewingdock.components.rollouts.loading import Loading, SendOrder
 from lacewingdock.components.rollouts.record import Rollout, decode_rollout
@@ -121,22 +123,26 @@
                 changed, perhaps since another holds the lease.
         """
         active: set[str] = set()
-        conflict = None
-        for stored in self.store.list_all(COLLECTION_ROLLOUTS, PURPOSE).objects:
-            rollout = decode_rollout(stored)
-            if rollout is None or not rollout.active:
-                continue
-            active.add(rollout.id)
+        failed: LacewingdockError | None = None
+        listing = self.store.list_all(COLLECTION_ROLLOUTS, PURPOSE)
+        for stored in listing.objects:
             try:
+                rollout = decode_rollout(stored)
+                if rollout is None or not rollout.active:
+                    continue
+                active.add(rollout.id)
                 self.advance(rollout.model, rollout.version, fencing)
             except LacewingdockError as error:
-                if error.kind is not ErrorKind.CONFLICT:
+                if error.kind is ErrorKind.PLATFORM_UNAVAILABLE:
                     raise
-                # The other roll-outs must not wait for this one.
-                conflict = error
+                # One roll-out in conflict, or one unreadable record, must
+                # not stop the others. A conflict is what the lease's holder
+                # has to hear of.
+                if failed is None or error.kind is ErrorKind.CONFLICT:
+                    failed = error
         self.loadings = {k: v for k, v in self.loadings.items() if k in active}
-        if conflict is not None:
-            raise conflict
+        if failed is not None:
+            raise failed
 
     def advance(self, model: str, version: str, fencing: int) -> None:
         """Do the next step of one model's roll-out.
@@ -155,6 +161,9 @@
         if rollout.fencing < fencing:
             self._put(basis, fencing=fencing, sealed=False)
             return
+        if rollout.state == STATE_UNLOADING:
+            self._unload(basis)
+            return
         if basis.model.value is None:
             self._put(basis, state=STATE_RETURNED, reason="the model is gone")
             return
@@ -262,9 +271,36 @@
             engines=len(engines),
         )
 
-    def _load_some(self, rollout: Rollout) -> tuple[list[Instance], Loading]:
+    def _unload(self, basis: Basis) -> None:
+        """Order the version out of the engines; shares are not touched."""
+        rollout = basis.rollout
+        if rollout.paused:
+            return
+        if not _withdrawn(basis.version):
+            self._put(
+                basis, state=STATE_RETURNED, reason="the version is offered"
+            )
+            return
+        engines, loading = self._load_some(rollout, ACTION_UNLOAD)
+        left_out = loading.left_out() & {e.address for e in engines}
+        count = len(loading.loaded)
+        if count + len(left_out) >= len(engines):
+            reason = f"{len(left_out)} left out" if left_out else ""
+            self._put(
+                basis,
+                state=STATE_DONE,
+                reason=reason,
+                loaded=count,
+                engines=len(engines),
+            )
+        elif rollout.loaded != count:
+            self._put(basis, loaded=count, engines=len(engines))
+
+    def _load_some(
+        self, rollout: Rollout, action: str = ACTION_LOAD
+    ) -> tuple[list[Instance], Loading]:
         engines = self.engines(rollout.pool)
-        loading = self.loadings.setdefault(rollout.id, Loading())
+        loading = self.loadings.setdefault(rollout.id, Loading(action))
         loading.advance(
             engines,
             rollout.version,
