--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from lacewingdock.components.configuration import Configuration
+from lacewingdock.const import COLLECTION_CONFIG
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.links.messages import Beat, Hello
 from lacewingdock.platform.store import Listing, Stored
@@ -253,3 +254,10 @@
     """Deliver until nothing is on its way."""
     while any([node.deliver_all() for node in nodes]):
         pass
+
+
+def write(store: FakeStore, name: str, value: Any) -> int:
+    """Write a configuration item over what it is; return its revision."""
+    known = store.objects.get(COLLECTION_CONFIG, {}).get(name)
+    expect = known.revision if known else 0
+    return store.put(COLLECTION_CONFIG, name, value, expect).revision
