--- a/lacewingdock/helpers/http_server.py
+++ b/lacewingdock/helpers/http_server.py
@@ -27,19 +27,22 @@
 REFUSAL_TIMEOUT_S: Final = 0.5
 _IDLE_CHECK_S: Final = 0.5
 
-# Where the application finds the server's request.
+# Keys of the server's request and of the caller's socket in the WSGI
+# environment.
+ENVIRON_SOCKET: Final = "lacewingdock.socket"
 ENVIRON_REQUEST: Final = "lacewingdock.request"
 
 log = get_logger("http")
 
 
 class Gateway(Gateway_10):
-    """Shows the application the server's request, for direct writes."""
+    """Shows the application its request as the server has it."""
 
-    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        """Return the WSGI variables."""
-        environ: dict[str, Any] = super().get_environ()
+    def get_environ(self) -> Any:
+        """Return the WSGI environment of the request."""
+        environ: Any = super().get_environ()
         environ[ENVIRON_REQUEST] = self.req
+        environ[ENVIRON_SOCKET] = self.req.conn.socket
         return environ
 
 
