Relay: an answer that was not shown can still come from elsewhere

Cause: a caller that does not stream, and a held step of a cascade, got an error when the sidecar died after the first piece, though nothing had been shown. An answer of a held step that broke was not dropped: its link stayed busy at this end only and was given up as silent again and again.

Proof: test_answer_not_shown_goes_elsewhere_half_way failed before (502 outcome_unknown) and passes. Two test deployments kill their sidecars at the end, which would else wait for answers that the tests never fetch.

--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -214,7 +214,8 @@
     another upstream than waiting for a sidecar that may be dead.
     """
     attempt = answer.attempt
-    may_move = attempt.repeatable and attempt.target and not answer.next_offset
+    is_shown = answer.shown and answer.next_offset > 0
+    may_move = attempt.repeatable and attempt.target and not is_shown
     return ELSEWHERE_S if may_move else REATTACH_S
 
 
--- a/lacewingdock/components/answers/answer.py
+++ b/lacewingdock/components/answers/answer.py
@@ -45,6 +45,7 @@
         finish: The end, once taken.
         ended: Whether an end was delivered, whole or refused.
         dropped: Whether nobody waits any more.
+        shown: Whether the caller gets the pieces as they come.
         sent_to: Incarnation of the sidecar that the attempt was sent to.
         sent_at: Monotonic time at which it was sent.
     """
@@ -65,6 +66,7 @@
         "next_offset",
         "sent_at",
         "sent_to",
+        "shown",
         "upstream",
         "waiting",
     )
@@ -86,6 +88,7 @@
         self.finish: Finish | None = None
         self.ended = False
         self.dropped = False
+        self.shown = True
         self.sent_to = ""
         self._lock = threading.Lock()
 
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -149,9 +149,9 @@
         """
         for step in plan.steps[:-1]:
             try:
-                answer, pieces = self._ask(step, chat, caller, workspace)
-                for more in self.relay.rest(answer) if pieces else ():
-                    pieces += more
+                answer, pieces = self.relay.whole(
+                    self._attempt(step, chat, caller, workspace)
+                )
             except LacewingdockError as error:
                 gone = error.kind is ErrorKind.CALLER_LEFT
                 if gone or self._outdated(error, revision):
@@ -167,33 +167,33 @@
                 return step, answer, pieces
             self.relay.answers.drop(answer)
         last = plan.steps[-1]
-        return last, *self._ask(last, chat, caller, workspace)
+        attempt = self._attempt(last, chat, caller, workspace)
+        ask = self.relay.start if chat.stream else self.relay.whole
+        return last, *ask(attempt)
 
-    def _ask(
+    def _attempt(
         self, step: Step, chat: ChatBody, caller: Caller, workspace: str
-    ) -> tuple[Answer, list[bytes]]:
+    ) -> Attempt:
         fields = {
             **chat.fields,
             "model": step.version,
             "stream": True,
             "stream_options": {"include_usage": True},
         }
-        return self.relay.start(
-            Attempt(
-                attempt=new_id(),
-                request=caller.request_id,
-                workspace=workspace,
-                target=step.version,
-                method="POST",
-                path="/v1/chat/completions",
-                body=msgspec.json.encode(fields),
-                key=caller.key,
-                priority=caller.priority,
-                deadline_ms=DEADLINE_MS,
-                traceparent=caller.traceparent,
-                revision=self.configuration.revision,
-                resumable=bool(caller.key),
-            )
+        return Attempt(
+            attempt=new_id(),
+            request=caller.request_id,
+            workspace=workspace,
+            target=step.version,
+            method="POST",
+            path="/v1/chat/completions",
+            body=msgspec.json.encode(fields),
+            key=caller.key,
+            priority=caller.priority,
+            deadline_ms=DEADLINE_MS,
+            traceparent=caller.traceparent,
+            revision=self.configuration.revision,
+            resumable=bool(caller.key),
         )
 
     def _accepts(self, step: Step, chat: ChatBody, pieces: list[bytes]) -> bool:
@@ -243,14 +243,7 @@
             self.relay.answers.drop(answer, cancel=gone)
 
     def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
-        try:
-            while answer.finish is None and pieces:
-                more = self.relay.take(answer)
-                if not more:
-                    break
-                pieces += more
-        finally:
-            self.relay.answers.drop(answer)
+        self.relay.answers.drop(answer)
         return Response(
             msgspec.json.encode(assemble(pieces)),
             content_type="application/json",
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -146,6 +146,38 @@
                 self.quarantine.prove(fingerprint_of(answer.attempt))
             return pieces
 
+    def whole(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
+        """Ask until an upstream has given its whole answer.
+
+        None of it is shown before it is whole, so one that breaks half-way
+        can still come from another upstream.
+
+        Raises:
+            LacewingdockError: No upstream answers; `ran` says what is known.
+        """
+        answer, pieces = self.start(attempt)
+        try:
+            return answer, self._collect(answer, pieces)
+        except LacewingdockError as error:
+            fingerprint = fingerprint_of(attempt)
+            if not self._may_retry(error, attempt, fingerprint):
+                raise
+        try:
+            answer, pieces = self.start(retry_of(attempt))
+            return answer, self._collect(answer, pieces)
+        except LacewingdockError as error:
+            raise _final(error, RAN_UNKNOWN) from error
+
+    def _collect(self, answer: Answer, pieces: list[bytes]) -> list[bytes]:
+        answer.shown = False
+        try:
+            while answer.finish is None:
+                pieces += self.take(answer)
+            return pieces
+        except LacewingdockError:
+            self.answers.drop(answer)
+            raise
+
     def rest(self, answer: Answer) -> Iterator[list[bytes]]:
         """Yield pieces until the end of the answer."""
         while pieces := self.take(answer):
--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -99,7 +99,7 @@
             revision=self.configuration.revision,
         )
         if operation.repeatable:
-            answer, pieces = self.relay.start(attempt)
+            answer, pieces = self.relay.whole(attempt)
         else:
             answer, pieces = self._once(attempt)
         return self._whole(answer, pieces)
@@ -202,8 +202,8 @@
 
     def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
         try:
-            while pieces and (more := self.relay.take(answer)):
-                pieces += more
+            while answer.finish is None:
+                pieces += self.relay.take(answer)
         finally:
             self.relay.answers.drop(answer)
         finish = answer.finish
--- a/tests/components/answers/test_faults.py
+++ b/tests/components/answers/test_faults.py
@@ -5,6 +5,8 @@
 """
 
 import signal
+import threading
+import time
 
 import pytest
 
@@ -13,7 +15,7 @@
 from bench.relay import RelayedDeployment
 from bench.stream import Stream
 from standins.engine import expected_words
-from tests.common import NOTES_KEY, RETAIL_KEY, apply_example
+from tests.common import NOTES_KEY, RETAIL_KEY, apply_example, chat
 
 TOKENS = 120
 SLOW_FIRST_S = 1.0
@@ -26,6 +28,9 @@
     with RelayedDeployment(shape) as running:
         apply_example(running)
         yield running
+        # Their stop would wait for answers that a test never fetched.
+        for index in range(2):
+            running.processes[f"worker-{index}"].kill()
 
 
 @pytest.fixture(autouse=True)
@@ -221,3 +226,27 @@
     wait_until(lambda: running() == 1, "not running")
     stream.leave()
     wait_until(lambda: running() == 0, "runs on for nobody", 5.0)
+
+
+def test_answer_not_shown_goes_elsewhere_half_way(deployment):
+    """Symptom: a caller that does not stream gets a needless error.
+
+    Sequence: its sidecar is killed when half of the answer has come. Cause:
+    what had come was taken for shown.
+    """
+    before = served(deployment)
+    prompt = "half way"
+    replies = []
+    task = threading.Thread(
+        target=lambda: replies.append(chat(deployment, prompt, tokens=TOKENS))
+    )
+    task.start()
+    wait_until(lambda: served(deployment) != before, "not served")
+    (index,) = (i for i in (0, 1) if served(deployment)[i] != before[i])
+    # Time for some pieces; with none of them the test is a milder one.
+    time.sleep(0.3)
+    deployment.processes[f"worker-{index}"].kill()
+    task.join()
+    assert replies[0].status == 200, replies[0].body
+    message = replies[0].json()["choices"][0]["message"]
+    assert message["content"] == whole(prompt)
