Tests, bench: wait until entries have dialed restarted sidecars

A benchmark run failed because a kill hit the only sidecar that the entry had a link to: the other one, restarted just before, was ready but not yet dialed. The answer (502, run or not unknown) was right; the measurement was not.

--- a/bench/answers.py
+++ b/bench/answers.py
@@ -44,6 +44,7 @@
     changes = apply_manifest(ObjectStore(url), manifest)
     deployment.wait_ready()
     deployment.wait_revision(max(c.revision for c in changes))
+    deployment.wait_links()
 
 
 def control(deployment: Deployment, **change: object) -> None:
@@ -113,6 +114,7 @@
         deployment.restart(sidecar.name)
     control(deployment, first_s=FIRST_S)
     deployment.wait_ready()
+    deployment.wait_links()
     if not stream.is_done():
         raise RuntimeError(f"not whole: {stream.error()}")
     return lost
@@ -224,6 +226,7 @@
     outcomes = under_load(deployment, 4.0, seed, act)
     deployment.restart("worker-0")
     deployment.wait_ready()
+    deployment.wait_links()
     late = [o.started - killed[0] for o in outcomes if not o.whole]
     late = [seconds for seconds in late if seconds > 0]
     return len(late), max(late, default=0.0)
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -379,6 +379,24 @@
                 f"{process.name} has not revision {revision}",
             )
 
+    def wait_links(self) -> None:
+        """Wait until every entry has a link to every sidecar.
+
+        A sidecar that is ready again is dialed a little later; until then an
+        entry has fewer upstreams to choose from.
+        """
+        roles = [instance["role"] for instance in self.instances.values()]
+        sidecars = roles.count("sidecar")
+        for name, instance in self.instances.items():
+            if instance["role"] == "entry":
+                wait_until(
+                    lambda n=name: (  # type: ignore[misc]
+                        self.metric(self.processes[n], "lacewingdock_links")
+                        >= sidecars
+                    ),
+                    f"{name} lacks links",
+                )
+
     def wait_homes(self, partitions: int) -> None:
         """Wait until every claim partition has a home."""
         name = "lacewingdock_claim_partitions"
--- a/tests/components/answers/test_faults.py
+++ b/tests/components/answers/test_faults.py
@@ -44,6 +44,7 @@
         deployment.wait_port(deployment.processes[f"engine-{index}"])
         control(deployment, index, resumable=True, first_s=0.02, cut_after=0)
     deployment.wait_ready()
+    deployment.wait_links()
 
 
 def control(deployment, index, **change):
@@ -204,6 +205,7 @@
     stranger.join()
     deployment.restart("entry-0")
     deployment.wait_ready()
+    deployment.wait_links()
     assert first.words() + rest.words() == whole(prompt)
     assert rest.is_done()
     assert (stranger.words(), stranger.error()["code"]) == ("", "answer_gone")
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -49,6 +49,7 @@
         instance["state"] = "live"
     deployment.publish()
     deployment.wait_ready()
+    deployment.wait_links()
     time.sleep(LAG_S)
 
 
@@ -161,6 +162,7 @@
     process.arguments = short
     process = deployment.restart(name)
     deployment.wait_ready()
+    deployment.wait_links()
     stream = Stream(process.url(), RETAIL_KEY, "long draft", 1000)
     stream.wait_parts(5)
     process.signal(signal.SIGTERM)
