Departures: a reused descriptor is not taken for the caller that left

Cause: between the finding of a closed connection and its look-up, the request may end and its descriptor be given to another caller's connection; that one's request would have been ended.

Change: under the lock the descriptor, now known to belong to its request, is looked at again.

Proof: test_reused_descriptor_is_another_caller failed before, passes now.

--- a/lacewingdock/components/callers/departures.py
+++ b/lacewingdock/components/callers/departures.py
@@ -71,7 +71,7 @@
                 self.gone.update(
                     self.callers[number]
                     for number, _ in found
-                    if number in self.callers
+                    if number in self.callers and _is_closed(number)
                 )
                 gone = tuple(self.gone)
             # Again each round: between two tries, or two steps of a cascade,
@@ -83,6 +83,17 @@
         """Nothing to undo: the task ends with the daemon."""
 
 
+def _is_closed(number: int) -> bool:
+    """Look again at a descriptor that is known to be open.
+
+    Since it was found its connection may have ended, and the number be
+    another caller's, who must not be taken for gone.
+    """
+    poll = select.poll()
+    poll.register(number, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def setup(daemon: Daemon, answers: Answers) -> Departures:
     """Set the watching up."""
     departures = Departures(daemon, answers)
