--- a/lacewingdock/components/answers/answer.py
+++ b/lacewingdock/components/answers/answer.py
@@ -47,6 +47,7 @@
         finish: The end, once taken.
         ended: Whether an end was delivered, whole or refused.
         dropped: Whether nobody waits any more.
+        shown: Whether the caller gets the pieces as they come.
         sink: Takes pieces in the delivering task; None lets them wait.
         sent_to: Incarnation of the sidecar that the attempt was sent to.
         sent_at: Monotonic time at which it was sent.
@@ -68,6 +69,7 @@
         "next_offset",
         "sent_at",
         "sent_to",
+        "shown",
         "sink",
         "upstream",
         "waiting",
@@ -90,6 +92,7 @@
         self.finish: Finish | None = None
         self.ended = False
         self.dropped = False
+        self.shown = True
         self.sent_to = ""
         self.sink: Sink | None = None
         self._lock = threading.Lock()
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -154,6 +154,40 @@
                 self.quarantine.prove(fingerprint_of(answer.attempt))
             return pieces
 
+    def whole(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
+        """Ask until an upstream has given its whole answer.
+
+        None of it is shown before it is whole, so one that breaks half-way
+        can still come from another upstream.
+
+        Raises:
+            LacewingdockError: No upstream answers; `ran` says what is known.
+        """
+        try:
+            return self._whole(attempt)
+        except _BrokeOffError as broken:
+            error = broken.cause
+            fingerprint = fingerprint_of(attempt)
+            if not self._may_retry(error, attempt, fingerprint):
+                raise error from None
+        try:
+            return self._whole(retry_of(attempt))
+        except _BrokeOffError as broken:
+            raise broken.cause from None
+        except LacewingdockError as later:
+            raise _final(later, RAN_UNKNOWN) from later
+
+    def _whole(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
+        answer, pieces = self.start(attempt)
+        answer.shown = False
+        try:
+            if answer.finish is None and pieces:
+                self.collect(answer, pieces)
+        except LacewingdockError as error:
+            self.answers.drop(answer)
+            raise _BrokeOffError(error) from error
+        return answer, pieces
+
     def collect(self, answer: Answer, pieces: list[bytes]) -> None:
         """Add the rest of an answer to its first pieces.
 
@@ -191,6 +225,14 @@
         return error.ran == RAN_NO or attempt.repeatable
 
 
+class _BrokeOffError(Exception):
+    """An answer ended after its first piece and before its last."""
+
+    def __init__(self, cause: LacewingdockError) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
+
+
 def _told(
     last: LacewingdockError | None, error: LacewingdockError
 ) -> LacewingdockError:
--- a/lacewingdock/components/callers/steps.py
+++ b/lacewingdock/components/callers/steps.py
@@ -132,7 +132,9 @@
                 continue
             if begun is not None:
                 return begun
-        answer, pieces = self._ask(asked, asked.plan.steps[last])
+        answer, pieces = self._ask(
+            asked, asked.plan.steps[last], held=not asked.chat.stream
+        )
         sampled = self.cascades.is_sampled(route)
         return Begun(asked, last, answer, pieces, route, sampled)
 
@@ -152,13 +154,12 @@
     ) -> Begun | None:
         """Ask a step that is not the last; None when the next shall."""
         step = asked.plan.steps[choice.index]
-        answer, pieces = self._ask(asked, step)
+        held = choice.accept is not None or not asked.chat.stream
+        answer, pieces = self._ask(asked, step, held)
         sampled = self.cascades.is_sampled(route)
         begun = Begun(asked, choice.index, answer, pieces, route, sampled)
         if choice.accept is None:
             return begun
-        if pieces:
-            self.relay.collect(answer, pieces)
         score = self._score(asked.chat, pieces)
         if score is not None:
             given = choice.accepts(score)
@@ -199,7 +200,11 @@
         seen = Seen(begun.index, score, given, _cost(begun), messages, text)
         self.cascades.saw(begun.route, seen, begun.sampled)
 
-    def _ask(self, asked: Asked, step: Step) -> tuple[Answer, list[bytes]]:
+    def _ask(
+        self, asked: Asked, step: Step, held: bool
+    ) -> tuple[Answer, list[bytes]]:
+        """Ask a step, for all of its answer if that is held until whole."""
+        ask = self.relay.whole if held else self.relay.start
         caller = asked.caller
         fields = {
             **asked.chat.fields,
@@ -207,7 +212,7 @@
             "stream": True,
             "stream_options": {"include_usage": True},
         }
-        return self.relay.start(
+        return ask(
             Attempt(
                 attempt=new_id(),
                 request=caller.request_id,
