--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -28,6 +28,13 @@
 LONGEST_DEADLINES: Final = 10
 
 
+DEFAULT_DEADLINE_S: Final = 120.0
+
+
+def _default_deadline() -> float:
+    return time.monotonic() + DEFAULT_DEADLINE_S
+
+
 @dataclass(slots=True)
 class Caller:
     """What the headers of a request say.
@@ -51,7 +58,7 @@
     last_event: str
     priority: int
     traceparent: str
-    deadline: float
+    deadline: float = field(default_factory=_default_deadline)
     served: ServedRequest | None = None
 
     def left_ms(self) -> int:
