Admission: a full upstream drops its least urgent, and says when to return

Cause: a full queue refused whoever came, urgent or not; it took requests that could not start before their deadline, which then ended as deadline after a wait for nothing; Retry-After was a constant second.

Ruled out: a queue for each priority (more limits to set, and idle places of one are of no use to another).

Change: the least urgent that waits gives its place to a more urgent one, a true not-run; what the mean time of the last runs says can't start in time is refused at once; Retry-After is that estimate with a random spread.

Goodput under overload is not measured yet.

--- a/lacewingdock/components/admission/slots.py
+++ b/lacewingdock/components/admission/slots.py
@@ -3,11 +3,13 @@
 import contextlib
 import heapq
 import itertools
+import random
 import threading
 import time
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from lacewingdock.components.admission.pace import Pace
 from lacewingdock.const import RAN_NO
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 
@@ -20,6 +22,7 @@
         default_factory=threading.Event, compare=False
     )
     gone: bool = field(default=False, compare=False)
+    displaced: bool = field(default=False, compare=False)
 
 
 class Slots:
@@ -28,12 +31,17 @@
     A request may ask to run alone. It then waits until the upstream is
     empty, and nothing else starts before it has ended.
 
+    A full queue gives the place of its least urgent request to a more urgent
+    one. What can't start before its deadline is refused when it comes: it
+    would only take a place from one that can.
+
     Attributes:
         capacity: Slots in all.
         queue_limit: Requests that may wait.
         running: Slots taken.
         queued: Requests that wait.
         alone: Whether what runs holds the upstream for itself.
+        pace: How long runs take.
     """
 
     __slots__ = (
@@ -43,6 +51,7 @@
         "_loners",
         "alone",
         "capacity",
+        "pace",
         "queue_limit",
         "queued",
         "running",
@@ -55,6 +64,7 @@
         self.running = 0
         self.queued = 0
         self.alone = False
+        self.pace = Pace(capacity, random.Random())
         self._heap: list[_Waiting] = []
         self._loners: list[_Waiting] = []
         self._arrivals = itertools.count()
@@ -86,24 +96,27 @@
             LacewingdockError: OVERLOADED or DEADLINE, not run.
         """
         self._take(priority, deadline, alone)
+        start = time.monotonic()
         try:
             yield
         finally:
-            self._give_back()
+            self._give_back(time.monotonic() - start)
 
     def _take(self, priority: int, deadline: float, alone: bool) -> None:
         with self._lock:
-            if self.queued >= self.queue_limit and not self._is_free(alone):
-                raise LacewingdockError(
-                    ErrorKind.OVERLOADED, "the upstream's queue is full"
-                )
+            if not self._is_free(alone):
+                self._make_room_locked(priority, deadline)
             waiting = _Waiting(priority, next(self._arrivals))
             heapq.heappush(self._loners if alone else self._heap, waiting)
             self.queued += 1
             self._grant_locked()
-        if waiting.granted.wait(max(0.0, deadline - time.monotonic())):
-            return
+        waiting.granted.wait(max(0.0, deadline - time.monotonic()))
         with self._lock:
+            if waiting.displaced:
+                raise self._overloaded_locked(
+                    "a more urgent request took the place in the queue",
+                    self._ahead_locked(priority),
+                )
             if waiting.granted.is_set():
                 return
             waiting.gone = True
@@ -114,13 +127,39 @@
             ErrorKind.DEADLINE, "the deadline passed in the queue", RAN_NO
         )
 
+    def _make_room_locked(self, priority: int, deadline: float) -> None:
+        ahead = self._ahead_locked(priority)
+        if time.monotonic() + self.pace.wait_s(ahead) > deadline:
+            raise self._overloaded_locked(
+                "no slot is free before the deadline", ahead
+            )
+        if self.queued < self.queue_limit:
+            return
+        waiting = [w for w in self._heap if not w.gone]
+        last = max(waiting, default=None)
+        if last is None or last.priority <= priority:
+            raise self._overloaded_locked("the upstream's queue is full", ahead)
+        last.gone = last.displaced = True
+        self.queued -= 1
+        last.granted.set()
+
+    def _ahead_locked(self, priority: int) -> int:
+        waiting = itertools.chain(self._heap, self._loners)
+        return sum(not w.gone and w.priority <= priority for w in waiting)
+
+    def _overloaded_locked(self, detail: str, ahead: int) -> LacewingdockError:
+        return LacewingdockError(
+            ErrorKind.OVERLOADED, detail, RAN_NO, self.pace.retry_after_s(ahead)
+        )
+
     def _is_free(self, alone: bool) -> bool:
         if self.alone or self._loners:
             return False
         return self.running == 0 if alone else self.running < self.capacity
 
-    def _give_back(self) -> None:
+    def _give_back(self, held_s: float) -> None:
         with self._lock:
+            self.pace.count(held_s)
             self.running -= 1
             self.alone = False
             self._grant_locked()
