--- a/bench/leases.py
+++ b/bench/leases.py
@@ -2,15 +2,19 @@
 
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import fire
 
 from bench.deployment import Deployment, Shape, wait_until
 from bench.http import call
+from bench.proc import usage
 from bench.report import Figure, figure, progress, show
+from lacewingdock.components.leases.candidates import rank_candidates
 from lacewingdock.components.leases.const import LEASE_ROLLOUTS
 from lacewingdock.const import COLLECTION_LEASES
 from lacewingdock.platform.store import ObjectStore
+from lacewingdock.world.objects import Instance
 from tests.common import apply_example
 
 POLL_S = 0.02
@@ -18,6 +22,8 @@
 # Writes a second that all leases together may cost at the target.
 WRITES_AIM = 1.0
 LEASES_AT_TARGET = 10
+ENTRIES_AT_TARGET = 1200
+INSTANCES_AT_TARGET = 7700
 # What a lease by time would cost: renewed every 2 s, lapsed after 6 s.
 BY_TIME_WRITES = 0.5
 BY_TIME_TAKEOVER_S = 6.0
@@ -48,6 +54,28 @@
     return taken
 
 
+def _cpu_by_part(
+    deployment: Deployment, holder: str, seconds: float
+) -> dict[str, list[float]]:
+    """Return the CPU milliseconds a second of the entries, idle.
+
+    The candidates can't be told from outside; they are among the others.
+    """
+    entries = {
+        name: process
+        for name, process in deployment.processes.items()
+        if name.startswith("entry-")
+    }
+    before = {n: usage(p.popen.pid).cpu_s for n, p in entries.items()}
+    time.sleep(seconds)
+    taken = {
+        name: 1000 * (usage(process.popen.pid).cpu_s - before[name]) / seconds
+        for name, process in entries.items()
+    }
+    others = [value for name, value in taken.items() if name != holder]
+    return {"holder": [taken[holder]], "other": others}
+
+
 def _calls(deployment: Deployment, seconds: float) -> dict[str, float]:
     """Return the platform's calls a second by purpose."""
     url = f"{deployment.processes['platform'].url()}/calls"
@@ -64,7 +92,7 @@
 
     Args:
         json: Whether to print JSON.
-        runs: Strikes of each kind.
+        runs: Strikes of each kind; 0 for counting calls only.
         entries: Number of entries.
         window_s: Seconds that calls are counted for, without strikes.
     """
@@ -75,23 +103,48 @@
         wait_until(lambda: bool(_holder(store)), "nobody took the lease")
         time.sleep(6.0)
         progress("counting calls")
-        calls = _calls(deployment, window_s)
+        with ThreadPoolExecutor(1) as executor:
+            cpu = executor.submit(
+                _cpu_by_part, deployment, _holder(store), window_s
+            )
+            calls = _calls(deployment, window_s)
         strikes = {
             "killed": signal.SIGKILL,
             "frozen": signal.SIGSTOP,
             "stopped": signal.SIGTERM,
         }
         taken: dict[str, list[float]] = {}
-        for name, how in strikes.items():
+        for name, how in strikes.items() if runs else ():
             progress(f"holder {name}")
             taken[name] = [
                 _takeover(deployment, store, how) for _ in range(runs)
             ]
-    show("leases", 0, _figures(taken, calls), json)
+    show("leases", 0, _figures(taken, calls, cpu.result()), json)
+
+
+def _ranking_ms(runs: int) -> list[float]:
+    """Measure one ranking of the target's instances, in CPU milliseconds."""
+    instances = [
+        Instance(
+            name=f"i{number}",
+            role="entry" if number < ENTRIES_AT_TARGET else "sidecar",
+            failure_domain=f"d{number % 7}",
+            address="127.0.0.1:1",
+        )
+        for number in range(INSTANCES_AT_TARGET)
+    ]
+    taken = []
+    for number in range(runs):
+        start = time.thread_time()
+        rank_candidates(f"lease-{number}", instances, "")
+        taken.append((time.thread_time() - start) * 1000)
+    return taken
 
 
 def _figures(
-    taken: dict[str, list[float]], calls: dict[str, float]
+    taken: dict[str, list[float]],
+    calls: dict[str, float],
+    cpu: dict[str, list[float]],
 ) -> list[Figure]:
     writes = calls.get("lease", 0.0)
     reads = calls.get("lease-read", 0.0)
@@ -123,6 +176,15 @@
             aim=f"at most {WRITES_AIM:g}",
             reached=lambda value: value <= WRITES_AIM,
         ),
+        figure(
+            "ranking candidates at the target, on a change of the list",
+            _ranking_ms(5),
+            "ms CPU",
+        ),
+        *(
+            figure(f"CPU of an idle entry, {part}", values, "ms/s")
+            for part, values in cpu.items()
+        ),
         figure(
             "reads and writes of the roll-outs' controller, idle",
             [calls.get("rollouts", 0.0)],
--- a/lacewingdock/components/admission/slots.py
+++ b/lacewingdock/components/admission/slots.py
@@ -6,7 +6,7 @@
 import random
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from lacewingdock.components.admission.pace import Pace
@@ -18,9 +18,10 @@
 class _Waiting:
     priority: int
     arrival: int
-    granted: threading.Event = field(
+    woken: threading.Event = field(
         default_factory=threading.Event, compare=False
     )
+    granted: bool = field(default=False, compare=False)
     gone: bool = field(default=False, compare=False)
     displaced: bool = field(default=False, compare=False)
 
@@ -83,7 +84,11 @@
 
     @contextlib.contextmanager
     def hold(
-        self, priority: int, deadline: float, alone: bool = False
+        self,
+        priority: int,
+        deadline: float,
+        alone: bool = False,
+        on_wait: Callable[[Callable[[], object]], None] | None = None,
     ) -> Iterator[None]:
         """Hold a slot for the length of a `with` block.
 
@@ -91,18 +96,26 @@
             priority: 0 is the most urgent; equal ones go in order.
             deadline: Monotonic time after which waiting is useless.
             alone: Whether nothing else may run meanwhile.
+            on_wait: Called with what ends the waiting, for a request that
+                nobody waits for any more must not keep a place.
 
         Raises:
             LacewingdockError: OVERLOADED or DEADLINE, not run.
         """
-        self._take(priority, deadline, alone)
+        self._take(priority, deadline, alone, on_wait)
         start = time.monotonic()
         try:
             yield
         finally:
             self._give_back(time.monotonic() - start)
 
-    def _take(self, priority: int, deadline: float, alone: bool) -> None:
+    def _take(
+        self,
+        priority: int,
+        deadline: float,
+        alone: bool,
+        on_wait: Callable[[Callable[[], object]], None] | None,
+    ) -> None:
         with self._lock:
             if not self._is_free(alone):
                 self._make_room_locked(priority, deadline)
@@ -110,21 +123,23 @@
             heapq.heappush(self._loners if alone else self._heap, waiting)
             self.queued += 1
             self._grant_locked()
-        waiting.granted.wait(max(0.0, deadline - time.monotonic()))
+        if on_wait is not None:
+            on_wait(waiting.woken.set)
+        waiting.woken.wait(max(0.0, deadline - time.monotonic()))
         with self._lock:
             if waiting.displaced:
                 raise self._overloaded_locked(
                     "a more urgent request took the place in the queue",
                     self._ahead_locked(priority),
                 )
-            if waiting.granted.is_set():
+            if waiting.granted:
                 return
             waiting.gone = True
             self.queued -= 1
             # The rest may have waited only for this one to be alone.
             self._grant_locked()
         raise LacewingdockError(
-            ErrorKind.DEADLINE, "the deadline passed in the queue", RAN_NO
+            ErrorKind.DEADLINE, "it waited in the queue for too long", RAN_NO
         )
 
     def _make_room_locked(self, priority: int, deadline: float) -> None:
@@ -141,7 +156,7 @@
             raise self._overloaded_locked("the upstream's queue is full", ahead)
         last.gone = last.displaced = True
         self.queued -= 1
-        last.granted.set()
+        last.woken.set()
 
     def _ahead_locked(self, priority: int) -> int:
         waiting = itertools.chain(self._heap, self._loners)
@@ -186,7 +201,8 @@
         waiting = heapq.heappop(heap)
         self.queued -= 1
         self.running += 1
-        waiting.granted.set()
+        waiting.granted = True
+        waiting.woken.set()
 
 
 def _drop_gone(heap: list[_Waiting]) -> None:
--- a/lacewingdock/components/callers/app.py
+++ b/lacewingdock/components/callers/app.py
@@ -20,7 +20,7 @@
 from lacewingdock.const import HEADER_REQUEST_ID, RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.helpers.http_server import ENVIRON_SOCKET
+from lacewingdock.helpers.http_server import ENVIRON_REQUEST
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.problem import problem_response
@@ -82,7 +82,7 @@
     ) -> Iterable[bytes]:
         """Answer one request (WSGI)."""
         self.active.add(1)
-        request_id, sock = new_id(), environ[ENVIRON_SOCKET]
+        request_id, sock = new_id(), environ[ENVIRON_REQUEST].conn.socket
         self.departures.watch(request_id, sock)
         response = self._answer(Request(environ), request_id)
         if self.daemon.leaving.is_set():
