--- a/tests/components/runs/test_two_gates.py
+++ b/tests/components/runs/test_two_gates.py
@@ -19,7 +19,7 @@
 from lacewingdock.world.world import World
 
 BODY = b'{"model": "m", "messages": [{"role": "user", "content": "x"}]}'
-CALLER = Caller("r", "", "", "", "", 1, "")
+CALLER = Caller("r", "", "", "", "", 1, "", 1e12)
 VERSIONS = ["m-1", "m-2"]
 
 
