Frames: hold what is decoded to what the payload can hold

Cause: found by fuzzing the decoder. (1) pycapnp raises ValueError for a payload whose length is no multiple of eight bytes; the decoder let it out, so in the listener the task died without closing the socket. (2) The traversal limit was four million words whatever the payload's size, and list elements without words take no bytes: a frame of 64 bytes that claims 3,000,000 items was built whole.

Ruled out: a smaller fixed limit. A listing of 20,000 items is legitimate and needs more words than a hostile small frame must be allowed.

Change: ValueError is BAD_LINK; the limit is twice the payload's words and 64 spare ones.

--- a/lacewingdock/links/wire.py
+++ b/lacewingdock/links/wire.py
@@ -16,6 +16,9 @@
 SCHEMA: Final = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
 LENGTH_BYTES: Final = 4
+_WORD_BYTES: Final = 8
+# Structs and lists are counted again when they are reached by another field.
+_SPARE_WORDS: Final = 64
 
 
 def _camel(name: str) -> str:
@@ -81,9 +84,13 @@
         raise LacewingdockError(
             ErrorKind.BAD_LINK, f"frame of {len(payload)} bytes"
         )
+    # Elements without words take no bytes, so a frame of 64 bytes can claim
+    # millions of items, and pointers can meet in one place. Such a peer would
+    # fill the memory; what is read is held to what the payload can hold.
+    limit = 2 * (len(payload) // _WORD_BYTES) + _SPARE_WORDS
     try:
         with SCHEMA.Frame.from_bytes(
-            payload, traversal_limit_in_words=MAX_FRAME_BYTES
+            payload, traversal_limit_in_words=limit
         ) as frame:
             name = frame.which()
             body = getattr(frame, str(name))
@@ -91,7 +98,7 @@
                 return Chunk(body.attempt, body.offset, bytes(body.data))
             cls = _CLASSES[str(name)]
             return typing.cast("Message", _build(cls, body))
-    except (capnp.KjException, KeyError, UnicodeDecodeError) as error:
+    except (capnp.KjException, KeyError, ValueError) as error:
         raise LacewingdockError(
             ErrorKind.BAD_LINK, f"undecodable frame: {type(error).__name__}"
         ) from error
