Manifests: refuse what YAML hides and what JSON can't carry

Cause: found by fuzzing parse_manifest. The safe loader's constructors raise KeyError, IndexError and AttributeError for tagged values such as '!!bool x'; '.nan' passed the bounds of shares and prices, since a NaN compares false, and became null on the platform, so that an accepted item was left out by every daemon; names were not checked at all, and '$' in a pattern lets a line feed at the end through; a key given twice hid the first value; merged aliases grow without bound.

Ruled out: a bound on the nodes after aliases are merged; the merge itself is what grows. No example or stand-in uses aliases.

Change: a loader that refuses aliases and repeated keys, all of its errors coded, names checked, values that are no JSON refused by name, addresses of instances checked as IP number and port.

Before: test_manifest failed on five of its examples with four kinds of uncoded errors and on '.nan' with an item that build_world refuses. After: it passes; whatever the check lets through is in force whole.

--- a/lacewingdock/world/manifest.py
+++ b/lacewingdock/world/manifest.py
@@ -1,15 +1,43 @@
 """Support for configuration manifests in YAML or JSON."""
 
-from typing import Any
+import math
+import re
+from typing import Any, Final
 
 import yaml
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.world.objects import NAME_PATTERN
 from lacewingdock.world.world import CLASSES, World, decode_item
 
+MAX_MANIFEST_CHARS: Final = 4 * 1024 * 1024
+
 Manifest = dict[str, Any]
 
 
+class _Loader(yaml.SafeLoader):
+    """Safe YAML without what can hide or multiply values."""
+
+    def compose_node(self, parent: Any, index: Any) -> Any:
+        """Refuse aliases: nested ones grow without bound when merged."""
+        if self.check_event(yaml.AliasEvent):
+            event = self.peek_event()
+            raise yaml.YAMLError(f"aliases are not supported{event.start_mark}")
+        return super().compose_node(parent, index)
+
+    def construct_mapping(self, node: Any, deep: bool = False) -> Any:
+        """Refuse a key given twice: the first value would go unseen."""
+        seen = set()
+        for key_node, _ in node.value:
+            if key_node.value in seen and isinstance(key_node.value, str):
+                raise yaml.YAMLError(
+                    f"{key_node.value!r} is given twice{key_node.start_mark}"
+                )
+            if isinstance(key_node.value, str):
+                seen.add(key_node.value)
+        return super().construct_mapping(node, deep)
+
+
 def parse_manifest(text: str) -> Manifest:
     """Read a manifest: a map from kind to a map from name to object.
 
@@ -22,9 +50,22 @@
     Raises:
         LacewingdockError: BAD_MANIFEST naming every fault at once.
     """
+    if len(text) > MAX_MANIFEST_CHARS:
+        raise LacewingdockError(
+            ErrorKind.BAD_MANIFEST, f"more than {MAX_MANIFEST_CHARS} characters"
+        )
     try:
-        tree = yaml.safe_load(text)
-    except (yaml.YAMLError, ValueError, RecursionError) as error:
+        # _Loader is a SafeLoader: it builds plain values only.
+        tree = yaml.load(text, _Loader)
+    # Its constructors of tagged values ("!!bool x") also raise LookupError
+    # and AttributeError.
+    except (
+        yaml.YAMLError,
+        ValueError,
+        RecursionError,
+        LookupError,
+        AttributeError,
+    ) as error:
         raise LacewingdockError(
             ErrorKind.BAD_MANIFEST, f"not YAML: {error}"
         ) from error
@@ -41,13 +82,35 @@
             )
             continue
         for name, value in objects.items():
-            manifest[f"{kind}/{name}"] = value
+            key = f"{kind}/{name}"
+            if not re.fullmatch(NAME_PATTERN, str(name)):
+                faults.append(f"{key!r}: want a name like {NAME_PATTERN}")
+            if bad := _not_json(value):
+                faults.append(f"{key}: {bad!r} is no JSON value")
+            manifest[key] = value
     faults += check_references(manifest)
     if faults:
         raise LacewingdockError(ErrorKind.BAD_MANIFEST, "; ".join(faults))
     return manifest
 
 
+def _not_json(value: Any) -> Any:
+    """Find a value that would not survive JSON, such as a date or `.nan`."""
+    match value:
+        case dict():
+            inner: list[Any] = [*value.values()]
+            inner += [k for k in value if not isinstance(k, str)]
+            return next(filter(None, map(_not_json, inner)), None)
+        case list():
+            return next(filter(None, map(_not_json, value)), None)
+        case float():
+            return None if math.isfinite(value) else str(value)
+        case None | bool() | int() | str():
+            return None
+        case _:
+            return str(value)
+
+
 def check_references(manifest: Manifest) -> list[str]:
     """Name every fault of the objects and of what they refer to."""
     world = World()
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -1,12 +1,17 @@
 """Support for the configured objects: versions, models, workspaces."""
 
+import ipaddress
 from dataclasses import dataclass, field
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 from msgspec import Meta
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+# "$" would also match before a line feed at the end.
+NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9.-]{0,62}\Z"
+MAX_PORT: Final = 65535
+
+Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Price = Annotated[float, Meta(ge=0.0)]
 
@@ -154,6 +159,17 @@
     name: Name
     role: Literal["entry", "sidecar"]
     failure_domain: Name
-    address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}\Z")]
     pool: str = ""
     state: Literal["live", "leaving"] = "live"
+
+    def __post_init__(self) -> None:
+        """Refuse an address that can't be dialed.
+
+        Raises:
+            ValueError: The IP number or the port is out of range.
+        """
+        host, _, port = self.address.rpartition(":")
+        ipaddress.IPv4Address(host)
+        if int(port) > MAX_PORT:
+            raise ValueError(f"no such port: {port}")
