Platform client: odd answers are coded errors

Cause: found by fuzzing the client with odd JSON. Answers were converted outside the try block, so msgspec.ValidationError, KeyError and TypeError escaped into tasks that only expect LacewingdockError (the configuration's and the membership's loops end for good); JSON nested too deep raises RecursionError; an answer was read without bound; one instance with the address 1.2.3.4:99999 lost the whole list, and once let through ended the task that dials it (OverflowError, no OSError).

Ruled out: catching Exception in the loops; it would hide faults of ours.

Change: every answer is converted by _typed, which gives PLATFORM_UNAVAILABLE; a write whose answer can't be read is settled by reading back, as a lost one is; a write refused with another status is not reported as done; faulty instances are left out one by one and logged; at most 32 MB of an answer are read.

--- a/lacewingdock/platform/store.py
+++ b/lacewingdock/platform/store.py
@@ -10,12 +10,14 @@
 import threading
 import urllib.parse
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Any, Final, TypeVar
 
 import msgspec
 import pycurl
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
+from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.objects import Instance
 
 CALL_TIMEOUT_S: Final = 2.0
@@ -23,9 +25,18 @@
 SETTLE_TRIES: Final = 2
 ABSENT: Final = 0
 
+# A listing beyond this would take the daemon's whole memory.
+MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
+
+_ABORT: Final = -1
+_HTTP_OK: Final = 200
 _HTTP_NOT_FOUND: Final = 404
 _HTTP_CONFLICT: Final = 409
 
+T = TypeVar("T")
+
+log = get_logger("platform")
+
 
 @dataclass(slots=True)
 class Stored:
@@ -52,6 +63,13 @@
     objects: list[Stored] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class _Written:
+    """What a write or a conflict answers with."""
+
+    revision: int
+
+
 class ObjectStore:
     """A client of the object API; safe to use from any task.
 
@@ -77,7 +95,7 @@
         status, body = self._call("GET", _path(collection, name), purpose)
         if status == _HTTP_NOT_FOUND:
             return Stored(name, ABSENT)
-        return msgspec.convert(body, Stored)
+        return _typed(body, Stored)
 
     def list_all(
         self, collection: str, purpose: str, prefix: str = ""
@@ -89,7 +107,7 @@
         """
         query = urllib.parse.urlencode({"prefix": prefix})
         _, body = self._call("GET", f"{_path(collection)}?{query}", purpose)
-        return msgspec.convert(body, Listing)
+        return _typed(body, Listing)
 
     def watch(
         self, collection: str, after: int, purpose: str, prefix: str = ""
@@ -111,7 +129,7 @@
             purpose,
             timeout_s=WATCH_TIMEOUT_S + CALL_TIMEOUT_S,
         )
-        return msgspec.convert(body, Listing)
+        return _typed(body, Listing)
 
     def put(
         self,
@@ -150,15 +168,21 @@
             status, answer = self._call(
                 "PUT", _path(collection, name), purpose, body
             )
+            revision = _typed(answer, _Written).revision
         except LacewingdockError:
+            # An answer that can't be read says as little as a lost one.
             return self._settle(collection, name, value, writer, expect)
+        if status == _HTTP_OK:
+            return Stored(name, revision, value, writer)
         if status == _HTTP_CONFLICT:
             raise LacewingdockError(
                 ErrorKind.CONFLICT,
-                f"{collection}/{name}: revision is "
-                f"{answer['revision']}, not {expect}",
+                f"{collection}/{name}: revision is {revision}, not {expect}",
             )
-        return Stored(name, answer["revision"], value, writer)
+        raise LacewingdockError(
+            ErrorKind.PLATFORM_UNAVAILABLE,
+            f"write of {collection}/{name}: status {status}",
+        )
 
     def instances(self) -> list[Instance]:
         """Read the lagging list of instances.
@@ -167,7 +191,14 @@
             LacewingdockError: PLATFORM_UNAVAILABLE.
         """
         _, body = self._call("GET", "/instances", "instances")
-        return msgspec.convert(body, list[Instance])
+        instances = []
+        for entry in _typed(body, list[Any]):
+            try:
+                instances.append(msgspec.convert(entry, Instance))
+            except msgspec.ValidationError as error:
+                # One odd entry must not hide all the others.
+                log.error("faulty instance left out", error=str(error))
+        return instances
 
     def _settle(
         self, collection: str, name: str, value: Any, writer: str, expect: int
@@ -207,11 +238,16 @@
         self.calls[purpose] = self.calls.get(purpose, 0) + 1
         curl = self._handle()
         received = io.BytesIO()
+
+        def take(data: bytes) -> int | None:
+            received.write(data)
+            return None if received.tell() <= MAX_ANSWER_BYTES else _ABORT
+
         curl.setopt(pycurl.URL, self.url + path)
         curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.HTTPHEADER, [f"Purpose: {purpose}", "Expect:"])
         curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
-        curl.setopt(pycurl.WRITEFUNCTION, received.write)
+        curl.setopt(pycurl.WRITEFUNCTION, take)
         if body is None:
             curl.setopt(pycurl.HTTPGET, 1)
         else:
@@ -224,7 +260,7 @@
                     ErrorKind.PLATFORM_UNAVAILABLE,
                     f"{method} {path}: status {status}",
                 )
-            return status, msgspec.json.decode(received.getvalue())
+            return status, decode_json(received.getvalue())
         except (pycurl.error, msgspec.DecodeError) as error:
             self._drop_handle()
             raise LacewingdockError(
@@ -251,6 +287,20 @@
                 curl.close()
 
 
+def _typed(body: Any, cls: type[T]) -> T:
+    """Check what the platform answered.
+
+    Raises:
+        LacewingdockError: PLATFORM_UNAVAILABLE when it is something else.
+    """
+    try:
+        return msgspec.convert(body, cls)
+    except msgspec.ValidationError as error:
+        raise LacewingdockError(
+            ErrorKind.PLATFORM_UNAVAILABLE, f"odd answer: {error}"
+        ) from error
+
+
 def _path(collection: str, name: str = "") -> str:
     path = f"/objects/{urllib.parse.quote(collection, safe='')}"
     return f"{path}/{urllib.parse.quote(name)}" if name else path
