A nested JSON body no longer ends an entry

Symptom: one authenticated request with a body of 900 opening brackets ended the entry's process, and with it every stream that it carried.

Cause: msgspec's decoder recurses in C up to the interpreter's limit of 1,000 levels; tasks had 256 KB of stack, which holds fewer. Beyond the limit it raises RecursionError, which no caller of it took for bad input.

Ruled out: a lower recursion limit for the daemons (it binds the whole interpreter, libraries included, and still has to fit the stack).

Change: 1 MB of stack a task, and decode_json, which makes RecursionError a DecodeError.

Before: segmentation fault at depths 900 to 5,000 with 256 KB, at 995 with 384 KB for objects; RecursionError from 512 KB on.

--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -13,6 +13,7 @@
     HEADER_SESSION,
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 
 MAX_KEY_CHARS: Final = 255
 PRIORITIES: Final = {"interactive": 0, "normal": 1, "background": 2}
@@ -101,7 +102,7 @@
         LacewingdockError: BAD_REQUEST naming the field.
     """
     try:
-        fields = msgspec.json.decode(body)
+        fields = decode_json(body)
         if not isinstance(fields, dict):
             raise msgspec.ValidationError("want a JSON object")
         return ChatBody(
--- a/lacewingdock/components/sessions/__init__.py
+++ b/lacewingdock/components/sessions/__init__.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.links.keys import KeyRing
 
 LABEL: Final = b"lacewingdock session"
@@ -58,7 +59,7 @@
         )
         if not keys.verify(key_id.decode(), mac, LABEL, payload):
             raise ValueError("not genuine")
-        session = msgspec.json.decode(payload, type=Session)
+        session = decode_json(payload, Session)
     except (ValueError, binascii.Error, msgspec.DecodeError) as error:
         raise LacewingdockError(
             ErrorKind.BAD_TOKEN, f"session token: {error}"
--- a/lacewingdock/const.py
+++ b/lacewingdock/const.py
@@ -47,4 +47,7 @@
 MAX_BODY_BYTES: Final = 1024 * 1024
 MAX_FRAME_BYTES: Final = 4 * 1024 * 1024
 MAX_HELLO_BYTES: Final = 4096
-THREAD_STACK_BYTES: Final = 256 * 1024
+# A decoder in C goes as deep as the interpreter's limit of 1,000 levels and
+# takes 256 to 512 KB of stack for it; with less, one nested JSON body ends
+# the process. Pages that a task does not touch take no memory.
+THREAD_STACK_BYTES: Final = 1024 * 1024
