Odd upstream answers end as upstream_failed

Cause: found by fuzzing the receiver and the assembly. A usage count below zero or beyond 32 bits does not fit the Finish frame, so its encoding raised in the run's task and the caller got no end; an event of more than 4 MB makes a frame that the entry refuses by closing the link, with every answer on it, and again on resuming; an event that is no object raised AttributeError in the entry (internal instead of upstream_failed); a status line without a number raised inside curl's callback, which prints a traceback outside the log.

Ruled out: splitting large events over frames; a piece is an event, and its number is the id that a caller resumes by.

Change: typed events and counts with bounds; an event beyond 1 MB is given up; decode_json wherever an upstream, a rating service or a configuration item is decoded.

--- a/lacewingdock/components/callers/assemble.py
+++ b/lacewingdock/components/callers/assemble.py
@@ -5,6 +5,26 @@
 import msgspec
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+    tool_calls: list[Any] | None = None
+
+
+class _Part(msgspec.Struct):
+    index: int = 0
+    delta: _Delta | None = None
+    finish_reason: str | None = None
+
+
+class _Event(msgspec.Struct):
+    id: Any = None
+    created: Any = None
+    model: Any = None
+    usage: Any = None
+    choices: list[_Part] | None = None
 
 
 def assemble(pieces: list[bytes]) -> dict[str, Any]:
@@ -17,22 +37,23 @@
         The completion as a client that does not stream expects it.
 
     Raises:
-        LacewingdockError: UPSTREAM_FAILED when an event is not JSON.
+        LacewingdockError: UPSTREAM_FAILED when an event is not
+            one of a completion.
     """
     whole: dict[str, Any] = {"object": "chat.completion"}
     choices: dict[int, dict[str, Any]] = {}
     for piece in pieces:
         try:
-            event = msgspec.json.decode(piece)
+            event = decode_json(piece, _Event)
         except msgspec.DecodeError as error:
             raise LacewingdockError(
-                ErrorKind.UPSTREAM_FAILED, f"event is not JSON: {error}"
+                ErrorKind.UPSTREAM_FAILED, f"odd event: {error}"
             ) from error
         for name in ("id", "created", "model", "usage"):
-            if event.get(name) is not None:
-                whole[name] = event[name]
-        for part in event.get("choices") or ():
-            _join(choices.setdefault(part.get("index", 0), _empty()), part)
+            if getattr(event, name) is not None:
+                whole[name] = getattr(event, name)
+        for part in event.choices or ():
+            _join(choices.setdefault(part.index, _empty()), part)
     whole["choices"] = [
         {"index": index, **choice} for index, choice in sorted(choices.items())
     ]
@@ -46,10 +67,10 @@
     }
 
 
-def _join(choice: dict[str, Any], part: dict[str, Any]) -> None:
-    delta = part.get("delta") or {}
-    choice["message"]["content"] += delta.get("content") or ""
-    for call in delta.get("tool_calls") or ():
+def _join(choice: dict[str, Any], part: _Part) -> None:
+    delta = part.delta or _Delta()
+    choice["message"]["content"] += delta.content or ""
+    for call in delta.tool_calls or ():
         choice["message"].setdefault("tool_calls", []).append(call)
-    if part.get("finish_reason"):
-        choice["finish_reason"] = part["finish_reason"]
+    if part.finish_reason:
+        choice["finish_reason"] = part.finish_reason
--- a/lacewingdock/components/engine/__init__.py
+++ b/lacewingdock/components/engine/__init__.py
@@ -8,6 +8,7 @@
 
 from lacewingdock.components.runs import Runs
 from lacewingdock.core import Daemon
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
 
 NAME: Final = "engine"
@@ -75,7 +76,7 @@
             curl.perform()
         finally:
             curl.close()
-        return msgspec.json.decode(received.getvalue(), type=EngineReport)
+        return decode_json(received.getvalue(), EngineReport)
 
     def unload(self) -> None:
         """Nothing is held beyond the daemon's tasks."""
--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -1,13 +1,15 @@
 """Support for calling the upstream and taking its answer as it streams."""
 
+import re
 import time
-from typing import Final
+from typing import Annotated, Final
 
 import msgspec
 import pycurl
 
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.links.messages import Finish
 from lacewingdock.world.run import Run
 
@@ -16,21 +18,28 @@
 CONNECT_TIMEOUT_MS: Final = 1000
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
 BODY_PIECE_BYTES: Final = 256 * 1024
+# An event goes in one frame, and a frame beyond the limit ends the link with
+# every answer on it.
+MAX_EVENT_BYTES: Final = 1024 * 1024
+MAX_TOKENS: Final = 2**32 - 1
 
 _SERVER_ERROR: Final = 500
 _ABORT: Final = -1
 
 
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+
+
 class _Usage(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: _Tokens = 0
+    completion_tokens: _Tokens = 0
 
 
 class _Event(msgspec.Struct):
     usage: _Usage | None = None
 
 
-_USAGE_DECODER: Final = msgspec.json.Decoder(_Event)
+_STATUS: Final = re.compile("[1-5][0-9][0-9]")
 
 
 class Receiver:
@@ -71,7 +80,11 @@
         """Take a header line."""
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
-            self.status = int(text.split()[1])
+            # What raised here would be printed by the HTTP library, not
+            # logged; curl has checked the line's form already.
+            _, _, rest = text.partition(" ")
+            code = rest[:3]
+            self.status = int(code) if _STATUS.fullmatch(code) else 0
         name, _, value = text.partition(":")
         if name.lower() == "content-type":
             self.content_type = value.strip()
@@ -90,7 +103,11 @@
         if self.is_stream:
             *events, self.pending = self.pending.split(b"\n\n")
             for event in events:
+                if len(event) > MAX_EVENT_BYTES:
+                    return _ABORT
                 self._event(event)
+            if len(self.pending) > MAX_EVENT_BYTES:
+                return _ABORT
         elif len(self.pending) >= BODY_PIECE_BYTES:
             self.run.add(self.pending)
             self.pending = b""
@@ -109,7 +126,7 @@
 
     def _count(self, data: bytes) -> None:
         try:
-            usage = _USAGE_DECODER.decode(data).usage
+            usage = decode_json(data, _Event).usage
         except msgspec.DecodeError:
             return
         if usage is not None:
--- a/lacewingdock/platform/ratings.py
+++ b/lacewingdock/platform/ratings.py
@@ -7,6 +7,7 @@
 import pycurl
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 
 TIMEOUT_MS: Final = 1000
 
@@ -47,7 +48,7 @@
             )
             curl.setopt(pycurl.WRITEFUNCTION, received.write)
             curl.perform()
-            verdict = msgspec.json.decode(received.getvalue(), type=_Verdict)
+            verdict = decode_json(received.getvalue(), _Verdict)
         except (pycurl.error, msgspec.DecodeError) as error:
             raise LacewingdockError(
                 ErrorKind.UPSTREAM_FAILED, f"rating service: {error}"
--- a/lacewingdock/world/world.py
+++ b/lacewingdock/world/world.py
@@ -15,6 +15,7 @@
     KIND_WORKSPACE,
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.world.objects import (
     Cascade,
     ConfigObject,
@@ -126,7 +127,7 @@
         )
     try:
         if isinstance(value, bytes):
-            value = msgspec.json.decode(value)
+            value = decode_json(value)
         _refuse_unknown(cls, value)
         return name, msgspec.convert(value, cls)
     except (msgspec.ValidationError, msgspec.DecodeError) as error:
