Key files are read within a bound

Cause: found by fuzzing load_keys: a key file that is a device or a wrong large file was read whole; /dev/zero filled the memory. Before: MemoryError under a 4 GB limit. After: bad_setting at 64 KB.

--- a/lacewingdock/links/keys.py
+++ b/lacewingdock/links/keys.py
@@ -5,10 +5,12 @@
 import os
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Final
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 
-MIN_SECRET_CHARS = 16
+MIN_SECRET_CHARS: Final = 16
+MAX_FILE_BYTES: Final = 64 * 1024
 
 
 @dataclass(slots=True)
@@ -34,7 +36,7 @@
             stamp = (stat.st_mtime_ns, stat.st_size)
             if stamp == self.stamp:
                 return
-            keys = _parse(Path(self.path).read_text("utf-8"))
+            keys = _parse(_read(self.path))
         except (OSError, UnicodeDecodeError, LacewingdockError):
             # A key file caught half-written must not take the keys in force
             # away: links would be refused fleet-wide. The old ones stay.
@@ -80,6 +82,18 @@
     return ring
 
 
+def _read(path: str) -> str:
+    """Read a small file; a device or a wrong path must not fill memory."""
+    with Path(path).open("rb") as file:
+        data = file.read(MAX_FILE_BYTES + 1)
+    if len(data) > MAX_FILE_BYTES:
+        raise LacewingdockError(
+            ErrorKind.BAD_SETTING,
+            f"key file has more than {MAX_FILE_BYTES} bytes",
+        )
+    return data.decode()
+
+
 def _mac(secret: bytes, parts: tuple[bytes, ...]) -> bytes:
     digest = hmac.new(secret, digestmod=hashlib.sha256)
     for part in parts:
