Header and query bytes that no upstream call takes are refused at once

Symptom: a request with a byte beyond ASCII in its query, Idempotency-Key, Content-Type or traceparent got no answer until its deadline. Cause: pycurl takes ASCII only and raises UnicodeEncodeError while the call is built, after the claim; the run's task expected LacewingdockError only, died, and nobody ended the run. Ruled out: percent-encoding them for the caller; the key would then not be the caller's. Change: the entry refuses them, not run; the sidecar turns the error into bad_request, not run, and any other error of a run into internal with an end. Before: test_headers_that_go_on_to_the_upstream failed. After: it passes.

--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -16,6 +16,7 @@
 from lacewingdock.helpers.json import decode_json
 
 MAX_KEY_CHARS: Final = 255
+PASSED_ON: Final = (HEADER_IDEMPOTENCY_KEY, "Content-Type", "traceparent")
 PRIORITIES: Final = {"interactive": 0, "normal": 1, "background": 2}
 DEFAULT_PRIORITY: Final = "normal"
 
@@ -77,6 +78,18 @@
             ErrorKind.BAD_REQUEST,
             f"{HEADER_IDEMPOTENCY_KEY}: more than {MAX_KEY_CHARS} characters",
         )
+    for name in (*PASSED_ON, HEADER_SESSION, HEADER_LAST_EVENT_ID):
+        value = request.headers.get(name, "")
+        # They go on in a header or a URL of the upstream's call, which takes
+        # ASCII only; later it would be too late to say that nothing ran.
+        if not (value.isascii() and value.isprintable()):
+            raise LacewingdockError(
+                ErrorKind.BAD_REQUEST, f"{name}: want printable ASCII"
+            )
+    if not request.query_string.isascii():
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST, "the query is not percent-encoded"
+        )
     priority = request.headers.get(HEADER_PRIORITY, DEFAULT_PRIORITY)
     if priority not in PRIORITIES:
         raise LacewingdockError(
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -9,7 +9,7 @@
 from lacewingdock.components.peers import Peers
 from lacewingdock.components.runs.shelf import Shelf
 from lacewingdock.components.runs.upstream_call import call_upstream
-from lacewingdock.const import RAN_NO
+from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
@@ -129,6 +129,13 @@
             self._admit(run)
         except LacewingdockError as error:
             run.refuse(error)
+        except Exception:
+            # Without an end the caller would wait until its deadline.
+            log.exception("run failed", request_id=attempt.request)
+            ran = RAN_UNKNOWN if run.executed else RAN_NO
+            run.refuse(
+                LacewingdockError(ErrorKind.INTERNAL, "see the log", ran)
+            )
 
     def _admit(self, run: Run) -> None:
         attempt = run.attempt
--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -196,6 +196,10 @@
         curl.setopt(pycurl.CUSTOMREQUEST, attempt.method)
         run.executed = True
         curl.perform()
+    except UnicodeEncodeError as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST, f"not ASCII: {error.object!r}", RAN_NO
+        ) from error
     except pycurl.error as error:
         raise _failure(error, run) from error
     finally:
--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -7,8 +7,9 @@
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
+from werkzeug.wrappers import Request
 
-from lacewingdock.components.callers.requests import read_chat
+from lacewingdock.components.callers.requests import read_caller, read_chat
 from lacewingdock.components.sessions import open_session
 from lacewingdock.core import Daemon
 from lacewingdock.links.keys import KeyRing
@@ -49,6 +50,41 @@
         msgspec.json.encode(chat.fields)
 
 
+@fuzzed
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            [
+                "Authorization",
+                "Idempotency-Key",
+                "Last-Event-ID",
+                "Lacewingdock-Session",
+                "Lacewingdock-Priority",
+                "traceparent",
+                "Content-Type",
+            ]
+        ),
+        st.text(st.characters(max_codepoint=255), max_size=12),
+    ),
+    st.text(st.characters(max_codepoint=255), max_size=8),
+)
+def test_headers_that_go_on_to_the_upstream(headers, query):
+    # Not ASCII: the upstream's call could not be made, the run never ended
+    # and the caller waited for its deadline.
+    environ = {
+        "HTTP_" + name.upper().replace("-", "_"): value
+        for name, value in headers.items()
+    }
+    environ["CONTENT_TYPE"] = headers.get("Content-Type", "")
+    environ["HTTP_AUTHORIZATION"] = "Bearer key"
+    environ["QUERY_STRING"] = query
+    request = Request(environ)
+    if caller := coded(read_caller, request, "r1"):
+        passed = (caller.key, caller.traceparent, request.content_type or "")
+        assert "".join(passed).isascii()
+        assert request.query_string.isascii()
+
+
 @pytest.mark.parametrize("opening", [b"[", b'{"a":'])
 def test_deep_nesting_does_not_end_a_daemon(opening):
     # In a task with a small stack the decoder ran out of it and the process
