Command line: text arguments, coded errors, help of every setting, diff

Cause: fire reads arguments as Python values (--instance=007 became 7), goes on into a command's result ('version upper'), opens an interpreter after '--', and reports what it does not know in its own words with no code. Settings reported clashes only once nothing else was wrong, took a misspelt variable silently, ports up to 99999, 'host=...', and a body limit beyond the largest frame (a body of more than 4 MB would close the link). An entry with link keys and no session keys accepted any session token. Errors of a key file repeated the value given, which by mistake may be the key.

Ruled out: argparse beside fire; the house style names fire, and one decorator gives it text arguments and checks.

--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -1,63 +1,97 @@
 """Support for the command line."""
 
-import os
 import sys
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, Final
 
 import fire
 
 from lacewingdock.const import VERSION
 from lacewingdock.core import exit_now
-from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.command import command, command_table, overview
 from lacewingdock.helpers.log import start_logging
 from lacewingdock.settings import (
+    ClientSettings,
     DaemonSettings,
     EntrySettings,
     SidecarSettings,
     load_settings,
 )
 
+HELP: Final = ("", "help", "-h", "--help")
+# fire would take these as its own: "-" ends a command's arguments, "--" opens
+# its flags, one of which starts an interpreter.
+FIRE_WORDS: Final = ("-", "--")
+INTERRUPTED: Final = 130
+
 
 class Commands:
     """A model-aware router for versions and cascades."""
 
-    def entry(self, **flags: Any) -> None:
-        """Run an entry; every setting is a flag or LACEWINGDOCK_NAME."""
+    @command(EntrySettings)
+    def entry(self, **flags: str) -> None:
+        """Run an entry, which callers talk to."""
         from lacewingdock.daemons.entry import run_entry
 
         _run_daemon(load_settings(EntrySettings, flags), run_entry)
 
-    def sidecar(self, **flags: Any) -> None:
-        """Run a sidecar; every setting is a flag or LACEWINGDOCK_NAME."""
+    @command(SidecarSettings)
+    def sidecar(self, **flags: str) -> None:
+        """Run a sidecar, the last gate before an upstream."""
         from lacewingdock.daemons.sidecar import run_sidecar
 
         _run_daemon(load_settings(SidecarSettings, flags), run_sidecar)
 
+    @command()
     def check(self, file: str) -> str:
-        """Check a configuration manifest and print what it holds."""
+        """Check a configuration manifest and say what it holds."""
         from lacewingdock.world.manifest import parse_manifest
 
-        manifest = parse_manifest(Path(file).read_text("utf-8"))
+        manifest = parse_manifest(_read(file))
         return f"{file}: {len(manifest)} objects, no faults"
 
-    def apply(self, file: str, platform: str = "") -> str:
-        """Bring a manifest into force."""
+    @command(ClientSettings)
+    def diff(self, file: str, **flags: str) -> str:
+        """Show what `apply` would change; changes nothing."""
+        from lacewingdock.components.configuration.apply import diff_manifest
+        from lacewingdock.platform.store import ObjectStore
+        from lacewingdock.world.manifest import parse_manifest
+
+        settings = load_settings(ClientSettings, flags)
+        manifest = parse_manifest(_read(file))
+        changes = diff_manifest(ObjectStore(settings.platform), manifest)
+        lines = [line for change in changes for line in change.lines()]
+        return "\n".join(lines) or "no changes"
+
+    @command(ClientSettings)
+    def apply(self, file: str, **flags: str) -> str:
+        """Bring a manifest into force, each item by a conditional update."""
         from lacewingdock.components.configuration.apply import apply_manifest
         from lacewingdock.platform.store import ObjectStore
         from lacewingdock.world.manifest import parse_manifest
 
-        url = platform or os.environ.get("LACEWINGDOCK_PLATFORM", "")
-        manifest = parse_manifest(Path(file).read_text("utf-8"))
-        changes = apply_manifest(ObjectStore(url), manifest)
+        settings = load_settings(ClientSettings, flags)
+        manifest = parse_manifest(_read(file))
+        changes = apply_manifest(ObjectStore(settings.platform), manifest)
         return "\n".join(str(change) for change in changes) or "no changes"
 
+    @command()
     def version(self) -> str:
         """Print the version."""
         return VERSION
 
 
+def _read(file: str) -> str:
+    try:
+        return Path(file).read_text("utf-8")
+    except (OSError, ValueError) as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_COMMAND, f"{file!r}: {error}"
+        ) from error
+
+
 def _run_daemon(settings: DaemonSettings, run: Callable[[Any], int]) -> None:
     start_logging(
         settings.log_level,
@@ -68,16 +102,40 @@
     exit_now(1 if left else 0)
 
 
-def main() -> None:
-    """Run the command line; errors give their code and exit status."""
+def run_command(arguments: list[str]) -> int:
+    """Run one command line and return its exit status."""
     try:
-        fire.Fire(Commands, name="lacewingdock")
+        if not arguments or arguments[0] in HELP:
+            print(overview(Commands))
+            return 0
+        known = command_table(Commands)
+        if arguments[0] not in known:
+            raise LacewingdockError(
+                ErrorKind.BAD_COMMAND,
+                f"{arguments[0]!r}: want one of {', '.join(sorted(known))}",
+            )
+        if taken := [word for word in arguments if word in FIRE_WORDS]:
+            raise LacewingdockError(
+                ErrorKind.BAD_COMMAND, f"{taken[0]!r} is no argument"
+            )
+        fire.Fire(Commands, arguments, name="lacewingdock")
     except LacewingdockError as error:
         print(f"lacewingdock: {error}", file=sys.stderr)
-        exit_now(error.answer.exit_status)
+        return error.answer.exit_status
+    except fire.core.FireExit as error:
+        return int(error.code)
     except OSError as error:
-        print(f"lacewingdock: {error}", file=sys.stderr)
-        exit_now(1)
+        kind = ErrorKind.INTERNAL
+        print(f"lacewingdock: {kind}: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    return 0
+
+
+def main() -> None:
+    """Run the command line; errors give their code and exit status."""
+    exit_now(run_command(sys.argv[1:]))
 
 
 if __name__ == "__main__":
--- a/lacewingdock/components/configuration/apply.py
+++ b/lacewingdock/components/configuration/apply.py
@@ -49,6 +49,25 @@
         verb = "add" if self.before is None else "change"
         return f"{verb} {self.key}"
 
+    def lines(self) -> list[str]:
+        """Return lines for people that show each field's change."""
+        before, after = self.before or {}, self.after
+        names = [n for n in {**before, **after} if _differ(n, before, after)]
+        return [str(self)] + [
+            f"  {name}: {_shown(name, before)} -> {_shown(name, after)}"
+            for name in names
+        ]
+
+
+def _differ(name: str, before: Any, after: Any) -> bool:
+    return _shown(name, before) != _shown(name, after)
+
+
+def _shown(name: str, fields: Any) -> str:
+    if name not in fields:
+        return "not set"
+    return msgspec.json.encode(fields[name]).decode()
+
 
 def diff_manifest(store: ObjectStore, manifest: Manifest) -> list[Change]:
     """Compare a manifest with what is in force.
--- a/lacewingdock/components/peers/__init__.py
+++ b/lacewingdock/components/peers/__init__.py
@@ -13,7 +13,8 @@
     SILENCE_S,
 )
 from lacewingdock.core import Daemon
-from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.http_server import listen_error
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.handshake import accept, dial
 from lacewingdock.links.link import Link
@@ -63,9 +64,7 @@
         try:
             self.listener = socket.create_server(address, backlog=BACKLOG)
         except OSError as error:
-            raise LacewingdockError(
-                ErrorKind.PORT_TAKEN, f"link port {address}: {error}"
-            ) from error
+            raise listen_error(f"{address[0]}:{address[1]}", error) from error
         self.listener.settimeout(ACCEPT_POLL_S)
         self.port: int = self.listener.getsockname()[1]
 
--- a/lacewingdock/helpers/http_server.py
+++ b/lacewingdock/helpers/http_server.py
@@ -84,9 +84,15 @@
     try:
         server.prepare()
     except OSError as error:
-        if error.errno not in (errno.EADDRINUSE, None):
-            raise
-        raise LacewingdockError(
-            ErrorKind.PORT_TAKEN, f"{host}:{port}: {error}"
-        ) from error
+        raise listen_error(f"{host}:{port}", error) from error
     return server
+
+
+def listen_error(address: str, error: OSError) -> LacewingdockError:
+    """Return the coded error of a port that can't be listened on."""
+    # cheroot gives an error of its own, without a number, for a taken port.
+    taken = error.errno in (errno.EADDRINUSE, None)
+    return LacewingdockError(
+        ErrorKind.PORT_TAKEN if taken else ErrorKind.BAD_SETTING,
+        f"{address}: {error.strerror or error}",
+    )
--- a/lacewingdock/links/keys.py
+++ b/lacewingdock/links/keys.py
@@ -75,9 +75,14 @@
     ring = KeyRing(path)
     try:
         ring.refresh()
-    except (OSError, UnicodeDecodeError) as error:
+    except OSError as error:
+        # The value is not shown: by mistake it may be the key itself.
         raise LacewingdockError(
-            ErrorKind.BAD_SETTING, f"key file {path!r}: {error}"
+            ErrorKind.BAD_SETTING, f"key file: {error.strerror}"
+        ) from None
+    except UnicodeDecodeError as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_SETTING, "key file: not UTF-8"
         ) from error
     return ring
 
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -1,25 +1,53 @@
 """Support for settings from flags and environment variables."""
 
+import inspect
 import os
+import re
 import typing
 from collections.abc import Mapping
-from dataclasses import MISSING, dataclass, fields
-from typing import Annotated, Any, TypeVar
+from dataclasses import MISSING, Field, dataclass, fields
+from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 from msgspec import Meta
 
-from lacewingdock.const import ENV_PREFIX
+from lacewingdock.const import ENV_PREFIX, MAX_FRAME_BYTES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.world.objects import NAME_PATTERN
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
-Url = Annotated[str, Meta(pattern=r"^https?://[0-9.]+:[0-9]{1,5}$")]
-OptionalUrl = Annotated[str, Meta(pattern=r"^(https?://[0-9.]+:[0-9]{1,5})?$")]
+_OCTET: Final = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_HOST: Final = rf"{_OCTET}(\.{_OCTET}){{3}}"
+_PORT: Final = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
+    r"|[1-5][0-9]{4}|[0-9]{1,4})"
+)
+_URL: Final = rf"https?://{_HOST}:{_PORT}"
+# A request goes to a sidecar in one frame, its other fields beside the body.
+MAX_BODY_LIMIT: Final = MAX_FRAME_BYTES - 256 * 1024
+
+Name = Annotated[
+    str,
+    Meta(
+        pattern=NAME_PATTERN,
+        description="lower-case letters, digits, '.' and '-', at most 63",
+    ),
+]
+Host = Annotated[str, Meta(pattern=rf"^{_HOST}\Z", description="an IP number")]
+Url = Annotated[
+    str,
+    Meta(pattern=rf"^{_URL}\Z", description="a URL http(s)://IP:PORT"),
+]
+OptionalUrl = Annotated[
+    str,
+    Meta(
+        pattern=rf"^({_URL})?\Z",
+        description="a URL http(s)://IP:PORT, or empty",
+    ),
+]
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
 
-T = TypeVar("T", bound="DaemonSettings")
+T = TypeVar("T")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -42,7 +70,7 @@
 
     instance: Name
     failure_domain: Name
-    host: Annotated[str, Meta(pattern=r"^[0-9.]+$")] = "127.0.0.1"
+    host: Host = "127.0.0.1"
     platform: Url
     admin_port: Port = 0
     link_port: Port = 0
@@ -76,7 +104,7 @@
     tls_cert: str = ""
     tls_key: str = ""
     plain_callers: bool = False
-    max_body_bytes: Annotated[int, Meta(ge=1024, le=16 * 1024 * 1024)] = (
+    max_body_bytes: Annotated[int, Meta(ge=1024, le=MAX_BODY_LIMIT)] = (
         1024 * 1024
     )
     slow_caller_s: Seconds = 10.0
@@ -106,12 +134,23 @@
     replay_bytes: Annotated[int, Meta(ge=65536)] = 16 * 1024 * 1024
 
 
+@dataclass(slots=True, kw_only=True)
+class ClientSettings:
+    """Settings of commands that talk to the platform.
+
+    Attributes:
+        platform: URL of the platform's object API.
+    """
+
+    platform: Url
+
+
 def load_settings(
     cls: type[T],
     flags: Mapping[str, Any],
     environ: Mapping[str, str] | None = None,
 ) -> T:
-    """Check and build the settings of a daemon.
+    """Check and build the settings of a daemon or a command.
 
     Args:
         cls: The settings class.
@@ -126,26 +165,59 @@
     """
     env = os.environ if environ is None else environ
     hints = typing.get_type_hints(cls, include_extras=True)
-    known = {field.name for field in fields(cls)}
+    known = {field.name: field for field in _fields(cls)}
     faults = [
         f"--{name}: no such setting" for name in flags if name not in known
     ]
+    faults += _unknown_variables(env, known)
     values: dict[str, Any] = {}
-    for field in fields(cls):
-        given = flags.get(field.name, env.get(ENV_PREFIX + field.name.upper()))
+    for name, field in known.items():
+        given = flags.get(name, env.get(variable(name)))
         if given is None:
             if field.default is MISSING:
-                faults.append(f"--{field.name}: required, not given")
+                faults.append(
+                    f"--{name}: required, not given;"
+                    f" want {allowed(hints[name])}"
+                )
+            else:
+                values[name] = field.default
             continue
         try:
-            values[field.name] = _convert(given, hints[field.name])
-        except msgspec.ValidationError as error:
-            faults.append(f"--{field.name}={given!r}: {error}")
+            values[name] = _convert(given, hints[name])
+        except msgspec.ValidationError:
+            faults.append(f"--{name}={given!r}: want {allowed(hints[name])}")
+    faults += _clashes(cls, values)
     if faults:
-        raise LacewingdockError(ErrorKind.BAD_SETTING, "; ".join(faults))
-    settings = cls(**values)
-    _check_together(settings)
-    return settings
+        raise LacewingdockError(ErrorKind.BAD_SETTING, "\n  ".join(faults))
+    return cls(**values)
+
+
+def variable(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENV_PREFIX + name.upper()
+
+
+def _fields(cls: type[Any]) -> tuple[Field[Any], ...]:
+    return fields(cls)
+
+
+def _unknown_variables(
+    env: Mapping[str, str], known: Mapping[str, Any]
+) -> list[str]:
+    """Name variables that no command knows.
+
+    A misspelt one would leave its setting at the default unseen. The value
+    is not shown: nothing says that it is no secret.
+    """
+    names = {*known}
+    for cls in (EntrySettings, SidecarSettings, *OTHER_SETTINGS):
+        names |= {field.name for field in _fields(cls)}
+    variables = {variable(name) for name in names}
+    return [
+        f"{name}: no such setting"
+        for name in env
+        if name.startswith(ENV_PREFIX) and name not in variables
+    ]
 
 
 def _convert(given: Any, hint: Any) -> Any:
@@ -158,23 +230,110 @@
     return msgspec.convert(given, hint, strict=False)
 
 
-def _check_together(settings: DaemonSettings) -> None:
-    """Refuse settings that are each valid but clash."""
-    faults = []
-    if not settings.link_keys_file and not settings.plain_links:
-        faults.append(
-            "--link_keys_file: required unless --plain_links is given"
-        )
-    match settings:
-        case EntrySettings(plain_callers=False, tls_cert=""):
-            faults.append("--tls_cert: required unless --plain_callers")
-        case EntrySettings(tls_cert=cert, tls_key=key) if bool(cert) != bool(
-            key
+def allowed(hint: Any) -> str:
+    """Say in words what a setting's type lets through."""
+    meta = Meta()
+    if typing.get_origin(hint) is Annotated:
+        hint, meta = hint.__origin__, hint.__metadata__[0]
+    if meta.description:
+        return meta.description
+    if typing.get_origin(hint) is typing.Literal:
+        return "one of " + ", ".join(typing.get_args(hint))
+    if hint is bool:
+        return "true or false"
+    if hint is str:
+        return "text"
+    kind = "an integer" if hint is int else "a number"
+    bounds = [
+        (" from", meta.ge),
+        (" above", meta.gt),
+        (" to" if meta.ge is not None else " up to", meta.le),
+    ]
+    return kind + "".join(f"{w} {v}" for w, v in bounds if v is not None)
+
+
+def meanings(cls: type[Any]) -> dict[str, str]:
+    """Read what each setting means from the classes' doc comments."""
+    found: dict[str, str] = {}
+    for base in reversed(cls.__mro__):
+        _, _, section = (inspect.getdoc(base) or "").partition("Attributes:\n")
+        for name, text in re.findall(
+            r"^    (\w+): (.*(?:\n {8}.*)*)", section, re.MULTILINE
         ):
-            faults.append("--tls_cert and --tls_key go together")
-        case SidecarSettings(upstream_kind="service", service=""):
-            faults.append("--service: required with --upstream_kind=service")
+            found[name] = " ".join(text.split())
+    return found
+
+
+@dataclass(slots=True)
+class Setting:
+    """One setting as help and docs show it.
+
+    Attributes:
+        name: Its name; the flag is --NAME.
+        meaning: What it does.
+        allowed: What values it takes.
+        default: The default; None when it must be given.
+    """
+
+    name: str
+    meaning: str
+    allowed: str
+    default: str | None
+
+
+def describe(cls: type[Any]) -> list[Setting]:
+    """Describe every setting of a daemon or a command."""
+    hints = typing.get_type_hints(cls, include_extras=True)
+    texts = meanings(cls)
+    return [
+        Setting(
+            field.name,
+            texts[field.name],
+            allowed(hints[field.name]),
+            None if field.default is MISSING else _shown(field.default),
+        )
+        for field in _fields(cls)
+    ]
+
+
+def _shown(default: Any) -> str:
+    match default:
+        case bool():
+            return str(default).lower()
+        case "":
+            return "empty"
         case _:
-            pass
-    if faults:
-        raise LacewingdockError(ErrorKind.BAD_SETTING, "; ".join(faults))
+            return str(default)
+
+
+def _clashes(cls: type[Any], values: Mapping[str, Any]) -> list[str]:
+    """Name settings that are each valid but clash."""
+    faults = []
+    plain = values.get("plain_links", False)
+    if issubclass(cls, DaemonSettings) and not plain:
+        if not values.get("link_keys_file"):
+            faults.append(
+                "--link_keys_file: required unless --plain_links is given"
+            )
+        if not values.get("session_keys_file", "-"):
+            # Without keys anybody could write a session token.
+            faults.append(
+                "--session_keys_file: required unless --plain_links is given"
+            )
+    if issubclass(cls, EntrySettings):
+        cert, key = values.get("tls_cert"), values.get("tls_key")
+        if not cert and not values.get("plain_callers"):
+            faults.append(
+                "--tls_cert: required unless --plain_callers is given"
+            )
+        if bool(cert) != bool(key):
+            faults.append("--tls_cert and --tls_key: want both or neither")
+    if values.get("upstream_kind") == "service" and not values.get("service"):
+        faults.append("--service: required with --upstream_kind=service")
+    if values.get("upstream_kind") == "model" and values.get("service"):
+        faults.append("--service: only with --upstream_kind=service")
+    return faults
+
+
+# Settings of commands that are no daemons; their variables are known too.
+OTHER_SETTINGS: Final[tuple[type[Any], ...]] = (ClientSettings,)
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,104 @@
+"""Tests for settings from flags and environment variables."""
+
+import pytest
+from testtools.matchers import Contains, MatchesAll, Not
+
+from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.settings import (
+    OTHER_SETTINGS,
+    EntrySettings,
+    SidecarSettings,
+    describe,
+    load_settings,
+    variable,
+)
+
+ENTRY = {
+    "instance": "entry-0",
+    "failure_domain": "hall-a",
+    "platform": "http://127.0.0.1:1",
+    "port": "0",
+    "plain_links": "true",
+    "plain_callers": "true",
+}
+SIDECAR = {
+    "instance": "worker-0",
+    "failure_domain": "hall-a",
+    "platform": "http://127.0.0.1:1",
+    "upstream": "http://127.0.0.1:2",
+    "plain_links": "true",
+}
+
+
+def fault(cls, flags, environ=None):
+    """Return what is said of bad settings; empty when they are good."""
+    try:
+        load_settings(cls, flags, environ or {})
+    except LacewingdockError as error:
+        assert error.answer.exit_status == 2
+        return error.detail
+    return ""
+
+
+@pytest.mark.parametrize(
+    ("cls", "change", "said"),
+    [
+        (EntrySettings, {}, ""),
+        (SidecarSettings, {}, ""),
+        (EntrySettings, {"instance": "007"}, ""),
+        (EntrySettings, {"instance": "1e3\n"}, "--instance='1e3\\n': want low"),
+        (EntrySettings, {"port": "70000"}, "an integer from 0 to 65535"),
+        (EntrySettings, {"port": "x"}, "--port='x': want an integer"),
+        (EntrySettings, {"grace_s": "nan"}, "a number above 0 up to 86400"),
+        (EntrySettings, {"host": "1.2.3.256"}, "want an IP number"),
+        (EntrySettings, {"host": "localhost"}, "want an IP number"),
+        (EntrySettings, {"platform": "http://1.2.3.4:65536"}, "want a URL"),
+        (EntrySettings, {"platform": "ftp://1.2.3.4:1"}, "want a URL"),
+        (EntrySettings, {"log_level": "loud"}, "one of debug, info"),
+        (EntrySettings, {"plain_links": "maybe"}, "true or false"),
+        (EntrySettings, {"max_body_bytes": "99999999"}, "to 3932160"),
+        (EntrySettings, {"color": "red"}, "--color: no such setting"),
+        (EntrySettings, {"tls_cert": "a.pem"}, "want both or neither"),
+        (EntrySettings, {"plain_callers": "false"}, "--tls_cert: required"),
+        (
+            EntrySettings,
+            {"plain_links": "false", "link_keys_file": "k"},
+            "--session_keys_file: required",
+        ),
+        (SidecarSettings, {"plain_links": "0"}, "--link_keys_file: required"),
+        (SidecarSettings, {"upstream_kind": "service"}, "--service: required"),
+        (SidecarSettings, {"service": "booking"}, "--service: only with"),
+    ],
+)
+def test_each_fault_names_setting_and_what_is_allowed(cls, change, said):
+    base = ENTRY if cls is EntrySettings else SIDECAR
+    found = fault(cls, {**base, **change})
+    assert said in found and bool(said) == bool(found)
+
+
+def test_all_faults_are_named_at_once():
+    found = fault(EntrySettings, {"port": "x", "color": "red", "subset": "1"})
+    wanted = ("--port", "--color", "--subset", "--instance", "--tls_cert")
+    assert MatchesAll(*map(Contains, wanted)).match(found) is None
+
+
+def test_a_flag_goes_before_its_variable():
+    environ = {variable(n): v for n, v in ENTRY.items()}
+    found = load_settings(EntrySettings, {"instance": "flag"}, environ)
+    assert (found.instance, found.failure_domain) == ("flag", "hall-a")
+
+
+def test_a_misspelt_variable_is_named_without_its_value():
+    environ = {"LACEWINGDOCK_LINK_KEY": "secret", "LACEWINGDOCK_SUBSET": "9"}
+    found = fault(SidecarSettings, SIDECAR, environ)
+    assert Contains("LACEWINGDOCK_LINK_KEY: no such").match(found) is None
+    assert Not(Contains("secret")).match(found) is None
+    assert "SUBSET" not in found
+
+
+@pytest.mark.parametrize(
+    "cls", [EntrySettings, SidecarSettings, *OTHER_SETTINGS]
+)
+def test_every_setting_has_a_meaning(cls):
+    for setting in describe(cls):
+        assert setting.meaning and setting.allowed
