Metrics of both daemons and one log line for each request and attempt

Cause: a request could not be followed from entry to sidecar (only refusals were logged), and no service-level measure existed to report on.

Change: components/metrics wraps the callers' WSGI application. It looks at each write (first, longest pause), and once for each answer observes first token, mean gap, longest pause and tokens; requests are counted by workspace, kind, end and code, attempts by kind of upstream and outcome. Both daemons show links, platform calls by purpose, process and build. The entry's and the sidecar's line carry the same request and attempt id.

--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -1,5 +1,6 @@
 """Support for asking sidecars and receiving whole answers."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
@@ -11,6 +12,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.tally import Tally
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import (
     Attempt,
@@ -36,9 +38,11 @@
         daemon: The daemon.
         membership: Where the upstreams are found.
         open: Answers by the attempt id that their frames carry.
+        on_ask: Called with each answer that was asked for.
+        reattached: Answers taken up again over a new link.
     """
 
-    __slots__ = ("daemon", "membership", "open")
+    __slots__ = ("daemon", "membership", "on_ask", "open", "reattached")
 
     def __init__(
         self, daemon: Daemon, peers: Peers, membership: Membership
@@ -47,6 +51,8 @@
         self.daemon = daemon
         self.membership = membership
         self.open: dict[str, Answer] = {}
+        self.on_ask: list[Callable[[Answer], None]] = []
+        self.reattached = Tally()
         for cls in (Chunk, Finish, Refusal):
             peers.handle(cls, self._deliver)
         peers.on_close.append(self._on_close)
@@ -63,6 +69,8 @@
             raise LacewingdockError(
                 ErrorKind.NO_UPSTREAM, f"no link to {upstream.name}", RAN_NO
             )
+        for callback in self.on_ask:
+            callback(answer)
         self._track(answer, link)
         upstream.in_flight.add(1)
         upstream.sent_since_news += 1
@@ -118,6 +126,7 @@
                 answer.next_offset,
             )
         )
+        self.reattached.add(1)
         log.info(
             "answer reattached",
             attempt_id=answer.attempt.attempt,
--- a/lacewingdock/components/callers/__init__.py
+++ b/lacewingdock/components/callers/__init__.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from lacewingdock.components.callers.app import CallersApp
+from lacewingdock.components.metrics import EntryMetrics
 from lacewingdock.core import Daemon
 from lacewingdock.helpers.http_server import CertificateReloader, build_server
 from lacewingdock.helpers.log import get_logger
@@ -26,7 +27,11 @@
     __slots__ = ("app", "daemon", "server")
 
     def __init__(
-        self, daemon: Daemon, settings: EntrySettings, app: CallersApp
+        self,
+        daemon: Daemon,
+        settings: EntrySettings,
+        app: CallersApp,
+        metrics: EntryMetrics,
     ) -> None:
         """Bind the port."""
         self.daemon = daemon
@@ -37,7 +42,7 @@
         self.server = build_server(
             settings.host,
             settings.port,
-            app,
+            metrics.observe(app),
             threads=settings.threads,
             max_body_bytes=settings.max_body_bytes,
             stall_s=settings.slow_caller_s,
@@ -62,8 +67,13 @@
         self.server.stop()
 
 
-def setup(daemon: Daemon, settings: EntrySettings, app: CallersApp) -> Callers:
+def setup(
+    daemon: Daemon,
+    settings: EntrySettings,
+    app: CallersApp,
+    metrics: EntryMetrics,
+) -> Callers:
     """Set the callers' port up."""
-    callers = Callers(daemon, settings, app)
+    callers = Callers(daemon, settings, app, metrics)
     daemon.add(NAME, callers)
     return callers
--- a/lacewingdock/components/callers/app.py
+++ b/lacewingdock/components/callers/app.py
@@ -13,6 +13,7 @@
 from lacewingdock.components.callers.requests import Caller, read_caller
 from lacewingdock.components.callers.services import ServiceCalls
 from lacewingdock.components.configuration import Configuration
+from lacewingdock.components.metrics.const import ENVIRON_WORKSPACE
 from lacewingdock.const import HEADER_REQUEST_ID
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -121,6 +122,7 @@
         if not self.configuration.loaded.is_set():
             raise LacewingdockError(ErrorKind.NOT_READY, "no configuration yet")
         name, workspace = self.configuration.world.authenticate(caller.bearer)
+        request.environ[ENVIRON_WORKSPACE] = name
         path = request.path
         if path == CHAT_PATH and request.method == "POST":
             return self.chat.answer(request.get_data(), caller, name, workspace)
--- /dev/null
+++ b/lacewingdock/components/metrics/entry.py
@@ -0,0 +1,254 @@
+"""Support for the entry's metrics and its log line for each request."""
+
+import contextlib
+import time
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any, Final
+
+from prometheus_client import Counter, Histogram
+
+from lacewingdock.components.answers import Answers
+from lacewingdock.components.answers.answer import Answer
+from lacewingdock.components.metrics.const import (
+    END_GONE,
+    ENVIRON_WORKSPACE,
+    FIRST_TOKEN_BOUNDS,
+    INTER_TOKEN_BOUNDS,
+    KIND_CHAT,
+    KIND_OTHER,
+    KIND_SERVICE,
+    NAME,
+    PREFIX,
+    VERDICT_GOOD,
+    VERDICT_POOR,
+)
+from lacewingdock.components.metrics.request import ObservedRequest
+from lacewingdock.components.metrics.shared import Counts, gauge, setup_shared
+from lacewingdock.components.peers import Peers
+from lacewingdock.const import HEADER_REQUEST_ID, HEADER_VERSION
+from lacewingdock.core import Daemon
+from lacewingdock.helpers.log import get_logger
+
+CHAT_PATH: Final = "/v1/chat/completions"
+SERVICES_PREFIX: Final = "/services/"
+_ID: Final = HEADER_REQUEST_ID.lower()
+_VERSION: Final = HEADER_VERSION.lower()
+
+App = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
+
+log = get_logger("request")
+
+
+class EntryMetrics:
+    """What an entry counts; everything is observed once for each answer.
+
+    Attributes:
+        daemon: The daemon.
+        open: The latest answer asked for, by request id.
+        requests: Requests by workspace, kind, end and code.
+        tokens: Tokens of whole answers by workspace, version and direction.
+        first_token: Seconds to the first token.
+        inter_token: Mean seconds between the tokens of an answer.
+        stall: Longest pause within an answer, in seconds.
+        ratings: Rated answers that were given, by verdict.
+    """
+
+    __slots__ = (
+        "daemon",
+        "first_token",
+        "inter_token",
+        "open",
+        "ratings",
+        "requests",
+        "stall",
+        "tokens",
+    )
+
+    def __init__(self, daemon: Daemon, answers: Answers) -> None:
+        """Add the metrics to the daemon's registry."""
+        self.daemon = daemon
+        self.open: dict[str, Answer] = {}
+        answers.on_ask.append(self._on_ask)
+        by_version = ("workspace", "version")
+        registry = daemon.metrics
+        self.requests = Counter(
+            f"{PREFIX}requests",
+            "Requests by how they ended",
+            ("workspace", "kind", "end", "code"),
+            registry=registry,
+        )
+        self.tokens = Counter(
+            f"{PREFIX}tokens",
+            "Tokens of answers",
+            (*by_version, "direction"),
+            registry=registry,
+        )
+        self.first_token = Histogram(
+            f"{PREFIX}first_token_seconds",
+            "Time to the first token of a streamed answer",
+            by_version,
+            buckets=FIRST_TOKEN_BOUNDS,
+            registry=registry,
+        )
+        self.inter_token = Histogram(
+            f"{PREFIX}inter_token_seconds",
+            "Mean time between the tokens of a streamed answer",
+            by_version,
+            buckets=INTER_TOKEN_BOUNDS,
+            registry=registry,
+        )
+        self.stall = Histogram(
+            f"{PREFIX}stall_seconds",
+            "Longest pause within a streamed answer",
+            by_version,
+            buckets=INTER_TOKEN_BOUNDS,
+            registry=registry,
+        )
+        self.ratings = Counter(
+            f"{PREFIX}rated_answers",
+            "Rated answers that were given to callers",
+            (*by_version, "verdict"),
+            registry=registry,
+        )
+        gauge(
+            daemon,
+            "answers_open",
+            "Attempts whose answer has not ended",
+            lambda: len(answers.open),
+        )
+        registry.register(
+            Counts(
+                "answers_reattached",
+                "Answers taken up again over a new link",
+                [],
+                lambda: {"": answers.reattached.value},
+            )
+        )
+
+    def observe(self, app: App) -> App:
+        """Wrap the callers' application so that each request is counted."""
+
+        def observed(
+            environ: dict[str, Any], start_response: Callable[..., Any]
+        ) -> Iterable[bytes]:
+            request = ObservedRequest(environ)
+
+            def start(status: str, headers: Any, *rest: Any) -> Any:
+                request.head(status, headers)
+                return start_response(status, headers, *rest)
+
+            return _Body(app(environ, start), request, self)
+
+        return observed
+
+    def rated(self, workspace: str, version: str, good: bool) -> None:
+        """Count the verdict on an answer that a caller was given."""
+        verdict = VERDICT_GOOD if good else VERDICT_POOR
+        self.ratings.labels(workspace, version, verdict).inc()
+
+    def _on_ask(self, answer: Answer) -> None:
+        self.open[answer.attempt.request] = answer
+
+    def take(self, request: ObservedRequest) -> None:
+        """Count and log a request whose answer has ended."""
+        answer = self.open.pop(request.headers.get(_ID, ""), None)
+        workspace = request.environ.get(ENVIRON_WORKSPACE, "")
+        kind = _kind(request.environ.get("PATH_INFO", ""))
+        self.requests.labels(
+            workspace, kind, request.end, request.problem.code
+        ).inc()
+        fields = {
+            "request_id": request.headers.get(_ID, ""),
+            "workspace": workspace,
+            "kind": kind,
+            "status": request.status,
+            "end": request.end,
+            "code": request.problem.code,
+            "ran": request.problem.ran,
+            "bytes": request.sent,
+            "duration_s": round(time.monotonic() - request.started, 6),
+            "trace": request.environ.get("HTTP_TRACEPARENT", ""),
+        }
+        if answer is not None:
+            fields |= self._take_answer(request, answer, workspace)
+        log.info("request", **fields)
+
+    def _take_answer(
+        self, request: ObservedRequest, answer: Answer, workspace: str
+    ) -> dict[str, Any]:
+        """Count what only an answer has, and return its log fields."""
+        attempt, upstream = answer.attempt, answer.upstream
+        version = request.headers.get(_VERSION, "")
+        fields: dict[str, Any] = {
+            "attempt_id": attempt.attempt,
+            "version": version or attempt.target,
+            "upstream": upstream.name,
+            "upstream_domain": upstream.instance.failure_domain,
+        }
+        labels = (workspace, version)
+        if version and answer.finish is not None:
+            fields["input_tokens"] = answer.finish.input_tokens
+            fields["output_tokens"] = answer.finish.output_tokens
+            self.tokens.labels(*labels, "input").inc(fields["input_tokens"])
+            self.tokens.labels(*labels, "output").inc(fields["output_tokens"])
+        # The first write of a refused request is no token.
+        if request.is_stream and request.first_s is not None:
+            fields["first_token_s"] = round(request.first_s, 6)
+            self.first_token.labels(*labels).observe(request.first_s)
+            self._take_gaps(request, answer.next_offset, labels)
+        return fields
+
+    def _take_gaps(
+        self, request: ObservedRequest, pieces: int, labels: tuple[str, str]
+    ) -> None:
+        # How long a caller that left would have waited isn't known.
+        if pieces < 2 or request.end == END_GONE:
+            return
+        assert request.first_s is not None
+        mean = max(request.last_s - request.first_s, 0.0) / (pieces - 1)
+        self.inter_token.labels(*labels).observe(mean)
+        self.stall.labels(*labels).observe(request.largest_gap_s)
+
+    def unload(self) -> None:
+        """Nothing is held beyond the daemon's registry."""
+
+
+class _Body:
+    """The observed body; closing it, read or not, ends the request."""
+
+    __slots__ = ("_body", "_metrics", "_request")
+
+    def __init__(
+        self,
+        body: Iterable[bytes],
+        request: ObservedRequest,
+        metrics: EntryMetrics,
+    ) -> None:
+        self._body = body
+        self._request = request
+        self._metrics = metrics
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._request.watch(self._body)
+
+    def close(self) -> None:
+        """Count the request (called by the server)."""
+        try:
+            with contextlib.suppress(AttributeError):
+                self._body.close()  # type: ignore[attr-defined]
+        finally:
+            self._metrics.take(self._request)
+
+
+def _kind(path: str) -> str:
+    if path == CHAT_PATH:
+        return KIND_CHAT
+    return KIND_SERVICE if path.startswith(SERVICES_PREFIX) else KIND_OTHER
+
+
+def setup(daemon: Daemon, peers: Peers, answers: Answers) -> EntryMetrics:
+    """Set the entry's metrics up."""
+    setup_shared(daemon, peers)
+    metrics = EntryMetrics(daemon, answers)
+    daemon.add(NAME, metrics)
+    return metrics
--- /dev/null
+++ b/lacewingdock/components/metrics/shared.py
@@ -0,0 +1,72 @@
+"""Support for metrics that both daemons have."""
+
+from collections.abc import Callable, Iterator, Mapping
+
+import prometheus_client
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.registry import Collector
+
+from lacewingdock.components.metrics.const import PREFIX
+from lacewingdock.components.peers import Peers
+from lacewingdock.const import VERSION
+from lacewingdock.core import Daemon
+
+
+class Counts(Collector):
+    """Counts that are kept elsewhere and read on each scrape.
+
+    Attributes:
+        family: Name, help and label names.
+        read: Returns the counts by label value.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        labels: list[str],
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Take what is read; at most one label."""
+        self.family = (PREFIX + name, help_text, labels)
+        self.read = read
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Yield the counts (called on each scrape)."""
+        name, help_text, labels = self.family
+        family = CounterMetricFamily(name, help_text, labels=labels)
+        for value, count in tuple(self.read().items()):
+            family.add_metric([value][: len(labels)], count)
+        yield family
+
+
+def gauge(
+    daemon: Daemon, name: str, help_text: str, value: Callable[[], float]
+) -> None:
+    """Add a gauge that is read on each scrape."""
+    prometheus_client.Gauge(
+        PREFIX + name, help_text, registry=daemon.metrics
+    ).set_function(value)
+
+
+def setup_shared(daemon: Daemon, peers: Peers) -> None:
+    """Add what both daemons show: build, process, links, platform calls."""
+    prometheus_client.ProcessCollector(registry=daemon.metrics)
+    prometheus_client.Info(
+        f"{PREFIX}build", "Version and role", registry=daemon.metrics
+    ).info({"version": VERSION, "role": daemon.me.role})
+    daemon.metrics.register(
+        Counts(
+            "platform_calls",
+            "Calls to the platform; a waiting watch is one",
+            ["purpose"],
+            lambda: daemon.store.calls,
+        )
+    )
+    gauge(daemon, "links_open", "Links that stand", lambda: len(peers.links))
+    gauge(
+        daemon,
+        "links_busy",
+        "Links with answers outstanding",
+        lambda: sum(link.busy.value > 0 for link in tuple(peers.links)),
+    )
--- /dev/null
+++ b/lacewingdock/components/metrics/sidecar.py
@@ -0,0 +1,112 @@
+"""Support for the sidecar's metrics and its log line for each attempt."""
+
+import time
+from typing import Any
+
+from prometheus_client import Counter, Histogram
+
+from lacewingdock.components.metrics.const import ATTEMPT_BOUNDS, NAME, PREFIX
+from lacewingdock.components.metrics.shared import gauge, setup_shared
+from lacewingdock.components.peers import Peers
+from lacewingdock.components.runs import Runs
+from lacewingdock.core import Daemon
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.links.messages import Finish, Refusal
+from lacewingdock.settings import SidecarSettings
+from lacewingdock.world.run import Run
+
+OUTCOME_JOINED = "joined"
+OUTCOME_WHOLE = "whole"
+
+log = get_logger("attempt")
+
+
+class SidecarMetrics:
+    """What a sidecar counts.
+
+    Attributes:
+        kind: Kind of the upstream.
+        upstream: URL of the upstream.
+        attempts: Attempts by kind of upstream and outcome.
+        seconds: Seconds an attempt took, queue included.
+    """
+
+    __slots__ = ("attempts", "kind", "seconds", "upstream")
+
+    def __init__(
+        self, daemon: Daemon, settings: SidecarSettings, runs: Runs
+    ) -> None:
+        """Add the metrics to the daemon's registry."""
+        self.kind = settings.upstream_kind
+        self.upstream = settings.upstream
+        self.attempts = Counter(
+            f"{PREFIX}attempts",
+            "Attempts by outcome",
+            ("kind", "outcome"),
+            registry=daemon.metrics,
+        )
+        self.seconds = Histogram(
+            f"{PREFIX}attempt_seconds",
+            "Time from an attempt's arrival to its end",
+            ("kind",),
+            buckets=ATTEMPT_BOUNDS,
+            registry=daemon.metrics,
+        )
+        slots = runs.slots
+        gauge(
+            daemon,
+            "running",
+            "Requests on the upstream",
+            lambda: slots.running,
+        )
+        gauge(
+            daemon,
+            "queued",
+            "Requests waiting for the upstream",
+            lambda: slots.queued,
+        )
+        runs.on_end = self.take
+
+    def take(self, run: Run, started: float) -> None:
+        """Count and log an attempt that has ended here."""
+        seconds = time.monotonic() - started
+        fields: dict[str, Any] = {}
+        match run.outcome:
+            case Finish() as finish:
+                outcome = OUTCOME_WHOLE
+                fields["status"] = finish.status
+                fields["output_tokens"] = finish.output_tokens
+            case Refusal() as refusal:
+                outcome = str(refusal.code)
+                fields["ran"] = refusal.ran
+            case None:
+                # It repeats a run that is under way, whose answer it gets.
+                outcome = OUTCOME_JOINED
+        self.attempts.labels(self.kind, outcome).inc()
+        self.seconds.labels(self.kind).observe(seconds)
+        attempt = run.attempt
+        log.info(
+            "attempt",
+            request_id=attempt.request,
+            attempt_id=attempt.attempt,
+            workspace=attempt.workspace,
+            version=attempt.target,
+            upstream=self.upstream,
+            outcome=outcome,
+            duration_s=round(seconds, 6),
+            trace=attempt.traceparent,
+            **fields,
+        )
+
+    def unload(self) -> None:
+        """Nothing is held beyond the daemon's registry."""
+
+
+def setup(
+    daemon: Daemon, settings: SidecarSettings, peers: Peers, runs: Runs
+) -> SidecarMetrics:
+    """Set the sidecar's metrics up."""
+    setup_shared(daemon, peers)
+    metrics = SidecarMetrics(daemon, settings, runs)
+    daemon.add(NAME, metrics)
+    return metrics
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -1,6 +1,7 @@
 """Support for the last gate before an upstream and what runs behind it."""
 
 import time
+from collections.abc import Callable
 from typing import Final
 
 from lacewingdock.components.admission.slots import Slots
@@ -46,12 +47,14 @@
         slots: The upstream's capacity.
         shelf: The runs and the answers kept.
         targets: Versions that the engine has loaded, or the service.
+        on_end: Called with each run that ended and when it came.
     """
 
     __slots__ = (
         "claims",
         "configuration",
         "daemon",
+        "on_end",
         "peers",
         "settings",
         "shelf",
@@ -76,6 +79,7 @@
         self.slots = Slots(settings.capacity, settings.queue)
         self.shelf = Shelf(settings.replay_bytes, settings.resume_s, ORPHAN_S)
         self.targets: list[str] = [settings.service] if settings.service else []
+        self.on_end: Callable[[Run, float], None] = lambda *_: None
         peers.handle(Attempt, self._on_attempt)
         peers.handle(Resume, self._on_resume)
         peers.handle(Cancel, self._on_cancel)
@@ -122,6 +126,7 @@
 
     def _serve(self, link: Link, attempt: Attempt) -> None:
         """Take one attempt through the gate and run it."""
+        started = time.monotonic()
         run = Run(attempt)
         self.shelf.put(run)
         run.attach(link, attempt.attempt, 0)
@@ -136,6 +141,8 @@
             run.refuse(
                 LacewingdockError(ErrorKind.INTERNAL, "see the log", ran)
             )
+        finally:
+            self.on_end(run, started)
 
     def _admit(self, run: Run) -> None:
         attempt = run.attempt
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -6,6 +6,7 @@
     callers,
     configuration,
     membership,
+    metrics,
     peers,
 )
 from lacewingdock.components.callers.app import CallersApp
@@ -43,7 +44,9 @@
         Chat(config, relay, load_keys(settings.session_keys_file), ratings),
         ServiceCalls(config, relay),
     )
-    port = callers.setup(daemon, settings, app)
+    port = callers.setup(
+        daemon, settings, app, metrics.setup_entry(daemon, links, open_answers)
+    )
     admin_port = admin.setup(
         daemon,
         config,
