lacewingdock report: burn of each objective as table, JSON and page

Cause: operators could not see which workspace's objectives burn, how fast, and what is left.

Change: components/reports reads the daemons' /metrics (--targets or the platform's list, which may now show an instance's admin port), keeps thinned samples in a file of the one who reports, tells restarts by the process's start time, and judges availability, first token, inter-token, quality and whole answer over 5 m to 30 d with burn rate, budget left and multi-window alerts. Quality: an entry rates a sample of the answers given (--rated_share, 1 in 100), after they were given, off the path.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -228,6 +228,7 @@
             "role": "sidecar",
             "failure_domain": domain,
             "address": f"{HOST}:{process.ports['link_port']}",
+            "admin": f"{HOST}:{process.ports['admin_port']}",
             "pool": pool,
         }
         return process
@@ -250,6 +251,7 @@
             "role": "entry",
             "failure_domain": domain,
             "address": f"{HOST}:{process.ports['link_port']}",
+            "admin": f"{HOST}:{process.ports['admin_port']}",
         }
         return process
 
--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -16,6 +16,7 @@
     ClientSettings,
     DaemonSettings,
     EntrySettings,
+    ReportSettings,
     SidecarSettings,
     load_settings,
 )
@@ -77,12 +78,23 @@
         changes = apply_manifest(ObjectStore(settings.platform), manifest)
         return "\n".join(str(change) for change in changes) or "no changes"
 
+    @command(ReportSettings)
+    def report(self, **flags: str) -> None:
+        """Report how fast each workspace's error budgets burn."""
+        from lacewingdock.components.reports import report
+
+        report(load_settings(ReportSettings, flags), _print)
+
     @command()
     def version(self) -> str:
         """Print the version."""
         return VERSION
 
 
+def _print(text: str) -> None:
+    print(text, flush=True)
+
+
 def _read(file: str) -> str:
     try:
         return Path(file).read_text("utf-8")
--- a/lacewingdock/components/callers/__init__.py
+++ b/lacewingdock/components/callers/__init__.py
@@ -1,15 +1,16 @@
 """Support for the callers' HTTP interface."""
 
-from typing import Final
+from collections.abc import Callable, Iterable
+from typing import Any, Final
 
 from lacewingdock.components.callers.app import CallersApp
-from lacewingdock.components.metrics import EntryMetrics
 from lacewingdock.core import Daemon
 from lacewingdock.helpers.http_server import CertificateReloader, build_server
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.settings import EntrySettings
 
 NAME: Final = "callers"
+App = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 TLS_CHECK_S: Final = 10.0
 
 log = get_logger(NAME)
@@ -31,7 +32,7 @@
         daemon: Daemon,
         settings: EntrySettings,
         app: CallersApp,
-        metrics: EntryMetrics,
+        observe: Callable[[App], App],
     ) -> None:
         """Bind the port."""
         self.daemon = daemon
@@ -42,7 +43,7 @@
         self.server = build_server(
             settings.host,
             settings.port,
-            metrics.observe(app),
+            observe(app),
             threads=settings.threads,
             max_body_bytes=settings.max_body_bytes,
             stall_s=settings.slow_caller_s,
@@ -71,9 +72,9 @@
     daemon: Daemon,
     settings: EntrySettings,
     app: CallersApp,
-    metrics: EntryMetrics,
+    observe: Callable[[App], App],
 ) -> Callers:
     """Set the callers' port up."""
-    callers = Callers(daemon, settings, app, metrics)
+    callers = Callers(daemon, settings, app, observe)
     daemon.add(NAME, callers)
     return callers
--- a/lacewingdock/components/metrics/__init__.py
+++ b/lacewingdock/components/metrics/__init__.py
@@ -1,8 +1,5 @@
-"""Support for metrics of the daemons and one log line for each request."""
+"""Support for metrics of the daemons and one log line for each request.
 
-from lacewingdock.components.metrics.entry import EntryMetrics
-from lacewingdock.components.metrics.entry import setup as setup_entry
-from lacewingdock.components.metrics.sidecar import SidecarMetrics
-from lacewingdock.components.metrics.sidecar import setup as setup_sidecar
-
-__all__ = ["EntryMetrics", "SidecarMetrics", "setup_entry", "setup_sidecar"]
+Each daemon imports its own module, `entry` or `sidecar`: a sidecar does not
+spend memory on what only an entry needs.
+"""
--- a/lacewingdock/components/metrics/entry.py
+++ b/lacewingdock/components/metrics/entry.py
@@ -11,6 +11,7 @@
 from lacewingdock.components.answers.answer import Answer
 from lacewingdock.components.metrics.const import (
     END_GONE,
+    END_WHOLE,
     ENVIRON_WORKSPACE,
     FIRST_TOKEN_BOUNDS,
     INTER_TOKEN_BOUNDS,
@@ -22,12 +23,15 @@
     VERDICT_GOOD,
     VERDICT_POOR,
 )
+from lacewingdock.components.metrics.quality import QualitySampler
 from lacewingdock.components.metrics.request import ObservedRequest
 from lacewingdock.components.metrics.shared import Counts, gauge, setup_shared
 from lacewingdock.components.peers import Peers
 from lacewingdock.const import HEADER_REQUEST_ID, HEADER_VERSION
 from lacewingdock.core import Daemon
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.platform.ratings import Ratings
+from lacewingdock.settings import EntrySettings
 
 CHAT_PATH: Final = "/v1/chat/completions"
 SERVICES_PREFIX: Final = "/services/"
@@ -51,6 +55,7 @@
         inter_token: Mean seconds between the tokens of an answer.
         stall: Longest pause within an answer, in seconds.
         ratings: Rated answers that were given, by verdict.
+        sampler: Rates a sample of the answers; None without a service.
     """
 
     __slots__ = (
@@ -60,13 +65,20 @@
         "open",
         "ratings",
         "requests",
+        "sampler",
         "stall",
         "tokens",
     )
 
-    def __init__(self, daemon: Daemon, answers: Answers) -> None:
+    def __init__(
+        self,
+        daemon: Daemon,
+        answers: Answers,
+        sampler: QualitySampler | None = None,
+    ) -> None:
         """Add the metrics to the daemon's registry."""
         self.daemon = daemon
+        self.sampler = sampler
         self.open: dict[str, Answer] = {}
         answers.on_ask.append(self._on_ask)
         by_version = ("workspace", "version")
@@ -131,7 +143,8 @@
         def observed(
             environ: dict[str, Any], start_response: Callable[..., Any]
         ) -> Iterable[bytes]:
-            request = ObservedRequest(environ)
+            keep = self.sampler is not None and self.sampler.choose()
+            request = ObservedRequest(environ, keep)
 
             def start(status: str, headers: Any, *rest: Any) -> Any:
                 request.head(status, headers)
@@ -141,6 +154,17 @@
 
         return observed
 
+    def _rate(
+        self, request: ObservedRequest, answer: Answer, workspace: str
+    ) -> None:
+        """Rate an answer that was given; the caller does not wait for it."""
+        assert self.sampler is not None and request.kept is not None
+        good = self.sampler.is_good(
+            answer.attempt.body, b"".join(request.kept), request.is_stream
+        )
+        if good is not None:
+            self.rated(workspace, answer.attempt.target, good)
+
     def rated(self, workspace: str, version: str, good: bool) -> None:
         """Count the verdict on an answer that a caller was given."""
         verdict = VERDICT_GOOD if good else VERDICT_POOR
@@ -171,6 +195,8 @@
         }
         if answer is not None:
             fields |= self._take_answer(request, answer, workspace)
+            if request.kept and request.end == END_WHOLE and kind == KIND_CHAT:
+                self.daemon.spawn(self._rate, request, answer, workspace)
         log.info("request", **fields)
 
     def _take_answer(
@@ -246,9 +272,20 @@
     return KIND_SERVICE if path.startswith(SERVICES_PREFIX) else KIND_OTHER
 
 
-def setup(daemon: Daemon, peers: Peers, answers: Answers) -> EntryMetrics:
+def setup(
+    daemon: Daemon,
+    settings: EntrySettings,
+    peers: Peers,
+    answers: Answers,
+    ratings: Ratings | None,
+) -> EntryMetrics:
     """Set the entry's metrics up."""
     setup_shared(daemon, peers)
-    metrics = EntryMetrics(daemon, answers)
+    sampler = None
+    if ratings is not None:
+        sampler = QualitySampler(
+            ratings, settings.rated_share, settings.good_rating, daemon.random
+        )
+    metrics = EntryMetrics(daemon, answers, sampler)
     daemon.add(NAME, metrics)
     return metrics
--- a/lacewingdock/components/metrics/request.py
+++ b/lacewingdock/components/metrics/request.py
@@ -16,6 +16,8 @@
 
 ERROR_EVENT: Final = b"event: error\ndata: "
 EVENT_STREAM: Final = "text/event-stream"
+# Longer answers are left out of the rated sample: its memory is bounded.
+MAX_KEPT_BYTES: Final = 256 * 1024
 PROBLEM: Final = "application/problem+json"
 
 
@@ -32,6 +34,7 @@
         started: Monotonic time of the request.
         status: HTTP status of the answer.
         headers: Headers of the answer by lower-case name.
+        kept: The body's pieces when they are to be rated; else None.
         first_s: Seconds to the first bytes; None before.
         last_s: Seconds to the latest bytes.
         largest_gap_s: Longest pause between writes of the body.
@@ -45,6 +48,7 @@
         "environ",
         "first_s",
         "headers",
+        "kept",
         "largest_gap_s",
         "last_s",
         "problem",
@@ -53,12 +57,13 @@
         "status",
     )
 
-    def __init__(self, environ: dict[str, Any]) -> None:
+    def __init__(self, environ: dict[str, Any], keep: bool = False) -> None:
         """Start when the request was read."""
         self.environ = environ
         self.started = time.monotonic()
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.kept: list[bytes] | None = [] if keep else None
         self.first_s: float | None = None
         self.last_s = 0.0
         self.largest_gap_s = 0.0
@@ -90,6 +95,8 @@
                 self._read_problem(data[len(ERROR_EVENT) :])
             elif is_problem:
                 self._read_problem(data)
+            if self.kept is not None:
+                self._keep(data)
             yield data
             # Only now was it taken; a slow caller's pause is not ours.
             self._mark()
@@ -98,6 +105,12 @@
         else:
             self.end = END_REFUSED if self.problem.code else END_WHOLE
 
+    def _keep(self, data: bytes) -> None:
+        assert self.kept is not None
+        self.kept.append(data)
+        if self.sent > MAX_KEPT_BYTES:
+            self.kept = None
+
     def _mark(self) -> None:
         now = time.monotonic() - self.started
         if self.last_s:
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -6,13 +6,13 @@
     callers,
     configuration,
     membership,
-    metrics,
     peers,
 )
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.services import ServiceCalls
+from lacewingdock.components.metrics import entry as metrics
 from lacewingdock.core import Daemon
 from lacewingdock.links.keys import load_keys
 from lacewingdock.links.messages import Beat
@@ -44,9 +44,8 @@
         Chat(config, relay, load_keys(settings.session_keys_file), ratings),
         ServiceCalls(config, relay),
     )
-    port = callers.setup(
-        daemon, settings, app, metrics.setup_entry(daemon, links, open_answers)
-    )
+    shown = metrics.setup(daemon, settings, links, open_answers, ratings)
+    port = callers.setup(daemon, settings, app, shown.observe)
     admin_port = admin.setup(
         daemon,
         config,
--- a/lacewingdock/daemons/sidecar.py
+++ b/lacewingdock/daemons/sidecar.py
@@ -5,10 +5,10 @@
     claims,
     configuration,
     engine,
-    metrics,
     peers,
     runs,
 )
+from lacewingdock.components.metrics import sidecar as metrics
 from lacewingdock.core import Daemon
 from lacewingdock.settings import SidecarSettings
 
@@ -32,7 +32,7 @@
     if held is not None:
         held.on_change = work.announce
         held.start()
-    metrics.setup_sidecar(daemon, settings, links, work)
+    metrics.setup(daemon, settings, links, work)
     engine.setup(daemon, settings.upstream, work, settings.service)
     admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
     for component in (links, config, work, admin_port):
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -95,6 +95,9 @@
         max_body_bytes: Largest request body that is read.
         slow_caller_s: Seconds a caller may stall a read or write.
         subset: Links kept for each model version.
+        rated_share: Part of the given chat answers that the rating service
+            rates afterwards, for the report's quality objective.
+        good_rating: Lowest rating of a good answer in that sample.
     """
 
     port: Port
@@ -109,6 +112,8 @@
     )
     slow_caller_s: Seconds = 10.0
     subset: Annotated[int, Meta(ge=2, le=1000)] = 24
+    rated_share: Annotated[float, Meta(ge=0, le=1)] = 0.01
+    good_rating: Annotated[float, Meta(ge=0, le=1)] = 0.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -145,6 +150,38 @@
     platform: Url
 
 
+@dataclass(slots=True, kw_only=True)
+class ReportSettings:
+    """Settings of the report on service-level burn.
+
+    Attributes:
+        platform: URL of the platform's object API.
+        targets: Admin ports to read, each IP:PORT, separated by commas;
+            empty takes the platform's list.
+        manifest: Manifest with the workspaces' objectives; empty takes those
+            in force.
+        samples: File that readings are kept in; empty reports from this
+            reading alone.
+        html: File to write the page with plots to.
+        json: Whether JSON is printed in place of a table.
+        every_s: Seconds between readings until interrupted; 0 reads once.
+    """
+
+    platform: OptionalUrl = ""
+    targets: Annotated[
+        str,
+        Meta(
+            pattern=rf"^({_HOST}:{_PORT}(,{_HOST}:{_PORT})*)?\Z",
+            description="IP:PORT,IP:PORT,..., or empty",
+        ),
+    ] = ""
+    manifest: str = ""
+    samples: str = ""
+    html: str = ""
+    json: bool = False
+    every_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
+
+
 def load_settings(
     cls: type[T],
     flags: Mapping[str, Any],
@@ -320,6 +357,12 @@
             faults.append(
                 "--session_keys_file: required unless --plain_links is given"
             )
+    if cls is ReportSettings and not values.get("platform"):
+        faults += [
+            f"--platform: required unless --{name} is given"
+            for name in ("targets", "manifest")
+            if not values.get(name, True)
+        ]
     if issubclass(cls, EntrySettings):
         cert, key = values.get("tls_cert"), values.get("tls_key")
         if not cert and not values.get("plain_callers"):
@@ -336,4 +379,7 @@
 
 
 # Settings of commands that are no daemons; their variables are known too.
-OTHER_SETTINGS: Final[tuple[type[Any], ...]] = (ClientSettings,)
+OTHER_SETTINGS: Final[tuple[type[Any], ...]] = (
+    ClientSettings,
+    ReportSettings,
+)
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -154,6 +154,8 @@
         pool: Versions' model or service that its upstream serves; empty
             for entries.
         state: "live" or "leaving".
+        admin: "IP:PORT" of its admin port; empty where the platform's list
+            does not show it.
     """
 
     name: Name
@@ -162,6 +164,7 @@
     address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}\Z")]
     pool: str = ""
     state: Literal["live", "leaving"] = "live"
+    admin: Annotated[str, Meta(pattern=r"^([0-9.]+:[0-9]{1,5})?\Z")] = ""
 
     def __post_init__(self) -> None:
         """Refuse an address that can't be dialed.
--- a/tests/components/metrics/test_logs.py
+++ b/tests/components/metrics/test_logs.py
@@ -4,37 +4,52 @@
 
 import pytest
 
-from bench.deployment import LINK_KEYS, SESSION_KEYS, Deployment, Shape
+from bench.deployment import (
+    LINK_KEYS,
+    SESSION_KEYS,
+    Deployment,
+    Shape,
+    wait_until,
+)
 from bench.http import call
+from lacewingdock.components.reports import report
+from lacewingdock.components.reports.samples import load_samples
+from lacewingdock.settings import ReportSettings
 from tests.common import RETAIL_KEY, apply_example, book, chat
 
 
 @pytest.fixture(scope="module")
 def deployment():
-    with Deployment(Shape()) as running:
+    with Deployment(Shape(entry_flags=["--rated_share=1"])) as running:
         apply_example(running)
         yield running
 
 
-def lines(deployment, name):
-    """Return a daemon's log as decoded lines; each one must be JSON."""
-    text = (deployment.folder / f"{name}.log").read_text()
-    return [json.loads(line) for line in text.splitlines()]
+def line_of(deployment, name, request):
+    """Return a daemon's one line on a request that has ended."""
+
+    def found():
+        # Each line must be JSON; the last one may be on its way.
+        text = (deployment.folder / f"{name}.log").read_text()
+        whole = map(json.loads, text.rpartition("\n")[0].splitlines())
+        return [
+            line
+            for line in whole
+            if line.get("request_id") == request
+            and line["logger"] in ("request", "attempt")
+        ]
+
+    # The caller has the answer before the line is written.
+    wait_until(lambda: bool(found()), f"{name} did not log {request}")
+    (line,) = found()
+    return line
 
 
 def test_a_request_can_be_followed_through_both_logs(deployment):
     reply = chat(deployment, "a sofa", stream=True, tokens=6)
     request = reply.headers["lacewingdock-request-id"]
-    (entry,) = [
-        line
-        for line in lines(deployment, "entry-0")
-        if line.get("request_id") == request and line["message"] == "request"
-    ]
-    (sidecar,) = [
-        line
-        for line in lines(deployment, "worker-0")
-        if line.get("request_id") == request
-    ]
+    entry = line_of(deployment, "entry-0", request)
+    sidecar = line_of(deployment, "worker-0", request)
     assert entry["attempt_id"] == sidecar["attempt_id"]
     for name in ("workspace", "version"):
         assert entry[name] == sidecar[name] != ""
@@ -86,3 +101,40 @@
     }.items():
         for text in wanted:
             assert f"\nlacewingdock_{text}" in shown[name], text
+
+
+@pytest.mark.parametrize(
+    ("prompt", "verdict", "stream"),
+    [("a shelf", "good", True), ("a hard shelf", "poor", False)],
+)
+def test_given_answers_are_rated_afterwards(
+    deployment, prompt, verdict, stream
+):
+    name = (
+        "lacewingdock_rated_answers_total"
+        f'{{verdict="{verdict}",version="drafter-1",workspace="retail"}}'
+    )
+    entry = deployment.processes["entry-0"]
+    before = deployment.metric(entry, name)
+    chat(deployment, prompt, stream=stream)
+    wait_until(lambda: deployment.metric(entry, name) == before + 1, name)
+
+
+def test_report_reads_the_daemons_of_the_platforms_list(deployment, tmp_path):
+    chat(deployment, "a chair", stream=True)
+    shown = []
+    url = deployment.processes["platform"].url()
+    settings = ReportSettings(
+        platform=url,
+        json=True,
+        samples=str(tmp_path / "samples"),
+        html=str(tmp_path / "page.html"),
+    )
+    report(settings, shown.append)
+    whole = json.loads(shown[0])
+    assert whole["unreachable"] == {}
+    available = whole["objectives"][0]
+    assert available["measure"] == "availability"
+    assert available["windows"][-1]["good"] >= 1
+    assert len(load_samples(settings.samples)) == len(deployment.daemons())
+    assert "<svg" in (tmp_path / "page.html").read_text()
--- a/tests/components/metrics/test_requests.py
+++ b/tests/components/metrics/test_requests.py
@@ -6,7 +6,7 @@
 from prometheus_client import CollectorRegistry
 
 from lacewingdock.components.answers.answer import Answer
-from lacewingdock.components.metrics import EntryMetrics
+from lacewingdock.components.metrics.entry import EntryMetrics
 from lacewingdock.helpers.tally import Tally
 from lacewingdock.links.messages import Attempt, Finish
 from lacewingdock.world.objects import Instance
