--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -1,5 +1,6 @@
 """Support for answering chat completions."""
 
+import re
 from collections.abc import Iterator
 from typing import Final
 
@@ -22,7 +23,7 @@
     open_session,
     sign_session,
 )
-from lacewingdock.const import HEADER_SESSION, HEADER_VERSION
+from lacewingdock.const import HEADER_SESSION, HEADER_VERSION, RAN_YES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
@@ -36,6 +37,9 @@
 HEADER_MOVED: Final = "Lacewingdock-Moved-From"
 DEADLINE_MS: Final = 120_000
 
+# An offset fits the frame's field.
+_OFFSET: Final = re.compile("[0-9]{1,9}")
+
 log = get_logger("chat")
 
 
@@ -108,6 +112,8 @@
                 for more in self.relay.rest(answer) if pieces else ():
                     pieces += more
             except LacewingdockError as error:
+                if error.kind is ErrorKind.CALLER_LEFT:
+                    raise
                 log.info(
                     "step failed",
                     request_id=caller.request_id,
@@ -185,6 +191,8 @@
             yield DONE_EVENT
         except LacewingdockError as error:
             whole = True
+            if sent:
+                error.ran = RAN_YES
             body = problem_body(error, caller.request_id)
             yield b"event: error\ndata: " + body + b"\n\n"
         finally:
@@ -209,17 +217,21 @@
     def _resume(self, caller: Caller, workspace: str) -> Response:
         """Give the rest of an answer that the caller lost the way to."""
         parts = caller.last_event.split("/")
-        if len(parts) != 3 or not parts[2].isdigit():
+        if len(parts) != 3 or not _OFFSET.fullmatch(parts[2]):
             raise LacewingdockError(
                 ErrorKind.BAD_REQUEST, f"Last-Event-ID: {caller.last_event!r}"
             )
-        upstream = self.relay.membership.upstreams.get(parts[0])
+        upstream = self.relay.membership.reach(parts[0])
         if upstream is None:
             raise LacewingdockError(
                 ErrorKind.ANSWER_GONE, f"{parts[0]} is not known here"
             )
         answer = self.relay.answers.resume(
-            upstream, parts[1], workspace, int(parts[2]) + 1
+            upstream,
+            parts[1],
+            workspace,
+            int(parts[2]) + 1,
+            caller.request_id,
         )
         try:
             pieces = self.relay.take(answer)
--- a/tests/fuzz/test_platform.py
+++ b/tests/fuzz/test_platform.py
@@ -2,10 +2,11 @@
 
 import socket
 
+import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
 
-from lacewingdock.platform.store import ObjectStore
+from lacewingdock.platform.store import ObjectStore, Reply
 from tests.fuzz.common import coded, fuzzed, json_values
 
 
@@ -15,7 +16,7 @@
     __slots__ = ("answer",)
 
     def _call(self, *_args, **_kwargs):
-        return self.answer
+        return Reply(self.answer[0], msgspec.json.encode(self.answer[1]), "")
 
 
 @fuzzed
