--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -13,6 +13,7 @@
 from lacewingdock.helpers.command import command, command_table, overview
 from lacewingdock.helpers.log import start_logging
 from lacewingdock.settings import (
+    AskSettings,
     ClientSettings,
     DaemonSettings,
     EntrySettings,
@@ -85,6 +86,27 @@
 
         report(load_settings(ReportSettings, flags), _print)
 
+    @command(AskSettings)
+    def ask(self, text: str = "", **flags: str) -> None:
+        """Ask or order in the operators' language; without TEXT, a prompt."""
+        from lacewingdock.components.language.client import (
+            Client,
+            as_text,
+            pointed,
+            prompt,
+        )
+
+        settings = load_settings(AskSettings, flags)
+        client = Client(settings.entry, settings.operator_key)
+        if not text:
+            prompt(client, settings.json)
+            return
+        try:
+            print(as_text(client.ask(text, settings.id), settings.json))
+        except LacewingdockError as error:
+            print(pointed(text, error), file=sys.stderr)
+            exit_now(error.answer.exit_status)
+
     @command()
     def version(self) -> str:
         """Print the version."""
--- a/lacewingdock/helpers/command.py
+++ b/lacewingdock/helpers/command.py
@@ -9,7 +9,7 @@
 from fire.decorators import SetParseFn
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.settings import describe, variable
+from lacewingdock.settings import SECRETS, describe, variable
 
 WIDTH: Final = 78
 _INDENT: Final = "      "
@@ -65,7 +65,10 @@
         ]
     for cls in settings:
         for setting in describe(cls):
-            lines += ["", f"  --{setting.name}  ({variable(setting.name)})"]
+            names = f"--{setting.name}  ({variable(setting.name)})"
+            if setting.name in SECRETS:
+                names = variable(setting.name)
+            lines += ["", f"  {names}"]
             lines += textwrap.wrap(
                 setting.meaning,
                 WIDTH,
@@ -84,7 +87,7 @@
 def _positional(function: Callable[..., Any]) -> str:
     parameters = inspect.signature(function).parameters.values()
     return "".join(
-        f" {p.name.upper()}"
+        f" {p.name.upper()}" if p.default is p.empty else f" [{p.name.upper()}]"
         for p in parameters
         if p.kind is p.POSITIONAL_OR_KEYWORD and p.name != "self"
     )
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -47,6 +47,9 @@
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
 
+# Taken from the environment only; flags can be seen by others.
+SECRETS: Final = frozenset({"operator_key"})
+
 T = TypeVar("T")
 
 
@@ -153,6 +156,24 @@
     platform: Url
 
 
+@dataclass(slots=True, kw_only=True)
+class AskSettings:
+    """Settings of the operators' command.
+
+    Attributes:
+        entry: URL of an entry's admin port.
+        operator_key: The operator's key.
+        id: Id under which an order takes effect once, however often it is
+            sent; empty takes a new one.
+        json: Whether JSON is printed in place of a table.
+    """
+
+    entry: Url
+    operator_key: str = ""
+    id: str = ""
+    json: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class ReportSettings:
     """Settings of the report on service-level burn.
@@ -210,6 +231,11 @@
         f"--{name}: no such setting" for name in flags if name not in known
     ]
     faults += _unknown_variables(env, known)
+    faults += [
+        f"--{name}: is a secret, which others on the machine could see;"
+        f" give it as {variable(name)}"
+        for name in SECRETS & flags.keys()
+    ]
     values: dict[str, Any] = {}
     for name, field in known.items():
         given = flags.get(name, env.get(variable(name)))
@@ -383,6 +409,7 @@
 
 # Settings of commands that are no daemons; their variables are known too.
 OTHER_SETTINGS: Final[tuple[type[Any], ...]] = (
+    AskSettings,
     ClientSettings,
     ReportSettings,
 )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,7 @@
 import random
 import threading
 from collections import deque
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -22,6 +23,7 @@
         down: Whether every call fails.
         lose_answers: Writes whose answer is lost after they took effect.
         calls: Calls by purpose.
+        on_call: Called before each call, to let others act in between.
         history: Every write as (collection, name, value).
         old: A listing to answer the next list with, instead of the present.
     """
@@ -33,11 +35,14 @@
         self.down = False
         self.lose_answers = 0
         self.calls: dict[str, int] = {}
+        self.on_call: Callable[[], None] | None = None
         self.history: list[tuple[str, str, Any]] = []
         self.old: Listing | None = None
 
     def _enter(self, purpose: str) -> None:
         self.calls[purpose] = self.calls.get(purpose, 0) + 1
+        if self.on_call is not None:
+            self.on_call()
         if self.down:
             raise LacewingdockError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -57,6 +57,8 @@
             1,
             "platform_unavailable",
         ),
+        ("ask show --operator_key=my-secret", 2, "--operator_key: is a secret"),
+        ("ask show", 2, "--entry: required"),
         ("entry --help", 0, "LACEWINGDOCK_SLOW_CALLER_S"),
         ("sidecar -h", 0, "--replay_bytes"),
         ("ENTRY --plain_links --color=red", 2, "--color: no such setting"),
