Demo: Ctrl-C stops the load, finishes what was sent, and leaves in order

Ruled out: killing the group faster; the demo also shows the graceful stop. Change: processes get groups of their own; the signal stops load and operator, the answers under way are taken and checked, then entries and sidecars are stopped gracefully, entries first. Before: traceback.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -1,5 +1,6 @@
 """Support for the demo: Carpato's shape under a mixed load."""
 
+import math
 import signal
 import sys
 import threading
@@ -42,6 +43,7 @@
         store: The platform, as an operator's tool sees it.
         manifest: The configuration to start from.
         withdrawn_at: Monotonic time when the withdrawal was in force.
+        stop: Set by Ctrl-C.
     """
 
     def __init__(self, deployment: Deployment) -> None:
@@ -50,7 +52,8 @@
         url = deployment.processes["platform"].url()
         self.store = ObjectStore(url)
         self.manifest = parse_manifest(MANIFEST.read_text("utf-8"))
-        self.withdrawn_at = 0.0
+        self.withdrawn_at = math.inf
+        self.stop = threading.Event()
 
     def configure(self, manifest: Manifest) -> None:
         """Bring a manifest into force everywhere."""
@@ -66,10 +69,12 @@
     def operate(self, seconds: float) -> None:
         """Let a roll-out and a withdrawal happen under the load."""
         for share in (0.25, 0.5, 1.0):
-            time.sleep(seconds / 5)
+            if self.stop.wait(seconds / 5):
+                return
             shares = {"drafter-1": 1.0 - share, "drafter-2": share}
             self.configure({"model/drafter": {"shares": shares}})
-        time.sleep(seconds / 10)
+        if self.stop.wait(seconds / 10):
+            return
         old = dict(self.manifest["version/drafter-1"])
         self.configure({"version/drafter-1": {**old, "state": "withdrawn"}})
         self.withdrawn_at = time.monotonic()
@@ -159,10 +164,12 @@
     """
     with Deployment(CARPATO) as deployment:
         demo = Demo(deployment)
+        for number in (signal.SIGINT, signal.SIGTERM):
+            signal.signal(number, lambda *_: demo.stop.set())
         demo.configure(demo.manifest)
         deployment.wait_ready()
         deployment.wait_homes(PARTITIONS)
-        load = Load(demo.entries(), KEY, rate, seconds, seed)
+        load = Load(demo.entries(), KEY, rate, seconds, seed, stop=demo.stop)
         operator = threading.Thread(target=demo.operate, args=(seconds,))
         operator.start()
         outcomes = load.run()
@@ -171,8 +178,9 @@
         print(table(outcomes, demo.bookings()))
         for line in sorted(set(broken)):
             print(f"BROKEN: {line}")
-        if keep:
+        if keep and not demo.stop.is_set():
             _keep(demo)
+        deployment.leave()
     sys.exit(1 if broken else 0)
 
 
@@ -186,11 +194,12 @@
         ' -d \'{"model": "route-day",'
         ' "messages": [{"role": "user", "content": "a plan"}]}\''
     )
+    platform = demo.deployment.processes["platform"].url()
+    cli = ".venv/bin/lacewingdock"
+    print(f"what it does: {cli} report --platform={platform}")
+    print(f"what would change: {cli} diff {MANIFEST} --platform={platform}")
     print("Ctrl-C takes it down.", flush=True)
-    stop = threading.Event()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        signal.signal(number, lambda *_: stop.set())
-    stop.wait()
+    demo.stop.wait()
 
 
 if __name__ == "__main__":
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -293,8 +293,14 @@
         self, name: str, arguments: list[str]
     ) -> "subprocess.Popen[bytes]":
         with (self.folder / f"{name}.log").open("ab") as log:
+            # In a group of its own: Ctrl-C reaches only the launcher, which
+            # takes the processes down in order.
             return subprocess.Popen(
-                arguments, stdout=log, stderr=log, env=dict(os.environ)
+                arguments,
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ),
+                process_group=0,
             )
 
     def restart(self, name: str) -> Process:
@@ -381,6 +387,15 @@
             "claim partitions have no home",
         )
 
+    def leave(self) -> None:
+        """Stop the daemons gracefully, entries before sidecars."""
+        for role in ("entry", "sidecar"):
+            names = [n for n, i in self.instances.items() if i["role"] == role]
+            for name in names:
+                self.processes[name].signal(signal.SIGTERM)
+            for name in names:
+                self.processes[name].popen.wait(STOP_TIMEOUT_S)
+
     def stop(self) -> None:
         """End every process that was started here."""
         for process in reversed(self.processes.values()):
--- a/bench/load.py
+++ b/bench/load.py
@@ -59,6 +59,7 @@
         seed: Seed of the mix.
         tokens: Tokens of each answer.
         outcomes: What the callers got.
+        stop: Set to send no more; what was sent is answered.
     """
 
     entries: list[str]
@@ -68,6 +69,7 @@
     seed: int = 1
     tokens: int = 12
     outcomes: list[Outcome] = field(default_factory=list)
+    stop: threading.Event = field(default_factory=threading.Event)
 
     def run(self, threads: int = 64) -> list[Outcome]:
         """Send the load at its pace and return every outcome."""
@@ -83,7 +85,8 @@
         with ThreadPoolExecutor(threads) as pool:
             for index in range(int(self.rate * self.seconds)):
                 due = start + index / self.rate
-                time.sleep(max(0.0, due - time.monotonic()))
+                if self.stop.wait(max(0.0, due - time.monotonic())):
+                    break
                 kind = source.choice(
                     ["chat", "chat", "cascade", "booking", "booking"]
                 )
