--- a/bench/demo.py
+++ b/bench/demo.py
@@ -15,7 +15,7 @@
 from bench.deployment import Deployment, Shape
 from bench.http import call
 from bench.load import Load, Outcome
-from lacewingdock.components.configuration.apply import apply_manifest
+from lacewingdock.components.configuration.apply import Change, apply_manifest
 from lacewingdock.platform.store import ObjectStore
 from lacewingdock.world.manifest import Manifest, parse_manifest
 
@@ -55,9 +55,13 @@
         self.withdrawn_at = math.inf
         self.stop = threading.Event()
 
+    def apply(self, manifest: Manifest) -> list[Change]:
+        """Have the platform accept a manifest."""
+        return apply_manifest(self.store, manifest)
+
     def configure(self, manifest: Manifest) -> None:
         """Bring a manifest into force everywhere."""
-        changes = apply_manifest(self.store, manifest)
+        changes = self.apply(manifest)
         if changes:
             self.deployment.wait_revision(max(c.revision for c in changes))
 
--- a/bench/load.py
+++ b/bench/load.py
@@ -60,6 +60,7 @@
         tokens: Tokens of each answer.
         outcomes: What the callers got.
         stop: Set to send no more; what was sent is answered.
+        kinds: Kinds of requests, each as often as it is named.
     """
 
     entries: list[str]
@@ -70,6 +71,15 @@
     tokens: int = 12
     outcomes: list[Outcome] = field(default_factory=list)
     stop: threading.Event = field(default_factory=threading.Event)
+    kinds: list[str] = field(
+        default_factory=lambda: [
+            "chat",
+            "chat",
+            "cascade",
+            "booking",
+            "booking",
+        ]
+    )
 
     def run(self, threads: int = 64) -> list[Outcome]:
         """Send the load at its pace and return every outcome."""
@@ -87,9 +97,7 @@
                 due = start + index / self.rate
                 if self.stop.wait(max(0.0, due - time.monotonic())):
                     break
-                kind = source.choice(
-                    ["chat", "chat", "cascade", "booking", "booking"]
-                )
+                kind = source.choice(self.kinds)
                 pool.submit(one, index, kind, source.choice(self.entries))
         return self.outcomes
 
--- a/lacewingdock/components/callers/app.py
+++ b/lacewingdock/components/callers/app.py
@@ -16,7 +16,7 @@
 from lacewingdock.components.callers.services import ServiceCalls
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.metrics.const import ENVIRON_WORKSPACE
-from lacewingdock.const import HEADER_REQUEST_ID
+from lacewingdock.const import HEADER_REQUEST_ID, RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.http_server import ENVIRON_SOCKET
@@ -89,6 +89,10 @@
         body = response(environ, start_response)
         return _Counted(body, lambda: self._close(request_id, sock))
 
+    def end_answers(self) -> None:
+        """End what is still being answered with an error that says so."""
+        self.departures.answers.unload()
+
     def _close(self, request_id: str, sock: socket.socket) -> None:
         self.departures.forget(request_id, sock)
         self.active.add(-1)
@@ -132,7 +136,13 @@
 
     def _dispatch(self, request: Request, caller: Caller) -> Response:
         if not self.configuration.loaded.is_set():
-            raise LacewingdockError(ErrorKind.NOT_READY, "no configuration yet")
+            # A key may have run before it came here; who knows nothing yet
+            # can't say that it did not.
+            raise LacewingdockError(
+                ErrorKind.NOT_READY,
+                "no configuration yet",
+                RAN_UNKNOWN if caller.key else RAN_NO,
+            )
         name, workspace = self.configuration.world.authenticate(caller.bearer)
         request.environ[ENVIRON_WORKSPACE] = name
         path = request.path
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -1,11 +1,14 @@
 """Support for settings from flags and environment variables."""
 
+import builtins
 import inspect
 import os
 import re
+import types
 import typing
 from collections.abc import Mapping
-from dataclasses import MISSING, Field, dataclass, fields
+from dataclasses import MISSING, Field, dataclass, fields, is_dataclass
+from types import NoneType
 from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
@@ -13,7 +16,7 @@
 
 from lacewingdock.const import ENV_PREFIX, MAX_FRAME_BYTES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.world.objects import NAME_PATTERN
+from lacewingdock.world.objects import Name
 
 _OCTET: Final = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 _HOST: Final = rf"{_OCTET}(\.{_OCTET}){{3}}"
@@ -25,13 +28,6 @@
 # A request goes to a sidecar in one frame, its other fields beside the body.
 MAX_BODY_LIMIT: Final = MAX_FRAME_BYTES - 256 * 1024
 
-Name = Annotated[
-    str,
-    Meta(
-        pattern=NAME_PATTERN,
-        description="lower-case letters, digits, '.' and '-', at most 63",
-    ),
-]
 Host = Annotated[str, Meta(pattern=rf"^{_HOST}\Z", description="an IP number")]
 Url = Annotated[
     str,
@@ -70,6 +66,8 @@
         start_peers: Peers that must show their configuration before it is
             taken in force while the platform does not answer.
         grace_s: Seconds that a stop waits for running requests.
+        linger_s: Seconds that a stop serves on at least, until those who
+            send have heard of it.
         log_level: Lowest level that is logged.
     """
 
@@ -83,6 +81,7 @@
     plain_links: bool = False
     start_peers: Annotated[int, Meta(ge=1, le=100)] = 2
     grace_s: Seconds = 30.0
+    linger_s: Seconds = 0.4
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -104,8 +103,11 @@
         rated_share: Part of the given chat answers that the rating service
             rates afterwards, for the report's quality objective.
         good_rating: Lowest rating of a good answer in that sample.
+        linger_s: As for all daemons; longer than the balancer takes to
+            notice that /readyz fails.
     """
 
+    linger_s: Seconds = 5.0
     port: Port
     threads: Annotated[int, Meta(ge=4, le=2000)] = 320
     session_keys_file: str = ""
@@ -303,6 +305,8 @@
         hint, meta = hint.__origin__, hint.__metadata__[0]
     if meta.description:
         return meta.description
+    if compound := _allowed_parts(hint):
+        return compound
     if typing.get_origin(hint) is typing.Literal:
         return "one of " + ", ".join(typing.get_args(hint))
     if hint is bool:
@@ -313,11 +317,28 @@
     bounds = [
         (" from", meta.ge),
         (" above", meta.gt),
+        (" below", meta.lt),
         (" to" if meta.ge is not None else " up to", meta.le),
     ]
     return kind + "".join(f"{w} {v}" for w, v in bounds if v is not None)
 
 
+def _allowed_parts(hint: Any) -> str:
+    """Say what a type made of others lets through; empty for plain ones."""
+    parts = [allowed(p) for p in typing.get_args(hint) if p is not NoneType]
+    match typing.get_origin(hint):
+        case builtins.list:
+            return f"a list of: {parts[0]}"
+        case builtins.dict:
+            return f"a map from {parts[0]} to {parts[1]}"
+        case types.UnionType | typing.Union:
+            return f"{' or '.join(parts)}, or null"
+        case None if is_dataclass(hint):
+            return str(hint.__name__)  # type: ignore[union-attr]
+        case _:
+            return ""
+
+
 def meanings(cls: type[Any]) -> dict[str, str]:
     """Read what each setting means from the classes' doc comments."""
     found: dict[str, str] = {}
@@ -356,18 +377,26 @@
             field.name,
             texts[field.name],
             allowed(hints[field.name]),
-            None if field.default is MISSING else _shown(field.default),
+            _default(field),
         )
         for field in _fields(cls)
     ]
 
 
+def _default(field: Field[Any]) -> str | None:
+    if field.default_factory is not MISSING:
+        return "empty"
+    return None if field.default is MISSING else _shown(field.default)
+
+
 def _shown(default: Any) -> str:
     match default:
         case bool():
             return str(default).lower()
         case "":
             return "empty"
+        case None:
+            return "null"
         case _:
             return str(default)
 
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -10,8 +10,17 @@
 NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9.-]{0,62}\Z"
 MAX_PORT: Final = 65535
 
-Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
-Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
+Name = Annotated[
+    str,
+    Meta(
+        pattern=NAME_PATTERN,
+        description="lower-case letters, digits, '.' and '-', at most 63",
+    ),
+]
+Digest = Annotated[
+    str,
+    Meta(pattern=r"^[0-9a-f]{64}\Z", description="64 hex digits"),
+]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Price = Annotated[float, Meta(ge=0.0)]
 
@@ -40,9 +49,12 @@
     Attributes:
         shares: Part of new sessions for each version; parts need not sum
             to one.
+        incoming: Version that a roll-out brings in or brought in last;
+            empty when there was none.
     """
 
     shares: dict[Name, Share]
+    incoming: str = ""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -61,7 +73,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Cascade:
-    """Versions to try in order, cheaper before dearer."""
+    """Versions to try in order, cheaper before dearer.
+
+    Attributes:
+        steps: The versions, at most eight; the last one's answer is given
+            whatever its rating.
+    """
 
     steps: Annotated[list[Step], Meta(min_length=1, max_length=8)]
 
@@ -116,14 +133,15 @@
         repeatable: Whether running it twice does no harm.
         timeout_s: Seconds the call may take.
         on_outage: What happens to a call that may not be repeated while
-            the platform is down.
+            the platform is down: "refuse" it, or take "tickets", which need
+            no platform but are lost with the process that they name.
     """
 
     method: Literal["GET", "POST", "PUT", "DELETE", "PATCH"]
     path: Annotated[str, Meta(pattern=r"^/")]
     repeatable: bool = False
     timeout_s: Annotated[float, Meta(gt=0.0, le=600.0)] = 10.0
-    on_outage: Literal["refuse"] = "refuse"
+    on_outage: Literal["refuse", "tickets"] = "refuse"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -133,10 +151,13 @@
     Attributes:
         operations: The calls that may be made; no other passes.
         partitions: Parts that the idempotency keys are spread over.
+        key_window_s: Seconds that an idempotency key is remembered; a key
+            sent again later counts as new.
     """
 
     operations: Annotated[list[Operation], Meta(min_length=1)]
     partitions: Annotated[int, Meta(ge=1, le=64)] = 8
+    key_window_s: Annotated[float, Meta(ge=3600.0)] = 86_400.0
 
 
 @dataclass(slots=True, kw_only=True)
