Docs: the product's pages, tables from the code, the library with examples

Cause: README was twelve lines; settings, manifests and error kinds were described nowhere but in the code.

Ruled out: tables written by hand; they drift with the next setting.

Known red: docs/design/configuration.md links to docs/CAPACITY.md, which is not written yet; it is listed in KNOWN-RED.txt until it is.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Programs that show how to use the library."""
--- /dev/null
+++ b/lacewingdock/helpers/reference.py
@@ -0,0 +1,130 @@
+"""Support for the tables of the docs that come from the code.
+
+`python -m lacewingdock.helpers.reference` writes them anew; a test compares.
+"""
+
+import re
+from pathlib import Path
+from typing import Any, Final
+
+from lacewingdock.exceptions import ANSWERS, ErrorKind
+from lacewingdock.settings import (
+    OTHER_SETTINGS,
+    SECRETS,
+    ClientSettings,
+    DaemonSettings,
+    EntrySettings,
+    Setting,
+    SidecarSettings,
+    describe,
+    variable,
+)
+from lacewingdock.world.objects import Objective, Operation, Step
+from lacewingdock.world.world import CLASSES
+
+DOCS: Final = Path("docs")
+# What stands between a table's two marks is generated.
+MARK: Final = "<!-- {0} {1} -->"
+NESTED: Final = (Step, Objective, Operation)
+
+
+def tables() -> dict[str, dict[str, str]]:
+    """Return the generated tables by page and name."""
+    settings = {"daemons": _settings(DaemonSettings)}
+    shared = {setting.name for setting in describe(DaemonSettings)}
+    # ClientSettings has nothing but the platform's URL.
+    others = [cls for cls in OTHER_SETTINGS if cls is not ClientSettings]
+    for cls in (EntrySettings, SidecarSettings, *others):
+        name = cls.__name__.removesuffix("Settings").lower()
+        settings[name] = _settings(cls, shared)
+    kinds = {kind: _fields(cls) for kind, cls in CLASSES.items()}
+    kinds |= {cls.__name__: _fields(cls) for cls in NESTED}
+    return {
+        "configuration.md": settings | kinds,
+        "errors.md": {"errors": _errors()},
+    }
+
+
+def fill(page: str, contents: dict[str, str]) -> str:
+    """Put tables between their marks in a page.
+
+    Raises:
+        ValueError: The page lacks a table's marks.
+    """
+    for name, table in contents.items():
+        begin, end = MARK.format("begin", name), MARK.format("end", name)
+        pattern = f"{re.escape(begin)}.*?{re.escape(end)}"
+        if not re.search(pattern, page, re.DOTALL):
+            raise ValueError(f"no {begin} and {end}")
+        filled = f"{begin}\n{table}\n{end}"
+        page = re.sub(pattern, lambda _: filled, page, flags=re.DOTALL)  # noqa: B023
+    return page
+
+
+def _table(heads: tuple[str, ...], rows: list[tuple[str, ...]]) -> str:
+    lines = [heads, tuple("---" for _ in heads), *rows]
+    return "\n".join(
+        "| " + " | ".join(cell.replace("|", "\\|") for cell in line) + " |"
+        for line in lines
+    )
+
+
+def _settings(cls: type[Any], without: set[str] | None = None) -> str:
+    return _table(
+        ("flag", "variable", "meaning", "allowed", "default"),
+        [
+            (
+                "-" if s.name in SECRETS else f"`--{s.name}`",
+                f"`{variable(s.name)}`",
+                s.meaning,
+                s.allowed,
+                _default(s),
+            )
+            for s in describe(cls)
+            if s.name not in (without or ())
+        ],
+    )
+
+
+def _fields(cls: type[Any]) -> str:
+    return _table(
+        ("field", "meaning", "allowed", "default"),
+        [
+            (f"`{s.name}`", s.meaning, s.allowed, _default(s))
+            for s in describe(cls)
+        ],
+    )
+
+
+def _default(setting: Setting) -> str:
+    return "required" if setting.default is None else setting.default
+
+
+def _errors() -> str:
+    return _table(
+        ("code", "status", "ran", "Retry-After", "exit status", "title"),
+        [
+            (
+                f"`{kind}`",
+                str(answer.status),
+                answer.ran,
+                "-"
+                if answer.retry_after_s is None
+                else f"{answer.retry_after_s:g} s",
+                str(answer.exit_status),
+                answer.title,
+            )
+            for kind, answer in ((k, ANSWERS[k]) for k in ErrorKind)
+        ],
+    )
+
+
+def main() -> None:
+    """Write every generated table into its page."""
+    for name, contents in tables().items():
+        path = DOCS / name
+        path.write_text(fill(path.read_text("utf-8"), contents), "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lacewingdock/library.py
@@ -0,0 +1,35 @@
+"""Support for embedding the coordination parts in other programs.
+
+The parts run without the daemons and without the platform; docs/library.md
+shows how they fit together.
+"""
+
+from lacewingdock.components.admission.slots import Slots
+from lacewingdock.components.configuration.items import ItemTable
+from lacewingdock.components.leases.lease import (
+    Lease,
+    LeaseRecord,
+    LeaseStore,
+)
+from lacewingdock.components.membership.subset import choose_subset
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.links.messages import Delta, Item
+from lacewingdock.platform.budget import CallBudget
+from lacewingdock.platform.store import Stored
+from lacewingdock.world.objects import Instance
+
+__all__ = [
+    "CallBudget",
+    "Delta",
+    "ErrorKind",
+    "Instance",
+    "Item",
+    "ItemTable",
+    "LacewingdockError",
+    "Lease",
+    "LeaseRecord",
+    "LeaseStore",
+    "Slots",
+    "Stored",
+    "choose_subset",
+]
