--- a/lacewingdock/helpers/reference.py
+++ b/lacewingdock/helpers/reference.py
@@ -120,10 +120,15 @@
 
 
 def main() -> None:
-    """Write every generated table into its page."""
+    """Write every generated table into its page; new ones get a heading."""
     for name, contents in tables().items():
         path = DOCS / name
-        path.write_text(fill(path.read_text("utf-8"), contents), "utf-8")
+        page = path.read_text("utf-8")
+        for table in contents:
+            begin, end = MARK.format("begin", table), MARK.format("end", table)
+            if begin not in page:
+                page += f"\n### {table}\n\n{begin}\n{end}\n"
+        path.write_text(fill(page, contents), "utf-8")
 
 
 if __name__ == "__main__":
