A peer that drips no longer holds a task in the handshake

Cause: found by reading what the fuzz tests of handshakes could not reach. The timeout bounded each read, so a peer without a key that sends a byte now and then held its task for hours; with 4,096 tasks in all, as many connections stop a daemon. Ruled out: fewer bytes a hello may have; 4,096 bytes at one a second are still more than an hour. Change: the socket's timeout bounds the whole frame. Before: the test read the whole dripped frame. After: TimeoutError within the frame.

--- a/lacewingdock/links/link.py
+++ b/lacewingdock/links/link.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from lacewingdock.const import MAX_FRAME_BYTES
+from lacewingdock.const import HANDSHAKE_TIMEOUT_S, MAX_FRAME_BYTES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.tally import Tally
 from lacewingdock.links.messages import Hello, Message
@@ -312,24 +312,34 @@
     """Read exactly one frame, for handshakes.
 
     Args:
-        sock: A socket with a timeout.
+        sock: A socket with a timeout, which bounds the whole frame. Were it
+            to begin anew with each byte, a peer that drips could hold the
+            task for hours, and enough of them all tasks.
         limit: Largest frame accepted, in bytes.
 
     Raises:
         LacewingdockError: BAD_LINK for a frame too long or cut off.
         OSError: The connection failed or the time ran out.
     """
-    length = int.from_bytes(_read_exactly(sock, LENGTH_BYTES), "big")
+    timeout_s = sock.gettimeout() or HANDSHAKE_TIMEOUT_S
+    end = time.monotonic() + timeout_s
+    length = int.from_bytes(_read_exactly(sock, LENGTH_BYTES, end), "big")
     if length > limit:
         raise LacewingdockError(
             ErrorKind.BAD_LINK, f"handshake frame of {length} bytes"
         )
-    return decode(_read_exactly(sock, length))
+    payload = _read_exactly(sock, length, end)
+    sock.settimeout(timeout_s)
+    return decode(payload)
 
 
-def _read_exactly(sock: socket.socket, count: int) -> bytes:
+def _read_exactly(sock: socket.socket, count: int, end: float) -> bytes:
     data = b""
     while len(data) < count:
+        left = end - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("the handshake takes too long")
+        sock.settimeout(left)
         piece = sock.recv(count - len(data))
         if not piece:
             raise LacewingdockError(
--- a/tests/fuzz/test_links.py
+++ b/tests/fuzz/test_links.py
@@ -2,6 +2,7 @@
 
 import socket
 import struct
+import threading
 import tracemalloc
 
 import pytest
@@ -115,6 +116,36 @@
     over_socket(data, lambda s: read_frame(s, MAX_HELLO_BYTES))
 
 
+def test_a_peer_that_drips_does_not_hold_a_task():
+    # Symptom: links are refused to everybody. Sequence: peers connect and
+    # send a byte now and then, each within the timeout of one read. Cause:
+    # the timeout began anew with each byte, so a handshake could last for
+    # hours and hold its task; the tasks ran out.
+    ours, theirs = socket.socketpair()
+    sent = []
+
+    def drip(stop):
+        for index in range(MAX_HELLO_BYTES):
+            if stop.wait(0.05):
+                return
+            sent.append(index)
+            theirs.sendall(b"\0" if index < 3 else b"\x40")
+
+    stop = threading.Event()
+    dripping = threading.Thread(target=drip, args=(stop,))
+    with ours, theirs:
+        ours.settimeout(0.3)
+        dripping.start()
+        try:
+            with pytest.raises(TimeoutError):
+                read_frame(ours, MAX_HELLO_BYTES)
+        finally:
+            stop.set()
+            dripping.join()
+    # A whole frame of this length takes 67 bytes.
+    assert len(sent) < 60
+
+
 def test_split_refuses_a_frame_beyond_the_limit_at_once():
     pending = bytearray((MAX_FRAME_BYTES + 1).to_bytes(4, "big"))
     with pytest.raises(LacewingdockError, match="bad_link"):
