--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -1,6 +1,7 @@
 """Support for the command line."""
 
 import sys
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any, Final
@@ -11,6 +12,7 @@
 from lacewingdock.core import exit_now
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.command import command, command_table, overview
+from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import start_logging
 from lacewingdock.settings import (
     AskSettings,
@@ -101,8 +103,15 @@
         if not text:
             prompt(client, settings.json)
             return
+        # Under one id, so that an order that is watched is given once.
+        command_id = settings.id or f"c-{new_id()}"
         try:
-            print(as_text(client.ask(text, settings.id), settings.json))
+            _print(as_text(client.ask(text, command_id), settings.json))
+            while settings.watch_s > 0:
+                time.sleep(settings.watch_s)
+                _print(as_text(client.ask(text, command_id), settings.json))
+        except KeyboardInterrupt:
+            return
         except LacewingdockError as error:
             print(pointed(text, error), file=sys.stderr)
             exit_now(error.answer.exit_status)
--- a/lacewingdock/components/language/__init__.py
+++ b/lacewingdock/components/language/__init__.py
@@ -8,7 +8,6 @@
 
 from lacewingdock.components.admin import Admin
 from lacewingdock.components.answers import Answers
-from lacewingdock.components.callers.problem import problem_response
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.language.const import (
     KEYWORDS,
@@ -25,6 +24,7 @@
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.problem import problem_response
 
 log = get_logger(NAME)
 
@@ -148,6 +148,7 @@
             SetState,
             Show,
             Stop,
+            Unload,
         )
 
         if question.id:
@@ -162,7 +163,7 @@
                 return self._explain(statement)
             case Stop():
                 _require(role, ROLE_ADMIN)
-            case RollOut() | Change() | SetState():
+            case RollOut() | Unload() | Change() | SetState():
                 _require(role, ROLE_OPERATOR)
         return self._order(statement, question, operator)
 
--- a/lacewingdock/components/metrics/entry.py
+++ b/lacewingdock/components/metrics/entry.py
@@ -26,6 +26,7 @@
 from lacewingdock.components.metrics.quality import QualitySampler
 from lacewingdock.components.metrics.request import ObservedRequest
 from lacewingdock.components.metrics.shared import Counts, gauge, setup_shared
+from lacewingdock.components.metrics.tap import Tap
 from lacewingdock.components.peers import Peers
 from lacewingdock.const import HEADER_REQUEST_ID, HEADER_VERSION
 from lacewingdock.core import Daemon
@@ -48,7 +49,7 @@
 
     Attributes:
         daemon: The daemon.
-        open: The latest answer asked for, by request id.
+        open: The latest answer asked for and its tap, by request id.
         requests: Requests by workspace, kind, end and code.
         tokens: Tokens of whole answers by workspace, version and direction.
         first_token: Seconds to the first token.
@@ -79,7 +80,7 @@
         """Add the metrics to the daemon's registry."""
         self.daemon = daemon
         self.sampler = sampler
-        self.open: dict[str, Answer] = {}
+        self.open: dict[str, tuple[Answer, Tap]] = {}
         answers.on_ask.append(self._on_ask)
         by_version = ("workspace", "version")
         registry = daemon.metrics
@@ -143,8 +144,7 @@
         def observed(
             environ: dict[str, Any], start_response: Callable[..., Any]
         ) -> Iterable[bytes]:
-            keep = self.sampler is not None and self.sampler.choose()
-            request = ObservedRequest(environ, keep)
+            request = ObservedRequest(environ)
 
             def start(status: str, headers: Any, *rest: Any) -> Any:
                 request.head(status, headers)
@@ -155,13 +155,11 @@
         return observed
 
     def _rate(
-        self, request: ObservedRequest, answer: Answer, workspace: str
+        self, answer: Answer, pieces: list[bytes], workspace: str
     ) -> None:
         """Rate an answer that was given; the caller does not wait for it."""
-        assert self.sampler is not None and request.kept is not None
-        good = self.sampler.is_good(
-            answer.attempt.body, b"".join(request.kept), request.is_stream
-        )
+        assert self.sampler is not None
+        good = self.sampler.is_good(answer.attempt.body, pieces)
         if good is not None:
             self.rated(workspace, answer.attempt.target, good)
 
@@ -171,11 +169,13 @@
         self.ratings.labels(workspace, version, verdict).inc()
 
     def _on_ask(self, answer: Answer) -> None:
-        self.open[answer.attempt.request] = answer
+        tap = Tap(self.sampler is not None and self.sampler.choose())
+        answer.tap = tap.see
+        self.open[answer.attempt.request] = (answer, tap)
 
     def take(self, request: ObservedRequest) -> None:
         """Count and log a request whose answer has ended."""
-        answer = self.open.pop(request.headers.get(_ID, ""), None)
+        found = self.open.pop(request.headers.get(_ID, ""), None)
         workspace = request.environ.get(ENVIRON_WORKSPACE, "")
         kind = _kind(request.environ.get("PATH_INFO", ""))
         self.requests.labels(
@@ -193,14 +193,19 @@
             "duration_s": round(time.monotonic() - request.started, 6),
             "trace": request.environ.get("HTTP_TRACEPARENT", ""),
         }
-        if answer is not None:
-            fields |= self._take_answer(request, answer, workspace)
-            if request.kept and request.end == END_WHOLE and kind == KIND_CHAT:
-                self.daemon.spawn(self._rate, request, answer, workspace)
+        if found is not None:
+            answer, tap = found
+            fields |= self._take_answer(request, answer, tap, workspace)
+            if tap.kept and request.end == END_WHOLE and kind == KIND_CHAT:
+                self.daemon.spawn(self._rate, answer, tap.kept, workspace)
         log.info("request", **fields)
 
     def _take_answer(
-        self, request: ObservedRequest, answer: Answer, workspace: str
+        self,
+        request: ObservedRequest,
+        answer: Answer,
+        tap: Tap,
+        workspace: str,
     ) -> dict[str, Any]:
         """Count what only an answer has, and return its log fields."""
         attempt, upstream = answer.attempt, answer.upstream
@@ -221,11 +226,16 @@
         if request.is_stream and request.first_s is not None:
             fields["first_token_s"] = round(request.first_s, 6)
             self.first_token.labels(*labels).observe(request.first_s)
-            self._take_gaps(request, answer.next_offset, labels)
+            fields["bytes"] = tap.size
+            self._take_gaps(request, answer.next_offset, tap, labels)
         return fields
 
     def _take_gaps(
-        self, request: ObservedRequest, pieces: int, labels: tuple[str, str]
+        self,
+        request: ObservedRequest,
+        pieces: int,
+        tap: Tap,
+        labels: tuple[str, str],
     ) -> None:
         # How long a caller that left would have waited isn't known.
         if pieces < 2 or request.end == END_GONE:
@@ -233,7 +243,7 @@
         assert request.first_s is not None
         mean = max(request.last_s - request.first_s, 0.0) / (pieces - 1)
         self.inter_token.labels(*labels).observe(mean)
-        self.stall.labels(*labels).observe(request.largest_gap_s)
+        self.stall.labels(*labels).observe(tap.largest_gap_s)
 
     def unload(self) -> None:
         """Nothing is held beyond the daemon's registry."""
--- a/lacewingdock/components/metrics/quality.py
+++ b/lacewingdock/components/metrics/quality.py
@@ -1,7 +1,7 @@
 """Support for rating a sample of the answers that callers were given."""
 
 import random
-from typing import Any, Final
+from typing import Any
 
 import msgspec
 
@@ -11,9 +11,6 @@
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.platform.ratings import Ratings
 
-DATA: Final = b"data: "
-DONE: Final = b"data: [DONE]"
-
 log = get_logger("quality")
 
 
@@ -50,20 +47,18 @@
         """Tell whether the next answer belongs to the sample."""
         return self.source.random() < self.share
 
-    def is_good(self, asked: bytes, given: bytes, stream: bool) -> bool | None:
+    def is_good(self, asked: bytes, given: list[bytes]) -> bool | None:
         """Rate an answer.
 
         Args:
             asked: Body of the request as the upstream got it.
-            given: Body of the answer as the caller got it.
-            stream: Whether the answer came as events.
+            given: Pieces of the answer.
 
         Returns:
             The verdict; None when there is none.
         """
         try:
-            whole = assemble(_events(given)) if stream else decode_json(given)
-            text = whole["choices"][0]["message"]["content"]
+            text = assemble(given)["choices"][0]["message"]["content"]
             messages = decode_json(asked, _Asked).messages
             rating = self.ratings.rate(messages, text)
         except (
@@ -75,12 +70,3 @@
             log.info("not rated", error=str(error))
             return None
         return rating >= self.good_rating
-
-
-def _events(given: bytes) -> list[bytes]:
-    """Return the JSON of each event."""
-    return [
-        line.removeprefix(DATA)
-        for line in given.splitlines()
-        if line.startswith(DATA) and line != DONE
-    ]
--- a/lacewingdock/components/metrics/request.py
+++ b/lacewingdock/components/metrics/request.py
@@ -16,8 +16,6 @@
 
 ERROR_EVENT: Final = b"event: error\ndata: "
 EVENT_STREAM: Final = "text/event-stream"
-# Longer answers are left out of the rated sample: its memory is bounded.
-MAX_KEPT_BYTES: Final = 256 * 1024
 PROBLEM: Final = "application/problem+json"
 
 
@@ -34,11 +32,9 @@
         started: Monotonic time of the request.
         status: HTTP status of the answer.
         headers: Headers of the answer by lower-case name.
-        kept: The body's pieces when they are to be rated; else None.
         first_s: Seconds to the first bytes; None before.
         last_s: Seconds to the latest bytes.
-        largest_gap_s: Longest pause between writes of the body.
-        sent: Bytes of the body.
+        sent: Bytes of the body that the caller's own task wrote.
         end: How it ended.
         problem: The error that was answered, if one was.
     """
@@ -48,8 +44,6 @@
         "environ",
         "first_s",
         "headers",
-        "kept",
-        "largest_gap_s",
         "last_s",
         "problem",
         "sent",
@@ -57,16 +51,14 @@
         "status",
     )
 
-    def __init__(self, environ: dict[str, Any], keep: bool = False) -> None:
+    def __init__(self, environ: dict[str, Any]) -> None:
         """Start when the request was read."""
         self.environ = environ
         self.started = time.monotonic()
         self.status = 0
         self.headers: dict[str, str] = {}
-        self.kept: list[bytes] | None = [] if keep else None
         self.first_s: float | None = None
         self.last_s = 0.0
-        self.largest_gap_s = 0.0
         self.sent = 0
         # Until the body's end is seen, its reader may have gone away.
         self.end = END_GONE
@@ -83,7 +75,7 @@
         return self.headers.get("content-type", "").startswith(EVENT_STREAM)
 
     def watch(self, body: Iterable[bytes]) -> Iterator[bytes]:
-        """Pass the body on and look at each write, not at each token."""
+        """Pass the body on and look at each write of the caller's task."""
         cut = False
         is_problem = self.headers.get("content-type") == PROBLEM
         for data in body:
@@ -95,28 +87,14 @@
                 self._read_problem(data[len(ERROR_EVENT) :])
             elif is_problem:
                 self._read_problem(data)
-            if self.kept is not None:
-                self._keep(data)
             yield data
             # Only now was it taken; a slow caller's pause is not ours.
-            self._mark()
+            self.last_s = time.monotonic() - self.started
         if cut:
             self.end = END_CUT
         else:
             self.end = END_REFUSED if self.problem.code else END_WHOLE
 
-    def _keep(self, data: bytes) -> None:
-        assert self.kept is not None
-        self.kept.append(data)
-        if self.sent > MAX_KEPT_BYTES:
-            self.kept = None
-
-    def _mark(self) -> None:
-        now = time.monotonic() - self.started
-        if self.last_s:
-            self.largest_gap_s = max(self.largest_gap_s, now - self.last_s)
-        self.last_s = now
-
     def _read_problem(self, data: bytes) -> None:
         try:
             self.problem = decode_json(data, _Problem)
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -99,6 +99,9 @@
         plain_callers: Whether callers may come without TLS.
         max_body_bytes: Largest request body that is read.
         slow_caller_s: Seconds a caller may stall a read or write.
+        request_s: Seconds by which a whole request must have come.
+        deadline_s: Seconds that an answer may take where the caller does not
+            say; it may ask for as much as ten times this.
         subset: Links kept for each model version.
         rated_share: Part of the given chat answers that the rating service
             rates afterwards, for the report's quality objective.
@@ -119,6 +122,8 @@
         1024 * 1024
     )
     slow_caller_s: Seconds = 10.0
+    request_s: Seconds = 30.0
+    deadline_s: Seconds = 120.0
     subset: Annotated[int, Meta(ge=2, le=1000)] = 24
     rated_share: Annotated[float, Meta(ge=0, le=1)] = 0.01
     good_rating: Annotated[float, Meta(ge=0, le=1)] = 0.5
@@ -168,12 +173,15 @@
         id: Id under which an order takes effect once, however often it is
             sent; empty takes a new one.
         json: Whether JSON is printed in place of a table.
+        watch_s: Seconds after which it is asked again, until interrupted; 0
+            asks once.
     """
 
     entry: Url
     operator_key: str = ""
     id: str = ""
     json: bool = False
+    watch_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/fuzz/test_callers.py
+++ b/tests/fuzz/test_callers.py
@@ -60,6 +60,7 @@
                 "Last-Event-ID",
                 "Lacewingdock-Session",
                 "Lacewingdock-Priority",
+                "Lacewingdock-Timeout",
                 "traceparent",
                 "Content-Type",
             ]
@@ -79,7 +80,7 @@
     environ["HTTP_AUTHORIZATION"] = "Bearer key"
     environ["QUERY_STRING"] = query
     request = Request(environ)
-    if caller := coded(read_caller, request, "r1"):
+    if caller := coded(read_caller, request, "r1", 10.0):
         passed = (caller.key, caller.traceparent, request.content_type or "")
         assert "".join(passed).isascii()
         assert request.query_string.isascii()
