--- a/lacewingdock/components/language/client.py
+++ b/lacewingdock/components/language/client.py
@@ -11,6 +11,7 @@
 from lacewingdock.const import RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
+from lacewingdock.helpers.json import decode_json
 
 TIMEOUT_MS: Final = 15_000
 HISTORY: Final = Path("~/.lacewingdock_history")
@@ -78,7 +79,7 @@
             curl.setopt(pycurl.WRITEFUNCTION, received.write)
             curl.perform()
             status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-            answer = msgspec.json.decode(received.getvalue())
+            answer = decode_json(received.getvalue())
         except (pycurl.error, msgspec.DecodeError) as error:
             raise LacewingdockError(
                 ErrorKind.PLATFORM_UNAVAILABLE,
--- a/lacewingdock/components/quarantine/fingerprint.py
+++ b/lacewingdock/components/quarantine/fingerprint.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.links.messages import Attempt
 
 FINGERPRINT_BYTES: Final = 16
@@ -39,9 +40,9 @@
 def _normalise(body: bytes) -> bytes:
     """Take away key order, white space and what does not reach the model."""
     try:
-        value: Any = msgspec.json.decode(body)
+        value: Any = decode_json(body)
         if isinstance(value, dict):
             value = {k: v for k, v in value.items() if k not in _IGNORED}
         return msgspec.json.encode(value, order="deterministic")
-    except (msgspec.DecodeError, RecursionError):
+    except msgspec.DecodeError:
         return body
--- a/lacewingdock/components/runs/upstream_status.py
+++ b/lacewingdock/components/runs/upstream_status.py
@@ -9,6 +9,7 @@
 
 from lacewingdock.const import RAN_NO
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 
 TIMEOUT_MS: Final = 1000
 PROBES: Final = 3
@@ -49,7 +50,8 @@
         curl.perform()
     finally:
         curl.close()
-    return msgspec.json.decode(received.getvalue(), type=EngineReport)
+    report: EngineReport = decode_json(received.getvalue(), EngineReport)
+    return report
 
 
 def probe_upstream(url: str) -> str | None:
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -20,6 +20,7 @@
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.services import ServiceCalls
 from lacewingdock.components.callers.steps import Steps
+from lacewingdock.components.metrics import entry as metrics
 from lacewingdock.components.rollouts import emergency
 from lacewingdock.core import Daemon
 from lacewingdock.links.keys import load_keys
@@ -66,7 +67,8 @@
         ServiceCalls(config, relay),
         watcher,
     )
-    port = callers.setup(daemon, settings, app)
+    shown = metrics.setup(daemon, settings, links, open_answers, ratings)
+    port = callers.setup(daemon, settings, app, shown.observe)
     admin_port = admin.setup(
         daemon,
         config,
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -1,12 +1,26 @@
 """Support for the configured objects: versions, models, workspaces."""
 
+import ipaddress
 from dataclasses import dataclass, field
-from typing import Annotated, Literal
+from typing import Annotated, Final, Literal
 
 from msgspec import Meta
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+# "$" would also match before a line feed at the end.
+NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9.-]{0,62}\Z"
+MAX_PORT: Final = 65535
+
+Name = Annotated[
+    str,
+    Meta(
+        pattern=NAME_PATTERN,
+        description="lower-case letters, digits, '.' and '-', at most 63",
+    ),
+]
+Digest = Annotated[
+    str,
+    Meta(pattern=r"^[0-9a-f]{64}\Z", description="64 hex digits"),
+]
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Price = Annotated[float, Meta(ge=0.0)]
 
@@ -59,7 +73,12 @@
 
 @dataclass(slots=True, kw_only=True)
 class Cascade:
-    """Versions to try in order, cheaper before dearer."""
+    """Versions to try in order, cheaper before dearer.
+
+    Attributes:
+        steps: The versions, at most eight; the last one's answer is given
+            whatever its rating.
+    """
 
     steps: Annotated[list[Step], Meta(min_length=1, max_length=8)]
 
@@ -196,11 +215,25 @@
         pool: Versions' model or service that its upstream serves; empty
             for entries.
         state: "live" or "leaving".
+        admin: "IP:PORT" of its admin port; empty where the platform's list
+            does not show it.
     """
 
     name: Name
     role: Literal["entry", "sidecar"]
     failure_domain: Name
-    address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
+    address: Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}\Z")]
     pool: str = ""
     state: Literal["live", "leaving"] = "live"
+    admin: Annotated[str, Meta(pattern=r"^([0-9.]+:[0-9]{1,5})?\Z")] = ""
+
+    def __post_init__(self) -> None:
+        """Refuse an address that can't be dialed.
+
+        Raises:
+            ValueError: The IP number or the port is out of range.
+        """
+        host, _, port = self.address.rpartition(":")
+        ipaddress.IPv4Address(host)
+        if int(port) > MAX_PORT:
+            raise ValueError(f"no such port: {port}")
