--- a/tests/components/runs/test_two_gates.py
+++ b/tests/components/runs/test_two_gates.py
@@ -20,7 +20,10 @@
 from lacewingdock.world.objects import Model, Version, Workspace
 from lacewingdock.world.world import World
 
-BODY = b'{"model": "m", "messages": [{"role": "user", "content": "x"}]}'
+BODY = (
+    b'{"model": "m", "stream": true,'
+    b' "messages": [{"role": "user", "content": "x"}]}'
+)
 CALLER = Caller("r", "", "", "", "", 1, "", 1e9)
 VERSIONS = ["m-1", "m-2"]
 
