--- a/bench/load.py
+++ b/bench/load.py
@@ -59,6 +59,7 @@
         seed: Seed of the mix.
         tokens: Tokens of each answer.
         outcomes: What the callers got.
+        stop: Set to send no more; what was sent is answered.
         kinds: Kinds of requests, each as often as it is named.
     """
 
@@ -69,6 +70,7 @@
     seed: int = 1
     tokens: int = 12
     outcomes: list[Outcome] = field(default_factory=list)
+    stop: threading.Event = field(default_factory=threading.Event)
     kinds: list[str] = field(
         default_factory=lambda: [
             "chat",
@@ -93,7 +95,8 @@
         with ThreadPoolExecutor(threads) as pool:
             for index in range(int(self.rate * self.seconds)):
                 due = start + index / self.rate
-                time.sleep(max(0.0, due - time.monotonic()))
+                if self.stop.wait(max(0.0, due - time.monotonic())):
+                    break
                 kind = source.choice(self.kinds)
                 pool.submit(one, index, kind, source.choice(self.entries))
         return self.outcomes
--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -1,22 +1,41 @@
 """Support for reading what callers send."""
 
+import time
 from dataclasses import dataclass, field
 from typing import Any, Final
 
 import msgspec
+from cheroot.errors import MaxSizeExceeded
 from werkzeug.wrappers import Request
 
 from lacewingdock.const import (
+    HEADER_CLASS,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_LAST_EVENT_ID,
     HEADER_PRIORITY,
     HEADER_SESSION,
+    HEADER_TIMEOUT,
+    RAN_NO,
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_connection import Request as ServedRequest
+from lacewingdock.helpers.http_server import ENVIRON_REQUEST
+from lacewingdock.helpers.json import decode_json
 
 MAX_KEY_CHARS: Final = 255
+PASSED_ON: Final = (HEADER_IDEMPOTENCY_KEY, "Content-Type", "traceparent")
 PRIORITIES: Final = {"interactive": 0, "normal": 1, "background": 2}
 DEFAULT_PRIORITY: Final = "normal"
+# A caller may ask for more time than the default, but not hold a thread for
+# good: long drafts take minutes, not hours.
+LONGEST_DEADLINES: Final = 10
+
+
+DEFAULT_DEADLINE_S: Final = 120.0
+
+
+def _default_deadline() -> float:
+    return time.monotonic() + DEFAULT_DEADLINE_S
 
 
 @dataclass(slots=True)
@@ -31,6 +50,9 @@
         last_event: Id of the last event the caller has, or empty.
         priority: 0 is the most urgent.
         traceparent: W3C trace context, or empty.
+        request_class: What the caller calls requests like this, or empty.
+        deadline: Monotonic time by which the answer must be whole.
+        served: The server's request, for direct writes.
     """
 
     request_id: str
@@ -40,6 +62,22 @@
     last_event: str
     priority: int
     traceparent: str
+    deadline: float = field(default_factory=_default_deadline)
+    request_class: str = ""
+    served: ServedRequest | None = None
+
+    def left_ms(self) -> int:
+        """Return the milliseconds left until the deadline.
+
+        Raises:
+            LacewingdockError: DEADLINE, not run, when none are left.
+        """
+        left = int((self.deadline - time.monotonic()) * 1000)
+        if left <= 0:
+            raise LacewingdockError(
+                ErrorKind.DEADLINE, "the caller's time is over", RAN_NO
+            )
+        return left
 
 
 @dataclass(slots=True)
@@ -59,9 +97,14 @@
     fields: dict[str, Any]
 
 
-def read_caller(request: Request, request_id: str) -> Caller:
+def read_caller(request: Request, request_id: str, deadline_s: float) -> Caller:
     """Read the headers.
 
+    Args:
+        request: The request.
+        request_id: Id given to it here.
+        deadline_s: Seconds that the answer may take unless the caller says.
+
     Raises:
         LacewingdockError: UNAUTHORIZED or BAD_REQUEST.
     """
@@ -76,6 +119,18 @@
             ErrorKind.BAD_REQUEST,
             f"{HEADER_IDEMPOTENCY_KEY}: more than {MAX_KEY_CHARS} characters",
         )
+    for name in (*PASSED_ON, HEADER_SESSION, HEADER_LAST_EVENT_ID):
+        value = request.headers.get(name, "")
+        # They go on in a header or a URL of the upstream's call, which takes
+        # ASCII only; later it would be too late to say that nothing ran.
+        if not (value.isascii() and value.isprintable()):
+            raise LacewingdockError(
+                ErrorKind.BAD_REQUEST, f"{name}: want printable ASCII"
+            )
+    if not request.query_string.isascii():
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST, "the query is not percent-encoded"
+        )
     priority = request.headers.get(HEADER_PRIORITY, DEFAULT_PRIORITY)
     if priority not in PRIORITIES:
         raise LacewingdockError(
@@ -91,6 +146,71 @@
         last_event=request.headers.get(HEADER_LAST_EVENT_ID, ""),
         priority=PRIORITIES[priority],
         traceparent=request.headers.get("traceparent", ""),
+        deadline=time.monotonic() + _timeout(request, deadline_s),
+        request_class=request.headers.get(HEADER_CLASS, ""),
+        served=request.environ.get(ENVIRON_REQUEST),
+    )
+
+
+def _timeout(request: Request, default_s: float) -> float:
+    """Return the seconds that the caller gives the answer."""
+    text = request.headers.get(HEADER_TIMEOUT, "")
+    if not text:
+        return default_s
+    longest = LONGEST_DEADLINES * default_s
+    try:
+        given = float(text)
+    except ValueError:
+        given = 0.0
+    if not 0.0 < given <= longest:
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST,
+            f"{HEADER_TIMEOUT}: {text!r} is not a number of seconds above 0 "
+            f"and at most {longest:g}",
+        )
+    return given
+
+
+def read_body(request: Request, limit: int) -> bytes:
+    """Read the body.
+
+    Args:
+        request: The request.
+        limit: Largest body accepted, in bytes.
+
+    Raises:
+        LacewingdockError: BODY_TOO_LARGE, SLOW_CALLER or BAD_REQUEST.
+    """
+    # Not through werkzeug's stream: it turns whatever goes wrong in the read,
+    # a body too large or too slow, into one and the same error.
+    stream = request.environ["wsgi.input"]
+    try:
+        body: bytes = stream.read(limit + 1)
+    except MaxSizeExceeded as error:
+        raise _too_large(limit) from error
+    except TimeoutError as error:
+        raise LacewingdockError(
+            ErrorKind.SLOW_CALLER, "the body did not come in time"
+        ) from error
+    except ValueError as error:
+        raise LacewingdockError(ErrorKind.BAD_REQUEST, str(error)) from error
+    except OSError as error:
+        # The server library gives a chunk beyond the limit no type of its own.
+        if "Too Large" in str(error):
+            raise _too_large(limit) from error
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST, f"body: {error}"
+        ) from error
+    if len(body) > limit:
+        raise _too_large(limit)
+    if len(body) < (request.content_length or 0):
+        raise LacewingdockError(ErrorKind.BAD_REQUEST, "the body is cut off")
+    return body
+
+
+def _too_large(limit: int) -> LacewingdockError:
+    return LacewingdockError(
+        ErrorKind.BODY_TOO_LARGE, f"more than {limit} bytes"
     )
 
 
@@ -101,7 +221,7 @@
         LacewingdockError: BAD_REQUEST naming the field.
     """
     try:
-        fields = msgspec.json.decode(body)
+        fields = decode_json(body)
         if not isinstance(fields, dict):
             raise msgspec.ValidationError("want a JSON object")
         return ChatBody(
--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -58,6 +58,7 @@
     def answer(
         self,
         request: Request,
+        body: bytes,
         caller: Caller,
         name: str,
         workspace: Workspace,
@@ -89,17 +90,17 @@
             target=service,
             method=request.method,
             path=f"{path}?{query}" if query else path,
-            body=request.get_data(),
+            body=body,
             content_type=request.content_type or "application/json",
             key=caller.key,
             priority=caller.priority,
-            deadline_ms=int(operation.timeout_s * 1000),
+            deadline_ms=min(int(operation.timeout_s * 1000), caller.left_ms()),
             repeatable=operation.repeatable,
             traceparent=caller.traceparent,
             revision=self.configuration.revision,
         )
         if operation.repeatable:
-            answer, pieces = self.relay.start(attempt)
+            answer, pieces = self.relay.whole(attempt)
         else:
             answer, pieces = self._once(attempt)
         return self._whole(answer, pieces)
@@ -202,8 +203,8 @@
 
     def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
         try:
-            while pieces and (more := self.relay.take(answer)):
-                pieces += more
+            if answer.finish is None and pieces:
+                self.relay.collect(answer, pieces)
         finally:
             self.relay.answers.drop(answer)
         finish = answer.finish
--- a/lacewingdock/platform/ratings.py
+++ b/lacewingdock/platform/ratings.py
@@ -7,12 +7,13 @@
 import io
 import urllib.parse
 from dataclasses import dataclass, field
-from typing import Annotated, Any, Final, TypeVar
+from typing import Annotated, Any, Final, TypeVar, cast
 
 import msgspec
 import pycurl
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 
 TIMEOUT_MS: Final = 1000
 MAX_ANSWER_BYTES: Final = 1024 * 1024
@@ -123,8 +124,8 @@
                 raise LacewingdockError(
                     ErrorKind.UPSTREAM_FAILED, f"rating service: {status}"
                 )
-            return msgspec.json.decode(received.getvalue(), type=cls)
-        except (pycurl.error, msgspec.DecodeError, RecursionError) as error:
+            return cast("T", decode_json(received.getvalue(), cls))
+        except (pycurl.error, msgspec.DecodeError) as error:
             raise LacewingdockError(
                 ErrorKind.UPSTREAM_FAILED, f"rating service: {error}"
             ) from error
