--- a/bench/withdrawal.py
+++ b/bench/withdrawal.py
@@ -40,12 +40,14 @@
     Attributes:
         seconds: From the accepted withdrawal to the last new work.
         requests: New work in that time, counted at the engines.
+        before: The old version's work up to the command.
         failed: Callers that got no answer from the accepted withdrawal on.
         asked: Callers that asked from then on.
     """
 
     seconds: float = 0.0
     requests: int = 0
+    before: int = 0
     failed: int = 0
     asked: int = 0
 
@@ -143,7 +145,7 @@
         return self.outcome
 
     def _watch(self, first: int, frozen: bool) -> None:
-        last = first
+        self.outcome.before = last = first
         entry = self.deployment.processes["entry-2"]
         while (now := time.monotonic()) < self.accepted + AFTER_S:
             if frozen and now > self.accepted + FROZEN_S:
@@ -198,6 +200,11 @@
                 [float(o.requests) for o in outcomes],
                 "requests",
             ),
+            figure(
+                f"old version's work before it, {name}",
+                [float(o.before) for o in outcomes],
+                "requests",
+            ),
             figure(
                 f"callers without an answer, {name}",
                 [100.0 * o.failed / max(o.asked, 1) for o in outcomes],
