--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -1,6 +1,7 @@
 """Support for asking sidecars and receiving whole answers."""
 
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
@@ -12,6 +13,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.tally import Tally
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import (
     Attempt,
@@ -39,9 +41,11 @@
         daemon: The daemon.
         membership: Where the upstreams are found.
         open: Answers by the attempt id that their frames carry.
+        on_ask: Called with each answer that was asked for.
+        reattached: Answers taken up again over a new link.
     """
 
-    __slots__ = ("daemon", "membership", "open")
+    __slots__ = ("daemon", "membership", "on_ask", "open", "reattached")
 
     def __init__(
         self, daemon: Daemon, peers: Peers, membership: Membership
@@ -50,6 +54,8 @@
         self.daemon = daemon
         self.membership = membership
         self.open: dict[str, Answer] = {}
+        self.on_ask: list[Callable[[Answer], None]] = []
+        self.reattached = Tally()
         for cls in (Chunk, Finish, Refusal):
             peers.handle(cls, self._deliver)
         peers.on_close.append(self._on_close)
@@ -66,6 +72,8 @@
             raise LacewingdockError(
                 ErrorKind.NO_UPSTREAM, f"no link to {upstream.name}", RAN_NO
             )
+        for callback in self.on_ask:
+            callback(answer)
         answer.sent_to = link.peer.incarnation
         self._track(answer, link)
         upstream.in_flight.add(1)
@@ -137,6 +145,7 @@
             if link.send(_resume_of(answer)):
                 break
             self._untrack(answer)
+        self.reattached.add(1)
         log.info(
             "answer reattached",
             attempt_id=answer.attempt.attempt,
@@ -214,7 +223,8 @@
     another upstream than waiting for a sidecar that may be dead.
     """
     attempt = answer.attempt
-    may_move = attempt.repeatable and attempt.target and not answer.next_offset
+    is_shown = answer.shown and answer.next_offset > 0
+    may_move = attempt.repeatable and attempt.target and not is_shown
     return ELSEWHERE_S if may_move else REATTACH_S
 
 
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -3,6 +3,7 @@
 import random
 from typing import Final
 
+from lacewingdock.components.admission.retry_budget import RetryBudget
 from lacewingdock.components.answers import Answers, retry_of
 from lacewingdock.components.answers.answer import Answer, LinkLost
 from lacewingdock.components.configuration.catch_up import catch_up
@@ -16,7 +17,6 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Attempt
-from lacewingdock.world.upstream import Upstream
 
 MAX_TRIES: Final = 3
 # Refusals that another upstream may not share.
@@ -37,6 +37,10 @@
     {ErrorKind.MODEL_NOT_ALLOWED, ErrorKind.VERSION_WITHDRAWN}
 )
 
+# Retries that are no sign of too much load: each sidecar says so only until
+# this entry has its news.
+_FREE: Final = BY_CONFIGURATION | {ErrorKind.LEAVING, ErrorKind.NOT_READY}
+
 log = get_logger("relay")
 
 
@@ -48,9 +52,10 @@
         membership: The upstreams.
         quarantine: Which requests crash upstreams, and where they may go.
         source: Source of draws.
+        retries: Retries that this entry may make.
     """
 
-    __slots__ = ("answers", "membership", "quarantine", "source")
+    __slots__ = ("answers", "membership", "quarantine", "retries", "source")
 
     def __init__(
         self,
@@ -64,6 +69,7 @@
         self.membership = membership
         self.quarantine = quarantine
         self.source = source
+        self.retries = RetryBudget()
 
     def start(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
         """Ask until an upstream begins to answer.
@@ -81,6 +87,7 @@
         fingerprint = fingerprint_of(attempt)
         worst_ran = RAN_NO
         last: LacewingdockError | None = None
+        self.retries.count_request()
         for _ in range(MAX_TRIES):
             try:
                 upstream = self.quarantine.choose(
@@ -109,6 +116,8 @@
                     )
                 if not self._may_retry(error, attempt, fingerprint):
                     break
+                if error.kind not in _FREE and not self.retries.take():
+                    break
                 if _never_came(error, answer):
                     # Its link was at fault, and there is a new one.
                     tried.discard(upstream.name)
@@ -145,6 +154,40 @@
                 self.quarantine.prove(fingerprint_of(answer.attempt))
             return pieces
 
+    def whole(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
+        """Ask until an upstream has given its whole answer.
+
+        None of it is shown before it is whole, so one that breaks half-way
+        can still come from another upstream.
+
+        Raises:
+            LacewingdockError: No upstream answers; `ran` says what is known.
+        """
+        try:
+            return self._whole(attempt)
+        except _BrokeOffError as broken:
+            error = broken.cause
+            fingerprint = fingerprint_of(attempt)
+            if not self._may_retry(error, attempt, fingerprint):
+                raise error from None
+        try:
+            return self._whole(retry_of(attempt))
+        except _BrokeOffError as broken:
+            raise broken.cause from None
+        except LacewingdockError as later:
+            raise _final(later, RAN_UNKNOWN) from later
+
+    def _whole(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
+        answer, pieces = self.start(attempt)
+        answer.shown = False
+        try:
+            if answer.finish is None and pieces:
+                self.collect(answer, pieces)
+        except LacewingdockError as error:
+            self.answers.drop(answer)
+            raise _BrokeOffError(error) from error
+        return answer, pieces
+
     def collect(self, answer: Answer, pieces: list[bytes]) -> None:
         """Add the rest of an answer to its first pieces.
 
@@ -181,17 +224,13 @@
             return False
         return error.ran == RAN_NO or attempt.repeatable
 
-    def at_home(self, upstream: Upstream, attempt: Attempt) -> Answer:
-        """Ask the home of a claim, with what it takes to know the outcome.
 
-        The home runs a key once, so after a lost link the same request is
-        sent again rather than resumed: it meets its own run.
+class _BrokeOffError(Exception):
+    """An answer ended after its first piece and before its last."""
 
-        Raises:
-            LacewingdockError: As refused by the home; OUTCOME_UNKNOWN when
-                the home can't be reached any more.
-        """
-        return self.answers.ask(upstream, attempt)
+    def __init__(self, cause: LacewingdockError) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
 
 
 def _told(
--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -9,6 +9,7 @@
 from werkzeug.wrappers import Request
 
 from lacewingdock.const import (
+    HEADER_CLASS,
     HEADER_IDEMPOTENCY_KEY,
     HEADER_LAST_EVENT_ID,
     HEADER_PRIORITY,
@@ -19,8 +20,10 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.http_connection import Request as ServedRequest
 from lacewingdock.helpers.http_server import ENVIRON_REQUEST
+from lacewingdock.helpers.json import decode_json
 
 MAX_KEY_CHARS: Final = 255
+PASSED_ON: Final = (HEADER_IDEMPOTENCY_KEY, "Content-Type", "traceparent")
 PRIORITIES: Final = {"interactive": 0, "normal": 1, "background": 2}
 DEFAULT_PRIORITY: Final = "normal"
 # A caller may ask for more time than the default, but not hold a thread for
@@ -28,6 +31,13 @@
 LONGEST_DEADLINES: Final = 10
 
 
+DEFAULT_DEADLINE_S: Final = 120.0
+
+
+def _default_deadline() -> float:
+    return time.monotonic() + DEFAULT_DEADLINE_S
+
+
 @dataclass(slots=True)
 class Caller:
     """What the headers of a request say.
@@ -40,6 +50,7 @@
         last_event: Id of the last event the caller has, or empty.
         priority: 0 is the most urgent.
         traceparent: W3C trace context, or empty.
+        request_class: What the caller calls requests like this, or empty.
         deadline: Monotonic time by which the answer must be whole.
         served: The server's request, for direct writes.
     """
@@ -51,7 +62,8 @@
     last_event: str
     priority: int
     traceparent: str
-    deadline: float
+    deadline: float = field(default_factory=_default_deadline)
+    request_class: str = ""
     served: ServedRequest | None = None
 
     def left_ms(self) -> int:
@@ -107,6 +119,18 @@
             ErrorKind.BAD_REQUEST,
             f"{HEADER_IDEMPOTENCY_KEY}: more than {MAX_KEY_CHARS} characters",
         )
+    for name in (*PASSED_ON, HEADER_SESSION, HEADER_LAST_EVENT_ID):
+        value = request.headers.get(name, "")
+        # They go on in a header or a URL of the upstream's call, which takes
+        # ASCII only; later it would be too late to say that nothing ran.
+        if not (value.isascii() and value.isprintable()):
+            raise LacewingdockError(
+                ErrorKind.BAD_REQUEST, f"{name}: want printable ASCII"
+            )
+    if not request.query_string.isascii():
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST, "the query is not percent-encoded"
+        )
     priority = request.headers.get(HEADER_PRIORITY, DEFAULT_PRIORITY)
     if priority not in PRIORITIES:
         raise LacewingdockError(
@@ -123,6 +147,7 @@
         priority=PRIORITIES[priority],
         traceparent=request.headers.get("traceparent", ""),
         deadline=time.monotonic() + _timeout(request, deadline_s),
+        request_class=request.headers.get(HEADER_CLASS, ""),
         served=request.environ.get(ENVIRON_REQUEST),
     )
 
@@ -196,7 +221,7 @@
         LacewingdockError: BAD_REQUEST naming the field.
     """
     try:
-        fields = msgspec.json.decode(body)
+        fields = decode_json(body)
         if not isinstance(fields, dict):
             raise msgspec.ValidationError("want a JSON object")
         return ChatBody(
--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -100,7 +100,7 @@
             revision=self.configuration.revision,
         )
         if operation.repeatable:
-            answer, pieces = self.relay.start(attempt)
+            answer, pieces = self.relay.whole(attempt)
         else:
             answer, pieces = self._once(attempt)
         return self._whole(answer, pieces)
@@ -203,7 +203,7 @@
 
     def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
         try:
-            if pieces:
+            if answer.finish is None and pieces:
                 self.relay.collect(answer, pieces)
         finally:
             self.relay.answers.drop(answer)
--- a/lacewingdock/components/orders/door.py
+++ b/lacewingdock/components/orders/door.py
@@ -8,6 +8,7 @@
 from lacewingdock.components.engine import Engine
 from lacewingdock.components.orders.const import ENGINE_TIMEOUT_S
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.links.messages import Order
 
 _HTTP_CONFLICT = 409
@@ -88,6 +89,4 @@
             status = int(curl.getinfo(pycurl.RESPONSE_CODE))
         finally:
             curl.close()
-        return status, msgspec.json.decode(
-            received.getvalue(), type=EngineAnswer
-        )
+        return status, decode_json(received.getvalue(), EngineAnswer)
--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -1,8 +1,9 @@
 """Support for calling the upstream and taking its answer as it streams."""
 
+import re
 import socket
 import time
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
 import pycurl
@@ -13,6 +14,7 @@
     LacewingdockError,
     UpstreamLost,
 )
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Finish
 from lacewingdock.world.run import Run
@@ -22,6 +24,10 @@
 CONNECT_TIMEOUT_MS: Final = 1000
 MAX_ANSWER_BYTES: Final = 8 * 1024 * 1024
 BODY_PIECE_BYTES: Final = 256 * 1024
+# An event goes in one frame, and a frame beyond the limit ends the link with
+# every answer on it.
+MAX_EVENT_BYTES: Final = 1024 * 1024
+MAX_TOKENS: Final = 2**32 - 1
 
 # An engine that can resume and cancel a stream by its id says so.
 STREAMS_PATH: Final = "/v1/streams/"
@@ -40,18 +46,19 @@
 
 
 log = get_logger("runs")
+_Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
 
 
 class _Usage(msgspec.Struct):
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: _Tokens = 0
+    completion_tokens: _Tokens = 0
 
 
 class _Event(msgspec.Struct):
     usage: _Usage | None = None
 
 
-_USAGE_DECODER: Final = msgspec.json.Decoder(_Event)
+_STATUS: Final = re.compile("[1-5][0-9][0-9]")
 
 
 class Receiver:
@@ -95,7 +102,11 @@
         """Take a header line."""
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
-            self.status = int(text.split()[1])
+            # What raised here would be printed by the HTTP library, not
+            # logged; curl has checked the line's form already.
+            _, _, rest = text.partition(" ")
+            code = rest[:3]
+            self.status = int(code) if _STATUS.fullmatch(code) else 0
         name, _, value = text.partition(":")
         match name.lower():
             case "content-type":
@@ -127,7 +138,11 @@
         if self.is_stream:
             *events, self.pending = self.pending.split(b"\n\n")
             for event in events:
+                if len(event) > MAX_EVENT_BYTES:
+                    return _ABORT
                 self._event(event)
+            if len(self.pending) > MAX_EVENT_BYTES:
+                return _ABORT
         elif len(self.pending) >= BODY_PIECE_BYTES:
             self.run.add(self.pending)
             self.pending = b""
@@ -146,7 +161,7 @@
 
     def _count(self, data: bytes) -> None:
         try:
-            usage = _USAGE_DECODER.decode(data).usage
+            usage = decode_json(data, _Event).usage
         except msgspec.DecodeError:
             return
         if usage is not None:
@@ -226,6 +241,10 @@
         curl.setopt(pycurl.CUSTOMREQUEST, attempt.method)
         run.executed = True
         curl.perform()
+    except UnicodeEncodeError as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_REQUEST, f"not ASCII: {error.object!r}", RAN_NO
+        ) from error
     except pycurl.error as error:
         if error.args[0] == pycurl.E_COULDNT_CONNECT:
             # Nothing was sent, so the request can't have run.
@@ -269,6 +288,10 @@
         _prepare(curl, url + path, run, receiver, deadline)
         curl.perform()
     except pycurl.error as error:
+        if error.args[0] == pycurl.E_COULDNT_CONNECT:
+            # Nobody listens beside this sidecar: the engine died, and its
+            # streams with it. Trying on would only tell of it later.
+            receiver.resumable = False
         raise _failure(error, run) from error
     finally:
         run.on_cancel = None
@@ -323,7 +346,7 @@
         # The library asks for a cancel once a second while no byte comes; a
         # shutdown of its socket wakes it at once, and the slot is free.
         sock = socket.socket(address.family, address.socktype, address.protocol)
-        run.on_cancel = lambda: sock.shutdown(socket.SHUT_RDWR)
+        run.let_cancel(lambda: sock.shutdown(socket.SHUT_RDWR))
         return sock
 
     curl.setopt(pycurl.OPENSOCKETFUNCTION, open_socket)
--- a/lacewingdock/daemons/sidecar.py
+++ b/lacewingdock/daemons/sidecar.py
@@ -10,6 +10,7 @@
     quarantine,
     runs,
 )
+from lacewingdock.components.metrics import sidecar as metrics
 from lacewingdock.core import Daemon
 from lacewingdock.settings import SidecarSettings
 
@@ -34,6 +35,7 @@
     if held is not None:
         held.on_change = work.announce
         held.start()
+    metrics.setup(daemon, settings, links, work)
     beside = engine.setup(daemon, settings.upstream, work, settings.service)
     orders.setup(daemon, links, None if settings.service else beside)
     admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
--- a/lacewingdock/helpers/http_server.py
+++ b/lacewingdock/helpers/http_server.py
@@ -27,19 +27,22 @@
 REFUSAL_TIMEOUT_S: Final = 0.5
 _IDLE_CHECK_S: Final = 0.5
 
-# Where the application finds the server's request.
+# Keys of the server's request and of the caller's socket in the WSGI
+# environment.
+ENVIRON_SOCKET: Final = "lacewingdock.socket"
 ENVIRON_REQUEST: Final = "lacewingdock.request"
 
 log = get_logger("http")
 
 
 class Gateway(Gateway_10):
-    """Shows the application the server's request, for direct writes."""
+    """Shows the application its request as the server has it."""
 
-    def get_environ(self) -> dict[str, Any]:  # type: ignore[override]
-        """Return the WSGI variables."""
-        environ: dict[str, Any] = super().get_environ()
+    def get_environ(self) -> Any:
+        """Return the WSGI environment of the request."""
+        environ: Any = super().get_environ()
         environ[ENVIRON_REQUEST] = self.req
+        environ[ENVIRON_SOCKET] = self.req.conn.socket
         return environ
 
 
@@ -163,9 +166,15 @@
     try:
         server.prepare()
     except OSError as error:
-        if error.errno not in (errno.EADDRINUSE, None):
-            raise
-        raise LacewingdockError(
-            ErrorKind.PORT_TAKEN, f"{host}:{port}: {error}"
-        ) from error
+        raise listen_error(f"{host}:{port}", error) from error
     return server
+
+
+def listen_error(address: str, error: OSError) -> LacewingdockError:
+    """Return the coded error of a port that can't be listened on."""
+    # cheroot gives an error of its own, without a number, for a taken port.
+    taken = error.errno in (errno.EADDRINUSE, None)
+    return LacewingdockError(
+        ErrorKind.PORT_TAKEN if taken else ErrorKind.BAD_SETTING,
+        f"{address}: {error.strerror or error}",
+    )
--- a/lacewingdock/links/wire.py
+++ b/lacewingdock/links/wire.py
@@ -17,6 +17,9 @@
 SCHEMA: Final = capnp.load(str(Path(__file__).with_name("schema.capnp")))
 
 LENGTH_BYTES: Final = 4
+_WORD_BYTES: Final = 8
+# Structs and lists are counted again when they are reached by another field.
+_SPARE_WORDS: Final = 64
 
 # One chunk a token is all but all of the traffic, and Cap'n Proto's binding
 # takes fifty times as long for one as MessagePack's (docs/design/
@@ -91,11 +94,15 @@
         raise LacewingdockError(
             ErrorKind.BAD_LINK, f"frame of {len(payload)} bytes"
         )
+    # Elements without words take no bytes, so a frame of 64 bytes can claim
+    # millions of items, and pointers can meet in one place. Such a peer would
+    # fill the memory; what is read is held to what the payload can hold.
+    limit = 2 * (len(payload) // _WORD_BYTES) + _SPARE_WORDS
     try:
         if payload[:1] == CHUNK_TAG:
             return Chunk(*_decode_chunk(payload))
         with SCHEMA.Frame.from_bytes(
-            payload, traversal_limit_in_words=MAX_FRAME_BYTES
+            payload, traversal_limit_in_words=limit
         ) as frame:
             name = frame.which()
             body = getattr(frame, str(name))
--- a/lacewingdock/platform/store.py
+++ b/lacewingdock/platform/store.py
@@ -9,15 +9,17 @@
 import secrets
 import threading
 import urllib.parse
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from typing import Any, Final, TypeVar
+from typing import Any, Final, TypeVar, cast
 
 import msgspec
 import pycurl
 
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.json import decode_json
+from lacewingdock.helpers.log import get_logger
 from lacewingdock.platform.budget import CallBudget
 from lacewingdock.world.objects import Instance
 
@@ -29,6 +31,10 @@
 SETTLE_TRIES: Final = 2
 ABSENT: Final = 0
 
+# A listing beyond this would take the daemon's whole memory.
+MAX_ANSWER_BYTES: Final = 32 * 1024 * 1024
+
+_ABORT: Final = -1
 _HTTP_OK: Final = 200
 _HTTP_NOT_MODIFIED: Final = 304
 _HTTP_NOT_FOUND: Final = 404
@@ -37,6 +43,8 @@
 
 T = TypeVar("T")
 
+log = get_logger("platform")
+
 
 @dataclass(slots=True)
 class Stored:
@@ -226,7 +234,8 @@
             "GET", "/instances", "instances", tag=self._tag or '"none"'
         )
         if reply.status == _HTTP_OK:
-            self._instances = _decode(reply, list[Instance], RAN_NO)
+            entries = _decode(reply, list[Any], RAN_NO)
+            self._instances = list(_instances(entries))
             self._tag = reply.tag
         return self._instances
 
@@ -285,12 +294,17 @@
         if tag:
             headers.append(f"If-None-Match: {tag}")
         found_tag: list[str] = []
+
+        def take(data: bytes) -> int | None:
+            received.write(data)
+            return None if received.tell() <= MAX_ANSWER_BYTES else _ABORT
+
         curl.setopt(pycurl.URL, self.url + path)
         curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.HTTPHEADER, headers)
         curl.setopt(pycurl.HEADERFUNCTION, _tag_reader(found_tag))
         curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
-        curl.setopt(pycurl.WRITEFUNCTION, received.write)
+        curl.setopt(pycurl.WRITEFUNCTION, take)
         if body is None:
             curl.setopt(pycurl.HTTPGET, 1)
         else:
@@ -348,11 +362,20 @@
         LacewingdockError: PLATFORM_UNAVAILABLE when it is something else.
     """
     try:
-        return msgspec.json.decode(reply.body, type=cls)
+        return cast("T", decode_json(reply.body, cls))
     except msgspec.DecodeError as error:
         raise _unavailable(f"undecodable answer: {error}", ran) from error
 
 
+def _instances(entries: list[Any]) -> Iterator[Instance]:
+    """Build the instances; one odd entry must not hide all the others."""
+    for entry in entries:
+        try:
+            yield msgspec.convert(entry, Instance)
+        except msgspec.ValidationError as error:
+            log.error("faulty instance left out", error=str(error))
+
+
 def _tag_reader(found: list[str]) -> Callable[[bytes], None]:
     """Return a header callback that keeps the ETag."""
 
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -1,25 +1,52 @@
 """Support for settings from flags and environment variables."""
 
+import builtins
+import inspect
 import os
+import re
+import types
 import typing
 from collections.abc import Mapping
-from dataclasses import MISSING, dataclass, fields
-from typing import Annotated, Any, TypeVar
+from dataclasses import MISSING, Field, dataclass, fields, is_dataclass
+from types import NoneType
+from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
 from msgspec import Meta
 
-from lacewingdock.const import ENV_PREFIX
+from lacewingdock.const import ENV_PREFIX, MAX_FRAME_BYTES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.world.objects import Name
 
-Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$")]
-Url = Annotated[str, Meta(pattern=r"^https?://[0-9.]+:[0-9]{1,5}$")]
-OptionalUrl = Annotated[str, Meta(pattern=r"^(https?://[0-9.]+:[0-9]{1,5})?$")]
+_OCTET: Final = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
+_HOST: Final = rf"{_OCTET}(\.{_OCTET}){{3}}"
+_PORT: Final = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}"
+    r"|[1-5][0-9]{4}|[0-9]{1,4})"
+)
+_URL: Final = rf"https?://{_HOST}:{_PORT}"
+# A request goes to a sidecar in one frame, its other fields beside the body.
+MAX_BODY_LIMIT: Final = MAX_FRAME_BYTES - 256 * 1024
+
+Host = Annotated[str, Meta(pattern=rf"^{_HOST}\Z", description="an IP number")]
+Url = Annotated[
+    str,
+    Meta(pattern=rf"^{_URL}\Z", description="a URL http(s)://IP:PORT"),
+]
+OptionalUrl = Annotated[
+    str,
+    Meta(
+        pattern=rf"^({_URL})?\Z",
+        description="a URL http(s)://IP:PORT, or empty",
+    ),
+]
 Port = Annotated[int, Meta(ge=0, le=65535)]
 Seconds = Annotated[float, Meta(gt=0, le=86400)]
 
-T = TypeVar("T", bound="DaemonSettings")
+# Taken from the environment only; flags can be seen by others.
+SECRETS: Final = frozenset({"operator_key"})
+
+T = TypeVar("T")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -46,7 +73,7 @@
 
     instance: Name
     failure_domain: Name
-    host: Annotated[str, Meta(pattern=r"^[0-9.]+$")] = "127.0.0.1"
+    host: Host = "127.0.0.1"
     platform: Url
     admin_port: Port = 0
     link_port: Port = 0
@@ -76,6 +103,9 @@
         deadline_s: Seconds that an answer may take where the caller does not
             say; it may ask for as much as ten times this.
         subset: Links kept for each model version.
+        rated_share: Part of the given chat answers that the rating service
+            rates afterwards, for the report's quality objective.
+        good_rating: Lowest rating of a good answer in that sample.
         linger_s: As for all daemons; longer than the balancer takes to
             notice that /readyz fails.
     """
@@ -88,13 +118,15 @@
     tls_cert: str = ""
     tls_key: str = ""
     plain_callers: bool = False
-    max_body_bytes: Annotated[int, Meta(ge=1024, le=16 * 1024 * 1024)] = (
+    max_body_bytes: Annotated[int, Meta(ge=1024, le=MAX_BODY_LIMIT)] = (
         1024 * 1024
     )
     slow_caller_s: Seconds = 10.0
     request_s: Seconds = 30.0
     deadline_s: Seconds = 120.0
     subset: Annotated[int, Meta(ge=2, le=1000)] = 24
+    rated_share: Annotated[float, Meta(ge=0, le=1)] = 0.01
+    good_rating: Annotated[float, Meta(ge=0, le=1)] = 0.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -120,12 +152,76 @@
     replay_bytes: Annotated[int, Meta(ge=65536)] = 16 * 1024 * 1024
 
 
+@dataclass(slots=True, kw_only=True)
+class ClientSettings:
+    """Settings of commands that talk to the platform.
+
+    Attributes:
+        platform: URL of the platform's object API.
+    """
+
+    platform: Url
+
+
+@dataclass(slots=True, kw_only=True)
+class AskSettings:
+    """Settings of the operators' command.
+
+    Attributes:
+        entry: URL of an entry's admin port.
+        operator_key: The operator's key.
+        id: Id under which an order takes effect once, however often it is
+            sent; empty takes a new one.
+        json: Whether JSON is printed in place of a table.
+        watch_s: Seconds after which it is asked again, until interrupted; 0
+            asks once.
+    """
+
+    entry: Url
+    operator_key: str = ""
+    id: str = ""
+    json: bool = False
+    watch_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
+
+
+@dataclass(slots=True, kw_only=True)
+class ReportSettings:
+    """Settings of the report on service-level burn.
+
+    Attributes:
+        platform: URL of the platform's object API.
+        targets: Admin ports to read, each IP:PORT, separated by commas;
+            empty takes the platform's list.
+        manifest: Manifest with the workspaces' objectives; empty takes those
+            in force.
+        samples: File that readings are kept in; empty reports from this
+            reading alone.
+        html: File to write the page with plots to.
+        json: Whether JSON is printed in place of a table.
+        every_s: Seconds between readings until interrupted; 0 reads once.
+    """
+
+    platform: OptionalUrl = ""
+    targets: Annotated[
+        str,
+        Meta(
+            pattern=rf"^({_HOST}:{_PORT}(,{_HOST}:{_PORT})*)?\Z",
+            description="IP:PORT,IP:PORT,..., or empty",
+        ),
+    ] = ""
+    manifest: str = ""
+    samples: str = ""
+    html: str = ""
+    json: bool = False
+    every_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
+
+
 def load_settings(
     cls: type[T],
     flags: Mapping[str, Any],
     environ: Mapping[str, str] | None = None,
 ) -> T:
-    """Check and build the settings of a daemon.
+    """Check and build the settings of a daemon or a command.
 
     Args:
         cls: The settings class.
@@ -140,26 +236,64 @@
     """
     env = os.environ if environ is None else environ
     hints = typing.get_type_hints(cls, include_extras=True)
-    known = {field.name for field in fields(cls)}
+    known = {field.name: field for field in _fields(cls)}
     faults = [
         f"--{name}: no such setting" for name in flags if name not in known
     ]
+    faults += _unknown_variables(env, known)
+    faults += [
+        f"--{name}: is a secret, which others on the machine could see;"
+        f" give it as {variable(name)}"
+        for name in SECRETS & flags.keys()
+    ]
     values: dict[str, Any] = {}
-    for field in fields(cls):
-        given = flags.get(field.name, env.get(ENV_PREFIX + field.name.upper()))
+    for name, field in known.items():
+        given = flags.get(name, env.get(variable(name)))
         if given is None:
             if field.default is MISSING:
-                faults.append(f"--{field.name}: required, not given")
+                faults.append(
+                    f"--{name}: required, not given;"
+                    f" want {allowed(hints[name])}"
+                )
+            else:
+                values[name] = field.default
             continue
         try:
-            values[field.name] = _convert(given, hints[field.name])
-        except msgspec.ValidationError as error:
-            faults.append(f"--{field.name}={given!r}: {error}")
+            values[name] = _convert(given, hints[name])
+        except msgspec.ValidationError:
+            faults.append(f"--{name}={given!r}: want {allowed(hints[name])}")
+    faults += _clashes(cls, values)
     if faults:
-        raise LacewingdockError(ErrorKind.BAD_SETTING, "; ".join(faults))
-    settings = cls(**values)
-    _check_together(settings)
-    return settings
+        raise LacewingdockError(ErrorKind.BAD_SETTING, "\n  ".join(faults))
+    return cls(**values)
+
+
+def variable(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENV_PREFIX + name.upper()
+
+
+def _fields(cls: type[Any]) -> tuple[Field[Any], ...]:
+    return fields(cls)
+
+
+def _unknown_variables(
+    env: Mapping[str, str], known: Mapping[str, Any]
+) -> list[str]:
+    """Name variables that no command knows.
+
+    A misspelt one would leave its setting at the default unseen. The value
+    is not shown: nothing says that it is no secret.
+    """
+    names = {*known}
+    for cls in (EntrySettings, SidecarSettings, *OTHER_SETTINGS):
+        names |= {field.name for field in _fields(cls)}
+    variables = {variable(name) for name in names}
+    return [
+        f"{name}: no such setting"
+        for name in env
+        if name.startswith(ENV_PREFIX) and name not in variables
+    ]
 
 
 def _convert(given: Any, hint: Any) -> Any:
@@ -172,23 +306,147 @@
     return msgspec.convert(given, hint, strict=False)
 
 
-def _check_together(settings: DaemonSettings) -> None:
-    """Refuse settings that are each valid but clash."""
-    faults = []
-    if not settings.link_keys_file and not settings.plain_links:
-        faults.append(
-            "--link_keys_file: required unless --plain_links is given"
-        )
-    match settings:
-        case EntrySettings(plain_callers=False, tls_cert=""):
-            faults.append("--tls_cert: required unless --plain_callers")
-        case EntrySettings(tls_cert=cert, tls_key=key) if bool(cert) != bool(
-            key
+def allowed(hint: Any) -> str:
+    """Say in words what a setting's type lets through."""
+    meta = Meta()
+    if typing.get_origin(hint) is Annotated:
+        hint, meta = hint.__origin__, hint.__metadata__[0]
+    if meta.description:
+        return meta.description
+    if compound := _allowed_parts(hint):
+        return compound
+    if typing.get_origin(hint) is typing.Literal:
+        return "one of " + ", ".join(typing.get_args(hint))
+    if hint is bool:
+        return "true or false"
+    if hint is str:
+        return "text"
+    kind = "an integer" if hint is int else "a number"
+    bounds = [
+        (" from", meta.ge),
+        (" above", meta.gt),
+        (" below", meta.lt),
+        (" to" if meta.ge is not None else " up to", meta.le),
+    ]
+    return kind + "".join(f"{w} {v}" for w, v in bounds if v is not None)
+
+
+def _allowed_parts(hint: Any) -> str:
+    """Say what a type made of others lets through; empty for plain ones."""
+    parts = [allowed(p) for p in typing.get_args(hint) if p is not NoneType]
+    match typing.get_origin(hint):
+        case builtins.list:
+            return f"a list of: {parts[0]}"
+        case builtins.dict:
+            return f"a map from {parts[0]} to {parts[1]}"
+        case types.UnionType | typing.Union:
+            return f"{' or '.join(parts)}, or null"
+        case None if is_dataclass(hint):
+            return str(hint.__name__)  # type: ignore[union-attr]
+        case _:
+            return ""
+
+
+def meanings(cls: type[Any]) -> dict[str, str]:
+    """Read what each setting means from the classes' doc comments."""
+    found: dict[str, str] = {}
+    for base in reversed(cls.__mro__):
+        _, _, section = (inspect.getdoc(base) or "").partition("Attributes:\n")
+        for name, text in re.findall(
+            r"^    (\w+): (.*(?:\n {8}.*)*)", section, re.MULTILINE
         ):
-            faults.append("--tls_cert and --tls_key go together")
-        case SidecarSettings(upstream_kind="service", service=""):
-            faults.append("--service: required with --upstream_kind=service")
+            found[name] = " ".join(text.split())
+    return found
+
+
+@dataclass(slots=True)
+class Setting:
+    """One setting as help and docs show it.
+
+    Attributes:
+        name: Its name; the flag is --NAME.
+        meaning: What it does.
+        allowed: What values it takes.
+        default: The default; None when it must be given.
+    """
+
+    name: str
+    meaning: str
+    allowed: str
+    default: str | None
+
+
+def describe(cls: type[Any]) -> list[Setting]:
+    """Describe every setting of a daemon or a command."""
+    hints = typing.get_type_hints(cls, include_extras=True)
+    texts = meanings(cls)
+    return [
+        Setting(
+            field.name,
+            texts[field.name],
+            allowed(hints[field.name]),
+            _default(field),
+        )
+        for field in _fields(cls)
+    ]
+
+
+def _default(field: Field[Any]) -> str | None:
+    if field.default_factory is not MISSING:
+        return "empty"
+    return None if field.default is MISSING else _shown(field.default)
+
+
+def _shown(default: Any) -> str:
+    match default:
+        case bool():
+            return str(default).lower()
+        case "":
+            return "empty"
+        case None:
+            return "null"
         case _:
-            pass
-    if faults:
-        raise LacewingdockError(ErrorKind.BAD_SETTING, "; ".join(faults))
+            return str(default)
+
+
+def _clashes(cls: type[Any], values: Mapping[str, Any]) -> list[str]:
+    """Name settings that are each valid but clash."""
+    faults = []
+    plain = values.get("plain_links", False)
+    if issubclass(cls, DaemonSettings) and not plain:
+        if not values.get("link_keys_file"):
+            faults.append(
+                "--link_keys_file: required unless --plain_links is given"
+            )
+        if not values.get("session_keys_file", "-"):
+            # Without keys anybody could write a session token.
+            faults.append(
+                "--session_keys_file: required unless --plain_links is given"
+            )
+    if cls is ReportSettings and not values.get("platform"):
+        faults += [
+            f"--platform: required unless --{name} is given"
+            for name in ("targets", "manifest")
+            if not values.get(name, True)
+        ]
+    if issubclass(cls, EntrySettings):
+        cert, key = values.get("tls_cert"), values.get("tls_key")
+        if not cert and not values.get("plain_callers"):
+            faults.append(
+                "--tls_cert: required unless --plain_callers is given"
+            )
+        if bool(cert) != bool(key):
+            faults.append("--tls_cert and --tls_key: want both or neither")
+    if values.get("upstream_kind") == "service" and not values.get("service"):
+        faults.append("--service: required with --upstream_kind=service")
+    if values.get("upstream_kind") == "model" and values.get("service"):
+        faults.append("--service: only with --upstream_kind=service")
+    return faults
+
+
+# Settings of commands that are no daemons; their variables are known too.
+OTHER_SETTINGS: Final[tuple[type[Any], ...]] = (
+    AskSettings,
+    ClientSettings,
+    ReportSettings,
+)
--- a/tests/components/claims/test_claims.py
+++ b/tests/components/claims/test_claims.py
@@ -12,7 +12,7 @@
     SEGMENTS,
 )
 from lacewingdock.exceptions import LacewingdockError
-from tests.components.claims.fakes import FakeHome, FakeStore
+from tests.components.claims.fakes import SERVICE, FakeHome, FakeStore
 
 
 @pytest.fixture(autouse=True)
@@ -124,7 +124,7 @@
     store.get = real
     store.deliver_late()
     for _ in range(6):
-        home.claims.look()
+        home.claims.takeover.look()
     home.run(home.send("a"), booked)
     assert booked["a"] == 1
 
@@ -161,7 +161,7 @@
     home.run(run, booked)
     home.claims.unload()
     successor = FakeHome(store, "home-1")
-    successor.claims.look()
+    successor.claims.takeover.look()
     assert isinstance(successor.send("a"), Recorded)
 
 
@@ -286,5 +286,23 @@
 def test_lost_home_is_noticed_without_claims(store, home):
     """Symptom: entries go on asking a thawed home that has nothing to do."""
     FakeHome(store, "home-1").take()
-    home.claims.look()
+    home.claims.takeover.look()
     assert home.claims.homes() == []
+
+
+def test_partitions_stay_as_many_as_they_were(store, home, booked):
+    """Symptom: a slot is confirmed twice after a change of configuration.
+
+    Events: a key runs; the number of partitions is raised; the key is sent
+    again. Cause: it belongs to another partition now, where it is new.
+    """
+    keys = [f"k{number}" for number in range(8)]
+    for key in keys:
+        home.run(home.send(key), booked)
+    world = home.claims.configuration.world
+    world.services[SERVICE].partitions = 8
+    for _ in range(4):
+        home.claims.takeover.look()
+    for key in keys:
+        assert isinstance(home.send(key), Recorded)
+    assert len(home.claims.partitions) == 1
