--- a/lacewingdock/library.py
+++ b/lacewingdock/library.py
@@ -4,6 +4,7 @@
 shows how they fit together.
 """
 
+from lacewingdock.components.admission.retry_budget import RetryBudget
 from lacewingdock.components.admission.slots import Slots
 from lacewingdock.components.configuration.items import ItemTable
 from lacewingdock.components.leases.lease import (
@@ -29,6 +30,7 @@
     "Lease",
     "LeaseRecord",
     "LeaseStore",
+    "RetryBudget",
     "Slots",
     "Stored",
     "choose_subset",
