Billing: each attempt that ran is in the ledger once

Cause: nothing recorded what a request cost; a Finish carried token counts that the entry dropped.

The sidecar makes one row of each attempt that ran, before the answer's end is told, holds it and offers it to an entry of another failure domain. The entry writes batches to its log in the platform. A log is a row of slots, each created once under the condition that it does not exist; a row is bound to one log by its first offer, and whoever appends it later has read the slots it could be in. So a frozen, killed, slow or doubled writer meets the same slot and one row goes in.

Ruled out: sealing a dead writer's log and writing its rows to another log. When a writer is frozen and the sidecar of its rows dies, nobody can tell whether the sealing side got those rows, and the thawed writer must either lose or double them. Also ruled out: bills inside Finish, which goes to every watcher of a run, so two entries would write.

Proof: hypothesis machine over runs, cut links, freezes, kills of entries and sidecars, outages and lost, dropped and late writes; rows are counted in the fake platform's objects.

A request is charged once for each cascade step: a whole answer before a cancelled one, failed attempts not at all.

--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -53,6 +53,23 @@
         changes = apply_manifest(ObjectStore(url), manifest)
         return "\n".join(str(change) for change in changes) or "no changes"
 
+    def bills(
+        self,
+        workspace: str,
+        day: str = "",
+        platform: str = "",
+        json: bool = False,
+    ) -> str:
+        """Print a workspace's bills of a day, YYYYMMDD (UTC, today's).
+
+        Costs are in the price unit of the configuration.
+        """
+        from lacewingdock.components.billing.report import show_statement
+        from lacewingdock.platform.store import ObjectStore
+
+        url = platform or os.environ.get("LACEWINGDOCK_PLATFORM", "")
+        return show_statement(ObjectStore(url), workspace, str(day), json)
+
     def version(self) -> str:
         """Print the version."""
         return VERSION
--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -171,7 +171,7 @@
 
 def retry_of(attempt: Attempt) -> Attempt:
     """Return the same request as a new attempt."""
-    return replace(attempt, attempt=new_id())
+    return replace(attempt, attempt=new_id(), ordinal=attempt.ordinal + 1)
 
 
 def setup(daemon: Daemon, peers: Peers, membership: Membership) -> Answers:
--- /dev/null
+++ b/lacewingdock/components/billing/entry.py
@@ -0,0 +1,116 @@
+"""Support for billing at the entry, which writes the ledger."""
+
+import threading
+from collections.abc import Callable
+
+import prometheus_client
+
+from lacewingdock.components.billing.const import (
+    LEDGER_WRITES_PER_S,
+    MAX_INTERVAL_S,
+    MIN_INTERVAL_S,
+    NAME,
+    RETRY_S,
+)
+from lacewingdock.components.billing.ledger import Ledger
+from lacewingdock.components.peers import Peers
+from lacewingdock.const import ROLE_SIDECAR
+from lacewingdock.core import Daemon
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.links.link import Link
+from lacewingdock.links.messages import Bills
+
+log = get_logger(NAME)
+
+
+class EntryBilling:
+    """Takes bills from sidecars and writes them in batches.
+
+    Attributes:
+        daemon: The daemon.
+        peers: The links.
+        entries: Returns the number of live entries.
+        ledger: The bills and logs.
+        wake: Set when a write shall not wait for its time.
+    """
+
+    __slots__ = ("daemon", "entries", "ledger", "peers", "wake")
+
+    def __init__(
+        self, daemon: Daemon, peers: Peers, entries: Callable[[], int]
+    ) -> None:
+        """Join the links."""
+        me = daemon.me
+        self.daemon = daemon
+        self.peers = peers
+        self.entries = entries
+        self.ledger = Ledger(daemon.store, me.instance, me.incarnation)
+        self.wake = threading.Event()
+        peers.handle(Bills, self._on_bills)
+        peers.on_open.append(self._announce)
+        self._add_metrics()
+
+    def _add_metrics(self) -> None:
+        ledger = self.ledger
+        reads: dict[str, Callable[[], float]] = {
+            "pending": ledger.count,
+            "written": lambda: ledger.written,
+            "declined": lambda: ledger.declined,
+        }
+        for name, read in reads.items():
+            prometheus_client.Gauge(
+                f"lacewingdock_bills_{name}",
+                f"Bills {name} at this entry",
+                registry=self.daemon.metrics,
+            ).set_function(read)
+
+    def start(self) -> None:
+        """Start writing."""
+        self.daemon.spawn(self._write_all)
+
+    def _announce(self, link: Link) -> None:
+        if link.peer.role == ROLE_SIDECAR:
+            link.send(self.ledger.announcement())
+
+    def _on_bills(self, link: Link, message: Bills) -> None:
+        self.ledger.offer(link, message)
+        if message.urgent:
+            self.wake.set()
+
+    def interval_s(self) -> float:
+        """Seconds between writes, so that all entries share the rate."""
+        fair = self.entries() / LEDGER_WRITES_PER_S
+        return min(max(fair, MIN_INTERVAL_S), MAX_INTERVAL_S)
+
+    def _write_all(self) -> None:
+        written = True
+        while not self.daemon.stopping.is_set():
+            pause = self.interval_s() if written else RETRY_S
+            self.wake.wait(pause * self.daemon.random.uniform(0.8, 1.2))
+            self.wake.clear()
+            written = self._write()
+
+    def _write(self) -> bool:
+        try:
+            if self.ledger.roll():
+                for link in tuple(self.peers.links):
+                    self._announce(link)
+            return self.ledger.flush()
+        except Exception:
+            log.exception("ledger write failed")
+            return False
+
+    def unload(self) -> None:
+        """Write what is here; what can't be, the sidecars offer again."""
+        self.wake.set()
+        if not self.ledger.flush():
+            log.warning("bills left to others", bills=self.ledger.count())
+
+
+def setup(
+    daemon: Daemon, peers: Peers, entries: Callable[[], int]
+) -> EntryBilling:
+    """Set billing up at an entry."""
+    billing = EntryBilling(daemon, peers, entries)
+    daemon.add(NAME, billing)
+    return billing
--- /dev/null
+++ b/lacewingdock/components/billing/record.py
@@ -0,0 +1,180 @@
+"""Support for the record of one attempt that ran."""
+
+import time
+from typing import Final
+
+import msgspec
+
+from lacewingdock.components.billing.const import (
+    BYTES_PER_TOKEN,
+    MICROS,
+    OUTCOME_CANCELLED,
+    OUTCOME_FAILED,
+    OUTCOME_REFUSED,
+    OUTCOME_UNKNOWN,
+    OUTCOME_WHOLE,
+    TOKENS_PER_PRICE,
+)
+from lacewingdock.const import RAN_UNKNOWN
+from lacewingdock.links.messages import Finish, Refusal
+from lacewingdock.world.run import Run
+from lacewingdock.world.world import World
+
+_HTTP_ERROR: Final = 400
+
+
+class Bill(msgspec.Struct, array_like=True):
+    """One attempt that ran; a request's bill is made of those it took.
+
+    Encoded as a JSON array: field names would be most of a row's bytes.
+
+    Attributes:
+        attempt: Id of the attempt; the ledger holds each once.
+        request: Id of the caller's request.
+        step: Index of the cascade's step, 0 without a cascade.
+        ordinal: How many attempts of this step went before this one.
+        workspace: Name of the workspace.
+        target: Name of the version or service.
+        at: Wall-clock second of the end.
+        input_tokens: Tokens read.
+        output_tokens: Tokens generated.
+        cost: Millionths of the price unit, at the prices in force then.
+        outcome: "whole", "cancelled" (by the caller), "failed", "refused"
+            (by the upstream, as an answer) or "unknown".
+        estimated: Whether tokens were estimated for want of the engine's own
+            count.
+    """
+
+    attempt: str
+    request: str
+    step: int
+    ordinal: int
+    workspace: str
+    target: str
+    at: int
+    input_tokens: int
+    output_tokens: int
+    cost: int
+    outcome: str
+    estimated: bool = False
+
+
+class _Key(msgspec.Struct, array_like=True):
+    """The start of a row, which is all that a holder needs."""
+
+    attempt: str
+
+
+_ENCODER: Final = msgspec.json.Encoder()
+_DECODER: Final = msgspec.json.Decoder(Bill)
+_KEY_DECODER: Final = msgspec.json.Decoder(_Key)
+
+
+def encode_bill(bill: Bill) -> bytes:
+    """Return the row of a bill."""
+    return _ENCODER.encode(bill)
+
+
+def decode_bill(row: bytes) -> Bill:
+    """Return the bill of a row.
+
+    Raises:
+        msgspec.DecodeError: The row is no bill.
+    """
+    return _DECODER.decode(row)
+
+
+def attempt_of(row: bytes) -> str:
+    """Return the attempt id of a row.
+
+    Raises:
+        msgspec.DecodeError: The row is no bill.
+    """
+    return _KEY_DECODER.decode(row).attempt
+
+
+def bill_of(run: Run, outcome: Finish | Refusal, world: World) -> Bill:
+    """Make the bill of a run that is about to end.
+
+    Args:
+        run: The run; the upstream has seen its request.
+        outcome: How it ends.
+        world: Configuration with the prices in force.
+    """
+    attempt = run.attempt
+    said = _outcome_of(run, outcome)
+    counts = _tokens(run, outcome, said)
+    return Bill(
+        attempt.attempt,
+        attempt.request,
+        attempt.step,
+        attempt.ordinal,
+        attempt.workspace,
+        attempt.target,
+        int(time.time()),
+        *counts,
+        cost_of(world, run, *counts),
+        said,
+        said == OUTCOME_CANCELLED,
+    )
+
+
+def _outcome_of(run: Run, outcome: Finish | Refusal) -> str:
+    match outcome:
+        case Finish(status=status):
+            return OUTCOME_WHOLE if status < _HTTP_ERROR else OUTCOME_REFUSED
+        case _ if run.caller_left:
+            return OUTCOME_CANCELLED
+        case Refusal(ran=ran) if ran == RAN_UNKNOWN and not (
+            run.attempt.repeatable
+        ):
+            return OUTCOME_UNKNOWN
+        case _:
+            return OUTCOME_FAILED
+
+
+def _tokens(run: Run, outcome: Finish | Refusal, said: str) -> tuple[int, int]:
+    """Return input and output tokens.
+
+    An engine says its counts with the last event, which a cancelled stream
+    never has: each event is taken for a token then.
+    """
+    match outcome:
+        case Finish():
+            return outcome.input_tokens, outcome.output_tokens
+        case _ if said == OUTCOME_CANCELLED and run.chunks:
+            return len(run.attempt.body) // BYTES_PER_TOKEN, len(run.chunks)
+        case _:
+            return 0, len(run.chunks)
+
+
+def cost_of(
+    world: World, run: Run, input_tokens: int, output_tokens: int
+) -> int:
+    """Return what a run costs, in millionths of the price unit."""
+    attempt = run.attempt
+    if attempt.target in world.services:
+        path = attempt.path.partition("?")[0]
+        return call_cost(world, attempt.target, attempt.method, path)
+    return token_cost(world, attempt.target, input_tokens, output_tokens)
+
+
+def token_cost(
+    world: World, version: str, input_tokens: int, output_tokens: int
+) -> int:
+    """Return the cost of tokens on a version, in millionths."""
+    found = world.versions.get(version)
+    if found is None:
+        return 0
+    price = found.input_price * input_tokens
+    price += found.output_price * output_tokens
+    return round(price * MICROS / TOKENS_PER_PRICE)
+
+
+def call_cost(world: World, service: str, method: str, path: str) -> int:
+    """Return the cost of one call of a service, in millionths."""
+    found = world.services.get(service)
+    for operation in found.operations if found else ():
+        if (operation.method, operation.path) == (method, path):
+            return round(operation.price * MICROS)
+    return 0
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -102,9 +102,9 @@
         caller has seen can't be taken back. Its price is the first token's
         latency; the last step streams.
         """
-        for step in plan.steps[:-1]:
+        for index, step in enumerate(plan.steps[:-1]):
             try:
-                answer, pieces = self._ask(step, chat, caller, workspace)
+                answer, pieces = self._ask(step, index, chat, caller, workspace)
                 for more in self.relay.rest(answer) if pieces else ():
                     pieces += more
             except LacewingdockError as error:
@@ -119,10 +119,16 @@
                 return step, answer, pieces
             self.relay.answers.drop(answer)
         last = plan.steps[-1]
-        return last, *self._ask(last, chat, caller, workspace)
+        index = len(plan.steps) - 1
+        return last, *self._ask(last, index, chat, caller, workspace)
 
     def _ask(
-        self, step: Step, chat: ChatBody, caller: Caller, workspace: str
+        self,
+        step: Step,
+        index: int,
+        chat: ChatBody,
+        caller: Caller,
+        workspace: str,
     ) -> tuple[Answer, list[bytes]]:
         fields = {
             **chat.fields,
@@ -145,6 +151,7 @@
                 traceparent=caller.traceparent,
                 revision=self.configuration.revision,
                 resumable=bool(caller.key),
+                step=index,
             )
         )
 
--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -32,9 +32,17 @@
         configuration: Told of the entries of this failure domain.
         subset: Links kept for each pool.
         upstreams: Upstreams by the name of their sidecar's instance.
+        entries: Number of live entries in the platform's list, at least 1.
     """
 
-    __slots__ = ("configuration", "daemon", "peers", "subset", "upstreams")
+    __slots__ = (
+        "configuration",
+        "daemon",
+        "entries",
+        "peers",
+        "subset",
+        "upstreams",
+    )
 
     def __init__(
         self,
@@ -49,6 +57,7 @@
         self.configuration = configuration
         self.subset = subset
         self.upstreams: dict[str, Upstream] = {}
+        self.entries = 1
         peers.on_open.append(self._on_open)
         peers.on_close.append(self._on_close)
         peers.handle(Status, self._on_news)
@@ -98,6 +107,7 @@
             and i.failure_domain == me.failure_domain
             and i.state == "live"
         ]
+        self.entries = max(1, sum(i.role == ROLE_ENTRY for i in instances))
         sidecars = [i for i in instances if i.role == ROLE_SIDECAR]
         chosen = choose_subset(me.instance, sidecars, self.subset)
         for instance in chosen:
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from lacewingdock.components.admission.slots import Slots
+from lacewingdock.components.billing.sidecar import SidecarBilling
 from lacewingdock.components.claims import Claims, Duplicate, Recorded
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.peers import Peers
@@ -43,12 +44,14 @@
         peers: The links.
         configuration: The configuration in force.
         claims: The claims; None beside an engine.
+        billing: Gets a bill of each run before its end is told.
         slots: The upstream's capacity.
         shelf: The runs and the answers kept.
         targets: Versions that the engine has loaded, or the service.
     """
 
     __slots__ = (
+        "billing",
         "claims",
         "configuration",
         "daemon",
@@ -66,8 +69,10 @@
         peers: Peers,
         configuration: Configuration,
         claims: Claims | None,
+        billing: SidecarBilling,
     ) -> None:
         """Join the links."""
+        self.billing = billing
         self.daemon = daemon
         self.settings = settings
         self.peers = peers
@@ -123,6 +128,7 @@
     def _serve(self, link: Link, attempt: Attempt) -> None:
         """Take one attempt through the gate and run it."""
         run = Run(attempt)
+        run.before_end = self.billing.on_end
         self.shelf.put(run)
         run.attach(link, attempt.attempt, 0)
         try:
@@ -158,6 +164,7 @@
             raise LacewingdockError(
                 ErrorKind.NO_UPSTREAM, f"{attempt.target} is not served here"
             )
+        self.billing.check_room()
         self._check_permitted(attempt)
 
     def _check_permitted(self, attempt: Attempt) -> None:
@@ -215,6 +222,7 @@
         for run in self.shelf.runs():
             run.detach(link, cancel.attempt)
             if not run.watchers and run.attempt.repeatable:
+                run.caller_left = True
                 run.cancelled.set()
 
     def _on_close(self, link: Link) -> None:
@@ -233,8 +241,9 @@
     peers: Peers,
     configuration: Configuration,
     claims: Claims | None,
+    billing: SidecarBilling,
 ) -> Runs:
     """Set the runs up."""
-    runs = Runs(daemon, settings, peers, configuration, claims)
+    runs = Runs(daemon, settings, peers, configuration, claims, billing)
     daemon.add(NAME, runs)
     return runs
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -8,6 +8,7 @@
     membership,
     peers,
 )
+from lacewingdock.components.billing import entry as billing
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
@@ -33,6 +34,7 @@
     config = configuration.setup(daemon, links)
     links.beat = lambda: Beat(revision=config.revision)
     members = membership.setup(daemon, links, config, settings.subset)
+    bills = billing.setup(daemon, links, lambda: members.entries)
     open_answers = answers.setup(daemon, links, members)
     relay = Relay(open_answers, members, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
@@ -49,6 +51,6 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (links, config, members, port, admin_port):
+    for component in (links, config, members, bills, port, admin_port):
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/daemons/sidecar.py
+++ b/lacewingdock/daemons/sidecar.py
@@ -8,6 +8,7 @@
     peers,
     runs,
 )
+from lacewingdock.components.billing import sidecar as billing
 from lacewingdock.core import Daemon
 from lacewingdock.settings import SidecarSettings
 
@@ -27,13 +28,14 @@
     held = None
     if settings.service:
         held = claims.setup(daemon, links, config, settings.service)
-    work = runs.setup(daemon, settings, links, config, held)
+    bills = billing.setup(daemon, links, config)
+    work = runs.setup(daemon, settings, links, config, held, bills)
     if held is not None:
         held.on_change = work.announce
         held.start()
     engine.setup(daemon, settings.upstream, work, settings.service)
     admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
-    for component in (links, config, work, admin_port):
+    for component in (links, config, bills, work, admin_port):
         component.start()
     daemon.on_leave.append(work.announce)
     return daemon.run(work.active)
--- a/lacewingdock/links/messages.py
+++ b/lacewingdock/links/messages.py
@@ -54,6 +54,8 @@
         traceparent: W3C trace context, or empty.
         revision: Configuration revision the entry decided at.
         resumable: Whether the answer is kept if the caller goes away.
+        step: Index of the cascade's step, for bills.
+        ordinal: How many attempts of this step went before, for bills.
     """
 
     attempt: str
@@ -71,6 +73,8 @@
     traceparent: str = ""
     revision: int = 0
     resumable: bool = False
+    step: int = 0
+    ordinal: int = 0
 
 
 @dataclass(slots=True)
@@ -220,6 +224,38 @@
     since: int
 
 
+@dataclass(slots=True)
+class Bills:
+    """Offer bills to an entry, to hold and to write to the ledger.
+
+    Attributes:
+        log: The one log that they may be written to.
+        after: None of them is in a slot of the log before this one.
+        urgent: Whether the sender is about to end.
+        rows: JSON of each bill.
+    """
+
+    log: str
+    after: int
+    urgent: bool
+    rows: list[bytes]
+
+
+@dataclass(slots=True)
+class BillsKept:
+    """Name the log that an entry writes, and bills seen in the ledger.
+
+    Attributes:
+        log: The log that new bills are to be offered for.
+        slot: A slot that all of its next rows come at or after.
+        attempts: Attempts whose bills are in the ledger, whichever log.
+    """
+
+    log: str
+    slot: int
+    attempts: list[str]
+
+
 Message = (
     Hello
     | Proof
@@ -233,4 +269,6 @@
     | Beat
     | Delta
     | Pull
+    | Bills
+    | BillsKept
 )
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -31,6 +31,8 @@
   traceparent @12 :Text;
   revision @13 :UInt64;
   resumable @14 :Bool;
+  step @15 :UInt8;
+  ordinal @16 :UInt8;
 }
 
 struct Chunk {
@@ -98,6 +100,19 @@
   since @0 :UInt64;
 }
 
+struct Bills {
+  log @0 :Text;
+  after @1 :UInt32;
+  urgent @2 :Bool;
+  rows @3 :List(Data);
+}
+
+struct BillsKept {
+  log @0 :Text;
+  slot @1 :UInt32;
+  attempts @2 :List(Text);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -112,5 +127,7 @@
     beat @9 :Beat;
     delta @10 :Delta;
     pull @11 :Pull;
+    bills @12 :Bills;
+    billskept @13 :BillsKept;
   }
 }
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -88,7 +88,9 @@
         versions: Versions its requests may run on.
         services: Plain services its callers may use.
         quality_target: Part of answers that must be good.
-        budget: Cost allowed a day; None for no limit.
+        budget: Cost allowed a day (UTC); None for no limit.
+        at_limit: What happens once the budget is used up: "refuse" new
+            work, go on with the "cheapest" step, or go on and "alert".
         objectives: Service-level objectives.
     """
 
@@ -98,6 +100,7 @@
     services: list[Name] = field(default_factory=list)
     quality_target: Share = 0.0
     budget: Price | None = None
+    at_limit: Literal["refuse", "cheapest", "alert"] = "refuse"
     objectives: list[Objective] = field(default_factory=list)
 
 
@@ -112,6 +115,7 @@
         timeout_s: Seconds the call may take.
         on_outage: What happens to a call that may not be repeated while
             the platform is down.
+        price: Cost of a call.
     """
 
     method: Literal["GET", "POST", "PUT", "DELETE", "PATCH"]
@@ -119,6 +123,7 @@
     repeatable: bool = False
     timeout_s: Annotated[float, Meta(gt=0.0, le=600.0)] = 10.0
     on_outage: Literal["refuse"] = "refuse"
+    price: Price = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -36,10 +37,15 @@
         changed: Monotonic time of the last watcher's leave or of the end.
         executed: Whether the upstream may have seen the request.
         evicted: Whether pieces were dropped to bound memory.
+        caller_left: Whether it was cancelled because its caller went away.
+        before_end: Called once with the run and its end, before anyone is
+            told of the end; None once called.
     """
 
     __slots__ = (
         "attempt",
+        "before_end",
+        "caller_left",
         "cancelled",
         "changed",
         "chunks",
@@ -63,6 +69,8 @@
         self.changed = time.monotonic()
         self.executed = False
         self.evicted = False
+        self.caller_left = False
+        self.before_end: Callable[[Run, Finish | Refusal], None] | None = None
 
     def add(self, data: bytes) -> None:
         """Keep a piece and pass it on."""
@@ -75,6 +83,7 @@
 
     def end(self, finish: Finish) -> None:
         """End the answer as whole."""
+        self._call_before_end(finish)
         with self.lock:
             self._end_locked(replace(finish, chunks=len(self.chunks)))
 
@@ -88,9 +97,15 @@
             error.detail,
             -1 if retry is None else int(retry * 1000),
         )
+        self._call_before_end(refusal)
         with self.lock:
             self._end_locked(refusal)
 
+    def _call_before_end(self, outcome: Finish | Refusal) -> None:
+        callback, self.before_end = self.before_end, None
+        if callback is not None:
+            callback(self, outcome)
+
     def _end_locked(self, outcome: Finish | Refusal) -> None:
         self.outcome = outcome
         self.changed = time.monotonic()
--- /dev/null
+++ b/tests/components/billing/test_billing_machine.py
@@ -0,0 +1,318 @@
+"""Property test: whatever fails, each attempt that ran is billed once.
+
+Symptoms looked for: a bill missing from the ledger; a bill in it twice.
+Events: any order of runs that end, messages delivered or lost with their
+link, entries frozen, thawed, killed and restarted, sidecars killed, platform
+outages, writes whose answer is lost, that don't take effect or that take
+effect late. Causes: a holder dies with the only copy; two holders both write;
+a writer doesn't know what its write did.
+
+The ledger is read from the fake platform's objects, without the reader.
+"""
+
+import base64
+import itertools
+import json
+import zlib
+from collections import Counter
+from unittest import mock
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from lacewingdock.components.billing import const
+from lacewingdock.components.billing.ledger import Ledger
+from lacewingdock.components.billing.outbox import Outbox
+from lacewingdock.helpers import append_log
+from lacewingdock.links.messages import BillsKept, Hello
+from tests.fakes import FakeLink, FakeStore
+
+ENTRIES = ("e0", "e1", "e2")
+SIDECARS = ("s0", "s1")
+FATES = ("ok", "lost", "dropped", "late")
+
+
+def ledger_rows(store):
+    """Count each attempt in the platform's objects."""
+    rows = Counter()
+    for stored in store.objects.get("ledger", {}).values():
+        text = zlib.decompress(base64.b64decode(stored.value))
+        rows.update(row[0] for row in json.loads(text))
+    return rows
+
+
+class BillingMachine(RuleBasedStateMachine):
+    """Entries and sidecars with a link between each pair."""
+
+    def __init__(self):
+        super().__init__()
+        # Forgetting early lets short runs meet it.
+        self.patch = mock.patch.object(append_log, "REMEMBERED_SLOTS", 1)
+        self.patch.start()
+        self.store = FakeStore()
+        self.now = 0.0
+        self.numbers = itertools.count()
+        self.billed: dict[str, str] = {}
+        self.killed: set[str] = set()
+        self.excused: set[str] = set()
+        self.frozen: set[str] = set()
+        self.backlog: dict[str, list] = {}
+        self.entries: dict[str, Ledger] = {}
+        self.sidecars: dict[str, Outbox] = {}
+        self.links: dict[tuple[str, str], tuple[FakeLink, FakeLink]] = {}
+        for name in SIDECARS:
+            self.start_sidecar(name)
+        for name in ENTRIES:
+            self.start_entry(name)
+
+    def start_entry(self, name):
+        """Start an entry afresh, with an empty memory and a new log."""
+        incarnation = f"{name}-{next(self.numbers)}"
+        self.entries[name] = Ledger(
+            self.store, name, incarnation, lambda: self.now
+        )
+        for sidecar in SIDECARS:
+            self.open(name, sidecar)
+
+    def start_sidecar(self, name):
+        """Start a sidecar afresh."""
+        self.sidecars[name] = Outbox(name, "a", lambda: self.now)
+
+    def open(self, entry, sidecar):
+        """Open a link; the entry says which log it writes."""
+        domain = "a" if entry == "e0" else "b"
+        to_entry = FakeLink(Hello(entry, entry, "entry", domain, b""))
+        to_sidecar = FakeLink(Hello(sidecar, sidecar, "sidecar", "a", b""))
+        self.links[entry, sidecar] = to_entry, to_sidecar
+        to_sidecar.send(self.entries[entry].announcement())
+
+    def close(self, entry, sidecar):
+        """Lose a link with all that is on the way."""
+        to_entry, to_sidecar = self.links.pop((entry, sidecar))
+        for link in (to_entry, to_sidecar):
+            link.closed = True
+            link.sent.clear()
+        self.sidecars[sidecar].on_close(to_entry)
+
+    def deliver(self, entry, sidecar, kept=True):
+        """Deliver what is on the way between two that run."""
+        if (entry, sidecar) not in self.links:
+            return
+        to_entry, to_sidecar = self.links[entry, sidecar]
+        while to_sidecar.sent and kept:
+            message = to_sidecar.sent.popleft()
+            assert isinstance(message, BillsKept)
+            self.sidecars[sidecar].on_kept(to_entry, message)
+        while to_entry.sent and entry not in self.frozen:
+            message = to_entry.sent.popleft()
+            self.entries[entry].offer(to_sidecar, message)
+
+    def places(self, attempt):
+        """Count the living copies of a bill."""
+        late = FakeStore()
+        for collection, name, value, _ in self.store.late:
+            objects = late.objects.setdefault(collection, {})
+            objects[name] = type("Late", (), {"value": value})
+        return (
+            sum(attempt in s.held for s in self.sidecars.values())
+            + sum(
+                attempt in pending.rows
+                for e in self.entries.values()
+                for pending in e.pending.values()
+            )
+            + ledger_rows(self.store)[attempt]
+            + ledger_rows(late)[attempt]
+            + sum(
+                f'"{attempt}"' in row.decode()
+                for waiting in self.backlog.values()
+                for _, message in waiting
+                for row in message.rows
+            )
+        )
+
+    @rule(
+        sidecar=st.sampled_from(SIDECARS),
+        count=st.integers(1, 3),
+        delivered=st.booleans(),
+    )
+    def end_runs(self, sidecar, count, delivered):
+        """End runs; their bills may reach the entry at once."""
+        for _ in range(count):
+            attempt = f"a{next(self.numbers)}"
+            row = json.dumps([attempt, "request"]).encode()
+            self.billed[attempt] = sidecar
+            self.sidecars[sidecar].record(attempt, row)
+        if delivered:
+            for entry in ENTRIES:
+                self.deliver(entry, sidecar, kept=False)
+
+    @rule(
+        entry=st.sampled_from(ENTRIES),
+        sidecar=st.sampled_from(SIDECARS),
+        again=st.booleans(),
+    )
+    def cut_link(self, entry, sidecar, again):
+        """Lose a link; it may come back at once."""
+        if (entry, sidecar) in self.links:
+            self.close(entry, sidecar)
+        if again and entry not in self.frozen:
+            self.open(entry, sidecar)
+            self.deliver(entry, sidecar)
+
+    @rule(
+        entry=st.sampled_from(ENTRIES),
+        fates=st.lists(st.sampled_from(FATES), max_size=2),
+        rounds=st.integers(1, 3),
+        told=st.booleans(),
+    )
+    def flush(self, entry, fates, rounds, told):
+        """Let an entry take what is on the way and write, more than once.
+
+        Without being told of it, sidecars offer again what is kept.
+        """
+        for sidecar in SIDECARS:
+            self.deliver(entry, sidecar, kept=False)
+        if entry in self.frozen:
+            return
+        self.store.fates.extend(fates)
+        for _ in range(rounds):
+            self.entries[entry].flush()
+        self.store.fates.clear()
+        for sidecar in SIDECARS if told else ():
+            self.deliver(entry, sidecar)
+
+    @rule(
+        sidecar=st.sampled_from(SIDECARS),
+        wait=st.sampled_from([0.0, 6.0, 100.0]),
+    )
+    def sweep(self, sidecar, wait):
+        """Let time pass and a sidecar offer again."""
+        self.now += wait
+        self.sidecars[sidecar].sweep()
+        for entry in ENTRIES:
+            self.deliver(entry, sidecar)
+
+    @rule()
+    def late_write_arrives(self):
+        """Let a write arrive that was given up."""
+        if self.store.late:
+            self.store.arrive()
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def outage(self, entry):
+        """Let an entry try to write while the platform is down."""
+        if entry not in self.frozen:
+            self.store.down = True
+            self.entries[entry].flush()
+            self.store.down = False
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def freeze(self, entry):
+        """Freeze an entry."""
+        self.frozen.add(entry)
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def thaw(self, entry):
+        """Let an entry go on, with what waited in its sockets."""
+        self.frozen.discard(entry)
+        for link, message in self.backlog.pop(entry, ()):
+            self.entries[entry].offer(link, message)
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def midnight(self, entry):
+        """Let a day pass and an entry begin a new log."""
+        self.now += 86_400
+        if entry not in self.frozen and self.entries[entry].roll():
+            announcement = self.entries[entry].announcement()
+            for (name, _), (_, to_sidecar) in self.links.items():
+                if name == entry:
+                    to_sidecar.send(announcement)
+
+    @rule(entry=st.sampled_from(ENTRIES))
+    def kill_entry(self, entry):
+        """Kill an entry and start it again."""
+        for sidecar in SIDECARS:
+            if (entry, sidecar) in self.links:
+                self.close(entry, sidecar)
+        self.frozen.discard(entry)
+        self.backlog.pop(entry, None)
+        self.start_entry(entry)
+        for attempt, sidecar in self.billed.items():
+            if attempt not in self.excused and not self.places(attempt):
+                # The entry had it; its sidecar must be gone as well.
+                assert attempt in self.killed, sidecar
+                self.excused.add(attempt)
+
+    @rule(sidecar=st.sampled_from(SIDECARS))
+    def kill_sidecar(self, sidecar):
+        """Kill a sidecar and start it again."""
+        for entry in ENTRIES:
+            if (entry, sidecar) in self.links:
+                to_entry, to_sidecar = self.links.pop((entry, sidecar))
+                to_entry.closed = to_sidecar.closed = True
+                # What the kernel took from a killed process still arrives.
+                while to_entry.sent:
+                    waiting = (to_sidecar, to_entry.sent.popleft())
+                    self.backlog.setdefault(entry, []).append(waiting)
+                if entry not in self.frozen:
+                    self.thaw(entry)
+        held = self.sidecars[sidecar].held
+        self.killed |= set(held)
+        self.start_sidecar(sidecar)
+        for attempt, bill in held.items():
+            if not self.places(attempt):
+                # It was the one place: no link stood to offer it over.
+                assert bill.link is None
+                self.excused.add(attempt)
+        for entry in ENTRIES:
+            if entry not in self.frozen:
+                self.open(entry, sidecar)
+
+    @invariant()
+    def none_twice(self):
+        """Find no attempt twice in the ledger."""
+        doubled = {a: n for a, n in ledger_rows(self.store).items() if n > 1}
+        assert not doubled, doubled
+
+    def teardown(self):
+        """Let all trouble end; then every bill must be there once."""
+        try:
+            self.recover()
+        finally:
+            self.patch.stop()
+
+    def recover(self):
+        """Give everyone time and links, then count."""
+        self.store.down = False
+        for entry in ENTRIES:
+            self.thaw(entry)
+        for _ in range(6):
+            self.now += const.RESEND_S + 1
+            for entry, sidecar in itertools.product(ENTRIES, SIDECARS):
+                if (entry, sidecar) not in self.links:
+                    self.open(entry, sidecar)
+                self.deliver(entry, sidecar)
+            for sidecar in SIDECARS:
+                self.sidecars[sidecar].sweep()
+            for entry, sidecar in itertools.product(ENTRIES, SIDECARS):
+                self.deliver(entry, sidecar)
+            for entry in ENTRIES:
+                self.entries[entry].flush()
+        while self.store.late:
+            self.store.arrive()
+        rows = ledger_rows(self.store)
+        self.none_twice()
+        missing = set(self.billed) - set(rows) - self.excused
+        assert not missing, missing
+        assert not any(s.held for s in self.sidecars.values())
+        assert not any(e.pending for e in self.entries.values())
+
+
+BillingMachine.TestCase.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    stateful_step_count=40,
+)
+TestBilling = BillingMachine.TestCase
--- /dev/null
+++ b/tests/helpers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
