--- a/lacewingdock/components/billing/entry.py
+++ b/lacewingdock/components/billing/entry.py
@@ -77,15 +77,10 @@
         if message.urgent:
             self.wake.set()
 
-    def interval_s(self) -> float:
-        """Seconds between writes, so that all entries share the rate."""
-        fair = self.entries() / LEDGER_WRITES_PER_S
-        return min(max(fair, MIN_INTERVAL_S), MAX_INTERVAL_S)
-
     def _write_all(self) -> None:
         written = True
         while not self.daemon.stopping.is_set():
-            pause = self.interval_s() if written else RETRY_S
+            pause = write_interval_s(self.entries()) if written else RETRY_S
             self.wake.wait(pause * self.daemon.random.uniform(0.8, 1.2))
             self.wake.clear()
             written = self._write()
@@ -107,6 +102,12 @@
             log.warning("bills left to others", bills=self.ledger.count())
 
 
+def write_interval_s(entries: int) -> float:
+    """Seconds between an entry's writes, so that all share the rate."""
+    fair = entries / LEDGER_WRITES_PER_S
+    return min(max(fair, MIN_INTERVAL_S), MAX_INTERVAL_S)
+
+
 def setup(
     daemon: Daemon, peers: Peers, entries: Callable[[], int]
 ) -> EntryBilling:
--- /dev/null
+++ b/tests/components/billing/test_record.py
@@ -0,0 +1,179 @@
+"""Tests of what is billed for a run, what is charged, and the bounds."""
+
+import time
+
+import pytest
+
+from lacewingdock.components.billing import outbox
+from lacewingdock.components.billing.outbox import Outbox
+from lacewingdock.components.billing.reader import (
+    charged_attempts,
+    read_statement,
+)
+from lacewingdock.components.billing.record import (
+    Bill,
+    bill_of,
+    decode_bill,
+    encode_bill,
+)
+from lacewingdock.components.billing.sidecar import SidecarBilling
+from lacewingdock.const import RAN_UNKNOWN
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.append_log import pack
+from lacewingdock.links.messages import Attempt, Bills, BillsKept, Finish, Hello
+from lacewingdock.world.objects import Operation, Service, Version
+from lacewingdock.world.run import Run
+from lacewingdock.world.world import World
+from tests.fakes import FakeLink, FakeStore
+
+FAILED = LacewingdockError(ErrorKind.UPSTREAM_FAILED, "x", RAN_UNKNOWN)
+
+
+def world():
+    built = World()
+    built.add("v", Version(model="m", input_price=1.0, output_price=2.0))
+    confirm = Operation(method="POST", path="/confirm", price=0.25)
+    built.add("booking", Service(operations=[confirm]))
+    return built
+
+
+def ended_run(outcome, *, target="v", caller_left=False, pieces=0):
+    """Return what `before_end` is told of a run."""
+    path = "/confirm?x=1" if target == "booking" else "/chat"
+    attempt = Attempt("a", "r", "w", target, "POST", path, b"x" * 400)
+    attempt.repeatable = target == "v"
+    run = Run(attempt)
+    run.chunks = [b"piece"] * pieces
+    run.caller_left = caller_left
+    told = []
+    run.before_end = lambda _, end: told.append(end)
+    if isinstance(outcome, Finish):
+        run.end(outcome)
+    else:
+        run.refuse(outcome)
+    run.refuse(FAILED)
+    (end,) = told
+    return run, end
+
+
+@pytest.mark.parametrize(
+    ("options", "outcome", "said", "tokens", "cost"),
+    [
+        ({}, Finish("a", 0, 200, "", 100, 50), "whole", (100, 50), 200_000),
+        ({}, Finish("a", 0, 404), "refused", (0, 0), 0),
+        ({"pieces": 9}, FAILED, "failed", (0, 9), 18_000),
+        (
+            {"pieces": 9, "caller_left": True},
+            FAILED,
+            "cancelled",
+            (100, 9),
+            118_000,
+        ),
+        ({"caller_left": True}, FAILED, "cancelled", (0, 0), 0),
+        ({"target": "booking"}, Finish("a", 1), "whole", (0, 0), 250_000),
+        ({"target": "booking"}, FAILED, "unknown", (0, 0), 250_000),
+    ],
+)
+def test_bill_of_a_run(options, outcome, said, tokens, cost):
+    run, end = ended_run(outcome, **options)
+    bill = bill_of(run, end, world())
+    assert (bill.outcome, bill.cost) == (said, cost)
+    assert (bill.input_tokens, bill.output_tokens) == tokens
+    assert decode_bill(encode_bill(bill)) == bill
+    assert bill.at <= time.time()
+
+
+# Symptom: a caller pays for an answer that was only read from a record, or
+# for a request that was refused. Events: a repeated claim meets the first
+# run's outcome; a request is refused in the queue. Cause: a bill for each
+# end rather than for each run that the upstream saw.
+@pytest.mark.parametrize("executed", [False, True])
+def test_only_what_ran_is_billed(executed):
+    billing = SidecarBilling.__new__(SidecarBilling)
+    billing.outbox = Outbox("s", "a")
+    billing.configuration = type("C", (), {"world": world()})
+    run, end = ended_run(Finish("a", 1))
+    run.executed = executed
+    billing.on_end(run, end)
+    assert list(billing.outbox.held) == ["a"] * executed
+
+
+def bill(attempt, request="r", step=0, ordinal=0, outcome="whole", cost=10):
+    return Bill(
+        attempt, request, step, ordinal, "w", "v", 0, 1, 1, cost, outcome
+    )
+
+
+# Symptom: a request is charged twice. Events: its entry lost the link to the
+# first upstream and tried another; both ran to the end. Cause: each attempt
+# is a row, and rows are summed.
+@pytest.mark.parametrize(
+    ("bills", "charged"),
+    [
+        ([bill("a"), bill("b", ordinal=1)], {"a"}),
+        ([bill("a", outcome="failed"), bill("b", ordinal=1)], {"b"}),
+        ([bill("a", outcome="cancelled"), bill("b", ordinal=1)], {"b"}),
+        ([bill("a"), bill("b", step=1)], {"a", "b"}),
+        ([bill("a"), bill("b", "other")], {"a", "b"}),
+        ([bill("a", outcome="unknown"), bill("b", outcome="refused")], set()),
+    ],
+)
+def test_a_request_is_charged_once_for_each_step(bills, charged):
+    assert charged_attempts(bills) == charged
+    assert charged_attempts(reversed(bills)) == charged
+
+
+# Symptom: a request around midnight is charged on both days. Events: as
+# above, with the second attempt in the next day's log.
+def test_a_retry_over_midnight_is_charged_on_one_day():
+    store = FakeStore()
+    days = {
+        "20260102": [bill("a"), bill("c", "q", cost=7)],
+        "20260103": [bill("b", ordinal=1), bill("d", "p", cost=5)],
+    }
+    for day, bills in days.items():
+        rows = pack([encode_bill(b) for b in bills])
+        store.put("ledger", f"{day}.e.i/00000000", rows, 0)
+    first, second = (read_statement(store, "w", day) for day in days)
+    assert (first.cost, first.requests) == (17, 2)
+    assert (second.cost, second.requests) == (5, 1)
+    assert second.lines["v"].uncharged_cost == 10
+    assert read_statement(store, "other", "20260102").cost == 0
+
+
+def holder(name, domain, log):
+    link = FakeLink(Hello(name, name, "entry", domain, b""))
+    return link, BillsKept(log, 3, [])
+
+
+# Symptom: bills are gone after a failure domain was lost. Events: a sidecar
+# and the entry that holds its bills stand in one domain, which loses power.
+# Cause: both places are in one failure domain.
+def test_bills_are_held_in_another_failure_domain():
+    for number in range(20):
+        box = Outbox(f"s{number}", "hall-a")
+        links = {}
+        for name, domain in (("e0", "hall-a"), ("e1", "hall-b")):
+            links[name], word = holder(name, domain, f"log-{name}")
+            box.on_kept(links[name], word)
+        box.record("a", b'["a"]')
+        assert not links["e0"].sent
+        assert list(links["e1"].sent) == [Bills("log-e1", 3, False, [b'["a"]'])]
+
+
+# Symptom: a sidecar grows through a long outage until it is killed, and its
+# bills with it. Events: the platform is down for hours. Cause: no bound.
+def test_no_new_work_once_the_outbox_is_full(monkeypatch):
+    monkeypatch.setattr(outbox, "MAX_HELD", 3)
+    billing = SidecarBilling.__new__(SidecarBilling)
+    billing.outbox = Outbox("s", "a")
+    for number in range(3):
+        billing.check_room()
+        billing.outbox.record(str(number), b"[]")
+    with pytest.raises(LacewingdockError) as caught:
+        billing.check_room()
+    assert (caught.value.kind, caught.value.ran) == (
+        ErrorKind.OVERLOADED,
+        "no",
+    )
+    assert caught.value.retry_after_s
