Billing: a lost holder's bills go elsewhere at once

Change: a sidecar offers the bills of a lost link to another entry as soon as the link is lost. That was avoided for fear of two writers; with slots the two meet and one reads. An entry writes at once when the link of a sidecar whose bills it holds is lost. A stopping sidecar waits only while an entry is there.

Before: test_bills_go_to_another_entry_as_soon_as_a_link_is_lost has nothing sent.

--- a/bench/billing.py
+++ b/bench/billing.py
@@ -247,12 +247,14 @@
         time.sleep(source.uniform(0.2, 1.0))
         count += 1
         entry = f"entry-{source.randrange(3)}"
-        match source.randrange(5):
+        worker = f"worker-{source.randrange(2)}"
+        kind = source.randrange(5)
+        progress(f"{end - time.monotonic():6.2f} {kind} {entry} {worker}")
+        match kind:
             case 0:
                 deployment.processes[entry].kill()
                 deployment.restart(entry)
             case 1:
-                worker = f"worker-{source.randrange(2)}"
                 deployment.processes[worker].kill()
                 deployment.restart(worker)
             case 2:
--- a/lacewingdock/components/billing/const.py
+++ b/lacewingdock/components/billing/const.py
@@ -13,9 +13,6 @@
 RETRY_S: Final = 1.0
 
 SWEEP_S: Final = 1.0
-# How long a lost holder may take to come back before its bills are offered to
-# another. Being wrong costs a few reads, never a second row.
-REOFFER_S: Final = 5.0
 # An offer that got no answer for this long is made again, to whoever is best
 # then. Longer than any write interval.
 RESEND_S: Final = 90.0
@@ -29,7 +26,7 @@
 # requests/s, about 8 MB.
 MAX_PENDING: Final = 20_000
 # How long a stopping daemon waits for its last bills.
-FAREWELL_S: Final = 5.0
+FAREWELL_S: Final = 3.0
 
 # What a cancelled run has read is not said by the engine; English text and
 # JSON have about this many bytes a token.
--- a/lacewingdock/components/billing/entry.py
+++ b/lacewingdock/components/billing/entry.py
@@ -48,6 +48,7 @@
         self.wake = threading.Event()
         peers.handle(Bills, self._on_bills)
         peers.on_open.append(self._announce)
+        peers.on_close.append(self._on_close)
         self._add_metrics()
 
     def _add_metrics(self) -> None:
@@ -72,6 +73,15 @@
         if link.peer.role == ROLE_SIDECAR:
             link.send(self.ledger.announcement())
 
+    def _on_close(self, link: Link) -> None:
+        """Write at once what a lost sidecar left here.
+
+        If it died this entry is the one place that has its bills. Waiting
+        for the next write would lose them if this entry died too.
+        """
+        if self.ledger.holds_of(link):
+            self.wake.set()
+
     def _on_bills(self, link: Link, message: Bills) -> None:
         self.ledger.offer(link, message)
         if message.urgent:
--- a/lacewingdock/components/billing/ledger.py
+++ b/lacewingdock/components/billing/ledger.py
@@ -120,6 +120,15 @@
                 pending.rows[attempt] = row
                 pending.links[attempt] = link
 
+    def holds_of(self, link: Link) -> bool:
+        """Tell whether bills wait that came over a link."""
+        with self._lock:
+            return any(
+                link is known
+                for pending in self.pending.values()
+                for known in pending.links.values()
+            )
+
     def roll(self) -> bool:
         """Begin the day's log; tells whether it is a new one."""
         name = log_name(self.instance, self.incarnation, self.clock())
--- a/lacewingdock/components/billing/outbox.py
+++ b/lacewingdock/components/billing/outbox.py
@@ -9,7 +9,6 @@
 from lacewingdock.components.billing.const import (
     MAX_HELD,
     MAX_OFFERED,
-    REOFFER_S,
     RESEND_S,
 )
 from lacewingdock.links.link import Link
@@ -26,7 +25,7 @@
             offered.
         after: It is in no slot of the log before this one.
         link: The link it was offered over last.
-        offered: Monotonic time of that offer, or of the link's loss.
+        offered: Monotonic time of that offer.
     """
 
     row: bytes
@@ -125,13 +124,19 @@
                 self.kept += self.held.pop(attempt, None) is not None
 
     def on_close(self, link: Link) -> None:
-        """Forget a link; its bills wait a moment for it to come back."""
-        now = self.clock()
+        """Offer what a lost link's entry holds to another, at once.
+
+        Until then this process is the only place that is known of. Should
+        the entry live, the two meet at the log's next slot, which costs a
+        read.
+        """
         with self._lock:
             self.holders.pop(link, None)
-            for held in self.held.values():
-                if held.link is link:
-                    held.link, held.offered = None, now
+            left = [a for a, h in self.held.items() if h.link is link]
+            for attempt in left:
+                self.held[attempt].link = None
+            batches = self._offers(left)
+        self._send(batches, urgent=False)
 
     def sweep(self, urgent: bool = False) -> None:
         """Offer what nobody holds, or nobody answered for.
@@ -149,11 +154,7 @@
         self._send(batches, urgent)
 
     def _due(self, held: Held, now: float) -> bool:
-        if held.link is not None:
-            return now - held.offered > RESEND_S
-        if not held.log or now - held.offered > REOFFER_S:
-            return True
-        return any(h.log == held.log for h in self.holders.values())
+        return held.link is None or now - held.offered > RESEND_S
 
     def _offers(
         self, attempts: Iterable[str]
--- a/lacewingdock/components/billing/sidecar.py
+++ b/lacewingdock/components/billing/sidecar.py
@@ -95,7 +95,9 @@
         """Hand the last bills over and wait a moment until they are kept."""
         end = time.monotonic() + FAREWELL_S
         self.outbox.sweep(urgent=True)
-        while self.outbox.held and time.monotonic() < end:
+        while self.outbox.held and self.outbox.holders:
+            if time.monotonic() > end:
+                break
             time.sleep(FAREWELL_POLL_S)
         if self.outbox.held:
             # Entries hold copies of those offered; the rest is only here.
--- a/tests/components/billing/test_record.py
+++ b/tests/components/billing/test_record.py
@@ -177,3 +177,17 @@
         "no",
     )
     assert caught.value.retry_after_s
+
+
+# Symptom: bills are lost when an entry and soon after a sidecar die. Events:
+# an entry dies; its sidecars wait for it; one of them dies meanwhile. Cause:
+# a bill stays in one place for as long as the wait.
+def test_bills_go_to_another_entry_as_soon_as_a_link_is_lost():
+    box = Outbox("s", "hall-a")
+    first, word = holder("e1", "hall-b", "log-e1")
+    box.on_kept(first, word)
+    box.record("a", b'["a"]')
+    second, word = holder("e2", "hall-b", "log-e2")
+    box.on_kept(second, word)
+    box.on_close(first)
+    assert list(second.sent) == [Bills("log-e1", 3, False, [b'["a"]'])]
