--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -1,5 +1,6 @@
 """Support for asking sidecars and receiving whole answers."""
 
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
 
@@ -36,9 +37,10 @@
         daemon: The daemon.
         membership: Where the upstreams are found.
         open: Answers by the attempt id that their frames carry.
+        on_drop: Called once with each answer that nobody waits for any more.
     """
 
-    __slots__ = ("daemon", "membership", "open")
+    __slots__ = ("daemon", "membership", "on_drop", "open")
 
     def __init__(
         self, daemon: Daemon, peers: Peers, membership: Membership
@@ -47,6 +49,7 @@
         self.daemon = daemon
         self.membership = membership
         self.open: dict[str, Answer] = {}
+        self.on_drop: list[Callable[[Answer], None]] = []
         for cls in (Chunk, Finish, Refusal):
             peers.handle(cls, self._deliver)
         peers.on_close.append(self._on_close)
@@ -130,6 +133,8 @@
         if not answer.dropped:
             answer.dropped = True
             answer.upstream.in_flight.add(-1)
+            for callback in self.on_drop:
+                callback(answer)
         link = answer.link
         if cancel and link is not None and not link.closed:
             link.send(Cancel(answer.current))
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -7,6 +7,7 @@
 from werkzeug.wrappers import Response
 
 from lacewingdock.components.answers.answer import Answer
+from lacewingdock.components.budgets import Budgets
 from lacewingdock.components.callers.assemble import assemble
 from lacewingdock.components.callers.problem import problem_body
 from lacewingdock.components.callers.relay import Relay
@@ -47,9 +48,16 @@
         relay: Gets attempts answered.
         session_keys: Keys that sign session tokens.
         ratings: The rating service; None when there is none.
+        budgets: Let requests in as far as the workspace's budget goes.
     """
 
-    __slots__ = ("configuration", "ratings", "relay", "session_keys")
+    __slots__ = (
+        "budgets",
+        "configuration",
+        "ratings",
+        "relay",
+        "session_keys",
+    )
 
     def __init__(
         self,
@@ -57,8 +65,10 @@
         relay: Relay,
         session_keys: KeyRing,
         ratings: Ratings | None,
+        budgets: Budgets,
     ) -> None:
         """Take what it works with."""
+        self.budgets = budgets
         self.configuration = configuration
         self.relay = relay
         self.session_keys = session_keys
@@ -85,7 +95,15 @@
             session,
             self.relay.source,
         )
-        step, answer, pieces = self._run(plan, chat, caller, name)
+        self.budgets.admit_chat(
+            caller.request_id, name, workspace, plan, body, chat.max_tokens
+        )
+        try:
+            step, answer, pieces = self._run(plan, chat, caller, name)
+        except BaseException:
+            self.budgets.close(caller.request_id)
+            raise
+        self.budgets.end_with(caller.request_id, answer)
         if chat.stream:
             response = self._stream(answer, pieces, caller)
         else:
--- a/lacewingdock/components/callers/requests.py
+++ b/lacewingdock/components/callers/requests.py
@@ -1,9 +1,10 @@
 """Support for reading what callers send."""
 
 from dataclasses import dataclass, field
-from typing import Any, Final
+from typing import Annotated, Any, Final
 
 import msgspec
+from msgspec import Meta
 from werkzeug.wrappers import Request
 
 from lacewingdock.const import (
@@ -51,12 +52,14 @@
         messages: The conversation.
         stream: Whether the answer comes as events.
         fields: Every field, to pass on.
+        max_tokens: Most tokens to generate; None when the caller sets none.
     """
 
     model: str
     messages: list[dict[str, Any]]
     stream: bool
     fields: dict[str, Any]
+    max_tokens: int | None = None
 
 
 def read_caller(request: Request, request_id: str) -> Caller:
@@ -111,6 +114,10 @@
             ),
             stream=msgspec.convert(fields.get("stream") or False, bool),
             fields=fields,
+            max_tokens=msgspec.convert(
+                fields.get("max_completion_tokens") or fields.get("max_tokens"),
+                Annotated[int, Meta(ge=1)] | None,
+            ),
         )
     except (msgspec.ValidationError, msgspec.DecodeError) as error:
         raise LacewingdockError(
--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -5,6 +5,7 @@
 from werkzeug.wrappers import Request, Response
 
 from lacewingdock.components.answers.answer import Answer
+from lacewingdock.components.budgets import Budgets
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.requests import Caller
 from lacewingdock.components.claims import partition_of
@@ -24,12 +25,16 @@
     Attributes:
         configuration: The configuration in force.
         relay: Gets attempts answered.
+        budgets: Let calls in as far as the workspace's budget goes.
     """
 
-    __slots__ = ("configuration", "relay")
+    __slots__ = ("budgets", "configuration", "relay")
 
-    def __init__(self, configuration: Configuration, relay: Relay) -> None:
+    def __init__(
+        self, configuration: Configuration, relay: Relay, budgets: Budgets
+    ) -> None:
         """Take what it works with."""
+        self.budgets = budgets
         self.configuration = configuration
         self.relay = relay
 
@@ -74,11 +79,17 @@
             traceparent=caller.traceparent,
             revision=self.configuration.revision,
         )
-        if operation.repeatable:
-            answer, pieces = self.relay.start(attempt)
-        else:
-            answer, pieces = self._once(attempt)
-        return self._whole(answer, pieces)
+        self.budgets.admit_call(
+            caller.request_id, name, workspace, service, request.method, path
+        )
+        try:
+            if operation.repeatable:
+                answer, pieces = self.relay.start(attempt)
+            else:
+                answer, pieces = self._once(attempt)
+            return self._whole(answer, pieces)
+        finally:
+            self.budgets.close(caller.request_id)
 
     def _once(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
         """Get a call that may not be repeated answered by its home."""
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -3,6 +3,7 @@
 from lacewingdock.components import (
     admin,
     answers,
+    budgets,
     callers,
     configuration,
     membership,
@@ -36,14 +37,23 @@
     members = membership.setup(daemon, links, config, settings.subset)
     bills = billing.setup(daemon, links, lambda: members.entries)
     open_answers = answers.setup(daemon, links, members)
+    spending = budgets.setup(
+        daemon, config, open_answers, lambda: members.entries
+    )
     relay = Relay(open_answers, members, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
     app = CallersApp(
         daemon,
         settings,
         config,
-        Chat(config, relay, load_keys(settings.session_keys_file), ratings),
-        ServiceCalls(config, relay),
+        Chat(
+            config,
+            relay,
+            load_keys(settings.session_keys_file),
+            ratings,
+            spending,
+        ),
+        ServiceCalls(config, relay, spending),
     )
     port = callers.setup(daemon, settings, app)
     admin_port = admin.setup(
@@ -51,6 +61,14 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (links, config, members, bills, port, admin_port):
+    for component in (
+        links,
+        config,
+        members,
+        bills,
+        spending,
+        port,
+        admin_port,
+    ):
         component.start()
     return daemon.run(port.active)
--- /dev/null
+++ b/tests/components/budgets/test_budget_path.py
@@ -0,0 +1,60 @@
+"""Tests of budgets through real processes."""
+
+import pytest
+
+from bench.deployment import Deployment, Shape
+from lacewingdock.components.configuration.apply import apply_manifest
+from lacewingdock.platform.store import ObjectStore
+from lacewingdock.world.manifest import parse_manifest
+from tests.common import MANIFEST, apply_example, chat
+
+# A hard request reads one token and generates eight on each of its steps.
+COST = (0.1 + 8 * 0.3 + 1.0 + 8 * 3.0) / 1000
+BUDGET = 0.2
+
+
+@pytest.fixture(scope="module")
+def deployment():
+    with Deployment(Shape(entries=2)) as running:
+        apply_example(running)
+        yield running
+
+
+def set_budget(deployment, at_limit, budget):
+    with open(MANIFEST, encoding="utf-8") as file:
+        manifest = parse_manifest(file.read())
+    key = "workspace/retail"
+    limit = {"at_limit": at_limit, "budget": budget}
+    manifest[key] = {**manifest[key], **limit}
+    store = ObjectStore(deployment.processes["platform"].url())
+    changes = apply_manifest(store, manifest)
+    deployment.wait_revision(max(c.revision for c in changes))
+
+
+# Symptom: a workspace runs past its budget through several entries, or a
+# refusal at the limit doesn't say when to come back. Events: requests alternate
+# between two entries until both have nothing left. Cause: each entry counts
+# for itself.
+@pytest.mark.parametrize(
+    ("at_limit", "status", "version"),
+    [
+        ("refuse", 429, None),
+        ("cheapest", 200, "drafter-1"),
+        ("alert", 200, "planner-1"),
+    ],
+)
+def test_at_the_limit(deployment, at_limit, status, version):
+    set_budget(deployment, at_limit, BUDGET)
+    replies = [
+        chat(deployment, "hard", "route-day", entry=f"entry-{n % 2}")
+        for n in range(12)
+    ]
+    last = replies[-1]
+    assert last.status == status, last.body
+    assert last.headers.get("lacewingdock-version") == version
+    if status == 429:
+        problem = last.json()
+        assert (problem["code"], problem["ran"]) == ("budget_exhausted", "no")
+        assert 0 < int(last.headers["retry-after"]) <= 86_400
+        served = sum(r.status == 200 for r in replies)
+        assert 0 < served * COST <= BUDGET
