Billing: the cancelled-stream test asks once an engine is linked

Cause: one run in four failed with "not billed". The test before restarts the engine's sidecar; wait_ready is content with any linked upstream, so the stream was refused with 503 and never ran. Ruled out: a lost bill (the request id was in no log of the engine).

The test now waits until a probe is answered, asserts that the stream ran and finds its row by request id, which is stricter than any new row.

--- a/tests/components/billing/test_processes.py
+++ b/tests/components/billing/test_processes.py
@@ -192,16 +192,22 @@
 # Events: a caller closes its connection in mid-stream. Cause: the engine
 # says its token count only with the last event.
 def test_a_cancelled_stream_is_billed_for_what_was_generated(deployment):
-    before = {row[0] for row in ledger(deployment)}
+    # The engine's sidecar was restarted; the entry may be dialing it still.
+    wait_until(
+        lambda: chat(deployment, "probe", tokens=2).status == 200,
+        "no engine is linked",
+    )
 
     def hang_up(_):
         raise ConnectionAbortedError
 
-    chat(deployment, "left", stream=True, tokens=4000, on_data=hang_up)
+    reply = chat(deployment, "left", stream=True, tokens=4000, on_data=hang_up)
+    assert reply.status == 200
+    request = reply.headers[REQUEST_ID]
     found = []
 
     def look():
-        found[:] = [r for r in ledger(deployment) if r[0] not in before]
+        found[:] = [r for r in ledger(deployment) if r[1] == request]
         return bool(found)
 
     wait_until(look, "the cancelled stream is not billed")
