--- a/lacewingdock/components/budgets/__init__.py
+++ b/lacewingdock/components/budgets/__init__.py
@@ -113,7 +113,7 @@
         name: str,
         workspace: Workspace,
         plan: Plan,
-        body: bytes,
+        prompt_bytes: int,
         max_tokens: int | None,
     ) -> None:
         """Let a chat completion in, all its steps at once, before any ran.
@@ -126,7 +126,10 @@
         """
         if workspace.budget is None:
             return
-        tokens = (len(body) // BYTES_PER_TOKEN, max_tokens or RESERVED_TOKENS)
+        tokens = (
+            prompt_bytes // BYTES_PER_TOKEN,
+            max_tokens or RESERVED_TOKENS,
+        )
         world = self.configuration.world
         amount = sum(token_cost(world, s.version, *tokens) for s in plan.steps)
         if self._admit(request, name, workspace, amount):
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -1,5 +1,6 @@
 """Support for answering chat completions."""
 
+import re
 from collections.abc import Iterator
 from typing import Final
 
@@ -9,13 +10,17 @@
 from lacewingdock.components.answers.answer import Answer
 from lacewingdock.components.budgets import Budgets
 from lacewingdock.components.callers.assemble import assemble
-from lacewingdock.components.callers.problem import problem_body
-from lacewingdock.components.callers.relay import Relay
+from lacewingdock.components.callers.relay import BY_CONFIGURATION, Relay
 from lacewingdock.components.callers.requests import (
     Caller,
     ChatBody,
     read_chat,
 )
+from lacewingdock.components.callers.sink import (
+    Sink,
+    event_bytes,
+    sink_for,
+)
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.routing import Plan, plan_request
 from lacewingdock.components.sessions import (
@@ -23,10 +28,11 @@
     open_session,
     sign_session,
 )
-from lacewingdock.const import HEADER_SESSION, HEADER_VERSION
+from lacewingdock.const import HEADER_SESSION, HEADER_VERSION, RAN_YES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.problem import problem_body
 from lacewingdock.links.keys import KeyRing
 from lacewingdock.links.messages import Attempt
 from lacewingdock.platform.ratings import Ratings
@@ -35,7 +41,11 @@
 EVENT_STREAM: Final = "text/event-stream"
 DONE_EVENT: Final = b"data: [DONE]\n\n"
 HEADER_MOVED: Final = "Lacewingdock-Moved-From"
-DEADLINE_MS: Final = 120_000
+# A withdrawal and a roll-out can follow each other closely.
+MAX_PLANS: Final = 3
+
+# An offset fits the frame's field.
+_OFFSET: Final = re.compile("[0-9]{1,9}")
 
 log = get_logger("chat")
 
@@ -88,22 +98,9 @@
         session = None
         if caller.session:
             session = open_session(caller.session, name, self.session_keys)
-        plan = plan_request(
-            self.configuration.world,
-            workspace,
-            chat.model,
-            session,
-            self.relay.source,
-        )
-        self.budgets.admit_chat(
-            caller.request_id, name, workspace, plan, body, chat.max_tokens
+        plan, step, answer, pieces = self._start(
+            chat, caller, name, workspace, session
         )
-        try:
-            step, answer, pieces = self._run(plan, chat, caller, name)
-        except BaseException:
-            self.budgets.close(caller.request_id)
-            raise
-        self.budgets.end_with(caller.request_id, answer)
         if chat.stream:
             response = self._stream(answer, pieces, caller)
         else:
@@ -111,8 +108,85 @@
         self._mark(response, plan, step, name)
         return response
 
+    def _start(
+        self,
+        chat: ChatBody,
+        caller: Caller,
+        name: str,
+        workspace: Workspace,
+        session: Session | None,
+    ) -> tuple[Plan, Step, Answer, list[bytes]]:
+        """Plan and run; plan again if the plan was made on old news.
+
+        An entry that was frozen or cut off plans with a version that has
+        been withdrawn. The sidecar refuses it, the entry catches up with
+        the sidecar, and the caller needn't know.
+        """
+        last: LacewingdockError | None = None
+        for _ in range(MAX_PLANS):
+            revision = self.configuration.revision
+            world = self.configuration.world
+            plan = plan_request(
+                world,
+                world.workspaces.get(name, workspace),
+                chat.model,
+                session,
+                self.relay.source,
+            )
+            try:
+                return plan, *self._run_within_budget(
+                    plan, revision, chat, caller, name, workspace
+                )
+            except LacewingdockError as error:
+                if last is not None and error.kind is (
+                    ErrorKind.BUDGET_EXHAUSTED
+                ):
+                    # A step of the first plan may have run; its own refusal
+                    # says so, and this one would not.
+                    break
+                last = error
+                if not self._outdated(error, revision):
+                    break
+        assert last is not None
+        raise last
+
+    def _run_within_budget(
+        self,
+        plan: Plan,
+        revision: int,
+        chat: ChatBody,
+        caller: Caller,
+        name: str,
+        workspace: Workspace,
+    ) -> tuple[Step, Answer, list[bytes]]:
+        """Set aside what all steps may cost, then run them."""
+        request = caller.request_id
+        size = sum(len(str(m.get("content"))) for m in chat.messages)
+        self.budgets.admit_chat(
+            request, name, workspace, plan, size, chat.max_tokens
+        )
+        try:
+            step, answer, pieces = self._run(plan, revision, chat, caller, name)
+        except BaseException:
+            self.budgets.close(request)
+            raise
+        self.budgets.end_with(request, answer)
+        return step, answer, pieces
+
+    def _outdated(self, error: LacewingdockError, revision: int) -> bool:
+        """Tell whether a refusal only shows that a plan was too old."""
+        return (
+            error.kind in BY_CONFIGURATION
+            and self.configuration.revision > revision
+        )
+
     def _run(
-        self, plan: Plan, chat: ChatBody, caller: Caller, workspace: str
+        self,
+        plan: Plan,
+        revision: int,
+        chat: ChatBody,
+        caller: Caller,
+        workspace: str,
     ) -> tuple[Step, Answer, list[bytes]]:
         """Run the steps until one's answer is good enough to give.
 
@@ -123,9 +197,12 @@
         for index, step in enumerate(plan.steps[:-1]):
             try:
                 answer, pieces = self._ask(step, index, chat, caller, workspace)
-                for more in self.relay.rest(answer) if pieces else ():
-                    pieces += more
+                if pieces:
+                    self.relay.collect(answer, pieces)
             except LacewingdockError as error:
+                gone = error.kind is ErrorKind.CALLER_LEFT
+                if gone or self._outdated(error, revision):
+                    raise
                 log.info(
                     "step failed",
                     request_id=caller.request_id,
@@ -165,7 +242,7 @@
                 body=msgspec.json.encode(fields),
                 key=caller.key,
                 priority=caller.priority,
-                deadline_ms=DEADLINE_MS,
+                deadline_ms=caller.left_ms(),
                 traceparent=caller.traceparent,
                 revision=self.configuration.revision,
                 resumable=bool(caller.key),
@@ -195,35 +272,47 @@
         self, answer: Answer, pieces: list[bytes], caller: Caller
     ) -> Iterator[bytes]:
         """Yield server-sent events; pieces that wait together go together."""
-        prefix = f"{answer.upstream.name}/{answer.attempt.attempt}"
-        sent = answer.next_offset - len(pieces)
+        prefix = f"{answer.upstream.name}/{answer.attempt.attempt}".encode()
+        sink = sink_for(caller.served, prefix)
         whole = False
         try:
             while pieces:
+                start = answer.next_offset - len(pieces)
                 yield b"".join(
-                    b"id: %b/%d\ndata: %b\n\n" % (prefix.encode(), index, data)
-                    for index, data in enumerate(pieces, sent)
+                    event_bytes(prefix, index, data)
+                    for index, data in enumerate(pieces, start)
                 )
-                sent += len(pieces)
-                pieces = [] if answer.finish else self.relay.take(answer)
+                pieces = [] if answer.finish else self._more(answer, sink)
             whole = True
             yield DONE_EVENT
         except LacewingdockError as error:
             whole = True
+            if answer.next_offset:
+                error.ran = RAN_YES
             body = problem_body(error, caller.request_id)
             yield b"event: error\ndata: " + body + b"\n\n"
         finally:
             # A caller that went away and has no key can't come back.
             gone = not whole and not caller.key
+            # Before the connection closes: another may get its number.
+            answer.divert(None)
             self.relay.answers.drop(answer, cancel=gone)
 
+    def _more(self, answer: Answer, sink: Sink | None) -> list[bytes]:
+        """Return the next pieces that the sink does not take."""
+        while True:
+            if sink is not None:
+                answer.divert(sink.write)
+            pieces = self.relay.take(answer)
+            if sink is None or not sink.finish():
+                return pieces
+            if len(pieces) > 1:
+                return pieces[1:]
+
     def _whole(self, answer: Answer, pieces: list[bytes]) -> Response:
         try:
-            while answer.finish is None and pieces:
-                more = self.relay.take(answer)
-                if not more:
-                    break
-                pieces += more
+            if answer.finish is None and pieces:
+                self.relay.collect(answer, pieces)
         finally:
             self.relay.answers.drop(answer)
         return Response(
@@ -234,17 +323,21 @@
     def _resume(self, caller: Caller, workspace: str) -> Response:
         """Give the rest of an answer that the caller lost the way to."""
         parts = caller.last_event.split("/")
-        if len(parts) != 3 or not parts[2].isdigit():
+        if len(parts) != 3 or not _OFFSET.fullmatch(parts[2]):
             raise LacewingdockError(
                 ErrorKind.BAD_REQUEST, f"Last-Event-ID: {caller.last_event!r}"
             )
-        upstream = self.relay.membership.upstreams.get(parts[0])
+        upstream = self.relay.membership.reach(parts[0])
         if upstream is None:
             raise LacewingdockError(
                 ErrorKind.ANSWER_GONE, f"{parts[0]} is not known here"
             )
         answer = self.relay.answers.resume(
-            upstream, parts[1], workspace, int(parts[2]) + 1
+            upstream,
+            parts[1],
+            workspace,
+            int(parts[2]) + 1,
+            caller.request_id,
         )
         try:
             pieces = self.relay.take(answer)
--- a/lacewingdock/components/configuration/apply.py
+++ b/lacewingdock/components/configuration/apply.py
@@ -9,6 +9,8 @@
     COLLECTION_CONFIG,
     KIND_CASCADE,
     KIND_MODEL,
+    KIND_OPERATOR,
+    KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
     KIND_WORKSPACE,
@@ -25,6 +27,8 @@
     KIND_CASCADE,
     KIND_SERVICE,
     KIND_WORKSPACE,
+    KIND_QUARANTINE,
+    KIND_OPERATOR,
 )
 
 
--- a/lacewingdock/core.py
+++ b/lacewingdock/core.py
@@ -12,7 +12,6 @@
 import prometheus_client
 
 from lacewingdock.const import (
-    BEAT_BUSY_S,
     ROLE_ENTRY,
     ROLE_SIDECAR,
     THREAD_STACK_BYTES,
@@ -21,6 +20,7 @@
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.keys import KeyRing, load_keys
 from lacewingdock.links.messages import Hello
+from lacewingdock.platform.metrics import PlatformCalls
 from lacewingdock.platform.store import ObjectStore
 from lacewingdock.settings import DaemonSettings, EntrySettings
 
@@ -91,6 +91,7 @@
         self.leaving = threading.Event()
         self.components: dict[str, Component] = {}
         self.metrics = prometheus_client.CollectorRegistry()
+        self.metrics.register(PlatformCalls(self.store))
         self.random = random.Random(self.me.incarnation)
         self.started = time.monotonic()
         self.on_leave: list[Callable[[], None]] = []
@@ -148,9 +149,10 @@
 
     def _drain(self, drain: Callable[[], int]) -> int:
         end = time.monotonic() + self.settings.grace_s
-        # Peers hear of the stop with the next beat; what they sent before
-        # must still be served.
-        time.sleep(2 * BEAT_BUSY_S)
+        # Whoever sends here hears of the stop a little later: peers with the
+        # next frame, the balancer with its next check. What they send until
+        # then must still be served.
+        time.sleep(min(self.settings.linger_s, self.settings.grace_s))
         while time.monotonic() < end and drain():
             time.sleep(LEAVE_POLL_S)
         return drain()
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -6,14 +6,21 @@
     budgets,
     callers,
     configuration,
+    language,
+    leases,
     membership,
+    orders,
     peers,
+    quarantine,
+    rollouts,
 )
 from lacewingdock.components.billing import entry as billing
+from lacewingdock.components.callers import departures
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.services import ServiceCalls
+from lacewingdock.components.rollouts import emergency
 from lacewingdock.core import Daemon
 from lacewingdock.links.keys import load_keys
 from lacewingdock.links.messages import Beat
@@ -35,13 +42,20 @@
     config = configuration.setup(daemon, links)
     links.beat = lambda: Beat(revision=config.revision)
     members = membership.setup(daemon, links, config, settings.subset)
-    bills = billing.setup(daemon, links, lambda: members.entries)
+    orders.setup(daemon, links, None)
+    held = leases.setup(daemon, links, members)
+    rollouts.setup(daemon, config, members, held)
+    stops = emergency.setup(daemon, links, config)
     open_answers = answers.setup(daemon, links, members)
+    stops.open = open_answers.open
+    suspects = quarantine.setup(daemon, links, config)
+    bills = billing.setup(daemon, links, lambda: members.entries)
     spending = budgets.setup(
-        daemon, config, open_answers, lambda: members.entries
+        daemon, config, open_answers, lambda: max(members.entries, 1)
     )
-    relay = Relay(open_answers, members, daemon.random)
+    relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
+    watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
         daemon,
         settings,
@@ -54,6 +68,7 @@
             spending,
         ),
         ServiceCalls(config, relay, spending),
+        watcher,
     )
     port = callers.setup(daemon, settings, app)
     admin_port = admin.setup(
@@ -61,14 +76,19 @@
         config,
         lambda: any(u.link for u in tuple(members.upstreams.values())),
     )
-    for component in (
+    language.setup(daemon, admin_port, config, members, open_answers)
+    started = (
         links,
         config,
+        suspects,
         members,
+        watcher,
+        held,
         bills,
         spending,
         port,
         admin_port,
-    ):
+    )
+    for component in started:
         component.start()
     return daemon.run(port.active)
--- a/lacewingdock/daemons/sidecar.py
+++ b/lacewingdock/daemons/sidecar.py
@@ -5,7 +5,9 @@
     claims,
     configuration,
     engine,
+    orders,
     peers,
+    quarantine,
     runs,
 )
 from lacewingdock.components.billing import sidecar as billing
@@ -28,14 +30,16 @@
     held = None
     if settings.service:
         held = claims.setup(daemon, links, config, settings.service)
+    suspects = quarantine.setup(daemon, links, config)
     bills = billing.setup(daemon, links, config)
-    work = runs.setup(daemon, settings, links, config, held, bills)
+    work = runs.setup(daemon, settings, links, config, held, suspects, bills)
     if held is not None:
         held.on_change = work.announce
         held.start()
-    engine.setup(daemon, settings.upstream, work, settings.service)
+    beside = engine.setup(daemon, settings.upstream, work, settings.service)
+    orders.setup(daemon, links, None if settings.service else beside)
     admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
-    for component in (links, config, bills, work, admin_port):
+    for component in (links, config, suspects, bills, work, admin_port):
         component.start()
     daemon.on_leave.append(work.announce)
     return daemon.run(work.active)
--- a/lacewingdock/exceptions.py
+++ b/lacewingdock/exceptions.py
@@ -19,8 +19,11 @@
     BAD_TOKEN = "bad_token"
     BODY_TOO_LARGE = "body_too_large"
     BUDGET_EXHAUSTED = "budget_exhausted"
+    CALLER_LEFT = "caller_left"
     CONFLICT = "conflict"
     DEADLINE = "deadline"
+    FENCED = "fenced"
+    HEADERS_TOO_LARGE = "headers_too_large"
     INTERNAL = "internal"
     KEY_REQUIRED = "key_required"
     KEY_REUSED = "key_reused"
@@ -36,6 +39,7 @@
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     PORT_TAKEN = "port_taken"
     QUARANTINED = "quarantined"
+    SLOW_CALLER = "slow_caller"
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_MODEL = "unknown_model"
     UNKNOWN_SERVICE = "unknown_service"
@@ -84,10 +88,18 @@
     ErrorKind.BUDGET_EXHAUSTED: Answer(
         429, "The workspace's budget is used up", retry_after_s=60.0
     ),
+    # Nobody reads this answer; its row is for the log.
+    ErrorKind.CALLER_LEFT: Answer(
+        499, "The caller closed its connection", ran=RAN_UNKNOWN
+    ),
     ErrorKind.CONFLICT: Answer(409, "Another change came first"),
     ErrorKind.DEADLINE: Answer(
         504, "The deadline passed", ran=RAN_UNKNOWN, retry_after_s=1.0
     ),
+    ErrorKind.FENCED: Answer(409, "The order is an earlier holder's"),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(
+        431, "The request line or the headers are too large"
+    ),
     ErrorKind.INTERNAL: Answer(500, "Internal error", ran=RAN_UNKNOWN),
     ErrorKind.KEY_REQUIRED: Answer(400, "This call needs an Idempotency-Key"),
     ErrorKind.KEY_REUSED: Answer(
@@ -123,6 +135,9 @@
     ErrorKind.QUARANTINED: Answer(
         422, "This request crashed upstreams and is quarantined"
     ),
+    ErrorKind.SLOW_CALLER: Answer(
+        408, "The request did not come in time", retry_after_s=1.0
+    ),
     ErrorKind.UNAUTHORIZED: Answer(401, "The workspace key is not valid"),
     ErrorKind.UNKNOWN_MODEL: Answer(404, "No such model"),
     ErrorKind.UNKNOWN_SERVICE: Answer(404, "No such service or operation"),
@@ -143,6 +158,8 @@
         detail: What happened, for people; never holds a secret.
         ran: Whether the request ran: "no", "yes" or "unknown".
         retry_after_s: Seconds until trying again can help, or None.
+        revision: Configuration revision that a sidecar refused at; 0 if
+            that is not known.
     """
 
     def __init__(
@@ -151,6 +168,7 @@
         detail: str,
         ran: str | None = None,
         retry_after_s: float | None = None,
+        revision: int = 0,
     ) -> None:
         """Take kind and detail; the rest defaults to the kind's answer."""
         super().__init__(f"{kind}: {detail}")
@@ -158,6 +176,7 @@
         self.kind = kind
         self.detail = detail
         self.ran = answer.ran if ran is None else ran
+        self.revision = revision
         self.retry_after_s = (
             answer.retry_after_s if retry_after_s is None else retry_after_s
         )
@@ -166,3 +185,11 @@
     def answer(self) -> Answer:
         """The kind's row in `ANSWERS`."""
         return ANSWERS[self.kind]
+
+
+class UpstreamLost(LacewingdockError):
+    """The connection to the upstream broke, or there was none."""
+
+    def __init__(self, detail: str, ran: str = RAN_UNKNOWN) -> None:
+        """Take the detail, and "no" if the request was never sent."""
+        super().__init__(ErrorKind.UPSTREAM_FAILED, detail, ran)
--- a/lacewingdock/links/messages.py
+++ b/lacewingdock/links/messages.py
@@ -124,6 +124,8 @@
         detail: What happened, for people.
         retry_after_ms: Milliseconds until trying again can help; -1 if it
             can't.
+        revision: Configuration revision in force at the sidecar; 0 if
+            that played no part.
     """
 
     attempt: str
@@ -131,6 +133,7 @@
     ran: str
     detail: str
     retry_after_ms: int = -1
+    revision: int = 0
 
 
 @dataclass(slots=True)
@@ -142,19 +145,34 @@
         original: Id of the attempt that was started.
         workspace: The caller's workspace, which must be the attempt's.
         offset: Index of the first piece wanted.
+        incarnation: Incarnation of the sidecar that the attempt was sent
+            to; empty when that is not known.
+        age_ms: Milliseconds since it was sent.
     """
 
     attempt: str
     original: str
     workspace: str
     offset: int
+    incarnation: str = ""
+    age_ms: int = 0
 
 
 @dataclass(slots=True)
 class Cancel:
-    """Say that nobody waits for an attempt any more."""
+    """Say that nobody waits for an attempt any more.
+
+    Attributes:
+        attempt: The id that its frames carry over this link.
+        keep: Whether somebody may come back for the rest.
+        ended: Whether its end was received, so that it need not be kept.
+        left: Whether the caller went away, who pays for what was generated.
+    """
 
     attempt: str
+    keep: bool = False
+    ended: bool = False
+    left: bool = False
 
 
 @dataclass(slots=True)
@@ -224,6 +242,67 @@
     since: int
 
 
+@dataclass(slots=True)
+class Order:
+    """Order an upstream's engine, or a daemon, to do something.
+
+    Attributes:
+        order: Id of the order; its answer carries it.
+        action: "load", "unload" or "role" for an engine, "stop" for a
+            daemon.
+        version: The version to load or unload.
+        role: The engine's new role.
+        fencing: Fencing number of the lease whose holder orders; unused
+            for "stop".
+        incarnation: The process that shall stop; no later one under its
+            name does.
+    """
+
+    order: str
+    action: str
+    version: str = ""
+    role: str = ""
+    fencing: int = 0
+    incarnation: str = ""
+
+
+@dataclass(slots=True)
+class Ordered:
+    """Answer an order.
+
+    Attributes:
+        order: Id of the order.
+        state: What came of it: "loading", "loaded", "unloaded", "busy",
+            "failed", "role" or "stopping"; empty when it was refused.
+        code: An `ErrorKind` when it was refused, else empty.
+        detail: What happened, for people.
+    """
+
+    order: str
+    state: str = ""
+    code: str = ""
+    detail: str = ""
+
+
+@dataclass(slots=True)
+class Evidence:
+    """Tell what was in flight when an upstream crashed.
+
+    Attributes:
+        crash: Id of the crash, "INSTANCE/ERA".
+        isolated: Whether the request ran alone there, as a suspect.
+        excused: Whether the requests were shown not to be the cause.
+        fingerprints: Fingerprints of the requests.
+        age_ms: Milliseconds since the crash was seen.
+    """
+
+    crash: str
+    isolated: bool = False
+    excused: bool = False
+    fingerprints: list[str] = field(default_factory=list)
+    age_ms: int = 0
+
+
 @dataclass(slots=True)
 class Bills:
     """Offer bills to an entry, to hold and to write to the ledger.
@@ -269,6 +348,9 @@
     | Beat
     | Delta
     | Pull
+    | Order
+    | Ordered
+    | Evidence
     | Bills
     | BillsKept
 )
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -56,6 +56,7 @@
   ran @2 :Text;
   detail @3 :Text;
   retryAfterMs @4 :Int32;
+  revision @5 :UInt64;
 }
 
 struct Resume {
@@ -63,10 +64,15 @@
   original @1 :Text;
   workspace @2 :Text;
   offset @3 :UInt32;
+  incarnation @4 :Text;
+  ageMs @5 :UInt32;
 }
 
 struct Cancel {
   attempt @0 :Text;
+  keep @1 :Bool;
+  ended @2 :Bool;
+  left @3 :Bool;
 }
 
 struct Status {
@@ -100,6 +106,30 @@
   since @0 :UInt64;
 }
 
+struct Order {
+  order @0 :Text;
+  action @1 :Text;
+  version @2 :Text;
+  role @3 :Text;
+  fencing @4 :UInt64;
+  incarnation @5 :Text;
+}
+
+struct Ordered {
+  order @0 :Text;
+  state @1 :Text;
+  code @2 :Text;
+  detail @3 :Text;
+}
+
+struct Evidence {
+  crash @0 :Text;
+  isolated @1 :Bool;
+  excused @2 :Bool;
+  fingerprints @3 :List(Text);
+  ageMs @4 :UInt64;
+}
+
 struct Bills {
   log @0 :Text;
   after @1 :UInt32;
@@ -127,7 +157,10 @@
     beat @9 :Beat;
     delta @10 :Delta;
     pull @11 :Pull;
-    bills @12 :Bills;
-    billskept @13 :BillsKept;
+    order @12 :Order;
+    ordered @13 :Ordered;
+    evidence @14 :Evidence;
+    bills @15 :Bills;
+    billskept @16 :BillsKept;
   }
 }
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -36,7 +36,11 @@
         link_keys_file: File of link keys, a line "ID SECRET" each; the
             first signs, all are accepted.
         plain_links: Whether links may go without keys.
+        start_peers: Peers that must show their configuration before it is
+            taken in force while the platform does not answer.
         grace_s: Seconds that a stop waits for running requests.
+        linger_s: Seconds that a stop serves on at least, until those who
+            send have heard of it.
         log_level: Lowest level that is logged.
     """
 
@@ -48,7 +52,9 @@
     link_port: Port = 0
     link_keys_file: str = ""
     plain_links: bool = False
+    start_peers: Annotated[int, Meta(ge=1, le=100)] = 2
     grace_s: Seconds = 30.0
+    linger_s: Seconds = 0.4
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -66,9 +72,15 @@
         plain_callers: Whether callers may come without TLS.
         max_body_bytes: Largest request body that is read.
         slow_caller_s: Seconds a caller may stall a read or write.
+        request_s: Seconds by which a whole request must have come.
+        deadline_s: Seconds that an answer may take where the caller does not
+            say; it may ask for as much as ten times this.
         subset: Links kept for each model version.
+        linger_s: As for all daemons; longer than the balancer takes to
+            notice that /readyz fails.
     """
 
+    linger_s: Seconds = 5.0
     port: Port
     threads: Annotated[int, Meta(ge=4, le=2000)] = 320
     session_keys_file: str = ""
@@ -80,6 +92,8 @@
         1024 * 1024
     )
     slow_caller_s: Seconds = 10.0
+    request_s: Seconds = 30.0
+    deadline_s: Seconds = 120.0
     subset: Annotated[int, Meta(ge=2, le=1000)] = 24
 
 
--- a/lacewingdock/world/world.py
+++ b/lacewingdock/world/world.py
@@ -10,6 +10,8 @@
 from lacewingdock.const import (
     KIND_CASCADE,
     KIND_MODEL,
+    KIND_OPERATOR,
+    KIND_QUARANTINE,
     KIND_SERVICE,
     KIND_VERSION,
     KIND_WORKSPACE,
@@ -20,6 +22,8 @@
     ConfigObject,
     Model,
     Operation,
+    Operator,
+    Quarantine,
     Service,
     Version,
     Workspace,
@@ -28,6 +32,8 @@
 CLASSES: Final[dict[str, type]] = {
     KIND_CASCADE: Cascade,
     KIND_MODEL: Model,
+    KIND_OPERATOR: Operator,
+    KIND_QUARANTINE: Quarantine,
     KIND_SERVICE: Service,
     KIND_VERSION: Version,
     KIND_WORKSPACE: Workspace,
@@ -41,18 +47,25 @@
     Attributes:
         cascades: Cascades by name.
         models: Models by name.
+        operators: Operators by name.
+        quarantines: Quarantined requests by fingerprint.
         services: Plain services by name.
         versions: Model versions by name.
         workspaces: Workspaces by name.
         key_owners: Workspace name by digest of a bearer key.
+        suspended: Versions that this entry gives no new work for now, on its
+            own evidence.
     """
 
     cascades: dict[str, Cascade] = field(default_factory=dict)
     models: dict[str, Model] = field(default_factory=dict)
+    operators: dict[str, Operator] = field(default_factory=dict)
+    quarantines: dict[str, Quarantine] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
     versions: dict[str, Version] = field(default_factory=dict)
     workspaces: dict[str, Workspace] = field(default_factory=dict)
     key_owners: dict[str, str] = field(default_factory=dict)
+    suspended: set[str] = field(default_factory=set)
 
     def add(self, name: str, item: ConfigObject) -> None:
         """Put an object in its place; only used while building."""
@@ -61,6 +74,10 @@
                 self.cascades[name] = item
             case Model():
                 self.models[name] = item
+            case Operator():
+                self.operators[name] = item
+            case Quarantine():
+                self.quarantines[name] = item
             case Service():
                 self.services[name] = item
             case Version():
@@ -84,10 +101,28 @@
             )
         return name, self.workspaces[name]
 
+    def operator(self, key: str) -> tuple[str, Operator]:
+        """Find the operator of a bearer key.
+
+        Raises:
+            LacewingdockError: UNAUTHORIZED when no operator has the key.
+        """
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        for name, operator in self.operators.items():
+            if digest in operator.keys:
+                return name, operator
+        raise LacewingdockError(
+            ErrorKind.UNAUTHORIZED, "the operator key is not known"
+        )
+
     def offered(self, version: str) -> bool:
-        """Tell whether a version is configured and not withdrawn."""
+        """Tell whether a version may get new work here."""
         found = self.versions.get(version)
-        return found is not None and found.state == "offered"
+        return (
+            found is not None
+            and found.state == "offered"
+            and version not in self.suspended
+        )
 
     def operation(self, service: str, method: str, path: str) -> Operation:
         """Find the contract of a service call.
--- a/tests/components/billing/test_billing_machine.py
+++ b/tests/components/billing/test_billing_machine.py
@@ -92,7 +92,7 @@
         to_entry, to_sidecar = self.links.pop((entry, sidecar))
         for link in (to_entry, to_sidecar):
             link.closed = True
-            link.sent.clear()
+            link.inbox.clear()
         self.sidecars[sidecar].on_close(to_entry)
 
     def deliver(self, entry, sidecar, kept=True):
@@ -100,12 +100,12 @@
         if (entry, sidecar) not in self.links:
             return
         to_entry, to_sidecar = self.links[entry, sidecar]
-        while to_sidecar.sent and kept:
-            message = to_sidecar.sent.popleft()
+        while to_sidecar.inbox and kept:
+            message = to_sidecar.inbox.popleft()
             assert isinstance(message, BillsKept)
             self.sidecars[sidecar].on_kept(to_entry, message)
-        while to_entry.sent and entry not in self.frozen:
-            message = to_entry.sent.popleft()
+        while to_entry.inbox and entry not in self.frozen:
+            message = to_entry.inbox.popleft()
             self.entries[entry].offer(to_sidecar, message)
 
     def places(self, attempt):
@@ -252,8 +252,8 @@
                 to_entry, to_sidecar = self.links.pop((entry, sidecar))
                 to_entry.closed = to_sidecar.closed = True
                 # What the kernel took from a killed process still arrives.
-                while to_entry.sent:
-                    waiting = (to_sidecar, to_entry.sent.popleft())
+                while to_entry.inbox:
+                    waiting = (to_sidecar, to_entry.inbox.popleft())
                     self.backlog.setdefault(entry, []).append(waiting)
                 if entry not in self.frozen:
                     self.thaw(entry)
--- a/tests/components/billing/test_record.py
+++ b/tests/components/billing/test_record.py
@@ -157,8 +157,10 @@
             links[name], word = holder(name, domain, f"log-{name}")
             box.on_kept(links[name], word)
         box.record("a", b'["a"]')
-        assert not links["e0"].sent
-        assert list(links["e1"].sent) == [Bills("log-e1", 3, False, [b'["a"]'])]
+        assert not links["e0"].inbox
+        assert list(links["e1"].inbox) == [
+            Bills("log-e1", 3, False, [b'["a"]'])
+        ]
 
 
 # Symptom: a sidecar grows through a long outage until it is killed, and its
@@ -190,4 +192,4 @@
     second, word = holder("e2", "hall-b", "log-e2")
     box.on_kept(second, word)
     box.on_close(first)
-    assert list(second.sent) == [Bills("log-e1", 3, False, [b'["a"]'])]
+    assert list(second.inbox) == [Bills("log-e1", 3, False, [b'["a"]'])]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -2,13 +2,18 @@
 
 import contextlib
 import copy
+import random
+import threading
 from collections import deque
+from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import msgspec
 
+from lacewingdock.components.configuration import Configuration
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.links.messages import Hello
+from lacewingdock.links.messages import Beat, Hello
 from lacewingdock.platform.store import Listing, Stored
 
 
@@ -25,7 +30,9 @@
             writer, taking effect when `arrive` is called.
         late: Writes under way, each the arguments of a put.
         calls: Calls by purpose.
+        on_call: Called before each call, to let others act in between.
         history: Every write as (collection, name, value).
+        old: A listing to answer the next list with, instead of the present.
     """
 
     def __init__(self) -> None:
@@ -35,12 +42,16 @@
         self.down = False
         self.lose_answers = 0
         self.fates: deque[str] = deque()
-        self.late: list[tuple[str, str, Any, int]] = []
+        self.late: list[tuple[str, str, Any, int, str]] = []
         self.calls: dict[str, int] = {}
+        self.on_call: Callable[[], None] | None = None
         self.history: list[tuple[str, str, Any]] = []
+        self.old: Listing | None = None
 
     def _enter(self, purpose: str) -> None:
         self.calls[purpose] = self.calls.get(purpose, 0) + 1
+        if self.on_call is not None:
+            self.on_call()
         if self.down:
             raise LacewingdockError(ErrorKind.PLATFORM_UNAVAILABLE, "down")
 
@@ -51,14 +62,35 @@
         return copy.deepcopy(found)
 
     def list_all(
-        self, collection: str, purpose: str = "", prefix: str = ""
+        self,
+        collection: str,
+        purpose: str = "",
+        prefix: str = "",
+        after: int = -1,
     ) -> Listing:
         """Read all objects of a collection."""
         self._enter(purpose)
+        if self.old is not None:
+            listing, self.old = self.old, None
+            return listing
+        return self.present(collection, prefix, after)
+
+    def present(
+        self, collection: str, prefix: str = "", after: int = -1
+    ) -> Listing:
+        """Return what a list shows now."""
         found = self.objects.get(collection, {}).values()
-        chosen = [o for o in found if o.name.startswith(prefix)]
+        chosen = [
+            o for o in found if o.name.startswith(prefix) and o.revision > after
+        ]
         return Listing(self.revision, copy.deepcopy(chosen))
 
+    def watch(
+        self, collection: str, after: int, purpose: str, prefix: str = ""
+    ) -> Listing:
+        """Return what changed, without waiting."""
+        return self.list_all(collection, purpose, prefix, after)
+
     def put(
         self,
         collection: str,
@@ -74,7 +106,7 @@
         value = msgspec.json.decode(msgspec.json.encode(value))
         fate = self.fates.popleft() if self.fates else "ok"
         if fate == "late":
-            self.late.append((collection, name, value, expect))
+            self.late.append((collection, name, value, expect, writer))
         if fate in ("dropped", "late"):
             raise _unknown()
         stored = self._apply(collection, name, value, expect, writer)
@@ -86,7 +118,7 @@
     def arrive(self) -> None:
         """Let the oldest late write reach the platform."""
         with contextlib.suppress(LacewingdockError):
-            self._apply(*self.late.pop(0), "")
+            self._apply(*self.late.pop(0))
 
     def _apply(
         self, collection: str, name: str, value: Any, expect: int, writer: str
@@ -105,29 +137,150 @@
         return stored
 
 
+def _unknown() -> LacewingdockError:
+    return LacewingdockError(
+        ErrorKind.PLATFORM_UNAVAILABLE, "answer lost", ran="unknown"
+    )
+
+
 class FakeLink:
-    """One side of a link; what it sends waits to be delivered by the test.
+    """One side of a link; what it sends waits until it is delivered.
 
     Attributes:
-        peer: Who is at the other end.
-        sent: Messages on the way.
-        closed: Whether it was given up.
+        peer: What the other side said of itself.
+        other: The other side.
+        inbox: Messages on their way here.
+        closed: Whether the link is closed.
     """
 
     def __init__(self, peer: Hello) -> None:
-        """Start open."""
+        """Start open and empty."""
         self.peer = peer
-        self.sent: deque[Any] = deque()
+        self.other: FakeLink = self
+        self.inbox: deque[Any] = deque()
         self.closed = False
 
     def send(self, message: Any) -> bool:
-        """Put a message on the way; False when the link is closed."""
-        if not self.closed:
-            self.sent.append(message)
-        return not self.closed
+        """Put a message on its way."""
+        if self.closed:
+            return False
+        self.other.inbox.append(message)
+        return True
 
+    def close(self, reason: str) -> None:
+        """Close this side."""
+        self.closed = True
 
-def _unknown() -> LacewingdockError:
-    return LacewingdockError(
-        ErrorKind.PLATFORM_UNAVAILABLE, "answer lost", ran="unknown"
-    )
+
+class FakePeers:
+    """The links of one daemon, without sockets."""
+
+    def __init__(self) -> None:
+        """Start without links."""
+        self.links: set[FakeLink] = set()
+        self.handlers: dict[type, list[Any]] = {}
+        self.on_open: list[Any] = []
+        self.on_close: list[Any] = []
+        self.beat: Any = Beat
+
+    def handle(self, cls: type, handler: Any) -> None:
+        """Let a handler take every message of a class."""
+        self.handlers.setdefault(cls, []).append(handler)
+
+    def opened(self, link: FakeLink) -> None:
+        """Take a link in."""
+        self.links.add(link)
+        for callback in self.on_open:
+            callback(link)
+
+    def closed(self, link: FakeLink) -> None:
+        """Let a link go."""
+        link.closed = True
+        self.links.discard(link)
+        for callback in self.on_close:
+            callback(link)
+
+    def deliver(self, link: FakeLink) -> bool:
+        """Hand on the oldest message of a link, if there is one."""
+        if link.closed or not link.inbox:
+            return False
+        message = link.inbox.popleft()
+        for handler in self.handlers.get(type(message), ()):
+            handler(link, message)
+        return True
+
+
+class FakeDaemon:
+    """What a component needs of its daemon; tasks are not run."""
+
+    def __init__(self, name: str, role: str, domain: str, store: Any) -> None:
+        """Start a daemon without components."""
+        self.me = Hello(name, f"{name}-run", role, domain, b"")
+        self.store = store
+        self.random = random.Random(name)
+        self.stopping = threading.Event()
+        self.settings = SimpleNamespace(start_peers=2)
+        self.spawned: list[Any] = []
+
+    def spawn(self, function: Any, *args: Any) -> None:
+        """Note a task."""
+        self.spawned.append((function, args))
+
+
+class FakeClock:
+    """A clock that the test moves; stands in for the module `time`."""
+
+    def __init__(self) -> None:
+        """Start late enough that nothing counts as recent."""
+        self.now = 1000.0
+
+    def monotonic(self) -> float:
+        """Return the time."""
+        return self.now
+
+
+class FakeNode:
+    """A daemon with its configuration and links."""
+
+    def __init__(self, name: str, role: str, domain: str, store: Any) -> None:
+        """Start it."""
+        self.peers = FakePeers()
+        self.daemon = FakeDaemon(name, role, domain, store)
+        self.config = Configuration(self.daemon, self.peers)  # type: ignore[arg-type]
+        self.peers.beat = lambda: Beat(revision=self.config.revision)
+
+    def beat(self) -> None:
+        """Beat every link."""
+        for link in tuple(self.peers.links):
+            link.send(self.peers.beat())
+
+    def deliver_all(self) -> bool:
+        """Hand on all that waits here; tell whether there was any."""
+        done = [
+            self.peers.deliver(link)
+            for link in tuple(self.peers.links)
+            for _ in range(len(link.inbox))
+        ]
+        return any(done)
+
+
+def connect(one: FakeNode, two: FakeNode) -> None:
+    """Open a link between two nodes."""
+    here, there = FakeLink(two.daemon.me), FakeLink(one.daemon.me)
+    here.other, there.other = there, here
+    one.peers.opened(here)
+    two.peers.opened(there)
+
+
+def disconnect(one: FakeNode, two: FakeNode) -> None:
+    """Close the links between two nodes."""
+    for link in tuple(one.peers.links):
+        if link.peer is two.daemon.me:
+            two.peers.closed(link.other)
+            one.peers.closed(link)
+
+
+def settle(nodes: list[FakeNode]) -> None:
+    """Deliver until nothing is on its way."""
+    while any([node.deliver_all() for node in nodes]):
+        pass
--- a/tests/helpers/__init__.py
+++ b/tests/helpers/__init__.py
@@ -1,1 +1,1 @@
-"""Tests; the folders mirror the package."""
+"""Tests of the shared helpers."""
