--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -215,6 +215,7 @@
     def _admit(self, run: Run, link: Link) -> None:
         attempt = run.attempt
         self._gate(attempt, link)
+        self.billing.check_room()
         if attempt.repeatable or self.claims is None:
             self._execute(run)
             return
@@ -251,7 +252,6 @@
             raise LacewingdockError(
                 ErrorKind.NO_UPSTREAM, f"{attempt.target} is not served here"
             )
-        self.billing.check_room()
         self._check_permitted(attempt)
 
     def _check_permitted(self, attempt: Attempt) -> None:
@@ -281,7 +281,9 @@
         done = False
         while not done:
             alone = self.quarantine.check(fingerprint) is Verdict.SUSPECT
-            with self.slots.hold(attempt.priority, deadline, alone):
+            with self.slots.hold(
+                attempt.priority, deadline, alone, run.let_cancel
+            ):
                 done = self._run(run, fingerprint, alone, deadline)
 
     def _run(
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -5,6 +5,7 @@
     answers,
     budgets,
     callers,
+    cascades,
     configuration,
     language,
     leases,
@@ -20,6 +21,7 @@
 from lacewingdock.components.callers.chat import Chat
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.services import ServiceCalls
+from lacewingdock.components.callers.steps import Steps
 from lacewingdock.components.rollouts import emergency
 from lacewingdock.core import Daemon
 from lacewingdock.links.keys import load_keys
@@ -55,6 +57,7 @@
     )
     relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
+    learning = cascades.setup(daemon, ratings)
     watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
         daemon,
@@ -64,7 +67,7 @@
             config,
             relay,
             load_keys(settings.session_keys_file),
-            ratings,
+            Steps(relay, learning),
             spending,
         ),
         ServiceCalls(config, relay, spending),
@@ -80,6 +83,7 @@
     started = (
         links,
         config,
+        learning,
         suspects,
         members,
         watcher,
