--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -124,7 +124,9 @@
             SimpleNamespace(),
             None,
             SimpleNamespace(report=None),
-            SimpleNamespace(on_end=lambda _run, _end: None),
+            SimpleNamespace(
+                on_end=lambda _run, _end: None, check_room=lambda: None
+            ),
         )
 
     def connect(self) -> MemoryLink:
