--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -243,6 +243,7 @@
             "role": "sidecar",
             "failure_domain": domain,
             "address": f"{HOST}:{process.ports['link_port']}",
+            "admin": f"{HOST}:{process.ports['admin_port']}",
             "pool": pool,
         }
         return process
@@ -266,6 +267,7 @@
             "role": "entry",
             "failure_domain": domain,
             "address": f"{HOST}:{process.ports['link_port']}",
+            "admin": f"{HOST}:{process.ports['admin_port']}",
         }
         return process
 
@@ -307,8 +309,14 @@
         self, name: str, arguments: list[str]
     ) -> "subprocess.Popen[bytes]":
         with (self.folder / f"{name}.log").open("ab") as log:
+            # In a group of its own: Ctrl-C reaches only the launcher, which
+            # takes the processes down in order.
             return subprocess.Popen(
-                arguments, stdout=log, stderr=log, env=dict(os.environ)
+                arguments,
+                stdout=log,
+                stderr=log,
+                env=dict(os.environ),
+                process_group=0,
             )
 
     def restart(self, name: str) -> Process:
@@ -385,6 +393,24 @@
                 f"{process.name} has not revision {revision}",
             )
 
+    def wait_links(self) -> None:
+        """Wait until every entry has a link to every sidecar.
+
+        A sidecar that is ready again is dialed a little later; until then an
+        entry has fewer upstreams to choose from.
+        """
+        roles = [instance["role"] for instance in self.instances.values()]
+        sidecars = roles.count("sidecar")
+        for name, instance in self.instances.items():
+            if instance["role"] == "entry":
+                wait_until(
+                    lambda n=name: (  # type: ignore[misc]
+                        self.metric(self.processes[n], "lacewingdock_links")
+                        >= sidecars
+                    ),
+                    f"{name} lacks links",
+                )
+
     def wait_homes(self, partitions: int) -> None:
         """Wait until every claim partition has a home."""
         name = "lacewingdock_claim_partitions"
@@ -395,6 +421,15 @@
             "claim partitions have no home",
         )
 
+    def leave(self) -> None:
+        """Stop the daemons gracefully, entries before sidecars."""
+        for role in ("entry", "sidecar"):
+            names = [n for n, i in self.instances.items() if i["role"] == role]
+            for name in names:
+                self.processes[name].signal(signal.SIGTERM)
+            for name in names:
+                self.processes[name].popen.wait(STOP_TIMEOUT_S)
+
     def stop(self) -> None:
         """End every process that was started here."""
         for process in reversed(self.processes.values()):
--- a/lacewingdock/components/budgets/__init__.py
+++ b/lacewingdock/components/budgets/__init__.py
@@ -222,7 +222,7 @@
             return call_cost(world, attempt.target, attempt.method, path)
         if finish is not None:
             tokens = finish.input_tokens, finish.output_tokens
-        elif answer.next_offset:
+        elif answer.left and answer.next_offset:
             tokens = len(attempt.body) // BYTES_PER_TOKEN, answer.next_offset
         else:
             tokens = 0, 0
--- a/lacewingdock/components/callers/__init__.py
+++ b/lacewingdock/components/callers/__init__.py
@@ -1,6 +1,7 @@
 """Support for the callers' HTTP interface."""
 
-from typing import Final
+from collections.abc import Callable, Iterable
+from typing import Any, Final
 
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.core import Daemon
@@ -10,6 +11,7 @@
 from lacewingdock.settings import EntrySettings
 
 NAME: Final = "callers"
+App = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 TLS_CHECK_S: Final = 10.0
 
 log = get_logger(NAME)
@@ -27,7 +29,11 @@
     __slots__ = ("app", "daemon", "server")
 
     def __init__(
-        self, daemon: Daemon, settings: EntrySettings, app: CallersApp
+        self,
+        daemon: Daemon,
+        settings: EntrySettings,
+        app: CallersApp,
+        observe: Callable[[App], App],
     ) -> None:
         """Bind the port."""
         self.daemon = daemon
@@ -38,7 +44,7 @@
         self.server = build_server(
             settings.host,
             settings.port,
-            app,
+            observe(app),
             threads=settings.threads,
             max_body_bytes=settings.max_body_bytes,
             stall_s=settings.slow_caller_s,
@@ -63,8 +69,13 @@
         self.server.stop()
 
 
-def setup(daemon: Daemon, settings: EntrySettings, app: CallersApp) -> Callers:
+def setup(
+    daemon: Daemon,
+    settings: EntrySettings,
+    app: CallersApp,
+    observe: Callable[[App], App],
+) -> Callers:
     """Set the callers' port up."""
-    callers = Callers(daemon, settings, app)
+    callers = Callers(daemon, settings, app, observe)
     daemon.add(NAME, callers)
     return callers
--- a/lacewingdock/components/language/__init__.py
+++ b/lacewingdock/components/language/__init__.py
@@ -22,6 +22,7 @@
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.problem import problem_response
 
@@ -92,7 +93,7 @@
         request_id = new_id()
         try:
             name, role = self._authenticate(request)
-            question = msgspec.json.decode(request.get_data(), type=Question)
+            question = decode_json(request.get_data(), Question)
             reply = self.ask(question, name, role)
         except msgspec.DecodeError as error:
             return problem_response(
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -1,6 +1,7 @@
 """Support for the last gate before an upstream and what runs behind it."""
 
 import time
+from collections.abc import Callable
 from typing import Final
 
 from lacewingdock.components.admission.slots import Slots
@@ -67,6 +68,7 @@
         slots: The upstream's capacity.
         shelf: The runs and the answers kept.
         targets: Versions that the engine has loaded, or the service.
+        on_end: Called with each run that ended and when it came.
     """
 
     __slots__ = (
@@ -75,6 +77,7 @@
         "configuration",
         "crashes",
         "daemon",
+        "on_end",
         "peers",
         "quarantine",
         "settings",
@@ -109,6 +112,7 @@
         self.slots = Slots(settings.capacity, settings.queue)
         self.shelf = Shelf(settings.replay_bytes, settings.resume_s, ORPHAN_S)
         self.targets: list[str] = [settings.service] if settings.service else []
+        self.on_end: Callable[[Run, float], None] = lambda *_: None
         peers.handle(Attempt, self._on_attempt)
         peers.handle(Resume, self._on_resume)
         peers.handle(Cancel, self._on_cancel)
@@ -178,6 +182,7 @@
 
     def _serve(self, run: Run, link: Link) -> None:
         """Take one attempt through the gate and run it."""
+        started = time.monotonic()
         try:
             self._admit(run, link)
         except LacewingdockError as error:
@@ -190,6 +195,7 @@
         finally:
             if self.claims is not None:
                 self.claims.finish(run)
+            self.on_end(run, started)
 
     def _checked_ran(
         self, run: Run, error: LacewingdockError
--- a/lacewingdock/daemons/sidecar.py
+++ b/lacewingdock/daemons/sidecar.py
@@ -11,6 +11,7 @@
     runs,
 )
 from lacewingdock.components.billing import sidecar as billing
+from lacewingdock.components.metrics import sidecar as metrics
 from lacewingdock.core import Daemon
 from lacewingdock.settings import SidecarSettings
 
@@ -36,6 +37,7 @@
     if held is not None:
         held.on_change = work.announce
         held.start()
+    metrics.setup(daemon, settings, links, work)
     beside = engine.setup(daemon, settings.upstream, work, settings.service)
     orders.setup(daemon, links, None if settings.service else beside)
     admin_port = admin.setup(daemon, config, lambda: bool(work.targets))
--- a/tests/components/callers/test_steps.py
+++ b/tests/components/callers/test_steps.py
@@ -45,8 +45,9 @@
         piece = msgspec.json.encode({"choices": [delta]})
         return SimpleNamespace(finish=Finish("", 1)), [piece]
 
-    def collect(self, answer, pieces):
-        """Add nothing: the answers have one piece."""
+    def whole(self, attempt):
+        """Answer likewise: the answers have one piece."""
+        return self.start(attempt)
 
 
 def run(relay, verdict, target=0.0, outdated=False):
