--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -16,6 +16,7 @@
 from lacewingdock.helpers.log import start_logging
 from lacewingdock.settings import (
     AskSettings,
+    BillsSettings,
     ClientSettings,
     DaemonSettings,
     EntrySettings,
@@ -116,6 +117,16 @@
             print(pointed(text, error), file=sys.stderr)
             exit_now(error.answer.exit_status)
 
+    @command(BillsSettings)
+    def bills(self, workspace: str, **flags: str) -> str:
+        """Print a workspace's bills of a day, in the unit of the prices."""
+        from lacewingdock.components.billing.report import show_statement
+        from lacewingdock.platform.store import ObjectStore
+
+        settings = load_settings(BillsSettings, flags)
+        store = ObjectStore(settings.platform)
+        return show_statement(store, workspace, settings.day, settings.json)
+
     @command()
     def version(self) -> str:
         """Print the version."""
--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -42,10 +42,18 @@
         membership: Where the upstreams are found.
         open: Answers by the attempt id that their frames carry.
         on_ask: Called with each answer that was asked for.
+        on_drop: Called once with each answer that nobody waits for any more.
         reattached: Answers taken up again over a new link.
     """
 
-    __slots__ = ("daemon", "membership", "on_ask", "open", "reattached")
+    __slots__ = (
+        "daemon",
+        "membership",
+        "on_ask",
+        "on_drop",
+        "open",
+        "reattached",
+    )
 
     def __init__(
         self, daemon: Daemon, peers: Peers, membership: Membership
@@ -54,6 +62,7 @@
         self.daemon = daemon
         self.membership = membership
         self.open: dict[str, Answer] = {}
+        self.on_drop: list[Callable[[Answer], None]] = []
         self.on_ask: list[Callable[[Answer], None]] = []
         self.reattached = Tally()
         for cls in (Chunk, Finish, Refusal):
@@ -166,17 +175,21 @@
         if not answer.dropped:
             answer.dropped = True
             answer.upstream.in_flight.add(-1)
+            answer.left = answer.left or cancel
+            for callback in self.on_drop:
+                callback(answer)
         link = answer.link
         self._untrack(answer)
         if link is not None and not link.closed:
             keep = answer.attempt.resumable and not cancel
-            link.send(Cancel(answer.current, keep, answer.ended))
+            link.send(Cancel(answer.current, keep, answer.ended, answer.left))
         self.membership.release(answer.upstream)
 
     def abandon(self, request: str) -> None:
         """End the answers of a request whose caller left."""
         for answer in tuple(self.open.values()):
             if answer.attempt.request == request:
+                answer.left = True
                 answer.abandon(_left(answer.current))
 
     def _track(self, answer: Answer, link: Link) -> None:
@@ -247,7 +260,7 @@
 
 def retry_of(attempt: Attempt) -> Attempt:
     """Return the same request as a new attempt."""
-    return replace(attempt, attempt=new_id())
+    return replace(attempt, attempt=new_id(), ordinal=attempt.ordinal + 1)
 
 
 def setup(daemon: Daemon, peers: Peers, membership: Membership) -> Answers:
--- a/lacewingdock/components/answers/answer.py
+++ b/lacewingdock/components/answers/answer.py
@@ -47,6 +47,7 @@
         finish: The end, once taken.
         ended: Whether an end was delivered, whole or refused.
         dropped: Whether nobody waits any more.
+        left: Whether that is because the caller went away.
         shown: Whether the caller gets the pieces as they come.
         tap: Sees each new piece, for metrics; None where nobody looks.
         sink: Takes pieces in the delivering task; None lets them wait.
@@ -65,6 +66,7 @@
         "expected",
         "finish",
         "held",
+        "left",
         "link",
         "lost",
         "next_offset",
@@ -94,6 +96,7 @@
         self.finish: Finish | None = None
         self.ended = False
         self.dropped = False
+        self.left = False
         self.shown = True
         self.sent_to = ""
         self.sink: Sink | None = None
--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -10,6 +10,7 @@
 
 from lacewingdock.components.answers import retry_of
 from lacewingdock.components.answers.answer import Answer
+from lacewingdock.components.budgets import Budgets
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.requests import Caller
 from lacewingdock.components.claims import partition_of
@@ -46,12 +47,16 @@
     Attributes:
         configuration: The configuration in force.
         relay: Gets attempts answered.
+        budgets: Let calls in as far as the workspace's budget goes.
     """
 
-    __slots__ = ("configuration", "relay")
+    __slots__ = ("budgets", "configuration", "relay")
 
-    def __init__(self, configuration: Configuration, relay: Relay) -> None:
+    def __init__(
+        self, configuration: Configuration, relay: Relay, budgets: Budgets
+    ) -> None:
         """Take what it works with."""
+        self.budgets = budgets
         self.configuration = configuration
         self.relay = relay
 
@@ -99,11 +104,17 @@
             traceparent=caller.traceparent,
             revision=self.configuration.revision,
         )
-        if operation.repeatable:
-            answer, pieces = self.relay.whole(attempt)
-        else:
-            answer, pieces = self._once(attempt)
-        return self._whole(answer, pieces)
+        self.budgets.admit_call(
+            caller.request_id, name, workspace, service, request.method, path
+        )
+        try:
+            if operation.repeatable:
+                answer, pieces = self.relay.whole(attempt)
+            else:
+                answer, pieces = self._once(attempt)
+            return self._whole(answer, pieces)
+        finally:
+            self.budgets.close(caller.request_id)
 
     def _takes_tickets(self, request: Request, service: str, path: str) -> bool:
         found = self.configuration.world.services.get(service)
--- a/lacewingdock/components/callers/steps.py
+++ b/lacewingdock/components/callers/steps.py
@@ -132,9 +132,7 @@
                 continue
             if begun is not None:
                 return begun
-        answer, pieces = self._ask(
-            asked, asked.plan.steps[last], held=not asked.chat.stream
-        )
+        answer, pieces = self._ask(asked, last, held=not asked.chat.stream)
         sampled = self.cascades.is_sampled(route)
         return Begun(asked, last, answer, pieces, route, sampled)
 
@@ -153,9 +151,8 @@
         self, asked: Asked, route: Route, choice: StepChoice
     ) -> Begun | None:
         """Ask a step that is not the last; None when the next shall."""
-        step = asked.plan.steps[choice.index]
         held = choice.accept is not None or not asked.chat.stream
-        answer, pieces = self._ask(asked, step, held)
+        answer, pieces = self._ask(asked, choice.index, held)
         sampled = self.cascades.is_sampled(route)
         begun = Begun(asked, choice.index, answer, pieces, route, sampled)
         if choice.accept is None:
@@ -201,10 +198,11 @@
         self.cascades.saw(begun.route, seen, begun.sampled)
 
     def _ask(
-        self, asked: Asked, step: Step, held: bool
+        self, asked: Asked, index: int, held: bool
     ) -> tuple[Answer, list[bytes]]:
         """Ask a step, for all of its answer if that is held until whole."""
         ask = self.relay.whole if held else self.relay.start
+        step = asked.plan.steps[index]
         caller = asked.caller
         fields = {
             **asked.chat.fields,
@@ -227,6 +225,7 @@
                 traceparent=caller.traceparent,
                 revision=asked.revision,
                 resumable=bool(caller.key),
+                step=index,
             )
         )
 
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -5,6 +5,7 @@
 from typing import Final
 
 from lacewingdock.components.admission.slots import Slots
+from lacewingdock.components.billing.sidecar import SidecarBilling
 from lacewingdock.components.claims import Claims, Duplicate, Recorded
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.configuration.catch_up import catch_up
@@ -63,6 +64,7 @@
         claims: The claims; None beside an engine.
         quarantine: Which requests crash upstreams.
         crashes: Notices that the upstream crashed.
+        billing: Gets a bill of each run before its end is told.
         slots: The upstream's capacity.
         shelf: The runs and the answers kept.
         targets: Versions that the engine has loaded, or the service.
@@ -70,6 +72,7 @@
     """
 
     __slots__ = (
+        "billing",
         "claims",
         "configuration",
         "crashes",
@@ -91,8 +94,10 @@
         configuration: Configuration,
         claims: Claims | None,
         quarantine: Quarantine,
+        billing: SidecarBilling,
     ) -> None:
         """Join the links."""
+        self.billing = billing
         self.daemon = daemon
         self.settings = settings
         self.peers = peers
@@ -162,6 +167,7 @@
         A cancel or a resume that follows at once must find it.
         """
         run = Run(attempt)
+        run.before_end = self.billing.on_end
         match self.shelf.put(run):
             case None:
                 run.attach(link, attempt.attempt, 0)
@@ -215,6 +221,7 @@
     def _admit(self, run: Run, link: Link) -> None:
         attempt = run.attempt
         self._gate(attempt, link)
+        self.billing.check_room()
         if attempt.repeatable or self.claims is None:
             self._execute(run)
             return
@@ -392,6 +399,7 @@
         elif cancel.keep or attempt.resumable:
             run.kept = True
         elif attempt.repeatable and not run.watchers:
+            run.caller_left = cancel.left
             run.cancel()
 
     def _on_close(self, link: Link) -> None:
@@ -431,8 +439,11 @@
     configuration: Configuration,
     claims: Claims | None,
     quarantine: Quarantine,
+    billing: SidecarBilling,
 ) -> Runs:
     """Set the runs up."""
-    runs = Runs(daemon, settings, peers, configuration, claims, quarantine)
+    runs = Runs(
+        daemon, settings, peers, configuration, claims, quarantine, billing
+    )
     daemon.add(NAME, runs)
     return runs
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -3,6 +3,7 @@
 from lacewingdock.components import (
     admin,
     answers,
+    budgets,
     callers,
     cascades,
     configuration,
@@ -14,6 +15,7 @@
     quarantine,
     rollouts,
 )
+from lacewingdock.components.billing import entry as billing
 from lacewingdock.components.callers import departures
 from lacewingdock.components.callers.app import CallersApp
 from lacewingdock.components.callers.chat import Chat
@@ -50,6 +52,10 @@
     open_answers = answers.setup(daemon, links, members)
     stops.open = open_answers.open
     suspects = quarantine.setup(daemon, links, config)
+    bills = billing.setup(daemon, links, lambda: members.entries)
+    spending = budgets.setup(
+        daemon, config, open_answers, lambda: max(members.entries, 1)
+    )
     relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
     learning = cascades.setup(daemon, ratings)
@@ -63,8 +69,9 @@
             relay,
             load_keys(settings.session_keys_file),
             Steps(relay, learning),
+            spending,
         ),
-        ServiceCalls(config, relay),
+        ServiceCalls(config, relay, spending),
         watcher,
     )
     shown = metrics.setup(daemon, settings, links, open_answers, ratings)
@@ -83,6 +90,8 @@
         members,
         watcher,
         held,
+        bills,
+        spending,
         port,
         admin_port,
     )
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -31,6 +31,8 @@
   traceparent @12 :Text;
   revision @13 :UInt64;
   resumable @14 :Bool;
+  step @15 :UInt8;
+  ordinal @16 :UInt8;
 }
 
 struct Chunk {
@@ -70,6 +72,7 @@
   attempt @0 :Text;
   keep @1 :Bool;
   ended @2 :Bool;
+  left @3 :Bool;
 }
 
 struct Status {
@@ -127,6 +130,19 @@
   ageMs @4 :UInt64;
 }
 
+struct Bills {
+  log @0 :Text;
+  after @1 :UInt32;
+  urgent @2 :Bool;
+  rows @3 :List(Data);
+}
+
+struct BillsKept {
+  log @0 :Text;
+  slot @1 :UInt32;
+  attempts @2 :List(Text);
+}
+
 struct Frame {
   union {
     hello @0 :Hello;
@@ -144,5 +160,7 @@
     order @12 :Order;
     ordered @13 :Ordered;
     evidence @14 :Evidence;
+    bills @15 :Bills;
+    billskept @16 :BillsKept;
   }
 }
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -163,6 +163,20 @@
     platform: Url
 
 
+@dataclass(slots=True, kw_only=True)
+class BillsSettings(ClientSettings):
+    """Settings of the command that prints bills.
+
+    Attributes:
+        platform: URL of the platform's object API.
+        day: Day (UTC) as YYYYMMDD; empty takes today.
+        json: Whether JSON is printed in place of a table.
+    """
+
+    day: Annotated[str, Meta(pattern=r"^([0-9]{8})?$")] = ""
+    json: bool = False
+
+
 @dataclass(slots=True, kw_only=True)
 class AskSettings:
     """Settings of the operators' command.
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -49,10 +49,15 @@
         evicted: Whether pieces were dropped to bound memory.
         kept: Whether an entry said that it comes back for the rest.
         fetched: Whether an entry said that it has the end.
+        caller_left: Whether it was cancelled because its caller went away.
+        before_end: Called once with the run and its end, before anyone is
+            told of the end; None once called.
     """
 
     __slots__ = (
         "attempt",
+        "before_end",
+        "caller_left",
         "cancelled",
         "changed",
         "chunks",
@@ -82,6 +87,8 @@
         self.evicted = False
         self.kept = False
         self.fetched = False
+        self.caller_left = False
+        self.before_end: Callable[[Run, Finish | Refusal], None] | None = None
 
     def add(self, data: bytes) -> None:
         """Keep a piece and pass it on."""
@@ -95,6 +102,7 @@
 
     def end(self, finish: Finish) -> None:
         """End the answer as whole."""
+        self._call_before_end(finish)
         with self.lock:
             self._end_locked(replace(finish, chunks=len(self.chunks)))
 
@@ -109,9 +117,15 @@
             -1 if retry is None else int(retry * 1000),
             revision,
         )
+        self._call_before_end(refusal)
         with self.lock:
             self._end_locked(refusal)
 
+    def _call_before_end(self, outcome: Finish | Refusal) -> None:
+        callback, self.before_end = self.before_end, None
+        if callback is not None:
+            callback(self, outcome)
+
     def cancel(self) -> None:
         """Tell the upstream to stop, now rather than with its next byte."""
         self.cancelled.set()
--- a/tests/components/runs/test_two_gates.py
+++ b/tests/components/runs/test_two_gates.py
@@ -125,7 +125,11 @@
     workspace = entry.world.workspaces["w"]
     daemon = SimpleNamespace(random=random.Random(1))
     steps = Steps(relay, Cascades(daemon, None))
-    chat = Chat(entry, relay, KeyRing(""), steps)
+    budgets = SimpleNamespace(
+        admit_chat=lambda *_: None, end_with=lambda *_: None
+    )
+    budgets.close = lambda _request: None
+    chat = Chat(entry, relay, KeyRing(""), steps, budgets)
     begun = chat._start(read_chat(BODY), CALLER, "w", workspace, session)
     return begun.asked.plan
 
