Two gates' tests: the fake answer ends and can be diverted

Cause: the relay now collects an answer to its end through a sink; the fake had neither sink nor end.

--- a/tests/components/runs/test_two_gates.py
+++ b/tests/components/runs/test_two_gates.py
@@ -107,9 +107,11 @@
     """Ask as a caller does; returns the plan that was carried out."""
 
     def take_attempt(_, attempt):
+        takes = iter([lambda: sidecar.ask(attempt) or [b"{}"], list])
         return SimpleNamespace(
-            take=lambda: sidecar.ask(attempt) or [b"{}"],
+            take=lambda: next(takes)(),
             finish=None,
+            divert=lambda _: None,
             attempt=attempt,
         )
 
