Language: show quarantine, release FINGERPRINT

Cause: a quarantine could be released by a function only, which no operator has at hand. Change: a view and an order, audited and effective once like the others.

--- a/lacewingdock/components/language/__init__.py
+++ b/lacewingdock/components/language/__init__.py
@@ -144,6 +144,7 @@
         from lacewingdock.components.language.statements import (
             Change,
             Explain,
+            Release,
             RollOut,
             SetState,
             Show,
@@ -163,7 +164,7 @@
                 return self._explain(statement)
             case Stop():
                 _require(role, ROLE_ADMIN)
-            case RollOut() | Unload() | Change() | SetState():
+            case RollOut() | Unload() | Change() | SetState() | Release():
                 _require(role, ROLE_OPERATOR)
         return self._order(statement, question, operator)
 
--- a/lacewingdock/components/language/parser.py
+++ b/lacewingdock/components/language/parser.py
@@ -18,6 +18,7 @@
     CommandError,
     Comparison,
     Explain,
+    Release,
     RollOut,
     SetState,
     Show,
@@ -102,6 +103,9 @@
         case "set_state":
             verb, version, *rest = tree.children
             return SetState(_word(version), STATES[str(verb)], _tail(rest))
+        case "release":
+            fingerprint, *rest = tree.children
+            return Release(_word(fingerprint), _tail(rest))
         case _:
             instance, *rest = tree.children
             return Stop(_word(instance), _tail(rest))
--- a/lacewingdock/components/language/plans.py
+++ b/lacewingdock/components/language/plans.py
@@ -8,11 +8,13 @@
 from lacewingdock.components.language.statements import (
     Change,
     CommandError,
+    Release,
     RollOut,
     SetState,
     Unload,
     Word,
 )
+from lacewingdock.components.quarantine.operate import released
 from lacewingdock.components.rollouts.commands import (
     begin_rollout,
     begin_unload,
@@ -25,6 +27,7 @@
     COLLECTION_CONFIG,
     COLLECTION_ROLLOUTS,
     KIND_MODEL,
+    KIND_QUARANTINE,
     KIND_VERSION,
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -55,7 +58,9 @@
 
 
 def plan_order(
-    order: RollOut | Unload | Change | SetState, operator: str, store: Any
+    order: RollOut | Unload | Change | SetState | Release,
+    operator: str,
+    store: Any,
 ) -> Plan:
     """Plan an order on the platform's present objects.
 
@@ -77,6 +82,8 @@
             return _plan_change(order, verb, model, operator, store)
         case SetState(version=version, state=state):
             return _plan_state(order, version, state, store)
+        case Release(fingerprint=fingerprint):
+            return _plan_release(order, fingerprint, store)
 
 
 def _plan_rollout(order: RollOut, operator: str, store: Any) -> Plan:
@@ -184,6 +191,19 @@
     )
 
 
+def _plan_release(order: Release, fingerprint: Word, store: Any) -> Plan:
+    stored, value = _item(store, KIND_QUARANTINE, fingerprint)
+    if order.tail.if_revision is not None:
+        check_revision(store, stored, order.tail.if_revision)
+    return Plan(
+        COLLECTION_CONFIG,
+        stored.name,
+        stored.revision,
+        released(value),
+        f"{fingerprint.text} of {value['workspace']} may run again",
+    )
+
+
 def _item(store: Any, kind: str, word: Word) -> tuple[Stored, dict[str, Any]]:
     """Read a configuration item that must exist."""
     stored: Stored = store.get(
--- a/lacewingdock/components/language/statements.py
+++ b/lacewingdock/components/language/statements.py
@@ -127,6 +127,14 @@
     tail: Tail
 
 
+@dataclass(slots=True, frozen=True)
+class Release:
+    """Order that a quarantined request may run again."""
+
+    fingerprint: Word
+    tail: Tail
+
+
 @dataclass(slots=True, frozen=True)
 class Stop:
     """Order an instance to stop gracefully."""
@@ -135,5 +143,5 @@
     tail: Tail
 
 
-Order = RollOut | Unload | Change | SetState | Stop
+Order = RollOut | Unload | Change | SetState | Release | Stop
 Statement = Show | Explain | Order
--- a/lacewingdock/components/language/views.py
+++ b/lacewingdock/components/language/views.py
@@ -143,6 +143,27 @@
     ]
 
 
+def _quarantine(sources: Sources) -> Rows:
+    world = sources.configuration.world
+    return [
+        {
+            "fingerprint": fingerprint,
+            "workspace": found.workspace,
+            "target": found.target,
+            "state": found.state,
+            "reason": found.reason,
+            "crashes": list(found.crashes),
+            "expires": _when(found.expires),
+            "revision": sources.revision(f"quarantine/{fingerprint}"),
+        }
+        for fingerprint, found in world.quarantines.items()
+    ]
+
+
+def _when(unix_s: float) -> str:
+    return datetime.fromtimestamp(unix_s, UTC).isoformat(timespec="seconds")
+
+
 def _upstreams(sources: Sources) -> Rows:
     return [
         {
@@ -248,8 +269,7 @@
     for stored in found:
         if stored.value:
             row = {c: stored.value.get(c) for c in VIEWS["commands"].columns}
-            at = datetime.fromtimestamp(stored.value["at"], UTC)
-            rows.append({**row, "at": at.isoformat(timespec="seconds")})
+            rows.append({**row, "at": _when(stored.value["at"])})
     return rows
 
 
@@ -280,6 +300,19 @@
     "models": View(("name", "shares", "revision"), _models),
     "operators": View(("name", "role", "keys", "revision"), _operators),
     "items": View(("key", "revision", "deleted"), _items),
+    "quarantine": View(
+        (
+            "fingerprint",
+            "workspace",
+            "target",
+            "state",
+            "reason",
+            "crashes",
+            "expires",
+            "revision",
+        ),
+        _quarantine,
+    ),
     "revisions": View(("instance", "role", "revision", "behind"), _revisions),
     "rollouts": View(
         (
--- a/lacewingdock/components/quarantine/operate.py
+++ b/lacewingdock/components/quarantine/operate.py
@@ -2,7 +2,7 @@
 
 import time
 from dataclasses import replace
-from typing import Final
+from typing import Any, Final
 
 import msgspec
 
@@ -49,18 +49,21 @@
         raise LacewingdockError(
             ErrorKind.NOT_FOUND, f"{fingerprint} is not quarantined"
         )
-    released = replace(
-        msgspec.convert(stored.value, Quarantine), state="released"
-    )
     return store.put(
         COLLECTION_CONFIG,
         key,
-        msgspec.to_builtins(released),
+        released(stored.value),
         stored.revision,
         "quarantine",
     ).revision
 
 
+def released(value: Any) -> Any:
+    """Return a quarantine's value once it is released."""
+    found = msgspec.convert(value, Quarantine)
+    return msgspec.to_builtins(replace(found, state="released"))
+
+
 def write_quarantine(
     store: ObjectStore, fingerprint: str, found: Quarantine
 ) -> None:
--- a/tests/components/language/test_audit.py
+++ b/tests/components/language/test_audit.py
@@ -154,3 +154,23 @@
     with pytest.raises(LacewingdockError, match="ana's 'withdraw v1'"):
         order(store, "withdraw v2")
     assert state(store, "v2") == "offered"
+
+
+def test_a_quarantine_is_released_and_keeps_its_crashes():
+    store = platform()
+    value = {
+        "workspace": "w",
+        "target": "v1",
+        "crashes": ["worker-0/1", "worker-1/4"],
+        "expires": 100,
+    }
+    store.put("config", "quarantine/f-1", value, 0)
+    order(store, "release f-1")
+    kept = store.objects["config"]["quarantine/f-1"].value
+    assert kept["state"] == "released"
+    assert kept["crashes"] == value["crashes"]
+
+
+def test_release_of_what_is_not_quarantined_points_at_the_word():
+    with pytest.raises(LacewingdockError, match="column 9: no quarantine"):
+        order(platform(), "release f-9")
