--- a/bench/soak.py
+++ b/bench/soak.py
@@ -1,5 +1,6 @@
 """Support for the soak: random failures, two at once, all answers checked."""
 
+import datetime
 import sys
 import threading
 import time
@@ -14,6 +15,7 @@
 from bench.report import progress
 from bench.soak_callers import Booked, Callers, Chatted
 from bench.soak_faults import Faults
+from lacewingdock.components.billing.reader import DAY_FORMAT, read_day
 
 SHAPE: Final = Shape(
     domains=["buc-hall-a", "buc-hall-b", "clj-hall", "tms-hall"],
@@ -26,7 +28,8 @@
 )
 # In force everywhere within this, once nothing fails any more.
 IN_FORCE_S: Final = 19.0
-HEAL_S: Final = 20.0
+# The entries write the ledger in batches; sidecars offer again after a while.
+BILLS_S: Final = 60.0
 
 
 class Operator:
@@ -99,6 +102,31 @@
     ]
 
 
+def check_bills(demo: Demo, chatted: list[Chatted]) -> list[str]:
+    """Name every bill that is doubled or missing in the ledger."""
+    whole = {c.request_id for c in chatted if c.verdict == "whole"}
+    end = time.monotonic() + BILLS_S
+    while time.monotonic() < end:
+        rows = [bill for day in _days() for bill in read_day(demo.store, day)]
+        lost = whole - {bill.request for bill in rows}
+        if not lost:
+            break
+        time.sleep(1.0)
+    counts = Counter(bill.attempt for bill in rows)
+    broken = [f"bill {a} doubled" for a, n in counts.items() if n > 1]
+    print(f"  bills {len(rows)}, lost {len(lost)} of {len(whole)}")
+    if lost:
+        broken.append(f"{len(lost)} of {len(whole)} whole answers not billed")
+    return broken
+
+
+def _days() -> list[str]:
+    """Return today and yesterday: a soak may run over midnight."""
+    today = datetime.datetime.now(datetime.UTC)
+    days = (today - datetime.timedelta(1), today)
+    return [day.strftime(DAY_FORMAT) for day in days]
+
+
 def check_withdrawal(demo: Demo, entries: list[str]) -> list[str]:
     """Withdraw a version once all is well; nothing may run on it then."""
     old = dict(demo.manifest["version/drafter-1"])
@@ -153,6 +181,7 @@
         broken += check_chats(callers.chatted)
         broken += [f"{n}: configuration reverted" for n in operator.reverted]
         broken += check_withdrawal(demo, demo.entries())
+        broken += check_bills(demo, callers.chatted)
         _tell(callers, faults, demo, seed)
     return broken
 
--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -116,7 +116,11 @@
                 "POST", url, {"slot": booked.slot}, headers, timeout_s=20
             )
             booked.answers.append(_answer_of(reply))
-            if reply.status == 200 or booked.answers[-1] in ("yes", "unknown"):
+            if reply.status == 200 or booked.answers[-1] == "yes":
+                break
+            # The same key may be sent again where the answer says when.
+            unknown = booked.answers[-1] == "unknown"
+            if unknown and "retry-after" not in reply.headers:
                 break
             time.sleep(PAUSE_S)
         with self._lock:
