Callers' port: start a thread when a connection would wait for one

Ruled out: fewer threads (the refusal rule counts them); counting threads without a connection (one that has just taken its connection off the queue still looks free, and the next caller would wait behind a long answer); imports (matplotlib, numpy, lark, yaml and pydantic are not imported by an entry: sys.modules after importing the daemon).

Change: the pool counts waiting threads less queued connections and starts a thread when none is left, up to the limit. The rule of refusal is as it was; where the system gives no thread the caller is refused.

--- a/bench/control.py
+++ b/bench/control.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 import fire
@@ -84,8 +85,12 @@
         return [get(sample) for sample in self.windows[name]]
 
 
-def measure_daemons() -> list[Figure]:
-    """Measure daemons with different numbers of links, one machine."""
+def measure_daemons(changes: bool = True) -> list[Figure]:
+    """Measure daemons with different numbers of links, one machine.
+
+    Args:
+        changes: Whether to measure changes of the configuration, too.
+    """
     with bare_fleet(["domain-0"]) as fleet:
         deployment = fleet.deployment
         fleet.configure(WORKSPACES[0])
@@ -120,7 +125,7 @@
                 60,
             )
         time.sleep(WINDOW_S)
-        return _daemon_figures(fleet, entries, sidecars, daemons)
+        return _daemon_figures(fleet, entries, sidecars, daemons, changes)
 
 
 def _daemon_figures(
@@ -128,6 +133,7 @@
     entries: dict[int, Process],
     sidecars: dict[int, Process],
     daemons: list[Process],
+    changes: bool,
 ) -> list[Figure]:
     progress("daemons: idle")
     idle = Series(fleet, daemons, 0.0)
@@ -135,7 +141,7 @@
     figures += _at_target("sidecar, 31 links", idle, sidecars[31].name)
     figures += _link_slopes("entry", idle, entries)
     figures += _link_slopes("sidecar", idle, sidecars)
-    for workspaces in WORKSPACES:
+    for workspaces in WORKSPACES if changes else ():
         fleet.configure(workspaces)
         wait_until(lambda: fleet.in_force(daemons), "not in force")
         still = idle
@@ -348,18 +354,21 @@
 
     Args:
         json: Print one JSON object.
-        part: "subset", "daemons", "20", "50", "100", several of them
+        part: "subset", "idle", "daemons", "20", "50", "100", several of them
             separated by commas, or "all".
         seed: Printed only; nothing is drawn at random here.
     """
     parts: dict[str, Callable[[], list[Figure]]] = {
         "subset": control_subset.measure,
+        "idle": partial(measure_daemons, changes=False),
         "daemons": measure_daemons,
     }
     for count in FLEETS:
         parts[str(count)] = lambda n=count: measure_fleet(n)  # type: ignore[misc]
     given = part if isinstance(part, list | tuple) else [part]
-    names = list(parts) if part == "all" else [str(name) for name in given]
+    # The idle daemons are a part of the daemons.
+    every = [name for name in parts if name != "idle"]
+    names = every if part == "all" else [str(name) for name in given]
     figures: list[Any] = []
     for name in names:
         progress(f"control: {name}")
--- a/lacewingdock/helpers/http_server.py
+++ b/lacewingdock/helpers/http_server.py
@@ -12,6 +12,7 @@
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.http_connection import Connection, Request
+from lacewingdock.helpers.http_threads import Threads
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.tally import Tally
 from lacewingdock.helpers.tls import tls_adapter
@@ -72,6 +73,7 @@
             request_queue_size=BACKLOG,
             shutdown_timeout=1,
         )
+        self.requests = Threads(self, threads)
         self.gateway = Gateway
         self.taken = Tally()
         self.refusals = Tally()
@@ -90,12 +92,20 @@
             self._connections.put(conn)  # type: ignore[attr-defined]
             return
         if conn.last_used is not None:
-            if self.taken.add(1) <= self.numthreads:
-                self.requests.put(conn)
+            if self.taken.add(1) <= self.numthreads and self._serve(conn):
                 return
             self.taken.add(-1)
         self._refuse_later(conn)
 
+    def _serve(self, conn: Connection) -> bool:
+        """Give a connection to a thread; return whether there is one."""
+        try:
+            self.requests.put(conn)
+        except RuntimeError as error:
+            log.error("no thread can be started", error=str(error))
+            return False
+        return True
+
     def _refuse_later(self, conn: Connection) -> None:
         if self.refusals.add(1) > MAX_REFUSALS:
             self.refusals.add(-1)
--- a/tests/helpers/test_http_server.py
+++ b/tests/helpers/test_http_server.py
@@ -172,6 +172,49 @@
             assert sock.recv(65536).startswith(b"HTTP/1.1 200")
 
 
+def test_threads_are_started_as_they_are_needed():
+    # Symptom: an idle entry is past its memory budget.
+    # Sequence: it starts; nobody calls; later callers come at once.
+    # Cause: every thread that a peak may need was started at the start.
+    app = Echo()
+    with serving(app, threads=32) as server, contextlib.ExitStack() as stack:
+        assert _threads_of(server) == 0
+        for _ in range(8):
+            assert b"200 OK" in send(server, HELLO.replace(b"1.1", b"1.0"))
+        assert _threads_of(server) <= 2
+        for _ in range(32):
+            sock = stack.enter_context(connect(server))
+            sock.sendall(HELLO.replace(b"/ ", b"/wait "))
+        # None waits behind another's long answer.
+        for _ in range(32):
+            assert app.waiting.acquire(timeout=5)
+        assert _threads_of(server) == 32
+        assert problem(send(server, HELLO)) == "overloaded"
+
+
+def test_a_thread_that_cannot_be_started_is_a_refusal(monkeypatch):
+    # Symptom: an instance accepts callers and answers none.
+    # Sequence: the system gives no more threads; a caller comes.
+    # Cause: the error ended the accepting task.
+    with serving(Echo(), threads=2) as server:
+        with monkeypatch.context() as patch:
+            patch.setattr(server.requests, "_spawn_worker", _no_thread)
+            assert problem(send(server, HELLO)) == "overloaded"
+        assert server.taken.value == 0
+        with connect(server) as sock:
+            sock.sendall(HELLO)
+            assert sock.recv(65536).startswith(b"HTTP/1.1 200")
+
+
+def _no_thread():
+    raise RuntimeError("can't start new thread")
+
+
+def _threads_of(server):
+    tasks = [t for t in threading.enumerate() if hasattr(t, "server")]
+    return sum(task.server is server for task in tasks)
+
+
 @pytest.mark.parametrize("path", [b"/", b"/flood"])
 def test_stalled_callers_free_their_threads(path):
     # Symptom: an instance's threads run out although nobody is answered.
