Claims: only homes and candidates look each second

Cause: each sidecar of a plain service made two reads a second (claims-look and the list of instances) and one handshake a second with each home: 1,300 reads/s for a service of 650.

Ruled out: one interval that grows with the sidecars (max(1 s, n / 20)): a takeover needs four looks or more, 130 s at 650 sidecars. The places in rank decide who takes over, so the places decide who looks.

Change: a home and the first three in rank look each second, at their partitions only; the others share 5 looks a second at all of them. The list is read every 10 s, and at each look that finds a partition without a home, so that ranks in a takeover are as fresh as before.

Arithmetic: 8 partitions x (1 home + 3 candidates) = 32 looks/s at most, 5 for the others, and 4 lists/s. Up to 5 sidecars nothing changes but the list.

--- a/lacewingdock/components/claims/__init__.py
+++ b/lacewingdock/components/claims/__init__.py
@@ -126,7 +126,7 @@
     def start(self) -> None:
         """Start looking after the service's partitions."""
         self.daemon.every(TICK_S, self.tick)
-        self.daemon.every(LOOK_S, self.takeover.look)
+        self.daemon.every(LOOK_S, self.takeover.look_if_due)
         self.daemon.every(RETRY_S, self.write_again)
         self.daemon.on_leave.append(self._leave_soon)
 
--- a/lacewingdock/components/claims/const.py
+++ b/lacewingdock/components/claims/const.py
@@ -6,6 +6,13 @@
 SEGMENTS: Final = "claim-segments"
 
 LOOK_S: Final = 1.0
+# The sidecars that look after a partition each second, besides its home.
+CANDIDATES: Final = 3
+# Looks a second that all other sidecars of a service make together, in case
+# the candidates went with the home; so the calls don't grow with the service.
+FAR_LOOKS_PER_S: Final = 5.0
+# How old the list of sidecars may be while every partition has its home.
+LIST_S: Final = 10.0
 # A home whose link port takes no handshake for more than this many looks is
 # presumed dead. Being wrong costs a takeover, never a second run: the
 # takeover's conditional write makes the old home's next commit fail.
--- a/lacewingdock/components/claims/takeover.py
+++ b/lacewingdock/components/claims/takeover.py
@@ -8,7 +8,11 @@
 import msgspec
 
 from lacewingdock.components.claims.const import (
+    CANDIDATES,
     FAILED_PROBES,
+    FAR_LOOKS_PER_S,
+    LIST_S,
+    LOOK_S,
     NAME,
     PATIENCE,
     PROBE_REFUSED,
@@ -37,26 +41,62 @@
 class Takeover:
     """Looks after the partitions of a service, also those of others.
 
+    Every sidecar looking after every partition each second would cost two
+    reads a second and a handshake with each home for each sidecar. So only a
+    partition's home and its candidates, the first by rank, look that often;
+    the others look at a rate that they share.
+
     Attributes:
         claims: The claims, whose partitions are taken and checked.
         probes: Looks that count against each partition's home, in a row.
+        near: Partitions that this sidecar is a candidate for.
+        live: Live sidecars of the service, as last listed.
+        listed: Monotonic time of that list.
+        far_at: Monotonic time of the next look at all partitions.
     """
 
-    __slots__ = ("claims", "probes")
+    __slots__ = (
+        "_ranked_from",
+        "claims",
+        "far_at",
+        "listed",
+        "live",
+        "near",
+        "probes",
+    )
 
     def __init__(self, claims: "Claims") -> None:
         """Start without failed probes."""
         self.claims = claims
         self.probes: dict[int, int] = {}
+        self.near: set[int] = set()
+        self.live: list[str] = []
+        self.listed = self.far_at = float("-inf")
+        self._ranked_from: tuple[list[str], list[str]] | None = None
+
+    def look_if_due(self) -> None:
+        """Look at all partitions, or at this sidecar's own in between."""
+        if time.monotonic() >= self.far_at:
+            self.look()
+        elif self.near or self.claims.partitions:
+            self.look(is_far=False)
+
+    def look(self, is_far: bool = True) -> None:
+        """Take partitions that have no home or a dead one.
 
-    def look(self) -> None:
-        """Take partitions that have no home or a dead one."""
+        Args:
+            is_far: Whether to look at those, too, that this sidecar is
+                neither home of nor a candidate for.
+        """
         if self.claims.daemon.leaving.is_set():
             return
         service = self.claims.configured()
         if service is None:
             return
         begun = time.monotonic()
+        if is_far:
+            # Before the calls: in an outage they are not repeated sooner.
+            self.far_at = begun + self._far_s()
         found = self.claims.daemon.store.list_all(
             COLLECTION_CLAIMS, "claims-look", f"{self.claims.service}/"
         )
@@ -67,17 +107,49 @@
         }
         if not self._fix_count([h for _, h in heads.values()], service):
             return
-        live = self._live_sidecars()
+        self._list_sidecars(LIST_S)
         # One probe a home, not one a partition: a frozen home costs each
         # probe its whole timeout, and takeovers would wait for all of them.
         probed: dict[str, int] = {}
+        gone = []
         for number in range(self.claims.count):
             name = f"{self.claims.service}/{number}"
             stored, head = heads.get(name, (Stored(name, 0), None))
+            gone.append(_gone(head))
             if head and head.incarnation == self.claims.daemon.me.incarnation:
                 self._look_at_own(number, stored, head, begun)
-            else:
-                self._look_at(number, stored, head, live, probed)
+                continue
+            self._check_lost(number, stored)
+            if is_far or number in self.near:
+                self._look_at(number, stored, head, probed)
+        self._choose_near(gone)
+
+    def _far_s(self) -> float:
+        """Return the seconds between two looks at all partitions.
+
+        They vary, or the sidecars of a service that was started as a whole
+        would all look in the same second.
+        """
+        interval = len(self.live) / FAR_LOOKS_PER_S
+        if interval <= LOOK_S:
+            return 0.0
+        return interval * self.claims.daemon.random.uniform(0.8, 1.2)
+
+    def _choose_near(self, gone: list[str]) -> None:
+        """Find the partitions that this sidecar is a candidate for.
+
+        Args:
+            gone: For each partition, the home that it has or had.
+        """
+        # Ranking hundreds of sidecars each second would cost what it saves.
+        if self._ranked_from == (self.live, gone):
+            return
+        self._ranked_from = (self.live, gone)
+        self.near = {
+            number
+            for number, home in enumerate(gone)
+            if self._rank(f"{self.claims.service}/{number}", home) < CANDIDATES
+        }
 
     def _fix_count(self, heads: list[Head], service: Service) -> bool:
         """Find the number of partitions; return whether it is certain.
@@ -97,14 +169,19 @@
             )
         return len(counts) == 1
 
-    def _live_sidecars(self) -> list[str]:
-        return [
+    def _list_sidecars(self, max_age_s: float) -> None:
+        """Read the list of sidecars unless it is young enough."""
+        now = time.monotonic()
+        if now - self.listed < max_age_s:
+            return
+        self.live = [
             i.name
             for i in self.claims.daemon.store.instances()
             if i.role == ROLE_SIDECAR
             and i.pool == self.claims.service
             and i.state == "live"
         ]
+        self.listed = now
 
     def _look_at_own(
         self, number: int, stored: Stored, head: Head, begun: float
@@ -126,21 +203,20 @@
         number: int,
         stored: Stored,
         head: Head | None,
-        live: list[str],
         probed: dict[str, int],
     ) -> None:
         """Judge a partition that another has, or nobody."""
-        self._check_lost(number, stored)
         if head and head.home:
             if head.incarnation not in probed:
                 probed[head.incarnation] = self._probe(head)
             if not probed[head.incarnation]:
                 self.probes.pop(number, None)
                 return
-        gone = (head.home or head.left) if head else ""
+        # Who else is gone decides whose turn it is.
+        self._list_sidecars(LOOK_S / 2)
         weight = probed.get(head.incarnation, 1) if head else 1
         failed = self.probes[number] = self.probes.get(number, 0) + weight
-        needed = self._rank(stored.name, live, gone) * PATIENCE
+        needed = self._rank(stored.name, _gone(head)) * PATIENCE
         if head and head.home:
             needed += FAILED_PROBES
         if failed > needed:
@@ -157,10 +233,10 @@
             held.lost = True
             self.claims.drop(held)
 
-    def _rank(self, name: str, live: list[str], gone: str) -> int:
+    def _rank(self, name: str, gone: str) -> int:
         """Place of this sidecar among those that may take a partition."""
         ranked = sorted(
-            {*live, self.claims.daemon.me.instance} - {gone},
+            {*self.live, self.claims.daemon.me.instance} - {gone},
             key=lambda i: hashlib.sha256(f"{name}\0{i}".encode()).digest(),
         )
         me = self.claims.daemon.me.instance
@@ -215,6 +291,11 @@
         self.claims.on_change()
 
 
+def _gone(head: Head | None) -> str:
+    """Return who does not count among the takers: the home it has or had."""
+    return (head.home or head.left) if head else ""
+
+
 def take_partition(
     store: ObjectStore, stored: Stored, me: Head, window_s: float
 ) -> Partition:
--- a/tests/components/claims/fakes.py
+++ b/tests/components/claims/fakes.py
@@ -1,5 +1,6 @@
 """Fakes at the interfaces: the platform's store and one home of claims."""
 
+import random
 import threading
 import urllib.parse
 from collections import Counter
@@ -145,6 +146,7 @@
             leaving=threading.Event(),
             spawn=lambda function, *args: function(*args),
             keys=None,
+            random=random.Random(name),
         )
         peers: Any = SimpleNamespace(port=1)
         configuration: Any = SimpleNamespace(world=world)
