Links: a probe of claims or leases opens no link

Cause: a home is probed each second by its candidates, by a whole link that is closed at once. The home greeted each as a peer (its callbacks ran) and logged "link closed".

Ruled out: logging links that carried nothing at debug: the callbacks still run and the log of a link that broke early is lost.

Change: a probe closes once the listener has proved that it holds a key, and sends no proof of its own. The listener tells it by the closed connection, logs it at debug and opens nothing. A frozen home still counts as silent: it proves nothing. In a mixed fleet an older home logs "link refused" instead.

The test failed before: a link was opened. Not measured.

--- a/lacewingdock/components/claims/takeover.py
+++ b/lacewingdock/components/claims/takeover.py
@@ -28,7 +28,7 @@
 from lacewingdock.const import COLLECTION_CLAIMS, ROLE_SIDECAR
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.links.handshake import dial
+from lacewingdock.links.handshake import probe
 from lacewingdock.platform.store import ObjectStore, Stored
 from lacewingdock.world.objects import Service
 
@@ -249,7 +249,7 @@
             How many looks the probe counts for against it; 0 when it lives.
         """
         try:
-            link = dial(
+            peer = probe(
                 head.address,
                 self.claims.daemon.me,
                 self.claims.daemon.keys,
@@ -259,9 +259,9 @@
             return PROBE_REFUSED
         except (OSError, LacewingdockError):
             return PROBE_SILENT
-        found = link.peer.incarnation
-        link.dispose()
-        return 0 if found == head.incarnation else PROBE_REPLACED
+        if peer.incarnation != head.incarnation:
+            return PROBE_REPLACED
+        return 0
 
     def take(self, number: int, stored: Stored) -> None:
         """Take a partition over from the head as read."""
--- a/lacewingdock/components/leases/__init__.py
+++ b/lacewingdock/components/leases/__init__.py
@@ -25,7 +25,7 @@
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.links.handshake import dial
+from lacewingdock.links.handshake import probe
 from lacewingdock.world.objects import Instance
 
 log = get_logger(NAME)
@@ -201,7 +201,7 @@
             # platform, and nothing under this lease would move.
             return False
         try:
-            link = dial(
+            peer = probe(
                 record.address,
                 self.daemon.me,
                 self.daemon.keys,
@@ -209,9 +209,7 @@
             )
         except (OSError, LacewingdockError):
             return False
-        alive = link.peer.incarnation == record.incarnation
-        link.dispose()
-        return alive
+        return peer.incarnation == record.incarnation
 
     def _take(self, duty: Duty) -> None:
         lease = duty.lease
--- a/lacewingdock/components/peers/__init__.py
+++ b/lacewingdock/components/peers/__init__.py
@@ -140,6 +140,10 @@
             log.warning("link refused", error=str(error))
             sock.close()
             return
+        if link is None:
+            log.debug("probed")
+            sock.close()
+            return
         self._open(link)
         self._read(link)
 
--- a/lacewingdock/links/handshake.py
+++ b/lacewingdock/links/handshake.py
@@ -44,6 +44,45 @@
         LacewingdockError: BAD_LINK when the peer does not hold the key.
         OSError: The connection failed or the time ran out.
     """
+    sock, peer, transcript = _greet(address, me, keys, timeout_s)
+    try:
+        key_id, mac = keys.sign(LABEL_DIALER, *transcript)
+        sock.sendall(encode(Proof(key_id.encode() + b" " + mac)))
+        return Link(sock, peer)
+    except BaseException:
+        sock.close()
+        raise
+
+
+def probe(address: str, me: Hello, keys: KeyRing, timeout_s: float) -> Hello:
+    """Find out who answers at an address, without opening a link.
+
+    Args:
+        address: "IP:PORT".
+        me: What this daemon says of itself; the nonce is filled in here.
+        keys: Keys that are accepted.
+        timeout_s: Seconds that connecting and the answer may take.
+
+    Returns:
+        What the peer, which holds a link key, says of itself.
+
+    Raises:
+        LacewingdockError: BAD_LINK when the peer does not hold the key.
+        OSError: The connection failed or the time ran out.
+    """
+    sock, peer, _ = _greet(address, me, keys, timeout_s)
+    sock.close()
+    return peer
+
+
+def _greet(
+    address: str, me: Hello, keys: KeyRing, timeout_s: float
+) -> tuple[socket.socket, Hello, tuple[bytes, ...]]:
+    """Connect and check that the listener holds a link key.
+
+    Returns:
+        The socket, what the peer said of itself, and what is to be signed.
+    """
     host, _, port = address.rpartition(":")
     sock = socket.create_connection(
         (host, int(port)), min(timeout_s, DIAL_TIMEOUT_S)
@@ -58,15 +97,13 @@
             raise LacewingdockError(
                 ErrorKind.BAD_LINK, f"{address} does not hold a link key"
             )
-        key_id, mac = keys.sign(LABEL_DIALER, *transcript)
-        sock.sendall(encode(Proof(key_id.encode() + b" " + mac)))
-        return Link(sock, peer)
+        return sock, peer, transcript
     except BaseException:
         sock.close()
         raise
 
 
-def accept(sock: socket.socket, me: Hello, keys: KeyRing) -> Link:
+def accept(sock: socket.socket, me: Hello, keys: KeyRing) -> Link | None:
     """Shake hands with a peer that connected.
 
     Args:
@@ -74,6 +111,10 @@
         me: What this daemon says of itself.
         keys: Keys that sign and that are accepted.
 
+    Returns:
+        The link; None when the peer closed once it knew who is here, as
+        probes do.
+
     Raises:
         LacewingdockError: BAD_LINK when the peer does not hold the key.
         OSError: The connection failed or the time ran out.
@@ -84,6 +125,8 @@
     transcript = (peer.nonce, hello.nonce, _named(peer), _named(hello))
     key_id, mac = keys.sign(LABEL_LISTENER, *transcript)
     sock.sendall(encode(replace(hello, key_id=key_id, mac=mac)))
+    if not sock.recv(1, socket.MSG_PEEK):
+        return None
     proof = read_frame(sock, MAX_HELLO_BYTES)
     if not isinstance(proof, Proof):
         raise LacewingdockError(ErrorKind.BAD_LINK, "no proof of the key")
--- a/tests/components/peers/test_peers.py
+++ b/tests/components/peers/test_peers.py
@@ -1,13 +1,19 @@
 """Tests for beating links and giving up silent ones."""
 
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from types import SimpleNamespace
 
+import logbook
 import prometheus_client
 import pytest
 
 from lacewingdock.components import peers
 from lacewingdock.helpers.tally import Tally
+from lacewingdock.links.handshake import probe
+from lacewingdock.links.keys import KeyRing
 from lacewingdock.links.link import Link
+from lacewingdock.links.messages import Hello
 from tests.fakes import FakeClock
 
 
@@ -98,3 +104,33 @@
 def test_silent_link_is_given_up(monkeypatch, role, busy, low, high):
     _, silent = paced(monkeypatch, role, busy, 20.0, False)
     assert low <= silent <= high
+
+
+def test_a_probe_opens_no_link():
+    """Symptom: a home's log is full of links that closed.
+
+    Sequence: the others probe it each second, by a link that they close.
+    Cause: a probe was told from a peer neither here nor in the log; each
+    was greeted with the news, too.
+    """
+    me = Hello("home", "first", "sidecar", "hall", b"")
+    keys = KeyRing("k", {"k": b"s" * 16}, (1, 1))
+    daemon = SimpleNamespace(
+        settings=SimpleNamespace(host="127.0.0.1", link_port=0),
+        me=me,
+        keys=keys,
+        metrics=prometheus_client.CollectorRegistry(),
+        spawn=None,
+    )
+    links = peers.Peers(daemon)
+    opened = []
+    links.on_open.append(opened.append)
+    address = f"127.0.0.1:{links.port}"
+    other = replace(me, instance="other")
+    with logbook.TestHandler() as handler, ThreadPoolExecutor(1) as pool:
+        probing = pool.submit(probe, address, other, keys, 2.0)
+        links._serve(links.listener.accept()[0])
+        assert probing.result().incarnation == "first"
+    links.listener.close()
+    assert not opened
+    assert [record.level for record in handler.records] == [logbook.DEBUG]
