--- a/bench/control.py
+++ b/bench/control.py
@@ -18,6 +18,7 @@
     light_peers,
 )
 from bench.deployment import Process, wait_until
+from bench.proc import usage
 from bench.report import Figure, figure, progress, show
 
 # Budgets of the target, for control in one daemon.
@@ -31,6 +32,7 @@
 WORKSPACES: Final = (10, 300)
 CHANGES_S: Final = (1.0, 4.0)
 WINDOWS: Final = 3
+SCRAPES: Final = 100
 WINDOW_S: Final = 8.0
 FLEETS: Final = (20, 50, 100)
 CHANGES: Final = 5
@@ -141,6 +143,9 @@
     figures += _at_target("sidecar, 31 links", idle, sidecars[31].name)
     figures += _link_slopes("entry", idle, entries)
     figures += _link_slopes("sidecar", idle, sidecars)
+    progress("daemons: scrapes")
+    figures += _scrapes("entry, 168 links", fleet, entries[168])
+    figures += _scrapes("sidecar, 31 links", fleet, sidecars[31])
     for workspaces in WORKSPACES if changes else ():
         fleet.configure(workspaces)
         wait_until(lambda: fleet.in_force(daemons), "not in force")
@@ -184,6 +189,22 @@
     ]
 
 
+def _scrapes(kind: str, fleet: Fleet, process: Process) -> list[Figure]:
+    """Measure what a scrape of the metrics costs a daemon."""
+    size = fleet.scrape(process)
+    before = usage(process.popen.pid)
+    for _ in range(SCRAPES):
+        fleet.scrape(process)
+    after = usage(process.popen.pid)
+    cost = 1000 * (after.cpu_s - before.cpu_s) / SCRAPES
+    grown = after.rss_mb - before.rss_mb
+    return [
+        figure(f"{kind}: bytes a scrape", [float(size)], "B"),
+        figure(f"{kind}: CPU a scrape", [cost], "ms"),
+        figure(f"{kind}: memory grown by {SCRAPES} scrapes", [grown], "MB"),
+    ]
+
+
 def _link_slopes(
     kind: str, idle: Series, daemons: dict[int, Process]
 ) -> list[Figure]:
--- a/bench/control_fleet.py
+++ b/bench/control_fleet.py
@@ -135,14 +135,20 @@
 
     def metrics(self, process: Process) -> dict[str, float]:
         """Return a daemon's metrics by name and labels."""
-        body = call("GET", f"{process.url('admin_port')}/metrics").body
         found = {}
-        for line in body.decode().splitlines():
+        for line in self._metrics(process).decode().splitlines():
             name, _, value = line.rpartition(" ")
             if name and not line.startswith("#"):
                 found[name] = float(value)
         return found
 
+    def scrape(self, process: Process) -> int:
+        """Read a daemon's metrics; return their size in bytes."""
+        return len(self._metrics(process))
+
+    def _metrics(self, process: Process) -> bytes:
+        return call("GET", f"{process.url('admin_port')}/metrics").body
+
     def in_force(self, processes: list[Process]) -> bool:
         """Tell whether the last change is in force in all of them."""
         return all(
