Budgets: pauses between the tries of one allowance

Cause: entries that take at the same moment met again at each of six tries; one write wins each time, and the others refused requests for two seconds with the budget untouched.

Ruled out: more tries alone (calls grow, and all still meet); a queue in the platform (another object, and a holder that can die).

Change: ten tries with random pauses up to 4, 8, ... 250 ms between them, a second in all.

Without the pause the test fails (no pauses where nine are expected).

--- a/lacewingdock/components/budgets/allowance.py
+++ b/lacewingdock/components/budgets/allowance.py
@@ -12,7 +12,9 @@
 unused, it is never spent twice.
 """
 
+import random
 import threading
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
@@ -21,6 +23,8 @@
 
 from lacewingdock.components.budgets.const import (
     COLLECTION,
+    CONFLICT_FIRST_S,
+    CONFLICT_LIMIT_S,
     CONFLICT_TRIES,
     EXHAUSTED_S,
     HORIZON_S,
@@ -28,6 +32,7 @@
     OUTAGE_S,
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.backoff import Backoff
 from lacewingdock.platform.store import Stored
 
 
@@ -75,6 +80,7 @@
         day: "YYYYMMDD" (UTC).
         entries: Returns the number of entries that share the budget.
         clock: Returns monotonic seconds.
+        pause: Waits a number of seconds.
         left: Millionths that may be reserved; below zero after requests
             that cost more than was reserved.
         last: The last allowance taken, and when.
@@ -92,6 +98,7 @@
         "exhausted",
         "last",
         "left",
+        "pause",
         "retry_at",
         "store",
         "used_at",
@@ -105,6 +112,7 @@
         day: str,
         entries: Callable[[], int],
         clock: Callable[[], float],
+        pause: Callable[[float], Any] = time.sleep,
     ) -> None:
         """Start with nothing to spend."""
         self.store = store
@@ -112,6 +120,7 @@
         self.day = day
         self.entries = entries
         self.clock = clock
+        self.pause = pause
         self.left = 0
         self.last = (0, clock())
         self.retry_at = 0.0
@@ -221,8 +230,15 @@
         return int(max(min(pace or fair, fair), budget / MAX_TAKES))
 
     def _update(self, change: Callable[[Account], Account]) -> None:
+        """Change the account, again where another was first.
+
+        Entries that ask at the same moment, as after a start of the fleet,
+        would meet again at each try without a pause: one wins each time, and
+        the others' requests are refused once their tries are used up.
+        """
         name = f"{self.day}.{self.workspace}"
-        for _ in range(CONFLICT_TRIES):
+        backoff = Backoff(CONFLICT_FIRST_S, CONFLICT_LIMIT_S, random.Random())
+        for tries_left in reversed(range(CONFLICT_TRIES)):
             stored = self.store.get(COLLECTION, name, "budgets")
             account = msgspec.convert(stored.value or {}, Account)
             value = msgspec.to_builtins(change(account))
@@ -232,6 +248,8 @@
                 )
             except LacewingdockError as error:
                 if error.kind is ErrorKind.CONFLICT:
+                    if tries_left:
+                        self.pause(backoff.failed())
                     continue
                 raise LacewingdockError(
                     ErrorKind.PLATFORM_UNAVAILABLE,
--- a/lacewingdock/components/budgets/const.py
+++ b/lacewingdock/components/budgets/const.py
@@ -17,7 +17,11 @@
 # may give allowances back) and after it didn't answer.
 EXHAUSTED_S: Final = 15.0
 OUTAGE_S: Final = 2.0
-CONFLICT_TRIES: Final = 6
+# Tries of one take when others take at the same moment, and the pauses in
+# between: at most a second in all, in which a request waits.
+CONFLICT_TRIES: Final = 10
+CONFLICT_FIRST_S: Final = 0.004
+CONFLICT_LIMIT_S: Final = 0.25
 
 # Generated tokens reserved for a request that names no limit itself.
 RESERVED_TOKENS: Final = 1024
--- a/tests/components/budgets/test_allowance.py
+++ b/tests/components/budgets/test_allowance.py
@@ -176,3 +176,56 @@
 )
 def test_seconds_to_the_days_end(now, left):
     assert seconds_left(now) == left
+
+
+class OvertakenStore(FakeStore):
+    """A platform in which others change the account before each write.
+
+    Attributes:
+        overtaken: Writes yet to be overtaken.
+    """
+
+    def __init__(self, overtaken):
+        super().__init__()
+        self.overtaken = overtaken
+
+    def put(self, collection, name, value, expect, purpose):
+        """Write, or find that another was first."""
+        if self.overtaken:
+            self.overtaken -= 1
+            raise LacewingdockError(ErrorKind.CONFLICT, name)
+        return super().put(collection, name, value, expect, purpose)
+
+
+@pytest.mark.parametrize(
+    ("overtaken", "is_taken"),
+    [
+        (0, True),
+        (const.CONFLICT_TRIES - 1, True),
+        (const.CONFLICT_TRIES, False),
+    ],
+)
+def test_entries_that_take_at_once(overtaken, is_taken):
+    """Symptom: requests are refused although the budget is untouched.
+
+    Events: all entries start and take their first allowance at the same
+    moment; one write wins, the others try again at once and meet again.
+    Cause: the tries had no pause in between and were soon used up.
+    """
+    pauses = []
+    store = OvertakenStore(overtaken)
+    entry = Allowance(
+        store, "w", "20260102", lambda: 3, lambda: 0.0, pauses.append
+    )
+    if is_taken:
+        entry.reserve(10, BUDGET)
+    else:
+        with pytest.raises(LacewingdockError) as refused:
+            entry.reserve(10, BUDGET)
+        assert refused.value.kind is ErrorKind.PLATFORM_UNAVAILABLE
+    assert len(pauses) == min(overtaken, const.CONFLICT_TRIES - 1)
+    assert sum(pauses) <= 1.0 + 0.01
+    # Each is drawn at random within a bound that grows.
+    bounds = [const.CONFLICT_FIRST_S * 2**n for n in range(len(pauses))]
+    bounds = [min(b, const.CONFLICT_LIMIT_S) for b in bounds]
+    assert all(0 < p <= b for p, b in zip(pauses, bounds, strict=True))
