--- a/bench/control.py
+++ b/bench/control.py
@@ -57,10 +57,10 @@
     """Fit a line; the spread is the slope's standard error either way."""
     xs, ys = zip(*points, strict=True)
     line = stats.linregress(xs, ys)
-    low, high = line.slope - line.stderr, line.slope + line.stderr
-    return Figure(
-        name, float(line.slope), unit, runs=len(points), spread=(low, high)
-    )
+    # Not the library's own number type, which is no JSON.
+    value, error = float(line.slope), float(line.stderr)
+    spread = (value - error, value + error)
+    return Figure(name, value, unit, runs=len(points), spread=spread)
 
 
 class Series:
