HTTP client: one place that makes a single call

Cause: orders, the operators' client, the rating service, the state of an upstream, cancels of a stream and the reports each set a pycurl handle up by themselves, with the same eight options; a missing one (NOPROXY, NOSIGNAL) would be a fault in one of them only. Ruled out: the object store's client and the upstream's call, which keep their handle or stream the answer: other jobs. 'Expect:' is now sent empty by all of them; it was by half. Tests of orders, language, cascades, reports, quarantine and fuzzing pass unchanged.

--- a/lacewingdock/components/language/client.py
+++ b/lacewingdock/components/language/client.py
@@ -1,7 +1,7 @@
 """Support for `lacewingdock ask`: one command, or a prompt."""
 
-import io
 import sys
+from http import HTTPStatus
 from pathlib import Path
 from typing import Any, Final
 
@@ -10,10 +10,11 @@
 
 from lacewingdock.const import RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_client import send
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.json import decode_json
 
-TIMEOUT_MS: Final = 15_000
+TIMEOUT_S: Final = 15.0
 HISTORY: Final = Path("~/.lacewingdock_history")
 HISTORY_LINES: Final = 1000
 MAX_CELL_CHARS: Final = 60
@@ -59,36 +60,22 @@
         return words
 
     def _call(self, path: str, body: bytes | None) -> Any:
-        received = io.BytesIO()
-        curl = pycurl.Curl()
+        headers = [
+            f"Authorization: Bearer {self.key}",
+            "Content-Type: application/json",
+        ]
         try:
-            curl.setopt(pycurl.URL, self.entry + path)
-            curl.setopt(pycurl.NOSIGNAL, 1)
-            curl.setopt(pycurl.NOPROXY, "*")
-            curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
-            curl.setopt(
-                pycurl.HTTPHEADER,
-                [
-                    f"Authorization: Bearer {self.key}",
-                    "Content-Type: application/json",
-                    "Expect:",
-                ],
+            reply = send(
+                self.entry + path, body, headers=headers, timeout_s=TIMEOUT_S
             )
-            if body is not None:
-                curl.setopt(pycurl.POSTFIELDS, body)
-            curl.setopt(pycurl.WRITEFUNCTION, received.write)
-            curl.perform()
-            status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-            answer = decode_json(received.getvalue())
+            answer = decode_json(reply.body)
         except (pycurl.error, msgspec.DecodeError) as error:
             raise LacewingdockError(
                 ErrorKind.PLATFORM_UNAVAILABLE,
                 f"{self.entry} does not answer: {error}",
                 ran="unknown",
             ) from error
-        finally:
-            curl.close()
-        if status >= 400:
+        if reply.status >= HTTPStatus.BAD_REQUEST:
             raise _error(answer)
         return answer
 
--- a/lacewingdock/components/orders/door.py
+++ b/lacewingdock/components/orders/door.py
@@ -1,13 +1,12 @@
 """Support for handing orders to a model engine."""
 
-import io
-
 import msgspec
 import pycurl
 
 from lacewingdock.components.engine import Engine
 from lacewingdock.components.orders.const import ENGINE_TIMEOUT_S
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_client import send
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.links.messages import Order
 
@@ -75,18 +74,10 @@
         return answer.state
 
     def _post(self, body: dict[str, object]) -> tuple[int, EngineAnswer]:
-        received = io.BytesIO()
-        curl = pycurl.Curl()
-        try:
-            curl.setopt(pycurl.URL, f"{self.engine.url}/orders")
-            curl.setopt(pycurl.NOSIGNAL, 1)
-            curl.setopt(pycurl.NOPROXY, "*")
-            curl.setopt(pycurl.TIMEOUT_MS, int(ENGINE_TIMEOUT_S * 1000))
-            curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json"])
-            curl.setopt(pycurl.POSTFIELDS, msgspec.json.encode(body))
-            curl.setopt(pycurl.WRITEFUNCTION, received.write)
-            curl.perform()
-            status = int(curl.getinfo(pycurl.RESPONSE_CODE))
-        finally:
-            curl.close()
-        return status, decode_json(received.getvalue(), EngineAnswer)
+        reply = send(
+            f"{self.engine.url}/orders",
+            msgspec.json.encode(body),
+            headers=["Content-Type: application/json"],
+            timeout_s=ENGINE_TIMEOUT_S,
+        )
+        return reply.status, decode_json(reply.body, EngineAnswer)
--- a/lacewingdock/components/runs/upstream_call.py
+++ b/lacewingdock/components/runs/upstream_call.py
@@ -14,6 +14,7 @@
     LacewingdockError,
     UpstreamLost,
 )
+from lacewingdock.helpers.http_client import send
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Finish
@@ -36,7 +37,7 @@
 # Pauses before each try to resume a stream; together well under what a caller
 # takes for a hang.
 RESUME_PAUSES_S: Final = (0.02, 0.2, 0.8)
-CANCEL_TIMEOUT_MS: Final = 1000
+CANCEL_TIMEOUT_S: Final = 1.0
 
 _OK: Final = 200
 _SERVER_ERROR: Final = 500
@@ -310,23 +311,15 @@
     Without it the engine goes on generating for nobody, in a slot that this
     sidecar takes for free.
     """
-    curl = pycurl.Curl()
+    stream = url + STREAMS_PATH + run.attempt.attempt
     try:
-        curl.setopt(pycurl.URL, url + STREAMS_PATH + run.attempt.attempt)
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.NOPROXY, "*")
-        curl.setopt(pycurl.TIMEOUT_MS, CANCEL_TIMEOUT_MS)
-        curl.setopt(pycurl.CUSTOMREQUEST, "DELETE")
-        curl.setopt(pycurl.WRITEFUNCTION, lambda _: None)
-        curl.perform()
+        send(stream, method="DELETE", timeout_s=CANCEL_TIMEOUT_S)
     except pycurl.error as error:
         log.info(
             "cancel not heard",
             attempt_id=run.attempt.attempt,
             error=str(error),
         )
-    finally:
-        curl.close()
 
 
 def _prepare(
--- a/lacewingdock/components/runs/upstream_status.py
+++ b/lacewingdock/components/runs/upstream_status.py
@@ -1,6 +1,5 @@
 """Support for asking the upstream for its state."""
 
-import io
 import time
 from typing import Final
 
@@ -9,9 +8,10 @@
 
 from lacewingdock.const import RAN_NO
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_client import send
 from lacewingdock.helpers.json import decode_json
 
-TIMEOUT_MS: Final = 1000
+TIMEOUT_S: Final = 1.0
 PROBES: Final = 3
 PROBE_PAUSE_S: Final = 0.05
 
@@ -38,19 +38,8 @@
         pycurl.error: It does not answer.
         msgspec.DecodeError: The answer is not understood.
     """
-    received = io.BytesIO()
-    curl = pycurl.Curl()
-    try:
-        curl.setopt(pycurl.URL, f"{url}/status")
-        curl.setopt(pycurl.NOSIGNAL, 1)
-        curl.setopt(pycurl.NOPROXY, "*")
-        curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
-        curl.setopt(pycurl.FAILONERROR, 1)
-        curl.setopt(pycurl.WRITEFUNCTION, received.write)
-        curl.perform()
-    finally:
-        curl.close()
-    report: EngineReport = decode_json(received.getvalue(), EngineReport)
+    reply = send(f"{url}/status", timeout_s=TIMEOUT_S, fail_on_error=True)
+    report: EngineReport = decode_json(reply.body, EngineReport)
     return report
 
 
--- a/lacewingdock/platform/ratings.py
+++ b/lacewingdock/platform/ratings.py
@@ -4,20 +4,20 @@
 some time after it was handed in.
 """
 
-import io
 import urllib.parse
 from dataclasses import dataclass, field
+from http import HTTPStatus
 from typing import Annotated, Any, Final, TypeVar, cast
 
 import msgspec
 import pycurl
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.http_client import send
 from lacewingdock.helpers.json import decode_json
 
-TIMEOUT_MS: Final = 1000
+TIMEOUT_S: Final = 1.0
 MAX_ANSWER_BYTES: Final = 1024 * 1024
-_ERROR: Final = 400
 
 Score = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 T = TypeVar("T")
@@ -100,34 +100,21 @@
         return self._call(f"/samples?{query}", None, Results)
 
     def _call(self, path: str, body: Any, cls: type[T]) -> T:
-        received = io.BytesIO()
-
-        def take(data: bytes) -> int | None:
-            if received.tell() + len(data) > MAX_ANSWER_BYTES:
-                return -1
-            received.write(data)
-            return None
-
-        curl = pycurl.Curl()
+        sent = None if body is None else msgspec.json.encode(body)
         try:
-            curl.setopt(pycurl.URL, self.url + path)
-            curl.setopt(pycurl.NOSIGNAL, 1)
-            curl.setopt(pycurl.NOPROXY, "*")
-            curl.setopt(pycurl.TIMEOUT_MS, TIMEOUT_MS)
-            curl.setopt(pycurl.HTTPHEADER, ["Expect:"])
-            if body is not None:
-                curl.setopt(pycurl.POSTFIELDS, msgspec.json.encode(body))
-            curl.setopt(pycurl.WRITEFUNCTION, take)
-            curl.perform()
-            status = curl.getinfo(pycurl.RESPONSE_CODE)
-            if status >= _ERROR:
+            reply = send(
+                self.url + path,
+                sent,
+                timeout_s=TIMEOUT_S,
+                max_bytes=MAX_ANSWER_BYTES,
+            )
+            if reply.status >= HTTPStatus.BAD_REQUEST:
                 raise LacewingdockError(
-                    ErrorKind.UPSTREAM_FAILED, f"rating service: {status}"
+                    ErrorKind.UPSTREAM_FAILED,
+                    f"rating service: {reply.status}",
                 )
-            return cast("T", decode_json(received.getvalue(), cls))
+            return cast("T", decode_json(reply.body, cls))
         except (pycurl.error, msgspec.DecodeError) as error:
             raise LacewingdockError(
                 ErrorKind.UPSTREAM_FAILED, f"rating service: {error}"
             ) from error
-        finally:
-            curl.close()
