Bench: the example deployment is set up in one place

Cause: the example manifest was read, applied and waited for in nine benchmarks and four tests, each with its own copy of the keys and the path; bench/leases took its copy from tests/, which a benchmark must not need. Change: bench/example.py; tests and benchmarks import it. The waits are those each had. Ruled out: keeping it in tests/common.py, for the reason above. Ran: tests of the path, of budgets and of withdrawal; every benchmark changed was imported, none was run.

--- a/bench/answers.py
+++ b/bench/answers.py
@@ -15,18 +15,14 @@
 
 from bench.balancer import Balancer
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import RETAIL_KEY, bring_into_force, read_example
 from bench.http import call
 from bench.load import Load, Outcome
 from bench.relay import RelayedDeployment
 from bench.report import Figure, figure, progress, show
 from bench.stream import Stream
-from lacewingdock.components.configuration.apply import apply_manifest
 from lacewingdock.const import SILENCE_S
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
 
-KEY: Final = "carpato-retail-demo-key"
-MANIFEST: Final = "examples/carpato.yaml"
 TOKEN_S: Final = 0.029
 FIRST_S: Final = 0.02
 SLOW_FIRST_S: Final = 2.0
@@ -38,12 +34,7 @@
 
 def prepare(deployment: Deployment) -> None:
     """Bring the example manifest into force."""
-    with open(MANIFEST, encoding="utf-8") as file:
-        manifest = parse_manifest(file.read())
-    url = deployment.processes["platform"].url()
-    changes = apply_manifest(ObjectStore(url), manifest)
-    deployment.wait_ready()
-    deployment.wait_revision(max(c.revision for c in changes))
+    bring_into_force(deployment, read_example())
     deployment.wait_links()
 
 
@@ -69,7 +60,7 @@
 def begin(deployment: Deployment, prompt: str, tokens: int) -> Stream:
     """Start a streamed answer at the first entry."""
     url = deployment.processes[ENTRIES[0]].url()
-    return Stream(url, KEY, prompt, tokens)
+    return Stream(url, RETAIL_KEY, prompt, tokens)
 
 
 def worker_of(stream: Stream) -> str:
@@ -141,7 +132,7 @@
     with Balancer(deployment, list(ENTRIES)) as balancer:
         load = Load(
             balancer.entries,
-            KEY,
+            RETAIL_KEY,
             LOAD_RATE,
             seconds,
             seed,
--- a/bench/billing.py
+++ b/bench/billing.py
@@ -20,6 +20,7 @@
 import msgspec
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import RETAIL_KEY, apply, read_example
 from bench.http import Reply, call
 from bench.report import Figure, figure, progress, show
 from lacewingdock.components.billing.const import MAX_HELD, MAX_PENDING
@@ -27,17 +28,14 @@
 from lacewingdock.components.billing.ledger import Ledger
 from lacewingdock.components.billing.outbox import Outbox
 from lacewingdock.components.billing.record import bill_of, encode_bill
-from lacewingdock.components.configuration.apply import apply_manifest
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.links.messages import Attempt, Bills, Finish, Hello
 from lacewingdock.links.wire import LENGTH_BYTES, decode, encode
-from lacewingdock.platform.store import ObjectStore, Stored
-from lacewingdock.world.manifest import parse_manifest
+from lacewingdock.platform.store import Stored
 from lacewingdock.world.objects import Version
 from lacewingdock.world.run import Run
 from lacewingdock.world.world import World
 
-KEY: Final = "carpato-retail-demo-key"
 CPU_BILLS: Final = 5000
 RATE: Final = 26_000
 ENTRIES: Final = 1200
@@ -197,10 +195,9 @@
     """Run a load under random faults and count bills against answers."""
     source = random.Random(seed)
     with Deployment(Shape(entries=3, workers=2)) as deployment:
-        with open("examples/carpato.yaml", encoding="utf-8") as file:
-            manifest = parse_manifest(file.read())
         url = deployment.processes["platform"].url()
-        apply_manifest(ObjectStore(url), manifest)
+        url = deployment.processes["platform"].url()
+        apply(deployment, read_example())
         deployment.wait_ready()
         end = time.monotonic() + seconds
         with ThreadPoolExecutor(8) as pool:
@@ -235,7 +232,7 @@
         "max_tokens": 6,
         "messages": [{"role": "user", "content": "hard" if hard else "easy"}],
     }
-    headers = {"Authorization": f"Bearer {KEY}"}
+    headers = {"Authorization": f"Bearer {RETAIL_KEY}"}
     path = f"{url}/v1/chat/completions"
     return call("POST", path, body, headers, timeout_s=15.0)
 
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -10,15 +10,10 @@
 import fire
 
 from bench.deployment import Deployment, Process, Shape
+from bench.example import PARTITIONS, RETAIL_KEY, bring_into_force, read_example
 from bench.http import Reply, call
 from bench.report import Figure, figure, progress, show
-from lacewingdock.components.configuration.apply import apply_manifest
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
 
-MANIFEST: Final = "examples/carpato.yaml"
-KEY: Final = "carpato-retail-demo-key"
-PARTITIONS: Final = 8
 CONFIRM: Final = "/services/booking/slots/confirm"
 SLOTS: Final = "/services/booking/slots"
 TICKETS: Final = "/services/booking/tickets"
@@ -38,13 +33,9 @@
         """Bring the configuration into force, with tickets allowed."""
         self.deployment = deployment
         self.count = 0
-        with open(MANIFEST, encoding="utf-8") as file:
-            manifest = parse_manifest(file.read())
+        manifest = read_example()
         manifest["service/booking"]["operations"][0]["on_outage"] = "tickets"
-        store = ObjectStore(deployment.processes["platform"].url())
-        changes = apply_manifest(store, manifest)
-        deployment.wait_ready()
-        deployment.wait_revision(max(c.revision for c in changes))
+        bring_into_force(deployment, manifest)
         deployment.wait_homes(PARTITIONS)
         for worker in self.workers():
             call("POST", f"{worker.url()}/control", {"delay_s": 0.0})
@@ -67,7 +58,7 @@
         self, method: str, path: str, body: Any = None, key: str = ""
     ) -> Reply:
         """Call the entry."""
-        headers = {"Authorization": f"Bearer {KEY}"}
+        headers = {"Authorization": f"Bearer {RETAIL_KEY}"}
         if key:
             headers["Idempotency-Key"] = key
         url = self.deployment.processes["entry-0"].url() + path
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -6,22 +6,19 @@
 import threading
 import time
 from collections import Counter
-from pathlib import Path
 from typing import Any, Final
 
 import fire
 import numpy
 
 from bench.deployment import Deployment, Shape
+from bench.example import MANIFEST, PARTITIONS, RETAIL_KEY, read_example
 from bench.http import call
 from bench.load import Load, Outcome
 from lacewingdock.components.configuration.apply import Change, apply_manifest
 from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import Manifest, parse_manifest
+from lacewingdock.world.manifest import Manifest
 
-MANIFEST: Final = Path("examples/carpato.yaml")
-KEY: Final = "carpato-retail-demo-key"
-PARTITIONS: Final = 8
 CARPATO: Final = Shape(
     domains=["buc-hall-a", "buc-hall-b", "clj-hall", "tms-hall"],
     entries=2,
@@ -51,7 +48,7 @@
         self.deployment = deployment
         url = deployment.processes["platform"].url()
         self.store = ObjectStore(url)
-        self.manifest = parse_manifest(MANIFEST.read_text("utf-8"))
+        self.manifest = read_example()
         self.withdrawn_at = math.inf
         self.stop = threading.Event()
 
@@ -173,7 +170,9 @@
         demo.configure(demo.manifest)
         deployment.wait_ready()
         deployment.wait_homes(PARTITIONS)
-        load = Load(demo.entries(), KEY, rate, seconds, seed, stop=demo.stop)
+        load = Load(
+            demo.entries(), RETAIL_KEY, rate, seconds, seed, stop=demo.stop
+        )
         operator = threading.Thread(target=demo.operate, args=(seconds,))
         operator.start()
         outcomes = load.run()
@@ -194,7 +193,7 @@
     print(f"logs and keys: {demo.deployment.folder}")
     print(
         f"try: curl {entry}/v1/chat/completions"
-        f" -H 'Authorization: Bearer {KEY}'"
+        f" -H 'Authorization: Bearer {RETAIL_KEY}'"
         ' -d \'{"model": "route-day",'
         ' "messages": [{"role": "user", "content": "a plan"}]}\''
     )
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -7,6 +7,7 @@
 import fire
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import apply_example
 from bench.http import call
 from bench.proc import usage
 from bench.report import Figure, figure, progress, show
@@ -15,7 +16,6 @@
 from lacewingdock.const import COLLECTION_LEASES
 from lacewingdock.platform.store import ObjectStore
 from lacewingdock.world.objects import Instance
-from tests.common import apply_example
 
 POLL_S = 0.02
 TAKEOVER_AIM_S = 8.0
--- a/bench/path.py
+++ b/bench/path.py
@@ -18,15 +18,11 @@
 import numpy
 
 from bench.deployment import Deployment, Process, Shape
+from bench.example import RETAIL_KEY, bring_into_force, read_example
 from bench.http import call
 from bench.report import Figure, figure, progress, show
 from bench.streams import Order, Stream, stream_once
-from lacewingdock.components.configuration.apply import apply_manifest
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
 
-MANIFEST: Final = Path("examples/carpato.yaml")
-KEY: Final = "carpato-retail-demo-key"
 MODEL: Final = "drafter"
 VERSION: Final = "drafter-1"
 WORKERS: Final = 6
@@ -52,11 +48,7 @@
 
 def start(deployment: Deployment) -> None:
     """Bring the example configuration into force."""
-    url = deployment.processes["platform"].url()
-    manifest = parse_manifest(MANIFEST.read_text("utf-8"))
-    changes = apply_manifest(ObjectStore(url), manifest)
-    deployment.wait_ready()
-    deployment.wait_revision(max(c.revision for c in changes))
+    bring_into_force(deployment, read_example())
     time.sleep(SETTLE_S)
 
 
@@ -102,7 +94,9 @@
                 else (next(engines), VERSION, direct)
             )
             futures.append(
-                pool.submit(stream_once, url, model, KEY, prompt, SHORT_TOKENS)
+                pool.submit(
+                    stream_once, url, model, RETAIL_KEY, prompt, SHORT_TOKENS
+                )
             )
         return [f.result() for f in direct], [f.result() for f in routed]
 
@@ -111,7 +105,7 @@
     urls: list[str], model: str, streams: int, tokens: int
 ) -> list[Stream]:
     """Stream long answers to callers in several processes."""
-    order = Order(urls, model, KEY, streams // CALLER_PROCESSES, tokens)
+    order = Order(urls, model, RETAIL_KEY, streams // CALLER_PROCESSES, tokens)
     callers = [
         subprocess.Popen(
             [sys.executable, "-m", "bench.streams"],
--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -6,21 +6,16 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Final
 
 import fire
 
 from bench.deployment import Deployment, Shape
+from bench.example import RETAIL_KEY, bring_into_force, read_example
 from bench.http import Reply, call
 from bench.report import Figure, figure, progress, show
-from lacewingdock.components.configuration.apply import apply_manifest
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
 from standins.engine import CRASH_WORD
 
-MANIFEST: Final = Path("examples/carpato.yaml")
-KEY: Final = "carpato-retail-demo-key"
 COPIES: Final = 50
 HEALTHY_RATE: Final = 20.0
 HEALTHY_S: Final = 6.0
@@ -80,7 +75,7 @@
             f"{self.deployment.processes[f'entry-{entry}'].url()}"
             "/v1/chat/completions",
             body,
-            {"Authorization": f"Bearer {KEY}"},
+            {"Authorization": f"Bearer {RETAIL_KEY}"},
         )
 
     def healthy(self, number: int) -> None:
@@ -144,11 +139,7 @@
 def measure(seed: int, at_once: bool, outage: bool) -> Outcome:
     """Run one deployment."""
     with Deployment(SHAPE) as deployment:
-        manifest = parse_manifest(MANIFEST.read_text("utf-8"))
-        store = ObjectStore(deployment.processes["platform"].url())
-        changes = apply_manifest(store, manifest)
-        deployment.wait_ready()
-        deployment.wait_revision(max(c.revision for c in changes))
+        bring_into_force(deployment, read_example())
         time.sleep(2.0)
         deployment.faults(down=outage)
         trial = Trial(deployment, random.Random(seed))
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,8 +8,9 @@
 
 import fire
 
-from bench.demo import KEY, PARTITIONS, Demo
+from bench.demo import Demo
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import PARTITIONS, RETAIL_KEY
 from bench.http import call
 from bench.report import progress
 from bench.soak_callers import Booked, Callers, Chatted
@@ -104,7 +105,7 @@
     old = dict(demo.manifest["version/drafter-1"])
     demo.configure({"version/drafter-1": {**old, "state": "withdrawn"}})
     before = _served(demo.deployment, "drafter-1")
-    callers = Callers(entries, KEY, 20.0, 7)
+    callers = Callers(entries, RETAIL_KEY, 20.0, 7)
     ending = threading.Timer(3.0, callers.stopping.set)
     ending.start()
     callers.run()
@@ -131,7 +132,7 @@
         deployment.wait_ready()
         deployment.wait_homes(PARTITIONS)
         stopping = threading.Event()
-        callers = Callers(demo.entries(), KEY, rate, seed)
+        callers = Callers(demo.entries(), RETAIL_KEY, rate, seed)
         faults = Faults(deployment, seed)
         operator = Operator(demo)
         work = [
--- a/bench/withdrawal.py
+++ b/bench/withdrawal.py
@@ -7,20 +7,16 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any, Final
 
 import fire
 
 from bench.deployment import Deployment, Shape
+from bench.example import RETAIL_KEY, apply, read_example
 from bench.http import call
 from bench.report import Figure, figure, progress, show
-from lacewingdock.components.configuration.apply import apply_manifest
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import Manifest, parse_manifest
+from lacewingdock.world.manifest import Manifest
 
-MANIFEST: Final = Path("examples/carpato.yaml")
-KEY: Final = "carpato-retail-demo-key"
 OLD, NEW = "drafter-1", "drafter-2"
 RATE: Final = 40.0
 BEFORE_S: Final = 2.0
@@ -76,13 +72,11 @@
 
     def apply(self, manifest: Manifest) -> int:
         """Bring a manifest into force; returns its last revision."""
-        url = self.deployment.processes["platform"].url()
-        changes = apply_manifest(ObjectStore(url), manifest)
-        return max(c.revision for c in changes)
+        return apply(self.deployment, manifest)
 
     def ask(self, number: int, entry: int, session: str) -> None:
         """Ask as a caller, in a session or not."""
-        headers = {"Authorization": f"Bearer {KEY}"}
+        headers = {"Authorization": f"Bearer {RETAIL_KEY}"}
         if session:
             headers["Lacewingdock-Session"] = session
         body = {
@@ -161,7 +155,7 @@
 
 def measure(seed: int, frozen: bool) -> Outcome:
     """Run one deployment."""
-    manifest = parse_manifest(MANIFEST.read_text("utf-8"))
+    manifest = read_example()
     manifest["model/drafter"] = {"shares": {OLD: 0.5, NEW: 0.5}}
     with Deployment(SHAPE) as deployment:
         trial = Trial(deployment, random.Random(seed))
--- a/tests/common.py
+++ b/tests/common.py
@@ -4,29 +4,11 @@
 from typing import Any
 
 from bench.deployment import Deployment, Process
+from bench.example import RETAIL_KEY
 from bench.http import Reply, call
-from lacewingdock.components.configuration.apply import apply_manifest
 from lacewingdock.components.orders import send_order
 from lacewingdock.links.keys import load_keys
 from lacewingdock.links.messages import Hello, Order, Ordered
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
-
-RETAIL_KEY = "carpato-retail-demo-key"
-NOTES_KEY = "carpato-notes-demo-key"
-PARTITIONS = 8
-MANIFEST = "examples/carpato.yaml"
-
-
-def apply_example(deployment: Deployment) -> None:
-    """Bring the example manifest into force and wait until all are ready."""
-    with open(MANIFEST, encoding="utf-8") as file:
-        manifest = parse_manifest(file.read())
-    url = deployment.processes["platform"].url()
-    changes = apply_manifest(ObjectStore(url), manifest)
-    deployment.wait_ready()
-    deployment.wait_revision(max(c.revision for c in changes))
-    deployment.wait_homes(PARTITIONS)
 
 
 def ask(
--- a/tests/components/answers/test_faults.py
+++ b/tests/components/answers/test_faults.py
@@ -11,11 +11,12 @@
 import pytest
 
 from bench.deployment import Shape, wait_until
+from bench.example import NOTES_KEY, RETAIL_KEY, apply_example
 from bench.http import call
 from bench.relay import RelayedDeployment
 from bench.stream import Stream
 from standins.engine import expected_words
-from tests.common import NOTES_KEY, RETAIL_KEY, apply_example, chat
+from tests.common import chat
 
 TOKENS = 120
 SLOW_FIRST_S = 1.0
--- a/tests/components/billing/test_processes.py
+++ b/tests/components/billing/test_processes.py
@@ -15,8 +15,9 @@
 import pytest
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import apply_example
 from bench.http import call
-from tests.common import apply_example, book, chat
+from tests.common import book, chat
 
 LEDGER = "/objects/ledger"
 REQUEST_ID = "lacewingdock-request-id"
--- a/tests/components/budgets/test_budget_path.py
+++ b/tests/components/budgets/test_budget_path.py
@@ -3,10 +3,8 @@
 import pytest
 
 from bench.deployment import Deployment, Shape
-from lacewingdock.components.configuration.apply import apply_manifest
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
-from tests.common import MANIFEST, apply_example, chat
+from bench.example import apply, apply_example, read_example
+from tests.common import chat
 
 # A hard request reads one token and generates eight on each of its steps.
 COST = (0.1 + 8 * 0.3 + 1.0 + 8 * 3.0) / 1000
@@ -21,14 +19,11 @@
 
 
 def set_budget(deployment, at_limit, budget):
-    with open(MANIFEST, encoding="utf-8") as file:
-        manifest = parse_manifest(file.read())
+    manifest = read_example()
     key = "workspace/retail"
     limit = {"at_limit": at_limit, "budget": budget}
     manifest[key] = {**manifest[key], **limit}
-    store = ObjectStore(deployment.processes["platform"].url())
-    changes = apply_manifest(store, manifest)
-    deployment.wait_revision(max(c.revision for c in changes))
+    deployment.wait_revision(apply(deployment, manifest))
 
 
 # Symptom: a workspace runs past its budget through several entries, or a
--- a/tests/components/callers/test_callers.py
+++ b/tests/components/callers/test_callers.py
@@ -4,8 +4,9 @@
 import pytest
 
 from bench.deployment import Deployment, Shape
+from bench.example import RETAIL_KEY, apply_example
 from standins.engine import expected_words
-from tests.common import RETAIL_KEY, apply_example, ask, book, chat
+from tests.common import ask, book, chat
 
 PROMPT = "a sofa to Cluj"
 CHAT = "/v1/chat/completions"
--- a/tests/components/claims/test_processes.py
+++ b/tests/components/claims/test_processes.py
@@ -10,14 +10,9 @@
 import pytest
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import PARTITIONS, apply, apply_example, read_example
 from bench.http import call
-from lacewingdock.components.configuration.apply import apply_manifest
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
 from tests.common import (
-    MANIFEST,
-    PARTITIONS,
-    apply_example,
     ask,
     book,
     bookings,
@@ -258,9 +253,6 @@
 
 
 def allow_tickets(deployment):
-    with open(MANIFEST, encoding="utf-8") as file:
-        service = parse_manifest(file.read())["service/booking"]
+    service = read_example()["service/booking"]
     service["operations"][0]["on_outage"] = "tickets"
-    url = deployment.processes["platform"].url()
-    changes = apply_manifest(ObjectStore(url), {"service/booking": service})
-    deployment.wait_revision(max(c.revision for c in changes))
+    deployment.wait_revision(apply(deployment, {"service/booking": service}))
--- a/tests/components/language/test_processes.py
+++ b/tests/components/language/test_processes.py
@@ -3,11 +3,12 @@
 import pytest
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import apply_example
 from bench.http import call
 from lacewingdock.components.language.client import Client
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.links.messages import Order
-from tests.common import apply_example, chat, send_order_as_entry
+from tests.common import chat, send_order_as_entry
 
 
 @pytest.fixture(scope="module")
--- a/tests/components/metrics/test_logs.py
+++ b/tests/components/metrics/test_logs.py
@@ -11,11 +11,12 @@
     Shape,
     wait_until,
 )
+from bench.example import RETAIL_KEY, apply_example
 from bench.http import call
 from lacewingdock.components.reports import report
 from lacewingdock.components.reports.samples import load_samples
 from lacewingdock.settings import ReportSettings
-from tests.common import RETAIL_KEY, apply_example, book, chat
+from tests.common import book, chat
 
 
 @pytest.fixture(scope="module")
--- a/tests/components/quarantine/test_crash.py
+++ b/tests/components/quarantine/test_crash.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import apply_example
 from bench.http import call
 from lacewingdock.components.quarantine.operate import (
     list_quarantines,
@@ -13,7 +14,7 @@
 )
 from lacewingdock.platform.store import ObjectStore
 from standins.engine import CRASH_WORD
-from tests.common import apply_example, chat
+from tests.common import chat
 
 WORKERS = 4
 SHAPE = Shape(entries=2, workers=WORKERS, booking_workers=1)
--- a/tests/components/rollouts/test_processes.py
+++ b/tests/components/rollouts/test_processes.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import apply_example
 from bench.http import call
 from lacewingdock.components.language.client import Client
 from lacewingdock.components.leases.const import LEASE_ROLLOUTS
@@ -13,7 +14,7 @@
 from lacewingdock.const import COLLECTION_LEASES, COLLECTION_ROLLOUTS
 from lacewingdock.links.messages import Order
 from lacewingdock.platform.store import ObjectStore
-from tests.common import apply_example, chat, send_order_as_entry
+from tests.common import chat, send_order_as_entry
 
 
 @pytest.fixture(scope="module")
--- a/tests/components/runs/test_withdrawal.py
+++ b/tests/components/runs/test_withdrawal.py
@@ -6,11 +6,9 @@
 import pytest
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import apply, apply_example, read_example
 from bench.http import call
-from lacewingdock.components.configuration.apply import apply_manifest
-from lacewingdock.platform.store import ObjectStore
-from lacewingdock.world.manifest import parse_manifest
-from tests.common import MANIFEST, apply_example, chat
+from tests.common import chat
 
 SHAPE = Shape(
     entries=2,
@@ -29,11 +27,8 @@
 
 def change(deployment, key, **fields):
     """Change one object of the example; returns the revision."""
-    with open(MANIFEST, encoding="utf-8") as file:
-        value = parse_manifest(file.read())[key]
-    store = ObjectStore(deployment.processes["platform"].url())
-    changes = apply_manifest(store, {key: {**value, **fields}})
-    return changes[-1].revision
+    value = read_example()[key]
+    return apply(deployment, {key: {**value, **fields}})
 
 
 def engine(deployment, **state):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,10 +9,10 @@
 
 from bench.balancer import Balancer
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import RETAIL_KEY, apply_example
 from bench.http import call
 from bench.load import Load
 from bench.stream import Stream
-from tests.common import RETAIL_KEY, apply_example
 
 TOKENS = 60
 LAG_S = 0.3
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,14 +5,9 @@
 import pytest
 
 from bench.deployment import Deployment, Shape
+from bench.example import NOTES_KEY, apply_example
 from standins.engine import expected_words
-from tests.common import (
-    NOTES_KEY,
-    apply_example,
-    book,
-    bookings,
-    chat,
-)
+from tests.common import book, bookings, chat
 
 
 @pytest.fixture(scope="module")
