Membership: a link that a call needs is dialed at once

Symptom: test_tickets_in_an_outage got 503 not_home once. Cause: pauses between dials grow to 3 s while a sidecar is down, and go back only after a link that lasted 3 s; a call waits 1.5 s for its home. A ticket given out by an entry that was linked again, and sent through one that was not yet, was refused though its process was up. Ruled out: a list that lags (the sidecar stays listed over the restart); waiting for links in the test, which would leave the refusal to callers; a shorter longest pause, which dials dead sidecars more often from every entry. Change: Membership.hasten wakes the dialing once for each call that needs the link, and the pauses start from the shortest again. Upstream.linked replaces three spellings of it. Proof: the new test fails without the wake-up ("not dialed again").

--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -191,6 +191,9 @@
 
     def _wait_home(self, attempt: Attempt, end: float) -> Upstream | None:
         """Find the home of a key, over the moment that it changes in."""
+        ticket = parse_ticket(attempt.key)
+        if ticket is not None:
+            self.relay.membership.hasten(ticket.instance)
         end = min(end, time.monotonic() + HOME_WAIT_S)
         while True:
             home = self._home(attempt)
--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -107,7 +107,7 @@
         """
         best, best_term = None, -1
         for upstream in tuple(self.upstreams.values()):
-            if upstream.link is None or upstream.link.closed:
+            if not upstream.linked:
                 continue
             for held in upstream.status.homes:
                 name, _, term = held.partition("@")
@@ -143,6 +143,17 @@
                 return upstream
         return None
 
+    def hasten(self, name: str) -> None:
+        """Have a missing link dialed at once, for a call that needs it.
+
+        Symptom otherwise: a ticket of a sidecar that is up again is refused
+        as `not_home`. The pauses between dials have grown while it was down,
+        and the next one may be longer than a call waits for its home.
+        """
+        upstream = self.upstreams.get(name)
+        if upstream is not None and not upstream.linked:
+            upstream.needed.set()
+
     def release(self, upstream: Upstream) -> None:
         """Let the link to a guest go once no answer needs it."""
         with self._guests:
@@ -221,8 +232,7 @@
         """
         if upstream.in_flight.value > 0:
             return False
-        link = upstream.link
-        return upstream.name in listed or link is None or link.closed
+        return upstream.name in listed or not upstream.linked
 
     def _want(self, instance: Instance) -> None:
         known = self.upstreams.get(instance.name)
@@ -248,6 +258,7 @@
 
     def _forget(self, upstream: Upstream) -> None:
         upstream.wanted = False
+        upstream.needed.set()
         if self.upstreams.get(upstream.name) is upstream:
             del self.upstreams[upstream.name]
         if upstream.link is not None:
@@ -264,8 +275,11 @@
                 log.debug("not linked", peer=upstream.name, error=str(error))
             if time.monotonic() - start > REDIAL_MAX_S:
                 pause = REDIAL_MIN_S
-            self.daemon.stopping.wait(pause * self.daemon.random.random())
-            pause = min(pause * 2, REDIAL_MAX_S)
+            if upstream.needed.wait(pause * self.daemon.random.random()):
+                upstream.needed.clear()
+                pause = REDIAL_MIN_S
+            else:
+                pause = min(pause * 2, REDIAL_MAX_S)
 
     def _on_open(self, link: Link) -> None:
         upstream = self.upstreams.get(link.peer.instance)
--- a/lacewingdock/world/upstream.py
+++ b/lacewingdock/world/upstream.py
@@ -21,6 +21,7 @@
             lags, and without them all entries would herd to the idlest.
         wanted: Whether the link shall be kept.
         guest: Whether the link is only there to fetch an answer.
+        needed: Set to have a missing link dialed at once.
     """
 
     __slots__ = (
@@ -29,6 +30,7 @@
         "in_flight",
         "instance",
         "link",
+        "needed",
         "sent_since_news",
         "status",
         "wanted",
@@ -43,6 +45,7 @@
         self.sent_since_news = 0
         self.wanted = True
         self.guest = False
+        self.needed = threading.Event()
         self._changed = threading.Condition()
 
     @property
@@ -50,11 +53,16 @@
         """Name of the sidecar's instance."""
         return self.instance.name
 
+    @property
+    def linked(self) -> bool:
+        """Whether there is an open link."""
+        link = self.link
+        return link is not None and not link.closed
+
     def usable(self, target: str) -> bool:
         """Tell whether new work for a target may go there."""
         return (
-            self.link is not None
-            and not self.link.closed
+            self.linked
             and not self.guest
             and not self.status.leaving
             and self.instance.state == "live"
--- a/tests/components/membership/test_membership.py
+++ b/tests/components/membership/test_membership.py
@@ -1,5 +1,7 @@
 """Tests for which links an entry keeps."""
 
+import threading
+
 import pytest
 
 from lacewingdock.components import membership
@@ -75,6 +77,37 @@
     assert not before.wanted
 
 
+def test_link_that_a_call_needs_is_dialed_at_once(node, monkeypatch):
+    """Symptom: a ticket of a sidecar that is up again gets `not_home`.
+
+    Events: a sidecar is down for a while, so that the pauses between dials
+    have grown; it comes back; a call for a ticket of its comes before the
+    next dial. Cause: the next dial may be later than a call waits.
+    """
+    monkeypatch.setattr(membership, "REDIAL_MIN_S", 1e4)
+    monkeypatch.setattr(membership, "REDIAL_MAX_S", 1e4)
+    dials = threading.Semaphore(0)
+
+    def refuse(address):
+        dials.release()
+        raise ConnectionRefusedError(address)
+
+    node.peers.hold = refuse
+    members = member_of(node)
+    members.take([sidecar("worker-0")])
+    (function, args) = node.daemon.spawned[-1]
+    dialing = threading.Thread(target=function, args=args)
+    dialing.start()
+    assert dials.acquire(timeout=10)
+    try:
+        members.hasten("worker-0")
+        assert dials.acquire(timeout=10), "not dialed again"
+    finally:
+        members.unload()
+        dialing.join(10)
+    assert not dialing.is_alive()
+
+
 def test_outage_keeps_the_upstreams_and_backs_off(node):
     members = member_of(node)
     members.take([sidecar("worker-0")])
