--- a/examples/spread_work.py
+++ b/examples/spread_work.py
@@ -1,7 +1,7 @@
 """Spread links over failure domains and work over slots.
 
 Sixty clients choose 6 of 40 workers each, without a word between them.
-Then one worker's two slots are given out, the most urgent request first.
+Then one worker's only slot is given out, the most urgent request first.
 """
 
 import threading
