Names: nothing is reached by an underscore across modules

Cause: the sidecar's catch-up took the configuration's lock, and eight test files called or set what was marked as private; the house style wants attributes public unless they must not be. Change: Configuration.in_force in place of its lock; Departures.look is one round, so that its test needs no counted loop; what tests use is public and documented (check_at, pause_awake, want, gate, begin, more, pace, base, backlog_bytes, pairs, poll). Only the names change in the tests; the fake of the configuration has in_force where it had a lock. Left: Slots._give_back and the semaphore's first value, each in one test.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -14,6 +14,7 @@
     Attributes:
         address: "IP:PORT" that it listens on.
         target: "IP:PORT" that it forwards to.
+        pairs: Both sides of each connection that was forwarded.
         held: What was swallowed, for each direction of each connection.
     """
 
@@ -24,13 +25,13 @@
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         self.held: dict[tuple[socket.socket, socket.socket], bytearray] = {}
         self._lock = threading.Lock()
-        self._pairs: list[tuple[socket.socket, socket.socket]] = []
+        self.pairs: list[tuple[socket.socket, socket.socket]] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     def swallow(self) -> None:
         """Let every open connection go silent; new ones work."""
         with self._lock:
-            for near, far in self._pairs:
+            for near, far in self.pairs:
                 self.held.setdefault((near, far), bytearray())
                 self.held.setdefault((far, near), bytearray())
 
@@ -45,7 +46,7 @@
     def cut(self) -> None:
         """Break every open connection."""
         with self._lock:
-            for pair in self._pairs:
+            for pair in self.pairs:
                 for sock in pair:
                     with contextlib.suppress(OSError):
                         sock.shutdown(socket.SHUT_RDWR)
@@ -68,7 +69,7 @@
                 return
             far.settimeout(None)
             with self._lock:
-                self._pairs.append((near, far))
+                self.pairs.append((near, far))
             for pair in ((near, far), (far, near)):
                 threading.Thread(
                     target=self._pump, args=pair, daemon=True
--- a/lacewingdock/components/callers/chat.py
+++ b/lacewingdock/components/callers/chat.py
@@ -90,7 +90,7 @@
         session = None
         if caller.session:
             session = open_session(caller.session, name, self.session_keys)
-        begun = self._start(chat, caller, name, workspace, session)
+        begun = self.begin(chat, caller, name, workspace, session)
         if chat.stream:
             events = self._events(begun.answer, begun.pieces, caller, begun)
             response = Response(events, content_type=EVENT_STREAM)
@@ -99,7 +99,7 @@
         self._mark(response, begun)
         return response
 
-    def _start(
+    def begin(
         self,
         chat: ChatBody,
         caller: Caller,
@@ -184,7 +184,7 @@
                     for index, data in enumerate(pieces, start)
                 )
                 seen += pieces if sampled else ()
-                pieces = [] if answer.finish else self._more(answer, sink)
+                pieces = [] if answer.finish else self.more(answer, sink)
             whole = True
             yield DONE_EVENT
             if begun is not None:
@@ -202,7 +202,7 @@
             answer.divert(None)
             self.relay.answers.drop(answer, cancel=gone)
 
-    def _more(self, answer: Answer, sink: Sink | None) -> list[bytes]:
+    def more(self, answer: Answer, sink: Sink | None) -> list[bytes]:
         """Return the next pieces that the sink does not take."""
         while True:
             if sink is not None:
--- a/lacewingdock/components/callers/departures.py
+++ b/lacewingdock/components/callers/departures.py
@@ -27,10 +27,11 @@
         daemon: The daemon.
         answers: Where the answers of a caller that left are ended.
         callers: Request ids by file descriptor.
+        poll: Tells of descriptors whose other end was closed.
         gone: Request ids whose caller left and that have not ended.
     """
 
-    __slots__ = ("_lock", "_poll", "answers", "callers", "daemon", "gone")
+    __slots__ = ("_lock", "answers", "callers", "daemon", "gone", "poll")
 
     def __init__(self, daemon: Daemon, answers: Answers) -> None:
         """Start watching nobody."""
@@ -38,7 +39,7 @@
         self.answers = answers
         self.callers: dict[int, str] = {}
         self.gone: set[str] = set()
-        self._poll = select.epoll()
+        self.poll = select.epoll()
         self._lock = threading.Lock()
 
     def start(self) -> None:
@@ -52,7 +53,7 @@
             return
         with self._lock:
             self.callers[number] = request_id
-            self._poll.register(number, _EVENTS)
+            self.poll.register(number, _EVENTS)
 
     def forget(self, request_id: str, sock: socket.socket) -> None:
         """Stop watching a caller, which has its answer or is gone."""
@@ -62,22 +63,26 @@
             # A number that was closed may be another caller's by now.
             if self.callers.get(number) == request_id:
                 del self.callers[number]
-                self._poll.unregister(number)
+                self.poll.unregister(number)
 
     def _watch_all(self) -> None:
         while not self.daemon.stopping.is_set():
-            found = self._poll.poll(POLL_S)
-            with self._lock:
-                self.gone.update(
-                    self.callers[number]
-                    for number, _ in found
-                    if number in self.callers and _is_closed(number)
-                )
-                gone = tuple(self.gone)
-            # Again each round: between two tries, or two steps of a cascade,
-            # a request has no answer that could be ended.
-            for request_id in gone:
-                self.answers.abandon(request_id)
+            self.look()
+
+    def look(self) -> None:
+        """Wait for callers to leave, at most POLL_S, and end what is theirs."""
+        found = self.poll.poll(POLL_S)
+        with self._lock:
+            self.gone.update(
+                self.callers[number]
+                for number, _ in found
+                if number in self.callers and _is_closed(number)
+            )
+            gone = tuple(self.gone)
+        # Again each round: between two tries, or two steps of a cascade,
+        # a request has no answer that could be ended.
+        for request_id in gone:
+            self.answers.abandon(request_id)
 
     def unload(self) -> None:
         """Nothing to undo: the task ends with the daemon."""
--- a/lacewingdock/components/claims/tickets.py
+++ b/lacewingdock/components/claims/tickets.py
@@ -66,9 +66,10 @@
         instance: This instance.
         incarnation: This start of it.
         runs: Run by workspace and key, with the ticket.
+        base: Wall-clock seconds at which the monotonic clock was 0.
     """
 
-    __slots__ = ("_base", "_lock", "incarnation", "instance", "runs")
+    __slots__ = ("_lock", "base", "incarnation", "instance", "runs")
 
     def __init__(self, instance: str, incarnation: str) -> None:
         """Start without runs."""
@@ -78,11 +79,11 @@
         self._lock = threading.Lock()
         # Wall-clock time that never goes back: a clock set back would let a
         # ticket in whose record is already forgotten.
-        self._base = time.time() - time.monotonic()
+        self.base = time.time() - time.monotonic()
 
     def now(self) -> float:
         """Return wall-clock seconds that only grow."""
-        return self._base + time.monotonic()
+        return self.base + time.monotonic()
 
     def claim(self, ticket: Ticket, run: Run) -> Run:
         """Reserve a ticket.
--- a/lacewingdock/components/configuration/__init__.py
+++ b/lacewingdock/components/configuration/__init__.py
@@ -68,17 +68,18 @@
         shown: The highest revision that each linked peer showed.
         backoff: Pauses while the platform does not answer.
         changed_at: Unix time at which the revision last grew.
+        check_at: Monotonic time of the next look at the platform.
     """
 
     __slots__ = (
         "_answering",
-        "_check_at",
         "_faults",
         "_listed",
         "_lock",
         "_pulled_at",
         "backoff",
         "changed_at",
+        "check_at",
         "daemon",
         "entries",
         "loaded",
@@ -102,7 +103,7 @@
         self.backoff = Backoff(RETRY_S, RETRY_MAX_S, daemon.random)
         self.changed_at = 0.0
         self._lock = threading.Lock()
-        self._check_at = 0.0
+        self.check_at = 0.0
         self._pulled_at = 0.0
         self._listed = False
         self._faults: set[str] = set()
@@ -127,6 +128,15 @@
         """
         return self.table.upto if self.loaded.is_set() else 0
 
+    def in_force(self, revision: int) -> bool:
+        """Tell whether a revision is in force here, and the view shows it.
+
+        The revision is raised a moment before the view is rebuilt, both under
+        this lock; without it the old view could be judged by once more.
+        """
+        with self._lock:
+            return self.revision >= revision
+
     def is_watcher(self) -> bool:
         """Tell whether this daemon is among its domain's few watchers.
 
@@ -162,11 +172,11 @@
         return START_SPREAD_S * self.daemon.random.random()
 
     def _keep_up(self) -> None:
-        self._pause(self.start_pause())
+        self.pause_awake(self.start_pause())
         while not self.daemon.stopping.is_set():
-            self._pause(self.step())
+            self.pause_awake(self.step())
 
-    def _pause(self, seconds: float) -> None:
+    def pause_awake(self, seconds: float) -> None:
         """Wait; after a sleep of the process look at the platform at once.
 
         A process that was stopped, or whose machine was, wakes with the view
@@ -177,7 +187,7 @@
             if self.daemon.stopping.wait(min(left, PAUSE_SLICE_S)):
                 return
             if time.monotonic() > end + SLEPT_S:
-                self._check_at = 0.0
+                self.check_at = 0.0
 
     def step(self) -> float:
         """Keep up with the platform once; return the seconds to pause."""
@@ -205,10 +215,10 @@
         if self.is_watcher():
             self._take(since, self._watch(since))
             return 0.0
-        if time.monotonic() >= self._check_at:
+        if time.monotonic() >= self.check_at:
             self._take(since, self._find(since, "config-check"))
             pause = self.check_interval() * self.daemon.random.uniform(0.5, 1.5)
-            self._check_at = time.monotonic() + pause
+            self.check_at = time.monotonic() + pause
         return CHECK_MIN_S / 2
 
     def _find(self, after: int, purpose: str) -> Listing:
--- a/lacewingdock/components/configuration/catch_up.py
+++ b/lacewingdock/components/configuration/catch_up.py
@@ -37,7 +37,4 @@
         end = time.monotonic() + timeout_s
         while configuration.revision < revision and time.monotonic() < end:
             time.sleep(_POLL_S)
-    # The revision is raised a moment before the view is rebuilt, both under
-    # this lock; without it the old view could be judged by once more.
-    with configuration._lock:
-        return configuration.revision >= revision
+    return configuration.in_force(revision)
--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -193,7 +193,7 @@
         self._choose([i.name for i in entries], sidecars, listed)
         for instance in sidecars:
             if instance.name in self.chosen:
-                self._want(instance)
+                self.want(instance)
         for name, upstream in tuple(self.upstreams.items()):
             if name not in self.chosen and self._expendable(upstream, listed):
                 self._forget(upstream)
@@ -234,7 +234,8 @@
             return False
         return upstream.name in listed or not upstream.linked
 
-    def _want(self, instance: Instance) -> None:
+    def want(self, instance: Instance) -> None:
+        """Keep a link to an instance, a new one if its address is new."""
         known = self.upstreams.get(instance.name)
         if known and known.instance.address == instance.address:
             known.instance = instance
--- a/lacewingdock/components/peers/__init__.py
+++ b/lacewingdock/components/peers/__init__.py
@@ -107,7 +107,7 @@
     def start(self) -> None:
         """Start accepting and beating."""
         self.daemon.spawn(self._accept_all)
-        self.daemon.every(BEAT_BUSY_S, self._pace)
+        self.daemon.every(BEAT_BUSY_S, self.pace)
 
     def hold(self, address: str) -> None:
         """Open a link and read it in the calling task until it closes.
@@ -166,7 +166,7 @@
                 callback(link)
             log.info("link closed", peer=link.peer.instance, reason=link.reason)
 
-    def _pace(self) -> None:
+    def pace(self) -> None:
         """Beat links that are due and give up silent ones.
 
         Something between two peers can lose track of a connection: it stays
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -220,7 +220,7 @@
 
     def _admit(self, run: Run, link: Link) -> None:
         attempt = run.attempt
-        self._gate(attempt, link)
+        self.gate(attempt, link)
         self.billing.check_room()
         if attempt.repeatable or self.claims is None:
             self._execute(run)
@@ -234,7 +234,7 @@
             case None:
                 self._execute(run)
 
-    def _gate(self, attempt: Attempt, link: Link) -> None:
+    def gate(self, attempt: Attempt, link: Link) -> None:
         """Check an attempt, on no older configuration than its entry's.
 
         The entry may have decided at a later revision, at which the request
--- a/lacewingdock/links/link.py
+++ b/lacewingdock/links/link.py
@@ -74,6 +74,7 @@
         last_sent: Monotonic time of the last frame sent.
         last_beat: Monotonic time of the last beat sent.
         traffic: Bytes and messages over this link.
+        backlog_bytes: Bytes that wait for the socket to take them.
         closed: Whether the link was given up.
         reason: Why it was given up.
         spawn: Starts the task that empties the backlog; None closes the link
@@ -82,10 +83,10 @@
 
     __slots__ = (
         "_backlog",
-        "_backlog_bytes",
         "_emptying",
         "_lock",
         "_room",
+        "backlog_bytes",
         "busy",
         "busy_since",
         "closed",
@@ -114,7 +115,7 @@
         self._lock = threading.Lock()
         self._room = threading.Condition(self._lock)
         self._backlog: list[bytes] = []
-        self._backlog_bytes = 0
+        self.backlog_bytes = 0
         self._emptying = False
         sock.settimeout(None)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -174,12 +175,12 @@
 
     def _keep_locked(self, data: bytes) -> bool:
         """Keep what the socket does not take now."""
-        waiting = self._backlog_bytes
+        waiting = self.backlog_bytes
         if waiting and waiting + len(data) > MAX_BACKLOG_BYTES:
             self._close_locked("backlog full")
             return False
         self._backlog.append(data)
-        self._backlog_bytes += len(data)
+        self.backlog_bytes += len(data)
         if not self._emptying:
             if self.spawn is None:
                 self._close_locked("send buffer full")
@@ -205,13 +206,13 @@
                 continue
             with self._lock:
                 self.last_sent = time.monotonic()
-                self._backlog_bytes -= len(data)
+                self.backlog_bytes -= len(data)
                 self._room.notify_all()
 
     def wait_room(self) -> bool:
         """Wait until bulk may be sent; return False when the link closed."""
         with self._room:
-            while not self.closed and self._backlog_bytes > BULK_BACKLOG_BYTES:
+            while not self.closed and self.backlog_bytes > BULK_BACKLOG_BYTES:
                 self._room.wait(SEND_TIMEOUT_S)
             return not self.closed
 
--- a/tests/components/answers/test_faults.py
+++ b/tests/components/answers/test_faults.py
@@ -86,9 +86,9 @@
 
 def silence_and_thaw(deployment, index):
     relay = deployment.relays[f"worker-{index}"]
-    opened = len(relay._pairs)
+    opened = len(relay.pairs)
     relay.swallow()
-    wait_until(lambda: len(relay._pairs) > opened, "no new link")
+    wait_until(lambda: len(relay.pairs) > opened, "no new link")
     relay.thaw()
 
 
@@ -99,9 +99,9 @@
 def freeze(deployment, index):
     sidecar = deployment.processes[f"worker-{index}"]
     relay = deployment.relays[f"worker-{index}"]
-    opened = len(relay._pairs)
+    opened = len(relay.pairs)
     sidecar.signal(signal.SIGSTOP)
-    wait_until(lambda: len(relay._pairs) > opened, "no new link")
+    wait_until(lambda: len(relay.pairs) > opened, "no new link")
     sidecar.signal(signal.SIGCONT)
 
 
--- a/tests/components/answers/test_guest.py
+++ b/tests/components/answers/test_guest.py
@@ -63,13 +63,13 @@
     """
     closed = []
     instance = membership.instances[0]
-    membership._want(instance)
+    membership.want(instance)
     old = membership.upstreams[instance.name]
     link = MemoryLink(membership.daemon.me)
     link.close = closed.append
     old.set_link(link)
     old.in_flight.add(1)
-    membership._want(replace(instance, address="127.0.0.1:2"))
+    membership.want(replace(instance, address="127.0.0.1:2"))
     assert membership.upstreams[instance.name] is not old
     assert not closed
     old.in_flight.add(-1)
--- a/tests/components/callers/test_departures.py
+++ b/tests/components/callers/test_departures.py
@@ -17,11 +17,7 @@
 @pytest.fixture
 def departures():
     ended = []
-    rounds = iter([False, True])
-    daemon = SimpleNamespace(
-        stopping=SimpleNamespace(is_set=lambda: next(rounds))
-    )
-    watched = Watched(daemon, SimpleNamespace(abandon=ended.append))
+    watched = Watched(None, SimpleNamespace(abandon=ended.append))
     watched.ended = ended
     return watched
 
@@ -44,7 +40,7 @@
         departures.watch("r1", near)
         if leaves:
             far.close()
-        departures._watch_all()
+        departures.look()
         assert departures.ended == (["r1"] if leaves else [])
 
 
@@ -58,6 +54,6 @@
     near, far = socket.socketpair()
     with near, far:
         departures.watch("r2", near)
-        departures._poll = OldNews(near.fileno())
-        departures._watch_all()
+        departures.poll = OldNews(near.fileno())
+        departures.look()
         assert departures.ended == []
--- a/tests/components/callers/test_sink.py
+++ b/tests/components/callers/test_sink.py
@@ -47,7 +47,7 @@
             start = answer.next_offset - len(pieces)
             for index, data in enumerate(pieces, start):
                 request.conn.wfile.write(event_bytes(b"u/a", index, data))
-            pieces = chat._more(answer, direct)
+            pieces = chat.more(answer, direct)
     finally:
         answer.divert(None)
         request.conn.socket.close()
--- a/tests/components/claims/test_tickets.py
+++ b/tests/components/claims/test_tickets.py
@@ -72,7 +72,7 @@
     it was forgotten before it was refused as too old.
     """
     ticket, booked = mint(home), Counter()
-    home.claims.tickets._base += age
+    home.claims.tickets.base += age
     first = home.send(ticket)
     if want is None:
         home.run(first, booked)
@@ -85,7 +85,7 @@
 def test_forgotten_ticket_does_not_run_again(home):
     ticket, booked = mint(home), Counter()
     home.run(home.send(ticket), booked)
-    home.claims.tickets._base += TICKET_S + 1
+    home.claims.tickets.base += TICKET_S + 1
     home.claims.tickets.sweep()
     assert not home.claims.tickets.runs
     assert said(home.send(ticket)) == ("outcome_unknown", "unknown")
--- a/tests/components/configuration/test_configuration.py
+++ b/tests/components/configuration/test_configuration.py
@@ -195,8 +195,8 @@
 
     node.config.daemon.stopping.wait = sleep_long
     # The hour is over by the clock, so make the next look far away.
-    node.config._check_at = clock.now + 7200
-    node.config._pause(1.0)
+    node.config.check_at = clock.now + 7200
+    node.config.pause_awake(1.0)
     node.config.step()
     assert not node.config.world.offered("a")
 
--- a/tests/components/runs/test_two_gates.py
+++ b/tests/components/runs/test_two_gates.py
@@ -53,7 +53,10 @@
         self.source = source
         self.loaded = threading.Event()
         self.loaded.set()
-        self._lock = threading.Lock()
+
+    def in_force(self, revision):
+        """Tell whether a revision is in force."""
+        return self.revision >= revision
 
     def send(self, message):
         """Take a pull as the peer would."""
@@ -84,7 +87,7 @@
     def ask(self, attempt):
         """Judge an attempt; what passes runs."""
         try:
-            self.runs._gate(attempt, self.runs.configuration)
+            self.runs.gate(attempt, self.runs.configuration)
         except LacewingdockError as error:
             error.revision = self.runs.configuration.revision
             raise
@@ -132,7 +135,7 @@
     )
     budgets.close = lambda _request: None
     chat = Chat(entry, relay, KeyRing(""), steps, budgets)
-    begun = chat._start(read_chat(BODY), CALLER, "w", workspace, session)
+    begun = chat.begin(read_chat(BODY), CALLER, "w", workspace, session)
     return begun.asked.plan
 
 
--- a/tests/links/test_link.py
+++ b/tests/links/test_link.py
@@ -37,7 +37,7 @@
 def fill(link):
     """Send until the socket takes no more and much waits."""
     count = 0
-    while link._backlog_bytes < 1_000_000:
+    while link.backlog_bytes < 1_000_000:
         assert link.send(Chunk("a", count, b"x" * 10_000))
         count += 1
     return count
