--- a/lacewingdock/helpers/command.py
+++ b/lacewingdock/helpers/command.py
@@ -9,7 +9,8 @@
 from fire.decorators import SetParseFn
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.settings import SECRETS, describe, variable
+from lacewingdock.helpers.describe import describe
+from lacewingdock.settings import SECRETS, variable
 
 WIDTH: Final = 78
 _INDENT: Final = "      "
--- a/lacewingdock/helpers/reference.py
+++ b/lacewingdock/helpers/reference.py
@@ -8,15 +8,14 @@
 from typing import Any, Final
 
 from lacewingdock.exceptions import ANSWERS, ErrorKind
+from lacewingdock.helpers.describe import Setting, describe
 from lacewingdock.settings import (
     OTHER_SETTINGS,
     SECRETS,
     ClientSettings,
     DaemonSettings,
     EntrySettings,
-    Setting,
     SidecarSettings,
-    describe,
     variable,
 )
 from lacewingdock.world.objects import Objective, Operation, Step
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -3,12 +3,13 @@
 import pytest
 from testtools.matchers import Contains, MatchesAll, Not
 
+from lacewingdock import settings as settings_module
 from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.describe import describe
 from lacewingdock.settings import (
     OTHER_SETTINGS,
     EntrySettings,
     SidecarSettings,
-    describe,
     load_settings,
     variable,
 )
@@ -96,6 +97,23 @@
     assert "SUBSET" not in found
 
 
+@pytest.mark.parametrize("cls", [EntrySettings, SidecarSettings])
+def test_variables_of_each_command_are_known_to_all(cls):
+    """Symptom: no daemon starts where a command's variable is set.
+
+    Cause: the command's settings were missing in the list of them.
+    """
+    settings = [
+        found
+        for found in vars(settings_module).values()
+        if isinstance(found, type) and found.__name__.endswith("Settings")
+    ]
+    assert len(settings) > 5
+    names = {s.name for found in settings for s in describe(found)}
+    environ = {variable(name): "" for name in names}
+    assert "no such setting" not in fault(cls, {}, environ)
+
+
 @pytest.mark.parametrize(
     "cls", [EntrySettings, SidecarSettings, *OTHER_SETTINGS]
 )
