--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -262,25 +262,33 @@
     values: dict[str, Any] = {}
     for name, field in known.items():
         given = flags.get(name, env.get(variable(name)))
-        if given is None:
-            if field.default is MISSING:
-                faults.append(
-                    f"--{name}: required, not given;"
-                    f" want {allowed(hints[name])}"
-                )
-            else:
-                values[name] = field.default
-            continue
         try:
-            values[name] = _convert(given, hints[name])
-        except msgspec.ValidationError:
-            faults.append(f"--{name}={given!r}: want {allowed(hints[name])}")
+            values[name] = _value(field, given, hints[name])
+        except ValueError as error:
+            faults.append(str(error))
     faults += _clashes(cls, values)
     if faults:
         raise LacewingdockError(ErrorKind.BAD_SETTING, "\n  ".join(faults))
     return cls(**values)
 
 
+def _value(field: Field[Any], given: Any, hint: Any) -> Any:
+    """Return a setting's value.
+
+    Raises:
+        ValueError: It is required and not given, or not of its type.
+    """
+    name = field.name
+    if given is None and field.default is not MISSING:
+        return field.default
+    if given is None:
+        raise ValueError(f"--{name}: required, not given; want {allowed(hint)}")
+    try:
+        return _convert(given, hint)
+    except msgspec.ValidationError as error:
+        raise ValueError(f"--{name}={given!r}: want {allowed(hint)}") from error
+
+
 def variable(name: str) -> str:
     """Return the environment variable of a setting."""
     return ENV_PREFIX + name.upper()
