Names and lengths: the claims' store of tests, the relay's retries

Cause: two fakes were called FakeStore and looked like the same logic twice; one stands in the client's place, the other behind the real client. Change: PlatformStore says what it is; Relay._goes_on tells whether another upstream is asked. Behaviour unchanged. Ruled out: one fake of the store for both: the claims' proofs need the client's own settling, the others are written to do without.

--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -17,6 +17,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Attempt
+from lacewingdock.world.upstream import Upstream
 
 MAX_TRIES: Final = 3
 # Refusals that another upstream may not share.
@@ -108,30 +109,40 @@
                 if error.ran != RAN_NO:
                     worst_ran = RAN_UNKNOWN
                 last = error
-                if error.kind in BY_CONFIGURATION:
-                    catch_up(
-                        self.membership.configuration,
-                        upstream.link,
-                        error.revision,
-                    )
-                if not self._may_retry(error, attempt, fingerprint):
-                    break
-                if error.kind not in _FREE and not self.retries.take():
+                if not self._goes_on(error, attempt, fingerprint, upstream):
                     break
                 if _never_came(error, answer):
                     # Its link was at fault, and there is a new one.
                     tried.discard(upstream.name)
-                log.info(
-                    "trying elsewhere",
-                    request_id=attempt.request,
-                    upstream=upstream.name,
-                    error=error.kind,
-                    detail=error.detail,
-                )
                 attempt = retry_of(attempt)
         assert last is not None
         raise _final(last, worst_ran)
 
+    def _goes_on(
+        self,
+        error: LacewingdockError,
+        attempt: Attempt,
+        fingerprint: str,
+        upstream: Upstream,
+    ) -> bool:
+        """Tell whether another upstream is asked after a refusal by one."""
+        if error.kind in BY_CONFIGURATION:
+            catch_up(
+                self.membership.configuration, upstream.link, error.revision
+            )
+        if not self._may_retry(error, attempt, fingerprint):
+            return False
+        if error.kind not in _FREE and not self.retries.take():
+            return False
+        log.info(
+            "trying elsewhere",
+            request_id=attempt.request,
+            upstream=upstream.name,
+            error=error.kind,
+            detail=error.detail,
+        )
+        return True
+
     def _first(self, answer: Answer) -> list[bytes]:
         try:
             return self.take(answer)
--- a/tests/components/claims/fakes.py
+++ b/tests/components/claims/fakes.py
@@ -25,8 +25,12 @@
 PATH = "/slots/confirm"
 
 
-class FakeStore(ObjectStore):
-    """A platform in memory behind the real client's reading and settling.
+class PlatformStore(ObjectStore):
+    """The real client, before a platform in memory.
+
+    Other than `tests.fakes.FakeStore`, which stands in the client's place, it
+    runs the client's own reading and settling: what a claim rests on after a
+    lost answer.
 
     Attributes:
         objects: Object by collection and name.
@@ -130,7 +134,7 @@
         granted: Runs that hold a claim and have not reached the upstream.
     """
 
-    def __init__(self, store: FakeStore, name: str, start: int = 0) -> None:
+    def __init__(self, store: PlatformStore, name: str, start: int = 0) -> None:
         operation = Operation(
             method="POST", path=PATH, on_outage="tickets", timeout_s=10
         )
--- a/tests/components/claims/test_claims.py
+++ b/tests/components/claims/test_claims.py
@@ -12,7 +12,7 @@
     SEGMENTS,
 )
 from lacewingdock.exceptions import LacewingdockError
-from tests.components.claims.fakes import SERVICE, FakeHome, FakeStore
+from tests.components.claims.fakes import SERVICE, FakeHome, PlatformStore
 
 
 @pytest.fixture(autouse=True)
@@ -22,7 +22,7 @@
 
 @pytest.fixture
 def store():
-    return FakeStore()
+    return PlatformStore()
 
 
 @pytest.fixture
--- a/tests/components/claims/test_claims_machine.py
+++ b/tests/components/claims/test_claims_machine.py
@@ -15,7 +15,7 @@
 from lacewingdock.components.claims import Recorded
 from lacewingdock.components.claims import partition as partition_module
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from tests.components.claims.fakes import FakeHome, FakeStore
+from tests.components.claims.fakes import FakeHome, PlatformStore
 
 ANY_HOME = st.integers(0, 2)
 # Most callers ask whoever is home; some have older news.
@@ -54,7 +54,7 @@
     """Three sidecars, one partition, two keys, and a failing platform."""
 
     def __init__(self):
-        self.store = FakeStore()
+        self.store = PlatformStore()
         self.homes = [FakeHome(self.store, f"home-{n}") for n in range(3)]
         self.booked = Counter()
         self.starts = 0
--- a/tests/components/claims/test_tickets.py
+++ b/tests/components/claims/test_tickets.py
@@ -7,12 +7,12 @@
 from lacewingdock.components.claims import Duplicate, tickets
 from lacewingdock.components.claims.tickets import TICKET_S, mint_ticket
 from lacewingdock.exceptions import LacewingdockError
-from tests.components.claims.fakes import FakeHome, FakeStore
+from tests.components.claims.fakes import FakeHome, PlatformStore
 
 
 @pytest.fixture
 def home():
-    made = FakeHome(FakeStore(), "home-0")
+    made = FakeHome(PlatformStore(), "home-0")
     made.claims.daemon.store.down = True
     return made
 
