--- a/bench/overload.py
+++ b/bench/overload.py
@@ -14,8 +14,9 @@
 import fire
 import numpy
 
-from bench.demo import KEY, PARTITIONS, Demo
+from bench.demo import Demo
 from bench.deployment import Deployment, Shape
+from bench.example import PARTITIONS, RETAIL_KEY
 from bench.http import call
 from bench.load import DONE
 from bench.report import Figure, figure, progress, show
@@ -137,7 +138,7 @@
     }
     first: list[float] = []
     headers = {
-        "Authorization": f"Bearer {KEY}",
+        "Authorization": f"Bearer {RETAIL_KEY}",
         "Lacewingdock-Priority": asked.priority,
         "Lacewingdock-Timeout": str(PATIENCE_S[asked.priority]),
     }
