--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -25,7 +25,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.links.messages import Attempt
-from lacewingdock.world.objects import Workspace
+from lacewingdock.world.objects import Operation, Workspace
 from lacewingdock.world.upstream import Upstream
 
 PREFIX: Final = "/services/"
@@ -73,8 +73,7 @@
         Raises:
             LacewingdockError: It is refused.
         """
-        service, _, rest = request.path.removeprefix(PREFIX).partition("/")
-        path = f"/{rest}"
+        service, path = _target(request)
         world = self.configuration.world
         if service in world.services and service not in workspace.services:
             raise LacewingdockError(
@@ -87,11 +86,33 @@
             raise LacewingdockError(
                 ErrorKind.KEY_REQUIRED, f"{request.method} {path}"
             )
+        attempt = self._new_attempt(request, body, caller, name, operation)
+        self.budgets.admit_call(
+            caller.request_id, name, workspace, service, request.method, path
+        )
+        try:
+            if operation.repeatable:
+                answer, pieces = self.relay.whole(attempt)
+            else:
+                answer, pieces = self._once(attempt)
+            return self._whole(answer, pieces)
+        finally:
+            self.budgets.close(caller.request_id)
+
+    def _new_attempt(
+        self,
+        request: Request,
+        body: bytes,
+        caller: Caller,
+        workspace: str,
+        operation: Operation,
+    ) -> Attempt:
+        service, path = _target(request)
         query = request.query_string.decode("latin-1")
-        attempt = Attempt(
+        return Attempt(
             attempt=new_id(),
             request=caller.request_id,
-            workspace=name,
+            workspace=workspace,
             target=service,
             method=request.method,
             path=f"{path}?{query}" if query else path,
@@ -104,17 +125,6 @@
             traceparent=caller.traceparent,
             revision=self.configuration.revision,
         )
-        self.budgets.admit_call(
-            caller.request_id, name, workspace, service, request.method, path
-        )
-        try:
-            if operation.repeatable:
-                answer, pieces = self.relay.whole(attempt)
-            else:
-                answer, pieces = self._once(attempt)
-            return self._whole(answer, pieces)
-        finally:
-            self.budgets.close(caller.request_id)
 
     def _takes_tickets(self, request: Request, service: str, path: str) -> bool:
         found = self.configuration.world.services.get(service)
@@ -230,6 +240,12 @@
         )
 
 
+def _target(request: Request) -> tuple[str, str]:
+    """Return the service that a call names, and the path at it."""
+    service, _, rest = request.path.removeprefix(PREFIX).partition("/")
+    return service, f"/{rest}"
+
+
 def _no_home(attempt: Attempt) -> LacewingdockError:
     """Refuse a key whose home can't be asked.
 
