--- a/lacewingdock/components/claims/partition.py
+++ b/lacewingdock/components/claims/partition.py
@@ -1,6 +1,5 @@
 """Support for one claim partition at its home."""
 
-import contextlib
 import threading
 import time
 from concurrent.futures import Future
@@ -21,10 +20,9 @@
 from lacewingdock.components.claims.record import Head, Record
 from lacewingdock.components.claims.segments import (
     KeyIndex,
-    merged,
     read_segment,
-    remove_segment,
-    write_segment,
+    remove_segments,
+    roll,
 )
 from lacewingdock.const import COLLECTION_CLAIMS, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -434,18 +432,12 @@
 
     def _roll(self, head: Head) -> Head:
         """Move the head's records to a segment, before it forgets them."""
-        oldest = time.time() - self.window_s
-        kept = [ref for ref in head.segments if ref.newest >= oldest]
-        last = kept[-1] if kept else None
-        joined = merged(self.store, last, head.records)
-        if joined is not None:
-            kept.pop()
-        moved = joined or head.records
         name = f"{self.name}/{head.term}-{self.revision}"
-        ref = write_segment(self.store, name, moved)
+        oldest = time.time() - self.window_s
+        rolled, moved = roll(self.store, name, head, oldest)
         with self._lock:
             self.index.add(name, moved)
-        return replace(head, records=[], segments=[*kept, ref])
+        return rolled
 
     def _adopt(self, head: Head, revision: int) -> None:
         """Take a head that was written as the one in force."""
@@ -462,9 +454,7 @@
     def _remove_retired(self) -> None:
         """Remove the segments that no head names any more, if possible."""
         retired, self._retired = self._retired, []
-        for name in retired:
-            with contextlib.suppress(LacewingdockError):
-                remove_segment(self.store, name)
+        remove_segments(self.store, retired)
 
     def _put(self, head: Head, purpose: str) -> Stored:
         value, expect = msgspec.to_builtins(head), self.revision
--- a/lacewingdock/components/claims/segments.py
+++ b/lacewingdock/components/claims/segments.py
@@ -1,11 +1,13 @@
 """Support for older claim records, kept in segments outside the head."""
 
+import contextlib
+from dataclasses import replace
 from typing import Final
 
 import msgspec
 
 from lacewingdock.components.claims.const import SEGMENT_BYTES, SEGMENTS
-from lacewingdock.components.claims.record import Record, SegmentRef
+from lacewingdock.components.claims.record import Head, Record, SegmentRef
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.store import ObjectStore
 
@@ -77,9 +79,34 @@
     return msgspec.convert(found.value, list[Record])
 
 
-def write_segment(
-    store: ObjectStore, name: str, records: list[Record]
-) -> SegmentRef:
+def roll(
+    store: ObjectStore, name: str, head: Head, oldest: float
+) -> tuple[Head, list[Record]]:
+    """Move a head's records to a segment.
+
+    Args:
+        store: The platform.
+        name: Name of the segment.
+        head: The head; it is not changed.
+        oldest: Unix time; segments with no record since are let go.
+
+    Returns:
+        The next head, and the records that the segment holds.
+
+    Raises:
+        LacewingdockError: PLATFORM_UNAVAILABLE; INTERNAL when the segment to
+            join them to is missing.
+    """
+    kept = [ref for ref in head.segments if ref.newest >= oldest]
+    joined = _joined(store, kept[-1] if kept else None, head.records)
+    if joined is not None:
+        kept.pop()
+    moved = joined or head.records
+    ref = _write(store, name, moved)
+    return replace(head, records=[], segments=[*kept, ref]), moved
+
+
+def _write(store: ObjectStore, name: str, records: list[Record]) -> SegmentRef:
     """Write a segment whose name holds the head's term and revision.
 
     Raises:
@@ -97,7 +124,7 @@
     return SegmentRef(name, len(msgspec.json.encode(value)), newest)
 
 
-def merged(
+def _joined(
     store: ObjectStore, last: SegmentRef | None, records: list[Record]
 ) -> list[Record] | None:
     """Join records to the last segment's; None when they don't fit.
@@ -112,13 +139,15 @@
     return list(joined.values())
 
 
-def remove_segment(store: ObjectStore, name: str) -> None:
-    """Remove a segment that no head names any more.
+def remove_segments(store: ObjectStore, names: list[str]) -> None:
+    """Remove segments that no head names any more, if possible.
 
-    Raises:
-        LacewingdockError: PLATFORM_UNAVAILABLE or CONFLICT; it stays then,
-            which costs space and nothing else.
+    One that stays costs space and nothing else.
     """
-    found = store.get(SEGMENTS, name, "claims-segment")
-    if found.value is not None:
-        store.put(SEGMENTS, name, None, found.revision, "claims-segment")
+    for name in names:
+        with contextlib.suppress(LacewingdockError):
+            found = store.get(SEGMENTS, name, "claims-segment")
+            if found.value is not None:
+                store.put(
+                    SEGMENTS, name, None, found.revision, "claims-segment"
+                )
