The running roll-out judges its version on what the whole fleet saw

Cause: the sequential test stood alone; the controller's verdict was always "go on", and only a gross failure at one entry could return a version.

Ruled out: log-wealth with each entry's own level (30 ratings of the old version an entry, whose error is above the tolerance, multiplied over the entries); raw counts summed at the holder (no level can be fixed before them once the holder changes); a checkpoint of the holder (100 KB at 1,200 entries, written every few seconds).

Change: the holder writes the levels into the roll-out's record; each entry bets on its own requests and ratings with the levels it read before them and publishes the sums in one object named by the roll-out and its own run. The holder reads what changed and multiplies. All entries together write at most 50 times a second. Answers of both versions of any watched model are sampled for ratings. `roll out ... evidence N` holds each step for N answers and their ratings.

Proofs: tests/components/exposure/test_fleet.py. Failed without the mechanism: without the old version's errors of the same seconds (dying engine: "4 of 4 answers failed"), with objects named by instance (a restart counts again from 5), without reading the revision back after a lost answer, with increments kept by revision (a change of holder counts twice), without the ratings in the hold, and with the removal in the round of the listing.

--- a/lacewingdock/components/callers/steps.py
+++ b/lacewingdock/components/callers/steps.py
@@ -133,7 +133,7 @@
             if begun is not None:
                 return begun
         answer, pieces = self._ask(asked, last, held=not asked.chat.stream)
-        sampled = self.cascades.is_sampled(route)
+        sampled = self._is_sampled(asked, route, last)
         return Begun(asked, last, answer, pieces, route, sampled)
 
     def _route(self, asked: Asked) -> Route:
@@ -153,7 +153,7 @@
         """Ask a step that is not the last; None when the next shall."""
         held = choice.accept is not None or not asked.chat.stream
         answer, pieces = self._ask(asked, choice.index, held)
-        sampled = self.cascades.is_sampled(route)
+        sampled = self._is_sampled(asked, route, choice.index)
         begun = Begun(asked, choice.index, answer, pieces, route, sampled)
         if choice.accept is None:
             return begun
@@ -168,6 +168,10 @@
         self.relay.answers.drop(answer)
         return None
 
+    def _is_sampled(self, asked: Asked, route: Route, index: int) -> bool:
+        version = asked.plan.steps[index].version
+        return self.cascades.is_sampled(route, version)
+
     def _score(self, chat: ChatBody, pieces: list[bytes]) -> float | None:
         """Ask for a verdict; without one the quality target goes first."""
         if self.cascades.ratings is None:
@@ -191,10 +195,18 @@
     def _learn(
         self, begun: Begun, text: str, score: float | None, given: bool
     ) -> None:
-        if begun.route.policy is None:
+        if begun.route.policy is None and not begun.sampled:
             return
         messages = begun.asked.chat.messages if begun.sampled else []
-        seen = Seen(begun.index, score, given, _cost(begun), messages, text)
+        seen = Seen(
+            begun.index,
+            score,
+            given,
+            _cost(begun),
+            messages,
+            text,
+            begun.step.version,
+        )
         self.cascades.saw(begun.route, seen, begun.sampled)
 
     def _ask(
--- a/lacewingdock/components/cascades/coordinator.py
+++ b/lacewingdock/components/cascades/coordinator.py
@@ -2,6 +2,7 @@
 
 import collections
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -54,12 +55,14 @@
         step: Index of the step that made the answer.
         score: Its verdict; None when there was none.
         given: Whether the caller got the answer.
+        version: The version that made it.
     """
 
     route: Route
     step: int
     score: float | None
     given: bool
+    version: str = ""
 
 
 @dataclass(slots=True)
@@ -73,6 +76,7 @@
         cost: What it cost.
         messages: What was asked.
         text: What was answered.
+        version: The version that made it.
     """
 
     step: int
@@ -81,6 +85,7 @@
     cost: float
     messages: list[dict[str, Any]] = field(repr=False)
     text: str = field(repr=False)
+    version: str = ""
 
 
 class Cascades:
@@ -95,17 +100,22 @@
         unjudged: Sampled answers that were given without a verdict; they
             get one off the caller's path.
         after: The last result fetched.
+        wants: Tells whether ratings of a version are wanted beyond what
+            the policies need.
+        on_rating: Told of each rating: the version and its rating.
     """
 
     __slots__ = (
         "_lock",
         "after",
         "daemon",
+        "on_rating",
         "open",
         "policies",
         "ratings",
         "unjudged",
         "waiting",
+        "wants",
     )
 
     def __init__(self, daemon: Daemon, ratings: Ratings | None) -> None:
@@ -123,6 +133,8 @@
             collections.deque(maxlen=MAX_OPEN_SAMPLES)
         )
         self.after = 0
+        self.wants: Callable[[str], bool] = lambda version: False
+        self.on_rating: list[Callable[[str, float], None]] = []
         self._lock = threading.Lock()
 
     def start(self) -> None:
@@ -182,14 +194,17 @@
             policy.target = workspace.quality_target
             return policy
 
-    def is_sampled(self, route: Route) -> bool:
-        """Draw whether an answer shall be rated later."""
+    def is_sampled(self, route: Route, version: str) -> bool:
+        """Draw whether an answer of a version shall be rated later."""
         drawn = self.daemon.random.random() < SAMPLE
-        return route.policy is not None and drawn
+        wanted = self.ratings is not None and self.wants(version)
+        return drawn and (route.policy is not None or wanted)
 
     def saw(self, route: Route, seen: Seen, sampled: bool) -> None:
         """Learn from an answer; a sampled one is handed in for rating."""
         if route.policy is None:
+            if sampled:
+                self._hand_in(route, seen)
             return
         is_last = seen.step == len(route.policy.prices) - 1
         if sampled and seen.score is None and not is_last:
@@ -203,7 +218,7 @@
         sample = Sample(new_id(), seen.messages, seen.text)
         with self._lock:
             self.open[sample.id] = Open(
-                route, seen.step, seen.score, seen.given
+                route, seen.step, seen.score, seen.given, seen.version
             )
             # Ratings may never come; the oldest sample makes room.
             while len(self.open) > MAX_OPEN_SAMPLES:
@@ -230,7 +245,11 @@
         for result in results.ratings:
             with self._lock:
                 known = self.open.pop(result.id, None)
-            if known is not None and known.route.policy is not None:
+            if known is None:
+                continue
+            for callback in self.on_rating:
+                callback(known.version, result.rating)
+            if known.route.policy is not None:
                 known.route.policy.add_rating(
                     known.route.name,
                     known.step,
--- a/lacewingdock/components/exposure/const.py
+++ b/lacewingdock/components/exposure/const.py
@@ -20,3 +20,17 @@
 # Requests answered well after which a version is called good.
 GOOD_MIN_RATINGS: Final = 40
 GOOD_MIN_REQUESTS: Final = 400
+
+NAME: Final = "exposure"
+# Each entry writes at most this often, and all of them together no more
+# writes a second than this: the platform takes several hundred from all.
+PUBLISH_S: Final = 2.0
+FLEET_WRITES_PER_S: Final = 50.0
+# Ratings that an entry's part of the comparison goes by at least.
+ENTRY_HALF_LIFE_MIN: Final = 20.0
+# Levels that moved less are not written again.
+LEVEL_STEP: Final = 0.002
+# Ratings that a step waits for with each answer; as many as are sampled.
+RATINGS_PER_REQUEST: Final = 0.05
+# Objects of ended roll-outs that are removed in a round.
+MAX_REMOVED: Final = 20
--- a/lacewingdock/components/exposure/evidence.py
+++ b/lacewingdock/components/exposure/evidence.py
@@ -13,6 +13,21 @@
 )
 
 
+def rating_factor(bet: float, rating: float, level: float) -> float:
+    """Return by what a bet's wealth is multiplied by one rating."""
+    # A bet must not be able to lose more than it has.
+    stake = min(bet, 0.9 / max(1.0 - level, 1e-3))
+    return 1.0 + stake * (level - rating)
+
+
+def error_factor(share: float, is_error: bool, level: float) -> float:
+    """Return by what a bet's wealth is multiplied by one request."""
+    level = min(max(level, ERROR_TOLERANCE), 0.5)
+    if share <= level:
+        return 1.0
+    return share / level if is_error else (1.0 - share) / (1.0 - level)
+
+
 class RatingEvidence:
     """Evidence that ratings from 0 to 1 have a mean below some level.
 
@@ -38,9 +53,7 @@
         """
         self.count += 1
         for index, bet in enumerate(RATING_BETS):
-            # A bet must not be able to lose more than it has.
-            stake = min(bet, 0.9 / max(1.0 - level, 1e-3))
-            self.wealths[index] *= 1.0 + stake * (level - rating)
+            self.wealths[index] *= rating_factor(bet, rating, level)
 
     @property
     def wealth(self) -> float:
@@ -69,12 +82,8 @@
         """Bet on one request; `level` is the share that is tolerated."""
         self.requests += 1
         self.errors += is_error
-        level = min(max(level, ERROR_TOLERANCE), 0.5)
         for index, share in enumerate(ERROR_SHARES):
-            if share <= level:
-                continue
-            ratio = share / level if is_error else (1.0 - share) / (1.0 - level)
-            self.wealths[index] *= ratio
+            self.wealths[index] *= error_factor(share, is_error, level)
 
     @property
     def wealth(self) -> float:
--- a/lacewingdock/components/exposure/judge.py
+++ b/lacewingdock/components/exposure/judge.py
@@ -37,24 +37,26 @@
         total: Discounted sum of ratings.
         requests: Discounted number of requests.
         errors: Discounted number of errors.
+        half_life: Ratings after which one counts half.
     """
 
-    __slots__ = ("errors", "requests", "total", "weight")
+    __slots__ = ("errors", "half_life", "requests", "total", "weight")
 
-    def __init__(self) -> None:
+    def __init__(self, half_life: float = CONTROL_HALF_LIFE) -> None:
         """Start without observations."""
+        self.half_life = half_life
         self.weight = self.total = 0.0
         self.requests = self.errors = 0.0
 
     def add_rating(self, rating: float) -> None:
         """Count a rating."""
-        fade = 0.5 ** (1.0 / CONTROL_HALF_LIFE)
+        fade = 0.5 ** (1.0 / self.half_life)
         self.weight = self.weight * fade + 1.0
         self.total = self.total * fade + rating
 
     def add_request(self, is_error: bool) -> None:
         """Count a request."""
-        fade = 0.5 ** (0.1 / CONTROL_HALF_LIFE)
+        fade = 0.5 ** (0.1 / self.half_life)
         self.requests = self.requests * fade + 1.0
         self.errors = self.errors * fade + is_error
 
--- a/lacewingdock/components/language/const.py
+++ b/lacewingdock/components/language/const.py
@@ -37,6 +37,7 @@
     "desc",
     "dry",
     "every",
+    "evidence",
     "explain",
     "if",
     "in",
--- a/lacewingdock/components/language/parser.py
+++ b/lacewingdock/components/language/parser.py
@@ -136,7 +136,7 @@
 
 def _roll_out(tree: Any) -> RollOut:
     version, *rest = tree.children
-    parts = _parts(rest, ("steps", "every", "parallel", "pool"))
+    parts = _parts(rest, ("steps", "every", "parallel", "evidence", "pool"))
     return RollOut(
         _word(version),
         _tail([p for p in rest if p.data not in parts]),
@@ -146,6 +146,7 @@
         _number(parts["every"][0], 0.0, 86400.0) if "every" in parts else None,
         _whole(parts["parallel"][0], 1) if "parallel" in parts else None,
         _word(parts["pool"][0]).text if "pool" in parts else None,
+        _whole(parts["evidence"][0], 0) if "evidence" in parts else None,
     )
 
 
--- a/lacewingdock/components/language/plans.py
+++ b/lacewingdock/components/language/plans.py
@@ -99,6 +99,7 @@
         "dwell_s": order.dwell_s,
         "parallel": order.parallel,
         "pool": order.pool,
+        "evidence": order.evidence,
     }
     chosen: dict[str, Any] = {k: v for k, v in given.items() if v is not None}
     wanted = replace(wanted, **chosen)
--- a/lacewingdock/components/language/statements.py
+++ b/lacewingdock/components/language/statements.py
@@ -97,6 +97,7 @@
     dwell_s: float | None = None
     parallel: int | None = None
     pool: str | None = None
+    evidence: int | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/lacewingdock/components/rollouts/controller.py
+++ b/lacewingdock/components/rollouts/controller.py
@@ -21,6 +21,7 @@
 
 import msgspec
 
+from lacewingdock.components.exposure.increments import Levels
 from lacewingdock.components.orders.const import ACTION_LOAD, ACTION_UNLOAD
 from lacewingdock.components.rollouts.const import (
     BY_CONTROLLER,
@@ -84,14 +85,18 @@
         executor: Runs orders side by side.
         verdict: What is thought of a version now; replaced by whoever
             judges ratings and errors.
+        levels: What entries shall compare a version with.
+        ended: Told the ids of all active roll-outs after each round.
         clock: Wall-clock seconds, for pacing only.
         loadings: What this holder knows of engines, by roll-out id.
     """
 
     __slots__ = (
         "clock",
+        "ended",
         "engines",
         "executor",
+        "levels",
         "loadings",
         "send",
         "store",
@@ -112,6 +117,8 @@
         self.send = send
         self.executor = executor
         self.verdict: Callable[[Rollout], Verdict] = lambda rollout: GoOn()
+        self.levels: Callable[[Rollout], Levels] = lambda r: r.levels
+        self.ended: Callable[[set[str]], None] = lambda active: None
         self.clock = clock
         self.loadings: dict[str, Loading] = {}
 
@@ -141,6 +148,7 @@
                 if failed is None or error.kind is ErrorKind.CONFLICT:
                     failed = error
         self.loadings = {k: v for k, v in self.loadings.items() if k in active}
+        self.ended(active)
         if failed is not None:
             raise failed
 
@@ -325,16 +333,20 @@
             return
         if not self._shares_are(basis, rollout.shares(), rollout.version):
             return
+        levels = self.levels(rollout)
         if rollout.paused:
+            self._put_levels(basis, levels)
             return
         # Engines that were replaced come up without the version.
         self._load_some(rollout)
         if self.clock() - rollout.entered < rollout.dwell_s:
+            self._put_levels(basis, levels)
             return
         match verdict:
-            case Hold(reason=reason):
-                if rollout.reason != reason:
-                    self._put(basis, reason=reason)
+            case Hold(reason=reason) if rollout.reason != reason:
+                self._put(basis, reason=reason, levels=levels)
+            case Hold():
+                self._put_levels(basis, levels)
             case GoOn() if rollout.step + 1 < len(rollout.steps):
                 self._put(
                     basis,
@@ -345,6 +357,11 @@
             case GoOn():
                 self._put(basis, state=STATE_DONE, reason="")
 
+    def _put_levels(self, basis: Basis, levels: Levels) -> None:
+        """Write the levels if they moved."""
+        if levels != basis.rollout.levels:
+            self._put(basis, levels=levels)
+
     def _return(self, basis: Basis) -> None:
         if self._shares_are(basis, basis.rollout.old_shares, ""):
             self._finish_return(basis)
--- a/lacewingdock/components/rollouts/emergency.py
+++ b/lacewingdock/components/rollouts/emergency.py
@@ -97,6 +97,7 @@
             by whoever judges better.
         evidence: Evidence by (model, incoming version).
         suspended: Versions that get no new work from this entry.
+        on_note: Told of each answer: its version and whether it failed.
     """
 
     __slots__ = (
@@ -105,6 +106,7 @@
         "daemon",
         "evidence",
         "new_evidence",
+        "on_note",
         "open",
         "suspended",
     )
@@ -119,6 +121,7 @@
         self.new_evidence: Callable[[], Evidence] = GrossErrors
         self.evidence: dict[tuple[str, str], Evidence] = {}
         self.suspended: set[str] = set()
+        self.on_note: list[Callable[[str, bool], None]] = []
         self._lock = threading.Lock()
         peers.handle(Finish, self._on_finish)
         peers.handle(Refusal, self._on_refusal)
@@ -138,6 +141,8 @@
 
     def note(self, version: str, is_error: bool) -> None:
         """Count an answer of a version."""
+        for callback in self.on_note:
+            callback(version, is_error)
         world = self.configuration.world
         known = world.versions.get(version)
         model = world.models.get(known.model) if known else None
--- a/lacewingdock/components/rollouts/record.py
+++ b/lacewingdock/components/rollouts/record.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta
 
+from lacewingdock.components.exposure.increments import Levels
 from lacewingdock.components.rollouts.const import (
     DEFAULT_DWELL_S,
     DEFAULT_PARALLEL,
@@ -46,6 +47,9 @@
         model_revision: Revision of the model as last written or read.
         loaded: Engines that have the version, or are rid of it.
         engines: Engines that shall have it, or be rid of it.
+        evidence: Answers that each step waits for, with their ratings; 0
+            when only the time decides and evidence against the version.
+        levels: What entries compare the version with.
     """
 
     id: str
@@ -72,6 +76,8 @@
     model_revision: int = 0
     loaded: int = 0
     engines: int = 0
+    evidence: Annotated[int, Meta(ge=0, le=1_000_000)] = 0
+    levels: Levels = field(default_factory=Levels)
 
     @property
     def active(self) -> bool:
--- a/lacewingdock/daemons/entry.py
+++ b/lacewingdock/daemons/entry.py
@@ -22,6 +22,8 @@
 from lacewingdock.components.callers.relay import Relay
 from lacewingdock.components.callers.services import ServiceCalls
 from lacewingdock.components.callers.steps import Steps
+from lacewingdock.components.exposure import watch
+from lacewingdock.components.exposure.fleet import FleetJudge
 from lacewingdock.components.metrics import entry as metrics
 from lacewingdock.components.rollouts import emergency
 from lacewingdock.core import Daemon
@@ -47,10 +49,16 @@
     members = membership.setup(daemon, links, config, settings.subset)
     orders.setup(daemon, links, None)
     held = leases.setup(daemon, links, members)
-    rollouts.setup(daemon, config, members, held)
+    controller = rollouts.setup(daemon, config, members, held).controller
+    judge = FleetJudge(daemon.store, rated=bool(settings.ratings))
+    controller.verdict = judge.verdict
+    controller.levels = judge.levels
+    controller.ended = judge.clean
+    seen = watch.setup(daemon, config, lambda: max(members.entries, 1))
     stops = emergency.setup(daemon, links, config)
     open_answers = answers.setup(daemon, links, members)
     stops.open = open_answers.open
+    stops.on_note.append(seen.add_request)
     suspects = quarantine.setup(daemon, links, config)
     bills = billing.setup(daemon, links, lambda: members.entries)
     spending = budgets.setup(
@@ -59,6 +67,8 @@
     relay = Relay(open_answers, members, suspects, daemon.random)
     ratings = Ratings(settings.ratings) if settings.ratings else None
     learning = cascades.setup(daemon, ratings)
+    learning.wants = seen.wants
+    learning.on_rating.append(seen.add_rating)
     watcher = departures.setup(daemon, open_answers)
     app = CallersApp(
         daemon,
@@ -86,6 +96,7 @@
         links,
         config,
         learning,
+        seen,
         suspects,
         members,
         watcher,
