Judging over the fleet: an always poor old version is known; through processes

Cause: a rating level of 0 stood for "not known". Beside an old version whose every answer is rated 0, ratings were never bet on and the roll-out held for good. Seen in a trial with processes: weight 150 of ratings, level 0.0, 20 s.

Change: the level is None while it isn't known.

--- a/lacewingdock/components/exposure/batch.py
+++ b/lacewingdock/components/exposure/batch.py
@@ -53,7 +53,7 @@
         """Take a rating of the new or the old version."""
         if not is_new:
             self.control.add_rating(rating)
-        elif self.levels.rating:
+        elif self.levels.rating is not None:
             self.seen.add_rating(rating, self.levels.rating)
 
     def settle(self, levels: Levels) -> None:
--- a/lacewingdock/components/exposure/fleet.py
+++ b/lacewingdock/components/exposure/fleet.py
@@ -117,11 +117,11 @@
         known = self.read.get(rollout.id, Read())
         found = sum_up(known.parts.values()).levels()
         old = rollout.levels
-        moved = (
-            bool(found.rating) != bool(old.rating)
-            or abs(found.rating - old.rating) > LEVEL_STEP
-            or abs(found.errors - old.errors) > LEVEL_STEP
-        )
+        if found.rating is None or old.rating is None:
+            moved = found.rating is not old.rating
+        else:
+            moved = abs(found.rating - old.rating) > LEVEL_STEP
+        moved = moved or abs(found.errors - old.errors) > LEVEL_STEP
         return found if moved else old
 
     def clean(self, active: set[str]) -> None:
--- a/lacewingdock/components/exposure/increments.py
+++ b/lacewingdock/components/exposure/increments.py
@@ -28,11 +28,11 @@
     """What a healthy version reaches, as the old one does.
 
     Attributes:
-        rating: Mean rating; 0 while it isn't known.
+        rating: Mean rating; None while it isn't known.
         errors: Share of requests that fail.
     """
 
-    rating: float = 0.0
+    rating: float | None = None
     errors: float = ERROR_TOLERANCE
 
 
@@ -103,7 +103,7 @@
         control = Control()
         control.weight, control.total = self.old_weight, self.old_total
         control.requests, control.errors = self.old_requests, self.old_errors
-        return Levels(control.rating_level() or 0.0, control.error_level())
+        return Levels(control.rating_level(), control.error_level())
 
 
 def sum_up(parts: Iterable[Increments]) -> Increments:
--- a/tests/components/exposure/test_fleet.py
+++ b/tests/components/exposure/test_fleet.py
@@ -82,6 +82,7 @@
         return verdict
 
     def know_old(self, rating=0.9):
+        """Let the old version be rated until its level is published."""
         for entry in self.entries:
             for _ in range(60):
                 entry.add_request("v1", False)
@@ -126,6 +127,15 @@
     assert isinstance(verdict, expected)
 
 
+def test_an_old_version_that_is_always_poor_is_known_too():
+    fleet = Fleet(evidence=20)
+    fleet.know_old(rating=0.0)
+    for _ in range(20):
+        fleet.entries[0].add_request("v2", False)
+        fleet.entries[0].add_rating("v2", 0.0)
+    assert isinstance(fleet.round(), GoOn)
+
+
 def test_without_a_rating_service_errors_decide():
     fleet = Fleet(evidence=100, rated=False)
     for _ in range(100):
