--- a/lacewingdock/components/exposure/const.py
+++ b/lacewingdock/components/exposure/const.py
@@ -23,9 +23,10 @@
 
 NAME: Final = "exposure"
 # Each entry writes at most this often, and all of them together no more
-# writes a second than this: the platform takes several hundred from all.
+# writes a second than this: the platform takes several hundred from all, and
+# the holder reads them all: 8 of the 18 KB/s that it has for all control.
 PUBLISH_S: Final = 2.0
-FLEET_WRITES_PER_S: Final = 50.0
+FLEET_WRITES_PER_S: Final = 20.0
 # Ratings that an entry's part of the comparison goes by at least.
 ENTRY_HALF_LIFE_MIN: Final = 20.0
 # Levels that moved less are not written again.
--- a/lacewingdock/components/exposure/watch.py
+++ b/lacewingdock/components/exposure/watch.py
@@ -99,7 +99,8 @@
 
     def interval_s(self) -> float:
         """Return the time between two publications of this entry."""
-        return max(PUBLISH_S, self.entries() / FLEET_WRITES_PER_S)
+        writes = self.entries() * max(len(self.watched), 1)
+        return max(PUBLISH_S, writes / FLEET_WRITES_PER_S)
 
     def _tick(self) -> None:
         now = time.monotonic()
--- a/tests/components/exposure/test_fleet.py
+++ b/tests/components/exposure/test_fleet.py
@@ -305,6 +305,10 @@
         every = fleet.entries[0].interval_s()
         assert every >= PUBLISH_S
         assert size / every <= FLEET_WRITES_PER_S
+    # Two roll-outs at once share them.
+    fleet.entries[0].watched = {("m", "v2"): None, ("n", "w2"): None}
+    assert 2 * size / fleet.entries[0].interval_s() <= FLEET_WRITES_PER_S
+    fleet.entries[0].watched = {}
     # Nothing new, nothing written.
     fleet.entries[0].add_request("v2", False)
     fleet.round()
--- a/tests/components/language/test_parser.py
+++ b/tests/components/language/test_parser.py
@@ -48,6 +48,10 @@
                 "p",
             ),
         ),
+        (
+            "roll out v evidence 400 every 5",
+            RollOut(Word("v", 9), Tail(), dwell_s=5.0, evidence=400),
+        ),
         (
             "pause m if revision 7 as c-1",
             Change("pause", Word("m", 6), Tail(7, False, "c-1")),
