--- a/bench/control.py
+++ b/bench/control.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import Any, Final
 
 import fire
@@ -17,6 +18,7 @@
     light_peers,
 )
 from bench.deployment import Process, wait_until
+from bench.proc import usage
 from bench.report import Figure, figure, progress, show
 
 # Budgets of the target, for control in one daemon.
@@ -30,6 +32,7 @@
 WORKSPACES: Final = (10, 300)
 CHANGES_S: Final = (1.0, 4.0)
 WINDOWS: Final = 3
+SCRAPES: Final = 100
 WINDOW_S: Final = 8.0
 FLEETS: Final = (20, 50, 100)
 CHANGES: Final = 5
@@ -54,10 +57,10 @@
     """Fit a line; the spread is the slope's standard error either way."""
     xs, ys = zip(*points, strict=True)
     line = stats.linregress(xs, ys)
-    low, high = line.slope - line.stderr, line.slope + line.stderr
-    return Figure(
-        name, float(line.slope), unit, runs=len(points), spread=(low, high)
-    )
+    # Not the library's own number type, which is no JSON.
+    value, error = float(line.slope), float(line.stderr)
+    spread = (value - error, value + error)
+    return Figure(name, value, unit, runs=len(points), spread=spread)
 
 
 class Series:
@@ -84,8 +87,12 @@
         return [get(sample) for sample in self.windows[name]]
 
 
-def measure_daemons() -> list[Figure]:
-    """Measure daemons with different numbers of links, one machine."""
+def measure_daemons(changes: bool = True) -> list[Figure]:
+    """Measure daemons with different numbers of links, one machine.
+
+    Args:
+        changes: Whether to measure changes of the configuration, too.
+    """
     with bare_fleet(["domain-0"]) as fleet:
         deployment = fleet.deployment
         fleet.configure(WORKSPACES[0])
@@ -120,7 +127,7 @@
                 60,
             )
         time.sleep(WINDOW_S)
-        return _daemon_figures(fleet, entries, sidecars, daemons)
+        return _daemon_figures(fleet, entries, sidecars, daemons, changes)
 
 
 def _daemon_figures(
@@ -128,6 +135,7 @@
     entries: dict[int, Process],
     sidecars: dict[int, Process],
     daemons: list[Process],
+    changes: bool,
 ) -> list[Figure]:
     progress("daemons: idle")
     idle = Series(fleet, daemons, 0.0)
@@ -135,7 +143,10 @@
     figures += _at_target("sidecar, 31 links", idle, sidecars[31].name)
     figures += _link_slopes("entry", idle, entries)
     figures += _link_slopes("sidecar", idle, sidecars)
-    for workspaces in WORKSPACES:
+    progress("daemons: scrapes")
+    figures += _scrapes("entry, 168 links", fleet, entries[168])
+    figures += _scrapes("sidecar, 31 links", fleet, sidecars[31])
+    for workspaces in WORKSPACES if changes else ():
         fleet.configure(workspaces)
         wait_until(lambda: fleet.in_force(daemons), "not in force")
         still = idle
@@ -178,6 +189,22 @@
     ]
 
 
+def _scrapes(kind: str, fleet: Fleet, process: Process) -> list[Figure]:
+    """Measure what a scrape of the metrics costs a daemon."""
+    size = fleet.scrape(process)
+    before = usage(process.popen.pid)
+    for _ in range(SCRAPES):
+        fleet.scrape(process)
+    after = usage(process.popen.pid)
+    cost = 1000 * (after.cpu_s - before.cpu_s) / SCRAPES
+    grown = after.rss_mb - before.rss_mb
+    return [
+        figure(f"{kind}: bytes a scrape", [float(size)], "B"),
+        figure(f"{kind}: CPU a scrape", [cost], "ms"),
+        figure(f"{kind}: memory grown by {SCRAPES} scrapes", [grown], "MB"),
+    ]
+
+
 def _link_slopes(
     kind: str, idle: Series, daemons: dict[int, Process]
 ) -> list[Figure]:
@@ -348,18 +375,21 @@
 
     Args:
         json: Print one JSON object.
-        part: "subset", "daemons", "20", "50", "100", several of them
+        part: "subset", "idle", "daemons", "20", "50", "100", several of them
             separated by commas, or "all".
         seed: Printed only; nothing is drawn at random here.
     """
     parts: dict[str, Callable[[], list[Figure]]] = {
         "subset": control_subset.measure,
+        "idle": partial(measure_daemons, changes=False),
         "daemons": measure_daemons,
     }
     for count in FLEETS:
         parts[str(count)] = lambda n=count: measure_fleet(n)  # type: ignore[misc]
     given = part if isinstance(part, list | tuple) else [part]
-    names = list(parts) if part == "all" else [str(name) for name in given]
+    # The idle daemons are a part of the daemons.
+    every = [name for name in parts if name != "idle"]
+    names = every if part == "all" else [str(name) for name in given]
     figures: list[Any] = []
     for name in names:
         progress(f"control: {name}")
--- a/lacewingdock/components/language/statements.py
+++ b/lacewingdock/components/language/statements.py
@@ -128,6 +128,14 @@
     tail: Tail
 
 
+@dataclass(slots=True, frozen=True)
+class Release:
+    """Order that a quarantined request may run again."""
+
+    fingerprint: Word
+    tail: Tail
+
+
 @dataclass(slots=True, frozen=True)
 class Stop:
     """Order an instance to stop gracefully."""
@@ -136,5 +144,5 @@
     tail: Tail
 
 
-Order = RollOut | Unload | Change | SetState | Stop
+Order = RollOut | Unload | Change | SetState | Release | Stop
 Statement = Show | Explain | Order
