Claims: the test of looks takes the store of tests by its new name

Cause: it came to main while the name changed; the import failed. Ran: tests/components/claims/test_looks.py and tests/components/peers, passed.

--- a/tests/components/claims/test_looks.py
+++ b/tests/components/claims/test_looks.py
@@ -8,7 +8,7 @@
 from lacewingdock.components.claims.const import CANDIDATES
 from lacewingdock.world.objects import Instance
 
-from .fakes import SERVICE, FakeHome, FakeStore
+from .fakes import SERVICE, FakeHome, PlatformStore
 
 SECONDS = 60
 
@@ -20,7 +20,7 @@
         self.now = 1000.0
         clock = SimpleNamespace(monotonic=lambda: self.now)
         monkeypatch.setattr(takeover, "time", clock)
-        self.store = FakeStore()
+        self.store = PlatformStore()
         self.lists = 0
         self.store.instances = self.instances
         self.homes = [FakeHome(self.store, f"s-{i}") for i in range(count)]
