--- a/tests/components/exposure/test_processes.py
+++ b/tests/components/exposure/test_processes.py
@@ -6,11 +6,12 @@
 import pytest
 
 from bench.deployment import Deployment, Shape, wait_until
+from bench.example import apply_example
 from lacewingdock.components.language.client import Client
 from lacewingdock.components.rollouts.record import decode_rollout
 from lacewingdock.const import COLLECTION_EXPOSURE, COLLECTION_ROLLOUTS
 from lacewingdock.platform.store import ObjectStore
-from tests.common import apply_example, chat
+from tests.common import chat
 
 CALLERS = 6
 ROUND = 50
