--- a/tests/common.py
+++ b/tests/common.py
@@ -4,7 +4,11 @@
 from typing import Any
 
 from bench.deployment import Deployment, Process
+from bench.example import MANIFEST as MANIFEST
+from bench.example import NOTES_KEY as NOTES_KEY
+from bench.example import PARTITIONS as PARTITIONS
 from bench.example import RETAIL_KEY
+from bench.example import apply_example as apply_example
 from bench.http import Reply, call
 from lacewingdock.components.orders import send_order
 from lacewingdock.links.keys import load_keys
