Soak: the withdrawal leaves a version with a share

Ruled out: requests on the withdrawn version (none), an entry behind (all at the revision). Cause: the soak's operator had just set the other version's share to 0, so the model had none left, and the refusal was right. Change: the soak sets both shares before it withdraws one.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -129,7 +129,13 @@
 
 
 def check_withdrawal(demo: Demo, entries: list[str]) -> list[str]:
-    """Withdraw a version once all is well; nothing may run on it then."""
+    """Withdraw a version once all is well; nothing may run on it then.
+
+    The model keeps another version with a share: with none, a refusal is the
+    right answer.
+    """
+    shares = {"drafter-1": 0.5, "drafter-2": 0.5}
+    demo.configure({"model/drafter": {"shares": shares}})
     old = dict(demo.manifest["version/drafter-1"])
     demo.configure({"version/drafter-1": {**old, "state": "withdrawn"}})
     before = _served(demo.deployment, "drafter-1")
