Steps: a held answer's text is put together once

Cause: the verdict and the learning each decoded every event of a held answer. Ruled out: putting it together before the verdict's try; pieces that are no answer would then skip the drop of the answer and leave it counted in flight. Change: the verdict hands the text on. No figure was measured for it.

--- a/lacewingdock/components/callers/steps.py
+++ b/lacewingdock/components/callers/steps.py
@@ -157,10 +157,11 @@
         begun = Begun(asked, choice.index, answer, pieces, route, sampled)
         if choice.accept is None:
             return begun
-        score = self._score(asked.chat, pieces)
-        if score is not None:
+        judged = self._judge(asked.chat, pieces)
+        if judged is not None:
+            text, score = judged
             given = choice.accepts(score)
-            self._learn(begun, text_of(pieces), score, given)
+            self._learn(begun, text, score, given)
             if given:
                 # Learnt from already.
                 begun.route, begun.sampled = Route([]), False
@@ -172,12 +173,19 @@
         version = asked.plan.steps[index].version
         return self.cascades.is_sampled(route, version)
 
-    def _score(self, chat: ChatBody, pieces: list[bytes]) -> float | None:
-        """Ask for a verdict; without one the quality target goes first."""
+    def _judge(
+        self, chat: ChatBody, pieces: list[bytes]
+    ) -> tuple[str, float] | None:
+        """Return a held answer's text and verdict.
+
+        Without a verdict, or with pieces that are no answer, the quality
+        target goes first: None.
+        """
         if self.cascades.ratings is None:
             return None
         try:
-            return self.cascades.ratings.rate(chat.messages, text_of(pieces))
+            text = text_of(pieces)
+            return text, self.cascades.ratings.rate(chat.messages, text)
         except LacewingdockError as error:
             log.warning("no verdict", error=error.detail)
             return None
