--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -168,10 +168,9 @@
             connection = self.pool.take(self.instance.entry, sending.left_s)
         except UpstreamLost as error:
             return NotRun(error.detail, reached=False)
-        whole = False
+        head: AnswerHead | None = None
         try:
             result, head = self._exchange(connection, sending)
-            whole = head is not None
         except UpstreamLost as error:
             if error.ran == RAN_NO:
                 return NotRun(error.detail, reached=False)
@@ -180,12 +179,12 @@
             return Broken("silent", timed_out=True)
         finally:
             # An upstream drops what it still does for a closed connection.
-            if not whole:
+            if head is None:
                 connection.close()
-        assert head is not None
-        self.pool.give_back(
-            self.instance.entry, connection, head.keep_s, head.closes
-        )
+        if head is not None:
+            self.pool.give_back(
+                self.instance.entry, connection, head.keep_s, head.closes
+            )
         return result
 
     def _exchange(
@@ -215,9 +214,9 @@
             return NotRun("refused", reached=True, status=head.status), head
         if head.success and (not head.sealed or head.encoded):
             return Broken("answer is not the upstream's own"), None
-        if not self.progress.started and head.success:
-            if not self.accepts(head):
-                return Unsure(head.confidence or 0.0), None
+        fresh = head.success and not self.progress.started
+        if fresh and not self.accepts(head):
+            return Unsure(head.confidence or 0.0), None
         if self.streaming and head.success:
             return self._relay(connection, head)
         body = connection.read_whole(self.patience.end, MAX_BODY_BYTES)
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -201,6 +201,12 @@
         except (CallerGone, CallerLeft):
             outcome = str(ErrorKind.CALLER_LEFT)
             self.connection.keep = False
+        except Exception as error:
+            # A fault of ours must not leave the caller without an answer.
+            log.exception("request failed", request=self.call.id)
+            outcome = self._refuse(
+                LacewingdockError(ErrorKind.INTERNAL, repr(error))
+            )
         self._finished(outcome)
 
     def _admit(self) -> None:
