--- a/lacewingdock/components/gateway/__init__.py
+++ b/lacewingdock/components/gateway/__init__.py
@@ -9,7 +9,7 @@
 import threading
 
 from lacewingdock.components.gateway.exchange import Exchange, Gateway
-from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.server_connection import (
     CallerGone,
     ServerConnection,
@@ -33,9 +33,10 @@
         listener: Accepts the connections.
         active: Requests that were read and not yet answered.
         leaving: Set once the daemon is to stop.
+        is_shut: Whether nothing new is taken any more.
     """
 
-    __slots__ = ("active", "gateway", "leaving", "listener")
+    __slots__ = ("active", "gateway", "is_shut", "leaving", "listener")
 
     def __init__(
         self,
@@ -52,9 +53,20 @@
         self.gateway = gateway
         self.leaving = leaving
         self.active = Tally()
+        self.is_shut = False
         most = min(int(max_files * CONNECTIONS_SHARE), MAX_CONNECTIONS)
         self.listener = Listener("callers", address, self.serve, most)
 
+    def shut(self) -> None:
+        """Accept no more connections, and refuse requests on open ones.
+
+        A caller whose connection is refused, or whose request was refused as
+        not run, goes to another instance at once. Taken later, a request
+        could not end before the process does.
+        """
+        self.is_shut = True
+        self.listener.close()
+
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection until one side ends it."""
         connection = ServerConnection(sock)
@@ -88,7 +100,14 @@
             call.body = request.body
             if self.leaving.is_set():
                 connection.keep = False
+            if self.is_shut:
+                self.gateway.refuse(connection, call, _leaving())
+                return False
             Exchange(self.gateway, call, connection).run()
         finally:
             self.active.add(-1)
         return connection.reusable
+
+
+def _leaving() -> LacewingdockError:
+    return LacewingdockError(ErrorKind.LEAVING, "this instance is stopping")
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -125,6 +125,14 @@
             return self.budgets.setdefault(service, budget)
         return self.budgets[service]
 
+    def refuse(
+        self, connection: ServerConnection, call: Call, error: LacewingdockError
+    ) -> None:
+        """Refuse a request before anything is done about it."""
+        log.info("request refused", request=call.id, code=error.kind)
+        self.metrics.finished("", error.kind, 0.0)
+        _answer_error(connection, error, call.id)
+
     def refuse_unread(
         self, connection: ServerConnection, error: LacewingdockError
     ) -> None:
--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -21,11 +21,13 @@
     Snapshot,
 )
 
-# A connection can go silent for good while new ones work: then nothing is
-# heard until the watch ends and the time of a call more. An instance is held
-# to the bound on changes only once it was undisturbed for a while, so both
-# together may last as long as that while and the bound.
-WATCH_MARGIN_S: Final = 1.5
+# A watch may be deaf: its connection went silent while new ones work, or the
+# store dropped the history behind it and says so at the end only. An instance
+# is held to the bounds once it was undisturbed for a while, so a deaf watch
+# must end, and a list be read, within that while. The parts of it that a watch
+# may take, and its answer after that.
+WATCH_PART: Final = 0.7
+WATCH_GRACE_S: Final = 0.6
 # The first pause after a failed call, and the longest. An outage ends for all
 # at once; a fleet that calls again within a fifth of a second of it stays
 # under the platform's rate of reads by the spread of the pauses.
@@ -105,7 +107,7 @@
         listener: Told of each change.
         pull: Returns the newest copy that other routers have beyond a
             revision, or None.
-        wait_s: Seconds that a watch waits.
+        wait_s: Returns the seconds that a watch waits.
         pause_s: Seconds between two watches, for a kind that changes often
             and may be seen a little later: each answer is a call.
         objects: The objects by name.
@@ -138,7 +140,7 @@
         listener: Listener,
         pull: Callable[[str, int], Snapshot | None],
         source: random.Random,
-        wait_s: float,
+        wait_s: Callable[[], float],
         pause_s: float = 0.0,
     ) -> None:
         """Take what it mirrors; `run` does it."""
@@ -184,11 +186,15 @@
         if self.revision is None:
             self._list()
             return
-        start = time.monotonic()
+        start, wait_s = time.monotonic(), self.wait_s()
         found = self.api.watch_kind(
-            self.kind, self.revision, self.wait_s, f"watch-{self.kind}"
+            self.kind,
+            self.revision,
+            wait_s,
+            f"watch-{self.kind}",
+            grace_s=WATCH_GRACE_S,
         )
-        if time.monotonic() - start > self.wait_s + LATE_S:
+        if time.monotonic() - start > wait_s + LATE_S:
             self.health.failed(self.kind, "watch ended late")
         self.health.answered(self.kind)
         with self._lock:
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -19,7 +19,7 @@
 from lacewingdock.components.gateway.exchange import Gateway
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.mirror import (
-    WATCH_MARGIN_S,
+    WATCH_PART,
     Listener,
     Mirror,
     StoreHealth,
@@ -53,6 +53,8 @@
 
 # Routers come and go rarely, and their addresses matter only in an outage.
 ROUTERS_WATCH_S: Final = 20.0
+# Outside of roll-outs nothing is reported.
+REPORTS_WATCH_S: Final = 8.0
 # Reports come from every router while a roll-out is under way; gathered for
 # this long they cost one call instead of one each.
 REPORTS_PAUSE_S: Final = 0.8
@@ -62,9 +64,12 @@
 # The part of the allowed retries that is used; the rest is for requests that
 # move between the ends of two spans.
 RETRY_PART: Final = 0.85
-# A stop serves on at least this long: the balancer asks once a second and
-# turns away after two answers that are not 200.
-LINGER_S: Final = 2.6
+# A stop serves on this long: the balancer asks once a second and turns away
+# after two answers that are not 200. Where it has nobody else to send callers
+# to it goes on sending them here; a stream that began later than about 3 s
+# after the order could not end within the grace time, so from then on nothing
+# new is accepted.
+LINGER_S: Final = 2.4
 # What a stop leaves of the grace time for ending the process.
 GRACE_MARGIN_S: Final = 0.6
 LEAVE_POLL_S: Final = 0.05
@@ -171,10 +176,9 @@
         log.info("leaving", active=self.callers.active.value)
         start = time.monotonic()
         end = start + self.settings.bounds.grace_s - GRACE_MARGIN_S
-        while time.monotonic() < end:
-            lingered = time.monotonic() - start >= LINGER_S
-            if lingered and not self.callers.active.value:
-                break
+        time.sleep(min(LINGER_S, self.settings.bounds.grace_s / 2))
+        self.callers.shut()
+        while time.monotonic() < end and self.callers.active.value:
             time.sleep(LEAVE_POLL_S)
         left = self.callers.active.value
         self.stopping.set()
@@ -198,8 +202,7 @@
 
     def _mirrors(self) -> dict[str, Mirror]:
         health = StoreHealth(LAPSE_S)
-        bounds = self.settings.bounds
-        wait_s = max(bounds.contact_s + bounds.apply_s - WATCH_MARGIN_S, 1.0)
+        wait_s = self.settings.bounds.contact_s * WATCH_PART
         listeners: dict[str, Listener] = {
             KIND_CONFIGURATION: self.routes,
             KIND_INSTANCES: InstanceListener(self.directory),
@@ -215,12 +218,14 @@
                 listener,
                 self.routers.pull,
                 self.random,
-                wait_s,
+                lambda: wait_s,
             )
             for kind, listener in listeners.items()
         }
-        mirrors[KIND_ROUTERS].wait_s = ROUTERS_WATCH_S
-        mirrors[KIND_REPORTS].wait_s = ROUTERS_WATCH_S
+        mirrors[KIND_ROUTERS].wait_s = lambda: ROUTERS_WATCH_S
+        mirrors[KIND_REPORTS].wait_s = lambda: (
+            wait_s if self.shifts.running else REPORTS_WATCH_S
+        )
         mirrors[KIND_REPORTS].pause_s = REPORTS_PAUSE_S
         self.health = health
         return mirrors
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -186,7 +186,12 @@
             query["since_rev"] = page.items[-1].metadata.name
 
     def watch_kind(
-        self, kind: str, revision: int, wait_s: float, purpose: str
+        self,
+        kind: str,
+        revision: int,
+        wait_s: float,
+        purpose: str,
+        grace_s: float = CALL_TIMEOUT_S,
     ) -> Changes:
         """Wait for changes of a kind after a revision.
 
@@ -195,6 +200,7 @@
             revision: What is known already.
             wait_s: Seconds to wait for a change; 0 asks for those that are.
             purpose: What the call is for, in the count of calls.
+            grace_s: Seconds more that its answer may take.
 
         Returns:
             The changes, none when the wait ran out.
@@ -211,7 +217,7 @@
             f"{_path(kind)}?{query}",
             purpose,
             also=(HTTPStatus.GONE,),
-            timeout_s=wait_s + CALL_TIMEOUT_S,
+            timeout_s=wait_s + grace_s,
         )
         if reply.status == HTTPStatus.GONE:
             raise HistoryGoneError
