--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -21,7 +21,7 @@
     DaemonSettings,
     EntrySettings,
     ReportSettings,
-    RouterFlags,
+    RouterSettings,
     SidecarSettings,
     load_settings,
 )
@@ -50,12 +50,12 @@
 
         _run_daemon(load_settings(SidecarSettings, flags), run_sidecar)
 
-    @command(RouterFlags)
+    @command(RouterSettings)
     def router(self, **flags: str) -> None:
         """Run a router, which calls upstreams by itself, on a platform."""
         from lacewingdock.daemons.router import run_router
 
-        left = run_router(load_settings(RouterFlags, flags))
+        left = run_router(load_settings(RouterSettings, flags))
         exit_now(1 if left else 0)
 
     @command()
--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -9,6 +9,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Final, Protocol
 
 from lacewingdock.exceptions import LacewingdockError
@@ -19,6 +20,7 @@
     HistoryGoneError,
     ObjectApi,
     Snapshot,
+    StoredObject,
 )
 
 # A watch may be deaf: its connection went silent while new ones work, or the
@@ -33,6 +35,9 @@
 # under the platform's rate of reads by the spread of the pauses.
 RETRY_S: Final = 0.1
 RETRY_LIMIT_S: Final = 0.5
+# For how long another router's word counts that the store answers it. It is
+# asked again with each failed call, half a second apart at most.
+SERVED_OTHERS_S: Final = 1.5
 # A watch that ends this much late waited for a store that stood still.
 LATE_S: Final = 0.4
 
@@ -49,6 +54,19 @@
         """Take one change in."""
 
 
+@dataclass(slots=True)
+class Copy:
+    """What one router tells another of a kind of objects.
+
+    Attributes:
+        sure: Whether its own calls reach the store and show whole lists.
+        snapshot: Its copy; None where it has none newer.
+    """
+
+    sure: bool
+    snapshot: Snapshot | None = None
+
+
 class StoreHealth:
     """What this instance's own calls show of the platform's store.
 
@@ -58,9 +76,18 @@
         away: Whether the last call failed.
         failed_at: Monotonic time of the last failure.
         returned_at: Monotonic time of the last return.
+        served_others_at: Monotonic time at which another router last said
+            that the store answers it.
     """
 
-    __slots__ = ("_lock", "away", "failed_at", "returned_at", "settle_s")
+    __slots__ = (
+        "_lock",
+        "away",
+        "failed_at",
+        "returned_at",
+        "served_others_at",
+        "settle_s",
+    )
 
     def __init__(self, settle_s: float) -> None:
         """Start with a store that answers."""
@@ -68,12 +95,21 @@
         self.away = False
         self.failed_at = 0.0
         self.returned_at = 0.0
+        self.served_others_at = 0.0
         self._lock = threading.Lock()
 
     @property
     def doubtful(self) -> bool:
-        """Whether a missing entry need not mean that something is gone."""
-        recent = time.monotonic() < self.returned_at + self.settle_s
+        """Whether a missing entry need not mean that something is gone.
+
+        Entries lapse while the store is away. Where it was this instance that
+        was cut off while others were served, nothing lapsed, and an entry that
+        is missing left.
+        """
+        now = time.monotonic()
+        if now - self.served_others_at < SERVED_OTHERS_S:
+            return False
+        recent = now < self.returned_at + self.settle_s
         return self.away or (recent and self.returned_at > 0)
 
     def failed(self, kind: str, error: str) -> None:
@@ -106,7 +142,7 @@
         health: What is known of the store.
         listener: Told of each change.
         pull: Returns the newest copy that other routers have beyond a
-            revision, or None.
+            revision.
         wait_s: Returns the seconds that a watch waits.
         pause_s: Seconds between two watches, for a kind that changes often
             and may be seen a little later: each answer is a call.
@@ -138,7 +174,7 @@
         api: ObjectApi,
         health: StoreHealth,
         listener: Listener,
-        pull: Callable[[str, int], Snapshot | None],
+        pull: Callable[[str, int], Copy],
         source: random.Random,
         wait_s: Callable[[], float],
         pause_s: float = 0.0,
@@ -151,7 +187,7 @@
         self.pull = pull
         self.wait_s = wait_s
         self.pause_s = pause_s
-        self.objects: dict[str, object] = {}
+        self.objects: dict[str, StoredObject] = {}
         self.revision: int | None = None
         self.updated_at = 0.0
         self.ready = threading.Event()
@@ -180,7 +216,7 @@
         with self._lock:
             if self.revision is None:
                 return None
-            return Snapshot(self.revision, dict(self.objects))  # type: ignore[arg-type]
+            return Snapshot(self.revision, dict(self.objects))
 
     def _step(self) -> None:
         if self.revision is None:
@@ -221,7 +257,10 @@
         self._take(found)
 
     def _ask_routers(self) -> None:
-        found = self.pull(self.kind, self.revision or 0)
+        copy = self.pull(self.kind, self.revision or 0)
+        if copy.sure:
+            self.health.served_others_at = time.monotonic()
+        found = copy.snapshot
         if found is None:
             return
         log.info(
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -16,7 +16,7 @@
 import msgspec
 import pycurl
 
-from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror import Copy, Mirror, StoreHealth
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.http_client import send
 from lacewingdock.helpers.json import decode_json
@@ -111,18 +111,20 @@
         log.info("announced", address=self.entry.address, written=written)
         return written
 
-    def pull(self, kind: str, revision: int) -> Snapshot | None:
+    def pull(self, kind: str, revision: int) -> Copy:
         """Return the newest copy that others have beyond a revision."""
         others = [
             entry for name, entry in self.entries.items() if name != self.name
         ]
-        best: Snapshot | None = None
+        best = Copy(sure=False)
         for entry in self.random.sample(others, min(ASKED, len(others))):
             found = self._pull_from(entry, kind, revision)
-            if found is None or found.revision <= revision:
+            if found is None:
                 continue
-            if best is None or found.revision > best.revision:
-                best = found
+            best.sure = best.sure or found.sure
+            newest = best.snapshot.revision if best.snapshot else revision
+            if found.snapshot and found.snapshot.revision > newest:
+                best.snapshot = found.snapshot
         return best
 
     def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
@@ -153,7 +155,7 @@
 
     def _pull_from(
         self, entry: RouterEntry, kind: str, revision: int
-    ) -> Snapshot | None:
+    ) -> Copy | None:
         query = urllib.parse.urlencode({"after": revision})
         path = urllib.parse.quote(kind, safe="")
         url = f"http://{entry.address}/copies/{path}?{query}"
@@ -161,7 +163,7 @@
             reply = send(url, timeout_s=PULL_S, max_bytes=MAX_COPY_BYTES)
             if reply.status != HTTPStatus.OK:
                 return None
-            found: Snapshot = decode_json(reply.body, Snapshot)
+            found: Copy = decode_json(reply.body, Copy)
         except (pycurl.error, msgspec.DecodeError) as error:
             log.info(
                 "no copy", kind=kind, address=entry.address, error=str(error)
@@ -175,13 +177,17 @@
 
     Attributes:
         mirrors: The mirrors by kind.
+        health: What this router knows of the store.
         listener: Accepts the connections.
     """
 
-    __slots__ = ("listener", "mirrors")
+    __slots__ = ("health", "listener", "mirrors")
 
     def __init__(
-        self, address: tuple[str, int], mirrors: Mapping[str, Mirror]
+        self,
+        address: tuple[str, int],
+        mirrors: Mapping[str, Mirror],
+        health: StoreHealth,
     ) -> None:
         """Bind the port; `listener.run` serves it.
 
@@ -189,6 +195,7 @@
             LacewingdockError: PORT_TAKEN or BAD_SETTING.
         """
         self.mirrors = mirrors
+        self.health = health
         self.listener = Listener("copies", address, self.serve, MAX_CONNECTIONS)
 
     def serve(self, sock: socket.socket) -> None:
@@ -210,10 +217,12 @@
         kind = urllib.parse.unquote(url.path.removeprefix("/copies/"))
         after = urllib.parse.parse_qs(url.query).get("after", ["0"])[0]
         mirror = self.mirrors.get(kind)
-        found = mirror.snapshot() if mirror else None
-        if found is None or not after.isdigit() or found.revision <= int(after):
+        if mirror is None or not after.isdigit():
             connection.answer(HTTPStatus.NOT_FOUND, [], b"")
             return
+        copy = Copy(sure=not self.health.doubtful)
+        found = mirror.snapshot()
+        if found is not None and found.revision > int(after):
+            copy.snapshot = found
         headers = [(b"Content-Type", b"application/json")]
-        body = msgspec.json.encode(found)
-        connection.answer(HTTPStatus.OK, headers, body)
+        connection.answer(HTTPStatus.OK, headers, msgspec.json.encode(copy))
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -33,9 +33,9 @@
     Snapshot,
     StoredObject,
 )
-from lacewingdock.settings import RouterSettings
 from lacewingdock.world.backend import ShiftOrder, ShiftState
 from lacewingdock.world.call import Call
+from lacewingdock.world.host import HostProfile
 
 log = get_logger("shifts")
 
@@ -46,7 +46,7 @@
     """The roll-outs under way, and the version that each service is on.
 
     Attributes:
-        settings: The router's settings.
+        host: What the platform says of this instance.
         api: The platform's store.
         directory: The upstream instances.
         orders: The newest order of each service.
@@ -61,18 +61,18 @@
         "_lock",
         "api",
         "directory",
+        "host",
         "orders",
         "pins",
         "refused",
         "reporter",
         "running",
-        "settings",
         "settled",
     )
 
     def __init__(
         self,
-        settings: RouterSettings,
+        host: HostProfile,
         incarnation: str,
         api: ObjectApi,
         directory: Directory,
@@ -81,24 +81,24 @@
         """Take the parts.
 
         Args:
-            settings: The router's settings.
+            host: What the platform says of this instance.
             incarnation: This start of the router.
             api: The platform's store.
             directory: The upstream instances.
             routers: Returns how many routers there are.
         """
-        self.settings = settings
+        self.host = host
         self.api = api
         self.directory = directory
         self.orders: dict[str, ShiftOrder] = {}
         self.running: dict[str, Shift] = {}
         self.settled: dict[str, str] = {}
         self.refused: dict[str, str] = {}
-        self.pins = SessionPins(settings.bounds.session_s)
-        pace = settings.platform_writes_per_s * WRITES_PART
+        self.pins = SessionPins(host.bounds.session_s)
+        pace = host.platform_writes_per_s * WRITES_PART
         self.reporter = Reporter(
             api,
-            settings.instance,
+            host.instance,
             incarnation,
             lambda: max(REPORT_S, routers() / pace),
         )
@@ -220,7 +220,7 @@
                 if shift is not None and shift.order.target == order.target:
                     shift.order = order
                     return
-                share = self.settings.bounds.exposure_share
+                share = self.host.bounds.exposure_share
                 self.refused.pop(service, None)
                 self.running[service] = Shift(order, share)
 
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -48,8 +48,9 @@
 )
 from lacewingdock.platform.metrics import PlatformCalls
 from lacewingdock.platform.object_api import ObjectApi
-from lacewingdock.platform.settings import load_platform_settings
-from lacewingdock.settings import RouterFlags, RouterSettings
+from lacewingdock.platform.profile import load_profile
+from lacewingdock.settings import RouterSettings
+from lacewingdock.world.host import HostProfile
 
 # Routers come and go rarely, and their addresses matter only in an outage.
 ROUTERS_WATCH_S: Final = 20.0
@@ -84,8 +85,8 @@
     """One router process.
 
     Attributes:
-        settings: The platform's settings.
-        flags: The command line's settings.
+        host: What the platform says of this instance.
+        settings: The command line's settings.
         stopping: Set when the process shall end.
         leaving: Set from the order to stop.
         api: The platform's store.
@@ -100,25 +101,23 @@
         copies: The other routers' port.
     """
 
-    def __init__(self, settings: RouterSettings, flags: RouterFlags) -> None:
+    def __init__(self, host: HostProfile, settings: RouterSettings) -> None:
         """Build the daemon; nothing runs before `run`."""
+        self.host = host
         self.settings = settings
-        self.flags = flags
         self.stopping = threading.Event()
         self.leaving = threading.Event()
         self.random = random.Random(os.urandom(8))
         self.registry = prometheus_client.CollectorRegistry()
-        self.api = ObjectApi(settings.platform)
+        self.api = ObjectApi(host.platform)
         self.registry.register(PlatformCalls(self.api))
         incarnation = new_id()
         self.routes = Routes()
         self.directory = Directory()
-        entry = RouterEntry(
-            f"{settings.host}:{settings.peer_port}", incarnation
-        )
-        self.routers = Routers(self.api, settings.instance, entry, self.random)
+        entry = RouterEntry(f"{host.address}:{host.peer_port}", incarnation)
+        self.routers = Routers(self.api, host.instance, entry, self.random)
         self.shifts = Shifts(
-            settings,
+            host,
             incarnation,
             self.api,
             self.directory,
@@ -128,16 +127,14 @@
         self.gateway = self._gateway()
         self.callers = CallersPort(
             self.gateway,
-            settings.callers_address,
-            settings.max_files,
+            host.callers_address,
+            host.max_files,
             self.leaving,
         )
         self.ready = ReadinessPort(
-            settings.ready_address, self.missing, self.leaving
-        )
-        self.copies = CopiesPort(
-            (settings.host, settings.peer_port), self.mirrors
+            host.ready_address, self.missing, self.leaving
         )
+        self.copies = CopiesPort((host.address, host.peer_port), self.mirrors)
 
     def missing(self) -> str:
         """Return what is missing to serve; empty if nothing."""
@@ -163,11 +160,11 @@
         _start("announce", self._announce)
         _start("shifts", self._every, ROUND_S, self.shifts.round)
         _start("housekeeping", self._every, HOUSEKEEPING_S, self._keep_house)
-        if self.flags.metrics_port:
+        if self.settings.metrics_port:
             prometheus_client.start_http_server(
-                self.flags.metrics_port, self.settings.host, self.registry
+                self.settings.metrics_port, self.host.address, self.registry
             )
-        log.info("started", settings=self.flags.config)
+        log.info("started", profile=self.settings.config)
         while not self.leaving.wait(1.0):
             pass
         return self._leave()
@@ -175,8 +172,8 @@
     def _leave(self) -> int:
         log.info("leaving", active=self.callers.active.value)
         start = time.monotonic()
-        end = start + self.settings.bounds.grace_s - GRACE_MARGIN_S
-        time.sleep(min(LINGER_S, self.settings.bounds.grace_s / 2))
+        end = start + self.host.bounds.grace_s - GRACE_MARGIN_S
+        time.sleep(min(LINGER_S, self.host.bounds.grace_s / 2))
         self.callers.shut()
         while time.monotonic() < end and self.callers.active.value:
             time.sleep(LEAVE_POLL_S)
@@ -186,10 +183,8 @@
         return left
 
     def _gateway(self) -> Gateway:
-        bounds = self.settings.bounds
-        chooser = Chooser(
-            self.directory, self.settings.failure_domain, self.random
-        )
+        bounds = self.host.bounds
+        chooser = Chooser(self.directory, self.host.failure_domain, self.random)
         return Gateway(
             self.routes,
             chooser,
@@ -202,7 +197,7 @@
 
     def _mirrors(self) -> dict[str, Mirror]:
         health = StoreHealth(LAPSE_S)
-        wait_s = self.settings.bounds.contact_s * WATCH_PART
+        wait_s = self.host.bounds.contact_s * WATCH_PART
         listeners: dict[str, Listener] = {
             KIND_CONFIGURATION: self.routes,
             KIND_INSTANCES: InstanceListener(self.directory),
@@ -255,14 +250,14 @@
     def _reload(self) -> None:
         """Read the settings file again; what differs needs a restart."""
         try:
-            found = load_platform_settings(self.flags.config)
+            found = load_profile(self.settings.config)
         except Exception as error:
             log.error("settings not read again", error=str(error))
             return
-        log.info("settings read again", changed=found != self.settings)
+        log.info("settings read again", changed=found != self.host)
 
 
-def run_router(flags: RouterFlags) -> int:
+def run_router(settings: RouterSettings) -> int:
     """Run a router until it is stopped.
 
     Returns:
@@ -272,15 +267,15 @@
         LacewingdockError: It can't start.
     """
     threading.stack_size(THREAD_STACK_BYTES)
-    settings = load_platform_settings(flags.config)
+    host = load_profile(settings.config)
     stream = LogStream(sys.stdout.fileno())
     start_logging(
-        flags.log_level,
+        settings.log_level,
         stream,
-        instance=settings.instance,
-        failure_domain=settings.failure_domain,
+        instance=host.instance,
+        failure_domain=host.failure_domain,
     )
-    left = RouterDaemon(settings, flags).run()
+    left = RouterDaemon(host, settings).run()
     stream.drain(DRAIN_LOG_S)
     return left
 
--- a/lacewingdock/helpers/sockets.py
+++ b/lacewingdock/helpers/sockets.py
@@ -42,11 +42,13 @@
         open: Connections being served.
         refused: Connections closed unread.
         sock: The listening socket.
+        closed: Whether it stopped accepting.
     """
 
     __slots__ = (
         "_executor",
         "address",
+        "closed",
         "most",
         "name",
         "open",
@@ -72,6 +74,7 @@
         self.most = most
         self.open = Tally()
         self.refused = 0
+        self.closed = False
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -89,7 +92,7 @@
             try:
                 sock, _ = self.sock.accept()
             except OSError as error:
-                if stopping.is_set():
+                if self.closed or stopping.is_set():
                     return
                 log.error("accept failed", name=self.name, error=repr(error))
                 stopping.wait(EXHAUSTED_S)
@@ -102,7 +105,11 @@
             self._executor.submit(self._serve, sock)
 
     def close(self) -> None:
-        """Stop accepting."""
+        """Stop accepting, and wake the task that does."""
+        self.closed = True
+        with contextlib.suppress(OSError):
+            # Closing alone leaves the port open while a task is in `accept`.
+            self.sock.shutdown(socket.SHUT_RDWR)
         with contextlib.suppress(OSError):
             self.sock.close()
 
--- a/lacewingdock/platform/settings.py
+++ b/lacewingdock/platform/profile.py
@@ -8,7 +8,7 @@
 from msgspec import Meta
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.settings import Bounds, RouterSettings
+from lacewingdock.world.host import Bounds, HostProfile
 
 _Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}\Z")]
 _Positive = Annotated[float, Meta(gt=0)]
@@ -59,7 +59,7 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-def load_platform_settings(path: str) -> RouterSettings:
+def load_profile(path: str) -> HostProfile:
     """Read and check a settings file.
 
     Args:
@@ -74,11 +74,11 @@
         raise LacewingdockError(
             ErrorKind.BAD_SETTING, f"{path}: {error}"
         ) from error
-    return read_settings(found, path)
+    return read_profile(found, path)
 
 
-def read_settings(found: dict[str, Any], path: str) -> RouterSettings:
-    """Check settings and turn them into the router's own.
+def read_profile(found: dict[str, Any], path: str) -> HostProfile:
+    """Check settings and turn them into the product's own.
 
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
@@ -90,10 +90,10 @@
             ErrorKind.BAD_SETTING, f"{path}: {error}{_value_at(found, error)}"
         ) from error
     bounds = file.bounds
-    return RouterSettings(
+    return HostProfile(
         instance=file.node_name,
         failure_domain=file.zone,
-        host=file.ip,
+        address=file.ip,
         callers_address=_address(file.listen.front),
         ready_address=_address(file.listen.ready),
         peer_port=file.port_range[0],
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -3,7 +3,7 @@
 import os
 import typing
 from collections.abc import Mapping
-from dataclasses import MISSING, Field, dataclass, field, fields
+from dataclasses import MISSING, Field, dataclass, fields
 from typing import Annotated, Any, Final, TypeVar
 
 import msgspec
@@ -230,7 +230,7 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class RouterFlags:
+class RouterSettings:
     """Settings of the router daemon that do not come from the platform.
 
     Attributes:
@@ -244,76 +244,6 @@
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
-@dataclass(slots=True, kw_only=True)
-class Bounds:
-    """What the platform's operators hold the router to.
-
-    Attributes:
-        contact_s: Seconds without a disturbance after which an instance is
-            held to the bounds.
-        drain_s: Seconds in which a leaving upstream gets no new request.
-        grace_s: Seconds from the order to stop to the kill.
-        apply_s: Seconds in which a configuration is in force.
-        retry_ratio: Repeats per request of a service, over the fleet.
-        retry_window_s: Span over which repeats are counted.
-        retry_extra: Repeats allowed in a span besides, over the fleet.
-        exposure_share: Largest share of a service's requests that a bad
-            version may get while it is rolled out.
-        exposure_tolerance: Requests that it may get besides.
-        rollback_s: Seconds after which a version found bad gets nothing.
-        session_s: Longest pause between requests of a session.
-    """
-
-    contact_s: float = 3.0
-    drain_s: float = 2.0
-    grace_s: float = 8.0
-    apply_s: float = 2.0
-    retry_ratio: float = 0.1
-    retry_window_s: float = 10.0
-    retry_extra: float = 10.0
-    exposure_share: float = 0.1
-    exposure_tolerance: float = 0.0
-    rollback_s: float = 5.0
-    session_s: float = 5.0
-
-
-@dataclass(slots=True, kw_only=True)
-class RouterSettings:
-    """Settings of a router, as the platform gives them.
-
-    Attributes:
-        instance: Name of this instance.
-        failure_domain: Where it stands.
-        host: IP number it is reached at.
-        callers_address: Where callers connect.
-        ready_address: Where the balancer asks whether it is ready.
-        peer_port: Port for other routers.
-        peer_ports: First and last port that routers may use between them.
-        platform: URL of the platform's object API.
-        platform_writes_per_s: Writes a second for the whole fleet.
-        platform_reads_per_s: Reads a second for the whole fleet.
-        heartbeat_s: Seconds between signs of life of an upstream.
-        memory_mb: Memory beyond which the process is killed.
-        max_files: Open files and sockets.
-        bounds: What it is held to.
-    """
-
-    instance: str
-    failure_domain: str
-    host: str
-    callers_address: tuple[str, int]
-    ready_address: tuple[str, int]
-    peer_port: int
-    peer_ports: tuple[int, int] = (0, 0)
-    platform: str
-    platform_writes_per_s: float = 100.0
-    platform_reads_per_s: float = 500.0
-    heartbeat_s: float = 1.0
-    memory_mb: float = 256.0
-    max_files: int = 1024
-    bounds: Bounds = field(default_factory=Bounds)
-
-
 def load_settings(
     cls: type[T],
     flags: Mapping[str, Any],
@@ -453,5 +383,5 @@
     BillsSettings,
     ClientSettings,
     ReportSettings,
-    RouterFlags,
+    RouterSettings,
 )
--- /dev/null
+++ b/tests/components/gateway/fakes.py
@@ -0,0 +1,327 @@
+"""Fakes: upstream instances that follow a script, and a gateway before them."""
+
+import contextlib
+import random
+import socket
+import struct
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import prometheus_client
+
+from lacewingdock.components.gateway import CallersPort
+from lacewingdock.components.gateway.exchange import Gateway
+from lacewingdock.components.gateway.metrics import GatewayMetrics
+from lacewingdock.components.routes import Routes
+from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.upstreams.choice import Chooser
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.world.backend import UpstreamEntry
+from lacewingdock.world.host import HostProfile
+from lacewingdock.world.route import (
+    Caller,
+    CallerLimits,
+    Repeat,
+    Route,
+    RoutingTable,
+    Target,
+)
+
+KEY = "key-1"
+LINGER_NONE = struct.pack("ii", 1, 0)
+
+
+def ok(call_id, body=b"done", extra=b"", status=b"200 OK"):
+    """Return a whole sealed answer."""
+    return (
+        b"HTTP/1.1 "
+        + status
+        + b"\r\nAttempt-Id: "
+        + call_id
+        + b"\r\nResponse-Seal: s\r\n"
+        + extra
+        + b"Content-Length: %d\r\n\r\n" % len(body)
+        + body
+    )
+
+
+def refusal(call_id):
+    """Return an answer that says that the request was not run."""
+    return ok(call_id, b"full", b"Not-Executed: 1\r\n", b"503 Busy")
+
+
+def stream_head(call_id, extra=b""):
+    """Return the head of a stream."""
+    return (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: "
+        + call_id
+        + b"\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
+        + extra
+        + b"Transfer-Encoding: chunked\r\n\r\n"
+    )
+
+
+def event(number):
+    """Return an event as a chunk."""
+    data = b"id: %d\ndata: e%d\n\n" % (number, number)
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+END = b"0\r\n\r\n"
+
+
+class Upstream:
+    """An upstream instance that answers requests by a script.
+
+    Each step is a function of (connection, request's id, head); a step that
+    returns False ends the connection.
+
+    Attributes:
+        requests: Heads of all requests that came, as text.
+        bodies: Their bodies.
+        connections: Connections accepted.
+    """
+
+    def __init__(self, *steps):
+        self.steps = list(steps)
+        self.requests = []
+        self.bodies = []
+        self.connections = 0
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        self.open = []
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def entry(self, name="i-1", service="svc", **changes):
+        """Return its entry."""
+        fields = {
+            "id": name,
+            "service": service,
+            "host": "127.0.0.1",
+            "port": self.port,
+            "failure_domain": "d1",
+            "version": "v1",
+            "slots": 4,
+            **changes,
+        }
+        return UpstreamEntry(**fields)
+
+    def close(self):
+        """Stop listening and end all connections."""
+        for one in [self.sock, *self.open]:
+            with contextlib.suppress(OSError):
+                one.close()
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except OSError:
+                return
+            self.connections += 1
+            self.open.append(sock)
+            threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            ).start()
+
+    def _serve(self, sock):
+        with contextlib.suppress(OSError):
+            while (found := self._read(sock)) is not None:
+                call_id, head = found
+                step = self.steps.pop(0) if self.steps else answer()
+                if step(sock, call_id, head) is False:
+                    break
+        sock.close()
+
+    def _read(self, sock):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            more = sock.recv(65536)
+            if not more:
+                return None
+            data += more
+        head, _, body = data.partition(b"\r\n\r\n")
+        headers = dict(
+            line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
+        )
+        length = int(headers.get(b"content-length", 0))
+        while len(body) < length:
+            body += sock.recv(65536)
+        self.requests.append(head.decode())
+        self.bodies.append(body)
+        return headers.get(b"attempt-id", b""), head
+
+
+def answer(body=b"done", extra=b"", status=b"200 OK"):
+    """Return a step that answers whole."""
+    return lambda sock, call_id, _: sock.sendall(
+        ok(call_id, body, extra, status)
+    )
+
+
+def refuse():
+    """Return a step that refuses as not run."""
+    return lambda sock, call_id, _: sock.sendall(refusal(call_id))
+
+
+def send(*parts, then="close"):
+    """Return a step that sends parts (functions of the id) and ends.
+
+    Args:
+        *parts: Bytes, or functions of the request's id.
+        then: "close", "reset", "silent" or "keep".
+    """
+
+    def step(sock, call_id, _):
+        for part in parts:
+            sock.sendall(part(call_id) if callable(part) else part)
+        if then == "reset":
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        if then == "silent":
+            threading.Event().wait(2)
+        return then == "keep"
+
+    return step
+
+
+def route(repeat=Repeat.IDEMPOTENT, **changes):
+    """Return a route to the service `svc`."""
+    fields = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/r/",
+        "targets": (Target("svc"),),
+        "repeat": repeat,
+        "timeout_s": 2.0,
+        "goal_s": 0.2,
+        "max_attempts": 3,
+        **changes,
+    }
+    return Route(**fields)
+
+
+class Stage:
+    """A gateway before fake upstreams, and callers of it.
+
+    Attributes:
+        directory: The instances.
+        routes: The routing table.
+        gateway: The gateway.
+        port: Its callers' port.
+    """
+
+    def __init__(self, routes, upstreams, limits=None, version=1):
+        self.host = HostProfile(
+            instance="router-1",
+            failure_domain="d1",
+            address="127.0.0.1",
+            callers_address=("127.0.0.1", 0),
+            ready_address=("127.0.0.1", 0),
+            peer_port=0,
+            platform="http://127.0.0.1:1",
+        )
+        self.directory = Directory()
+        for index, upstream in enumerate(upstreams):
+            self.directory.take(upstream.entry(f"i-{index + 1}"))
+        self.routes = Routes()
+        self.routes.table = RoutingTable(
+            version,
+            routes,
+            {KEY: Caller("w-1")},
+            limits or CallerLimits(idle_s=1.0),
+        )
+        source = random.Random(7)
+        self.shifts = Shifts(self.host, "inc", None, self.directory, lambda: 1)
+        self.gateway = Gateway(
+            self.routes,
+            Chooser(self.directory, "d1", source),
+            self.shifts,
+            GatewayMetrics(prometheus_client.CollectorRegistry()),
+            0.5,
+            20.0,
+            source,
+        )
+        self.leaving = threading.Event()
+        self.port = CallersPort(
+            self.gateway, ("127.0.0.1", 0), 400, self.leaving
+        )
+        self.stopping = threading.Event()
+        self.pool = ThreadPoolExecutor(4)
+        self.pool.submit(self.port.listener.run, self.stopping)
+
+    def close(self):
+        """End it."""
+        self.stopping.set()
+        self.port.listener.close()
+        self.pool.shutdown(wait=False)
+
+    def connect(self):
+        """Return a caller's socket."""
+        sock = socket.create_connection(self.port.listener.address, 5)
+        sock.settimeout(5)
+        return sock
+
+    def call(self, sock=None, **fields):
+        """Make a request; returns status, headers and body."""
+        sock = sock or self.connect()
+        sock.sendall(request(**fields))
+        return read_answer(sock)
+
+
+def request(
+    call_id="c-1",
+    method="POST",
+    path="/r/x?q=1",
+    body=b"hello",
+    host="h.example",
+    key=KEY,
+    deadline_ms=1500,
+    extra="",
+):
+    """Return a request's bytes."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {host}",
+        f"Attempt-Id: {call_id}",
+        f"Deadline-Ms: {deadline_ms}",
+        f"Credential: {key}",
+        f"Content-Length: {len(body)}",
+    ]
+    head = "\r\n".join(lines) + "\r\n" + extra + "\r\n"
+    return head.encode() + body
+
+
+def read_answer(sock):
+    """Read one answer whole; a body that ends early raises `EOFError`."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        data += _more(sock)
+    head, _, rest = data.partition(b"\r\n\r\n")
+    lines = head.decode().split("\r\n")
+    headers = {
+        name.lower(): value
+        for name, value in (line.split(": ", 1) for line in lines[1:])
+    }
+    status = int(lines[0].split()[1])
+    if "content-length" in headers:
+        while len(rest) < int(headers["content-length"]):
+            rest += _more(sock)
+        return status, headers, rest
+    body = b""
+    while True:
+        while b"\r\n" not in rest:
+            rest += _more(sock)
+        size, _, rest = rest.partition(b"\r\n")
+        while len(rest) < int(size, 16) + 2:
+            rest += _more(sock)
+        if not int(size, 16):
+            return status, headers, body
+        body += rest[: int(size, 16)]
+        rest = rest[int(size, 16) + 2 :]
+
+
+def _more(sock):
+    data = sock.recv(65536)
+    if not data:
+        raise EOFError
+    return data
--- /dev/null
+++ b/tests/components/gateway/test_at_most_once.py
@@ -0,0 +1,181 @@
+"""Tests that a request is written once, and what its caller is told.
+
+Symptom: a booking lands twice. A kept connection to the upstream dies before
+the first byte of the answer; the upstream has run the request, and the client
+library sends it again on a new connection by itself (libcurl does). Cause: it
+takes a dead kept connection for proof that nothing was run.
+"""
+
+import pytest
+
+from lacewingdock.world.route import Repeat
+from tests.components.gateway.fakes import (
+    Stage,
+    Upstream,
+    answer,
+    ok,
+    refuse,
+    route,
+    send,
+)
+
+HALF = b"HTTP/1.1 200 OK\r\nAttempt-Id: c-1\r\nRes"
+
+
+def half_body(call_id):
+    """Return an answer that breaks off in its body."""
+    return ok(call_id, b"whole body")[:-4]
+
+
+# What the upstream does with the request, and whether it says it did not run.
+FATES = {
+    "close before the answer": send(then="close"),
+    "reset before the answer": send(then="reset"),
+    "silent": send(then="silent"),
+    "close in the head": send(HALF, then="close"),
+    "reset in the head": send(HALF, then="reset"),
+    "close in the body": send(half_body, then="close"),
+    "reset in the body": send(half_body, then="reset"),
+    "no http": send(b"garbage\r\n\r\n", then="close"),
+    "no seal": send(
+        lambda i: ok(i).replace(b"Response-Seal: s\r\n", b""), then="keep"
+    ),
+    "another encoding": send(
+        lambda i: ok(i, extra=b"Content-Encoding: gzip\r\n"), then="keep"
+    ),
+}
+
+
+@pytest.fixture
+def staged():
+    made = []
+
+    def make(*args, **kwargs):
+        made.append(Stage(*args, **kwargs))
+        return made[-1]
+
+    yield make
+    for stage in made:
+        stage.close()
+
+
+@pytest.mark.parametrize("kept", [False, True], ids=["fresh", "kept"])
+@pytest.mark.parametrize("fate", FATES)
+def test_request_that_may_run_once_is_written_once(staged, fate, kept):
+    first = [answer()] if kept else []
+    upstreams = [Upstream(*first, FATES[fate]), Upstream()]
+    stage = staged([route(Repeat.ONCE, timeout_s=0.5)], upstreams)
+    stage.directory.remove("i-2", doubtful=False)
+    if kept:
+        assert stage.call(call_id="c-0")[0] == 200
+    stage.directory.take(upstreams[1].entry("i-2", failure_domain="d2"))
+    status, headers, _ = stage.call(call_id="c-1")
+    assert status in (502, 504)
+    assert headers["attempt-id"] == "c-1"
+    written = [
+        head
+        for upstream in upstreams
+        for head in upstream.requests
+        if "Attempt-Id: c-1" in head
+    ]
+    assert len(written) == 1
+    assert upstreams[0].connections == 1
+
+
+@pytest.mark.parametrize("fate", FATES)
+def test_request_that_may_repeat_is_answered_by_another(staged, fate):
+    upstreams = [Upstream(FATES[fate]), Upstream()]
+    stage = staged([route()], upstreams)
+    stage.directory.take(upstreams[1].entry("i-2", failure_domain="d2"))
+    status, _, body = stage.call()
+    assert (status, body) == (200, b"done")
+    assert [len(u.requests) for u in upstreams] == [1, 1]
+
+
+@pytest.mark.parametrize(
+    ("attempts", "status", "sent"), [(1, 503, 1), (3, 200, 2)]
+)
+def test_refusal_of_the_upstream_is_the_only_proof(
+    staged, attempts, status, sent
+):
+    upstreams = [Upstream(refuse()), Upstream()]
+    stage = staged([route(Repeat.ONCE, max_attempts=attempts)], upstreams)
+    stage.directory.take(upstreams[1].entry("i-2", failure_domain="d2"))
+    found, headers, _ = stage.call()
+    assert found == status
+    assert sum(len(u.requests) for u in upstreams) == sent
+    if status == 503:
+        assert 0 < float(headers["retry-after"]) < 1
+
+
+def test_unreached_upstream_is_no_attempt(staged):
+    gone, live = Upstream(), Upstream()
+    stage = staged([route(Repeat.ONCE, max_attempts=1)], [gone, live])
+    stage.directory.take(live.entry("i-2", failure_domain="d2"))
+    gone.close()
+    assert stage.call()[0] == 200
+
+
+def test_upstreams_own_failure_is_passed_on_unchanged(staged):
+    upstream = Upstream(answer(b"why", status=b"500 Oops"))
+    stage = staged([route(Repeat.ONCE)], [upstream])
+    status, headers, body = stage.call()
+    assert (status, headers["response-seal"], body) == (500, "s", b"why")
+
+
+def test_second_answer_is_told_by_its_id(staged):
+    """Symptom: a caller gets the answer to another caller's request.
+
+    An upstream sends a second answer to an earlier request late, where the
+    next one's answer is due. Cause: the answer was not matched by its id.
+    """
+    late = send(lambda i: ok(i), then="keep")
+    second = send(
+        lambda _: ok(b"c-0", b"again"), lambda i: ok(i, b"mine"), then="keep"
+    )
+    stage = staged([route(Repeat.ONCE)], [Upstream(late, second)])
+    sock = stage.connect()
+    assert stage.call(sock, call_id="c-0")[2] == b"done"
+    assert stage.call(sock, call_id="c-1")[2] == b"mine"
+
+
+def test_bytes_after_an_answer_spoil_the_connection(staged):
+    extra = send(lambda i: ok(i) + ok(i, b"again"), then="keep")
+    upstream = Upstream(extra, answer(b"mine"))
+    stage = staged([route(Repeat.ONCE)], [upstream])
+    assert stage.call(call_id="c-0")[2] == b"done"
+    assert stage.call(call_id="c-1")[2] == b"mine"
+    assert upstream.connections == 2
+
+
+def test_headers_that_are_the_routers_to_set(staged):
+    upstream = Upstream()
+    stage = staged([route()], [upstream])
+    extra = (
+        "Tenant: other\r\nHold: h\r\nPin-Ms: 9\r\nKv-From: a\r\n"
+        "Kv-Backup: b\r\nExpect-Instance: x\r\nKeep-Alive: 5\r\n"
+        "X-Mine: yes\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+    )
+    assert stage.call(extra=extra)[0] == 200
+    lines = upstream.requests[0].split("\r\n")
+    assert lines[0] == "POST /r/x?q=1 HTTP/1.1"
+    found = {line.split(": ")[0].lower() for line in lines[1:]}
+    assert {"x-mine", "host", "attempt-id"} <= found
+    assert not found & {
+        "hold",
+        "pin-ms",
+        "kv-from",
+        "kv-backup",
+        "credential",
+        "keep-alive",
+        "x-hop",
+        "connection",
+    }
+    assert "Tenant: other" not in lines
+    assert [one for one in lines if one.lower().startswith("tenant")] == [
+        "tenant: w-1"
+    ]
+    assert "expect-instance: i-1" in lines
+    left = next(one for one in lines if one.startswith("deadline-ms"))
+    assert 1000 < int(left.split(": ")[1]) <= 1500
+    assert upstream.bodies == [b"hello"]
--- /dev/null
+++ b/tests/components/mirror/test_mirror.py
@@ -0,0 +1,160 @@
+"""Tests of mirrors: outages, cuts, dropped history, old answers."""
+
+import random
+import threading
+
+import pytest
+
+from lacewingdock.components.mirror import Copy, Mirror, StoreHealth
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.sync import InstanceListener
+from lacewingdock.const import RAN_NO
+from lacewingdock.platform.object_api import (
+    Change,
+    Changes,
+    HistoryGoneError,
+    Snapshot,
+    StoredObject,
+    unavailable,
+)
+
+AWAY = unavailable("down", RAN_NO)
+SETTLE_S = 0.4
+
+
+def entry(name, **changes):
+    """Return the entry of an instance as the platform keeps it."""
+    spec = {
+        "service": "svc",
+        "address": "10.0.0.1:80",
+        "zone": "d",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        **changes,
+    }
+    return StoredObject(name, 1, spec)
+
+
+def listed(revision, *names):
+    """Return a whole list of instances."""
+    return Snapshot(revision, {name: entry(name) for name in names})
+
+
+def removed(revision, name):
+    """Return the change by which an instance leaves."""
+    return Changes(revision, [Change(entry(name), True)])
+
+
+class Script:
+    """A store that answers what it is told to, in turn; then it is down."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+
+    def _next(self):
+        found = self.answers.pop(0) if self.answers else AWAY
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def list_kind(self, *_args, **_kwargs):
+        """Answer a list."""
+        return self._next()
+
+    def watch_kind(self, *_args, **_kwargs):
+        """Answer a watch."""
+        return self._next()
+
+
+def mirror_of(*answers, copy=None):
+    """Return a mirror of instances, its directory and its health."""
+    directory = Directory()
+    health = StoreHealth(SETTLE_S)
+    mirror = Mirror(
+        "servers",
+        Script(*answers),
+        health,
+        InstanceListener(directory),
+        lambda *_: copy or Copy(sure=False),
+        random.Random(1),
+        lambda: 0.01,
+    )
+    return mirror, directory, health
+
+
+def run(mirror):
+    """Run a mirror until its script is at its end."""
+    stopping = threading.Event()
+    mirror.pause.first_s = mirror.pause.limit_s = 0.001
+    task = threading.Thread(target=mirror.run, args=(stopping,))
+    task.start()
+    while mirror.api.answers:
+        stopping.wait(0.002)
+    stopping.set()
+    task.join()
+
+
+@pytest.mark.parametrize(
+    ("answers", "copy", "open_ones", "lapsed"),
+    [
+        # A calm store: a missing entry is a gone instance.
+        ([listed(5, "a", "b"), removed(6, "b")], None, {"a"}, set()),
+        # The store was away: entries lapse, and their instances live on.
+        ([listed(5, "a", "b"), AWAY, removed(6, "b")], None, "ab", {"b"}),
+        (
+            [listed(5, "a", "b"), AWAY, HistoryGoneError(), listed(9, "a")],
+            None,
+            "ab",
+            {"b"},
+        ),
+        # Only this router was cut off. Symptom: an instance that left got a
+        # request 2.1 s after it had; the router had taken the store's return
+        # to itself for the store's return, and the entry for a lapsed one.
+        (
+            [listed(5, "a", "b"), AWAY, removed(6, "b")],
+            Copy(sure=True),
+            {"a"},
+            set(),
+        ),
+        # Another router has a newer copy.
+        ([listed(5, "a"), AWAY], Copy(True, listed(7, "a", "c")), "ac", set()),
+        # An older copy takes nothing back.
+        ([listed(5, "a", "b"), AWAY], Copy(True, listed(4, "a")), "ab", set()),
+    ],
+)
+def test_entries_after(answers, copy, open_ones, lapsed):
+    mirror, directory, _ = mirror_of(*answers, copy=copy)
+    run(mirror)
+    assert set(directory.instances) == set(open_ones)
+    found = {n for n, one in directory.instances.items() if one.lapsed}
+    assert found == lapsed
+
+
+def test_lapsed_entry_that_does_not_come_back_is_gone():
+    mirror, directory, health = mirror_of(
+        listed(5, "a", "b"), AWAY, removed(6, "b")
+    )
+    run(mirror)
+    assert health.doubtful
+    directory.drop_lapsed()
+    assert set(directory.instances) == {"a"}
+
+
+def test_lapsed_entry_that_comes_back_is_kept():
+    back = Changes(7, [Change(entry("b"), False)])
+    mirror, directory, _ = mirror_of(
+        listed(5, "a", "b"), AWAY, removed(6, "b"), back
+    )
+    run(mirror)
+    directory.drop_lapsed()
+    assert set(directory.instances) == {"a", "b"}
+
+
+def test_faulty_entry_hides_no_other():
+    bad = StoredObject("bad", 1, {"service": 3})
+    odd = entry("odd", address="nowhere")
+    found = Snapshot(5, {"bad": bad, "odd": odd, "a": entry("a")})
+    mirror, directory, _ = mirror_of(found)
+    run(mirror)
+    assert set(directory.instances) == {"a"}
