--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -134,7 +134,8 @@
         self.ready = ReadinessPort(
             host.ready_address, self.missing, self.leaving
         )
-        self.copies = CopiesPort((host.address, host.peer_port), self.mirrors)
+        address = (host.address, host.peer_port)
+        self.copies = CopiesPort(address, self.mirrors, self.health)
 
     def missing(self) -> str:
         """Return what is missing to serve; empty if nothing."""
