--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -17,9 +17,13 @@
     Whole,
 )
 from lacewingdock.components.gateway.metrics import GatewayMetrics
+from lacewingdock.components.gateway.sizing import (
+    CONFIDENCE_ENOUGH,
+    Pressure,
+)
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Sample, Shifts
-from lacewingdock.components.upstreams.choice import Chooser
+from lacewingdock.components.upstreams.choice import Chooser, Work
 from lacewingdock.components.upstreams.connection import CallerLeft
 from lacewingdock.components.upstreams.directory import Instance
 from lacewingdock.components.upstreams.pool import ConnectionPool
@@ -38,18 +42,13 @@
 # another instance may be asked, it is asked then.
 HEAD_GOALS: Final = 2.0
 MIN_HEAD_S: Final = 0.3
+# And this many times what answers take of their goal at the moment.
+HEAD_PRESSURE: Final = 3.0
 # A pause in a stream that is this many times the longest one that is on time.
 GAP_GOALS: Final = 2.0
 MIN_GAP_S: Final = 1.0
 # With less time left than this, another attempt can't be answered.
 MIN_LEFT_S: Final = 0.03
-# A smaller model's answer is taken from this confidence on. Measured with each
-# of three sizes at a third of 1,650 requests: confidence is 50 where a request
-# is just not too hard for the model, it grows by about 15 for each tenth of
-# the requests that are easier, and scatters by about 11 around that. So an
-# answer at 62 is too small for its request in about 14 of 100 cases, which
-# loses as much as the largest model's use costs for the other 86.
-CONFIDENCE_ENOUGH: Final = 62.0
 # Attempts that a request takes where a larger model is asked after a smaller.
 ATTEMPTS_OF_CASCADE: Final = 2
 # Retries that must be saved up before a smaller model is asked first: the
@@ -61,6 +60,10 @@
 # Waits of callers that do not say how long; beyond any route's timeout.
 DEFAULT_PATIENCE_S: Final = 60.0
 
+# A generated token takes about as long as ten that are read, and a request of
+# a thousand read tokens is the unit in which instances are compared.
+OUT_WEIGHT: Final = 10
+WORK_UNIT: Final = 1000.0
 # Upstreams rank requests from 0, the first, to this.
 LAST_PRIORITY: Final = 9
 
@@ -79,6 +82,7 @@
         shifts: Roll-outs under way.
         metrics: Counters and histograms.
         budgets: Retry budgets by service.
+        pressures: How late each service's answers begin.
         retry_ratio: Retries that a request of a service adds to its budget.
         retry_burst: Retries that may be saved up.
         random: Source of draws.
@@ -89,6 +93,7 @@
         "chooser",
         "metrics",
         "pool",
+        "pressures",
         "random",
         "retry_burst",
         "retry_ratio",
@@ -113,6 +118,7 @@
         self.metrics = metrics
         self.pool = ConnectionPool()
         self.budgets: dict[str, RetryBudget] = {}
+        self.pressures: dict[str, Pressure] = {}
         self.retry_ratio = retry_ratio
         self.retry_burst = retry_burst
         self.random = source
@@ -125,6 +131,10 @@
             return self.budgets.setdefault(service, budget)
         return self.budgets[service]
 
+    def pressure(self, service: str) -> Pressure:
+        """Return how late a service's answers begin."""
+        return self.pressures.setdefault(service, Pressure())
+
     def refuse(
         self, connection: ServerConnection, call: Call, error: LacewingdockError
     ) -> None:
@@ -155,9 +165,11 @@
         service: The service it goes to.
         caller: Its workspace.
         end: Monotonic time at which it is given up.
+        enough: Confidence that was last asked of a smaller model.
         progress: How far its stream got.
         tried: Ids of the instances that it reached.
         unreached: Attempts that reached none.
+        work: What the request takes of an instance.
         may_have_run: Whether an attempt did not say that it was not run.
         model: The model that answers.
     """
@@ -167,6 +179,7 @@
         "caller",
         "connection",
         "end",
+        "enough",
         "gateway",
         "may_have_run",
         "model",
@@ -177,6 +190,7 @@
         "table",
         "tried",
         "unreached",
+        "work",
     )
 
     table: RoutingTable
@@ -197,7 +211,9 @@
         self.progress = Progress()
         self.tried: list[str] = []
         self.unreached = 0
+        self.work = Work(1.0)
         self.may_have_run = False
+        self.enough = CONFIDENCE_ENOUGH
 
     def run(self) -> None:
         """Serve the request to its final answer."""
@@ -271,7 +287,8 @@
             self.route.models[-1] if self.route.models else "",
         ):
             return True
-        if head.confidence is None or head.confidence >= CONFIDENCE_ENOUGH:
+        self.enough = self.gateway.pressure(self.service).enough()
+        if head.confidence is None or head.confidence >= self.enough:
             return True
         return not self.gateway.budget(self.service).take()
 
@@ -309,9 +326,11 @@
 
     def _choose(self) -> Instance:
         shift = self.gateway.shifts.version(self.service, self.call)
+        self.work = self._work()
         instance = self.gateway.chooser.choose(
             self.service,
             lambda one: shift.allows(one.entry.version),
+            self.work,
             self.tried,
         )
         if instance is None:
@@ -322,6 +341,23 @@
             )
         return instance
 
+    def _work(self) -> Work:
+        """Return what the request takes of an instance."""
+        call = self.call
+        costs = self.table.services.get(self.service)
+        share = costs.relative_cost(self.model) if costs else 1.0
+        if not call.tokens_in:
+            return Work(1.0)
+        own = call.parts[-1][1] if call.parts else 0
+        shared = max(sum(tokens for _, tokens in call.parts) - own, 0)
+        key = call.parts[-2][0] if len(call.parts) > 1 else ""
+        total = call.tokens_in + OUT_WEIGHT * call.tokens_out
+        return Work(
+            total * share / WORK_UNIT,
+            key,
+            shared * share / WORK_UNIT,
+        )
+
     def _attempt(self, instance: Instance) -> Result:
         start = time.monotonic()
         attempt = Attempt(
@@ -346,7 +382,7 @@
         try:
             result = attempt.run(sending)
         finally:
-            self.gateway.chooser.done(instance)
+            self.gateway.chooser.done(instance, self.work)
         self._learn(instance, result, start, events)
         return result
 
@@ -370,8 +406,10 @@
         )
         if not repeats:
             return Patience(left_s, left_s, self.end)
+        # Where all instances are slow, the place in a queue is worth keeping.
+        slow = self.gateway.pressure(self.service).now() * HEAD_PRESSURE
         return Patience(
-            max(route.goal_s * HEAD_GOALS, MIN_HEAD_S),
+            max(route.goal_s * max(HEAD_GOALS, slow), MIN_HEAD_S),
             max(route.gap_s * GAP_GOALS, MIN_GAP_S),
             self.end,
         )
@@ -395,6 +433,7 @@
                 instance.succeeded()
         if not isinstance(result, NotRun):
             self.may_have_run = True
+        self._feel(result, events)
         self.tried.append(instance.entry.id)
         self.gateway.metrics.attempted(type(result).__name__)
         first_at = self.progress.first_at if not events else 0.0
@@ -411,6 +450,18 @@
             self.call.session,
         )
 
+    def _feel(self, result: Result, events: int) -> None:
+        """Take how late the largest model's answer began, or did not."""
+        if not self.model or self.model != self.route.models[-1]:
+            return
+        began_at = self.progress.first_at if not events else 0.0
+        if not began_at:
+            if not (isinstance(result, Broken) and result.timed_out):
+                return
+            began_at = time.monotonic()
+        part = (began_at - self.started) / max(self.route.goal_s, 1e-3)
+        self.gateway.pressure(self.service).add(part)
+
     def _may_repeat(self, result: Result) -> bool:
         """Whether another attempt may be made, and can still be answered."""
         if self.end - time.monotonic() < MIN_LEFT_S:
@@ -464,7 +515,7 @@
             instance=instance.entry.id,
             model=before,
             confidence=result.confidence,
-            enough=CONFIDENCE_ENOUGH,
+            enough=round(self.enough, 1),
             left_s=round(self.end - time.monotonic(), 3),
         )
 
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -1,8 +1,10 @@
 """Support for choosing the upstream instance that a request goes to."""
 
+import hashlib
 import random
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from lacewingdock.components.upstreams.directory import (
@@ -14,9 +16,27 @@
 # A failure counts like this many requests more on the instance, so that one
 # that fails part of its requests gets few while it is not passed over.
 FAILURE_WEIGHT: Final = 4.0
-# What another failure domain costs, in requests more on the instance: enough
-# to decide between equals, too little to unbalance them.
+# What another failure domain costs, as a part of the request: enough to decide
+# between equals, too little to unbalance them.
 DISTANCE_WEIGHT: Final = 0.5
+# What it costs to read a shared part again, against work that is already on
+# an instance: reading delays all that run there, at once.
+AFFINITY_WEIGHT: Final = 2.0
+
+
+@dataclass(slots=True, frozen=True)
+class Work:
+    """What a request takes of an instance, in one unit for all.
+
+    Attributes:
+        total: All of it.
+        key: The part of its prompt that others share; empty for none.
+        shared: What an instance saves that keeps that part.
+    """
+
+    total: float
+    key: str = ""
+    shared: float = 0.0
 
 
 class Chooser:
@@ -42,17 +62,17 @@
         self,
         service: str,
         allowed: Callable[[Instance], bool],
+        work: Work,
         tried: Collection[str] = (),
-        cost: Callable[[Instance], float] = lambda _: 0.0,
     ) -> Instance | None:
         """Return an instance and count the request in, or None.
 
         Args:
             service: The service.
             allowed: Whether an instance may run the request.
+            work: What the request takes.
             tried: Ids of instances that the request was at; one of them is
                 taken only where there is no other.
-            cost: What an instance costs the request besides, in requests.
         """
         now = time.monotonic()
         found = [
@@ -65,16 +85,18 @@
             return None
         # A trial in progress must not be joined by others.
         with self.directory.lock:
-            chosen = self._least(self._fit(fresh, now), now, cost)
+            chosen = self._least(self._fit(fresh, now), now, work)
             chosen.running += 1
+            chosen.work += work.total
             if chosen.recent_failures(now) >= FAILURES_TO_PASS_OVER:
                 chosen.trial_at = now + 1.0
         return chosen
 
-    def done(self, instance: Instance) -> None:
+    def done(self, instance: Instance, work: Work) -> None:
         """Count a request out."""
         with self.directory.lock:
             instance.running -= 1
+            instance.work -= work.total
 
     def _fit(self, found: list[Instance], now: float) -> list[Instance]:
         """Leave out those that failed lately, unless all did."""
@@ -87,21 +109,36 @@
         return fit or found
 
     def _least(
-        self,
-        found: Iterable[Instance],
-        now: float,
-        cost: Callable[[Instance], float],
+        self, found: Sequence[Instance], now: float, work: Work
     ) -> Instance:
-        return min(
-            found,
-            key=lambda one: (
-                self._work(one, now) + cost(one),
-                self.random.random(),
-            ),
-        )
-
-    def _work(self, one: Instance, now: float) -> float:
-        work = float(one.running)
+        home = _home(found, work.key) if work.key else None
+
+        def cost(one: Instance) -> tuple[float, float]:
+            total = self._load(one, now, work)
+            if home is not None and one is not home:
+                total += AFFINITY_WEIGHT * work.shared
+            return total, self.random.random()
+
+        return min(found, key=cost)
+
+    def _load(self, one: Instance, now: float, work: Work) -> float:
+        """Return the work on an instance, and what speaks against it."""
+        load = one.work
         if one.entry.failure_domain != self.failure_domain:
-            work += DISTANCE_WEIGHT
-        return work + FAILURE_WEIGHT * one.recent_failures(now)
+            load += DISTANCE_WEIGHT * work.total
+        failures = one.recent_failures(now)
+        return load + FAILURE_WEIGHT * failures * max(work.total, one.work)
+
+
+def _home(found: Sequence[Instance], key: str) -> Instance:
+    """Return the instance that keeps a part of prompts.
+
+    All routers agree on it without a word, and most parts keep theirs when
+    instances come and go (rendezvous hashing).
+    """
+
+    def rank(one: Instance) -> bytes:
+        text = f"{key}/{one.entry.id}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return max(found, key=rank)
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -29,7 +29,7 @@
     Attributes:
         entry: What the platform says of it.
         running: Requests of this router that are at it now.
-        tokens: Tokens of those requests.
+        work: What those take of it.
         failures: Recent failures, halved again and again.
         failed_at: Monotonic time up to which `failures` is reckoned.
         trial_at: Monotonic time from which one request may try it again.
@@ -44,15 +44,15 @@
         "gone",
         "lapsed",
         "running",
-        "tokens",
         "trial_at",
+        "work",
     )
 
     def __init__(self, entry: UpstreamEntry) -> None:
         """Take an entry; nothing is known against it."""
         self.entry = entry
         self.running = 0
-        self.tokens = 0
+        self.work = 0.0
         self.failures = 0.0
         self.failed_at = time.monotonic()
         self.trial_at = 0.0
--- a/lacewingdock/world/route.py
+++ b/lacewingdock/world/route.py
@@ -107,6 +107,15 @@
     max_connections: int = 0
     model_costs: dict[str, float] = field(default_factory=dict)
 
+    def relative_cost(self, model: str) -> float:
+        """Return a model's cost as a part of the dearest one's.
+
+        Costs stand for the time that an upstream takes for a token.
+        """
+        most = max(self.model_costs.values(), default=0.0)
+        cost = self.model_costs.get(model, most)
+        return cost / most if most > 0 else 1.0
+
 
 class RoutingTable:
     """One version of the configuration, ready for look-ups.
