--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -120,6 +120,8 @@
         progress: How far the stream got.
         streaming: Whether a success is passed on event by event.
         accepts: Whether a stream's head shows an answer that is good enough.
+        on_began: Called once, when the answer begins or the attempt ends.
+        has_begun: Whether it was called.
         sent: Whether anything may have reached the upstream.
     """
 
@@ -127,7 +129,9 @@
         "accepts",
         "call",
         "caller",
+        "has_begun",
         "instance",
+        "on_began",
         "patience",
         "pool",
         "progress",
@@ -145,6 +149,7 @@
         progress: Progress,
         streaming: bool,
         accepts: Callable[[AnswerHead], bool],
+        on_began: Callable[[], None],
     ) -> None:
         """Take what it needs; `run` makes it."""
         self.pool = pool
@@ -155,6 +160,8 @@
         self.progress = progress
         self.streaming = streaming
         self.accepts = accepts
+        self.on_began = on_began
+        self.has_begun = False
         self.sent = False
 
     def run(self, sending: Sending) -> Result:
@@ -187,6 +194,12 @@
             )
         return result
 
+    def began(self) -> None:
+        """Tell that the answer began, or never will."""
+        if not self.has_begun:
+            self.has_begun = True
+            self.on_began()
+
     def _exchange(
         self, connection: UpstreamConnection, sending: Sending
     ) -> tuple[Result, AnswerHead | None]:
@@ -209,6 +222,7 @@
         )
         connection.watch_caller(self.caller.sock)
         head = connection.read_head(self._until(self.patience.head_s))
+        self.began()
         if head.not_run:
             connection.read_whole(self.patience.end, MAX_BODY_BYTES)
             return NotRun("refused", reached=True, status=head.status), head
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -60,9 +60,7 @@
 # Waits of callers that do not say how long; beyond any route's timeout.
 DEFAULT_PATIENCE_S: Final = 60.0
 
-# A generated token takes about as long as ten that are read, and a request of
-# a thousand read tokens is the unit in which instances are compared.
-OUT_WEIGHT: Final = 10
+# Tokens of prompts in the unit in which instances are compared.
 WORK_UNIT: Final = 1000.0
 # Upstreams rank requests from 0, the first, to this.
 LAST_PRIORITY: Final = 9
@@ -211,7 +209,7 @@
         self.progress = Progress()
         self.tried: list[str] = []
         self.unreached = 0
-        self.work = Work(1.0)
+        self.work = Work(0.0)
         self.may_have_run = False
         self.enough = CONFIDENCE_ENOUGH
 
@@ -346,20 +344,10 @@
         call = self.call
         costs = self.table.services.get(self.service)
         share = costs.relative_cost(self.model) if costs else 1.0
-        if not call.tokens_in:
-            return Work(1.0)
-        own = call.parts[-1][1] if call.parts else 0
-        shared = max(sum(tokens for _, tokens in call.parts) - own, 0)
-        key = call.parts[-2][0] if len(call.parts) > 1 else ""
-        total = call.tokens_in + OUT_WEIGHT * call.tokens_out
-        return Work(
-            total * share / WORK_UNIT,
-            key,
-            shared * share / WORK_UNIT,
-        )
+        return Work(call.tokens_in * share / WORK_UNIT)
 
     def _attempt(self, instance: Instance) -> Result:
-        start = time.monotonic()
+        start, work = time.monotonic(), self.work
         attempt = Attempt(
             self.gateway.pool,
             instance,
@@ -369,6 +357,7 @@
             self.progress,
             self.route.streaming,
             self._accepts,
+            lambda: self.gateway.chooser.began(instance, work),
         )
         sending = Sending(
             instance=instance.entry.id,
@@ -382,7 +371,8 @@
         try:
             result = attempt.run(sending)
         finally:
-            self.gateway.chooser.done(instance, self.work)
+            attempt.began()
+            self.gateway.chooser.done(instance)
         self._learn(instance, result, start, events)
         return result
 
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -1,6 +1,5 @@
 """Support for choosing the upstream instance that a request goes to."""
 
-import hashlib
 import random
 import time
 from collections.abc import Callable, Collection, Sequence
@@ -19,9 +18,9 @@
 # What another failure domain costs, as a part of the request: enough to decide
 # between equals, too little to unbalance them.
 DISTANCE_WEIGHT: Final = 0.5
-# What it costs to read a shared part again, against work that is already on
-# an instance: reading delays all that run there, at once.
-AFFINITY_WEIGHT: Final = 2.0
+# What 1,000 tokens that the largest model still has to read cost, in requests
+# that run: reading delays all that run there, at once.
+UNREAD_WEIGHT: Final = 1.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -30,13 +29,9 @@
 
     Attributes:
         total: All of it.
-        key: The part of its prompt that others share; empty for none.
-        shared: What an instance saves that keeps that part.
     """
 
     total: float
-    key: str = ""
-    shared: float = 0.0
 
 
 class Chooser:
@@ -87,16 +82,20 @@
         with self.directory.lock:
             chosen = self._least(self._fit(fresh, now), now, work)
             chosen.running += 1
-            chosen.work += work.total
+            chosen.unread += work.total
             if chosen.recent_failures(now) >= FAILURES_TO_PASS_OVER:
                 chosen.trial_at = now + 1.0
         return chosen
 
-    def done(self, instance: Instance, work: Work) -> None:
+    def began(self, instance: Instance, work: Work) -> None:
+        """Count a request's prompt as read: its answer began, or it ended."""
+        with self.directory.lock:
+            instance.unread -= work.total
+
+    def done(self, instance: Instance) -> None:
         """Count a request out."""
         with self.directory.lock:
             instance.running -= 1
-            instance.work -= work.total
 
     def _fit(self, found: list[Instance], now: float) -> list[Instance]:
         """Leave out those that failed lately, unless all did."""
@@ -111,34 +110,14 @@
     def _least(
         self, found: Sequence[Instance], now: float, work: Work
     ) -> Instance:
-        home = _home(found, work.key) if work.key else None
-
-        def cost(one: Instance) -> tuple[float, float]:
-            total = self._load(one, now, work)
-            if home is not None and one is not home:
-                total += AFFINITY_WEIGHT * work.shared
-            return total, self.random.random()
-
-        return min(found, key=cost)
+        return min(
+            found,
+            key=lambda one: (self._load(one, now, work), self.random.random()),
+        )
 
     def _load(self, one: Instance, now: float, work: Work) -> float:
-        """Return the work on an instance, and what speaks against it."""
-        load = one.work
+        """Return what runs on an instance, and what speaks against it."""
+        load = one.running + UNREAD_WEIGHT * one.unread
         if one.entry.failure_domain != self.failure_domain:
-            load += DISTANCE_WEIGHT * work.total
-        failures = one.recent_failures(now)
-        return load + FAILURE_WEIGHT * failures * max(work.total, one.work)
-
-
-def _home(found: Sequence[Instance], key: str) -> Instance:
-    """Return the instance that keeps a part of prompts.
-
-    All routers agree on it without a word, and most parts keep theirs when
-    instances come and go (rendezvous hashing).
-    """
-
-    def rank(one: Instance) -> bytes:
-        text = f"{key}/{one.entry.id}".encode()
-        return hashlib.blake2b(text, digest_size=8).digest()
-
-    return max(found, key=rank)
+            load += DISTANCE_WEIGHT
+        return load + FAILURE_WEIGHT * one.recent_failures(now)
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -29,7 +29,7 @@
     Attributes:
         entry: What the platform says of it.
         running: Requests of this router that are at it now.
-        work: What those take of it.
+        unread: Work of those whose answers have not begun.
         failures: Recent failures, halved again and again.
         failed_at: Monotonic time up to which `failures` is reckoned.
         trial_at: Monotonic time from which one request may try it again.
@@ -45,14 +45,14 @@
         "lapsed",
         "running",
         "trial_at",
-        "work",
+        "unread",
     )
 
     def __init__(self, entry: UpstreamEntry) -> None:
         """Take an entry; nothing is known against it."""
         self.entry = entry
         self.running = 0
-        self.work = 0.0
+        self.unread = 0.0
         self.failures = 0.0
         self.failed_at = time.monotonic()
         self.trial_at = 0.0
