--- a/lacewingdock/components/gateway/sizing.py
+++ b/lacewingdock/components/gateway/sizing.py
@@ -15,8 +15,8 @@
 # less confidence is enough, and from the second part on any: an answer of the
 # right size that is late is worth less than a smaller one in time, and each
 # larger one delays the others.
-RELAXED_BELOW: Final = 0.4
-ANY_FROM: Final = 0.9
+RELAXED_BELOW: Final = 0.25
+ANY_FROM: Final = 0.8
 # Weight of a new answer in the running mean, and the time in which an old mean
 # loses half: after a burst the larger model is tried again within seconds.
 NEW_WEIGHT: Final = 0.15
