--- a/lacewingdock/components/gateway/__init__.py
+++ b/lacewingdock/components/gateway/__init__.py
@@ -98,7 +98,7 @@
                 request.method, request.target, request.headers, request.raw
             )
             call.body = request.body
-            if self.leaving.is_set():
+            if self.leaving.is_set() or self.is_shut:
                 connection.keep = False
             if self.is_shut:
                 self.gateway.refuse(connection, call, _leaving())
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -54,6 +54,10 @@
 # Retries that must be saved up before a smaller model is asked first: the
 # larger one's attempt takes one, and failures shall find some.
 CASCADE_RESERVE: Final = 3.0
+# A request that meets a starting router waits this long for its first
+# configuration, which takes some round trips to the store; a refusal would
+# have the caller wait longer.
+START_WAIT_S: Final = 0.4
 # How soon a refused caller may come back. Callers wait at most a third of the
 # time they have left.
 RETRY_AFTER_S: Final = 0.25
@@ -237,7 +241,9 @@
         Raises:
             LacewingdockError: NOT_READY, NOT_FOUND or UNAUTHORIZED.
         """
-        call, table = self.call, self.gateway.routes.table
+        call = self.call
+        self.gateway.routes.known.wait(START_WAIT_S)
+        table = self.gateway.routes.table
         if table is None:
             raise LacewingdockError(
                 ErrorKind.NOT_READY, "no configuration is known yet"
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -67,16 +67,18 @@
         name: This router's name.
         entry: This router's entry.
         entries: Every router's entry by name.
+        first_peers: Addresses that are asked while no entries are known.
         random: Source of draws.
     """
 
-    __slots__ = ("api", "entries", "entry", "name", "random")
+    __slots__ = ("api", "entries", "entry", "first_peers", "name", "random")
 
     def __init__(
         self,
         api: ObjectApi,
         name: str,
         entry: RouterEntry,
+        first_peers: tuple[str, ...],
         source: random.Random,
     ) -> None:
         """Take this router's entry; `announce` writes it."""
@@ -84,6 +86,7 @@
         self.name = name
         self.entry = entry
         self.entries: dict[str, RouterEntry] = {name: entry}
+        self.first_peers = first_peers
         self.random = source
 
     def count(self) -> int:
@@ -113,12 +116,10 @@
 
     def pull(self, kind: str, revision: int) -> Copy:
         """Return the newest copy that others have beyond a revision."""
-        others = [
-            entry for name, entry in self.entries.items() if name != self.name
-        ]
+        others = self._addresses()
         best = Copy(sure=False)
-        for entry in self.random.sample(others, min(ASKED, len(others))):
-            found = self._pull_from(entry, kind, revision)
+        for address in self.random.sample(others, min(ASKED, len(others))):
+            found = self._pull_from(address, kind, revision)
             if found is None:
                 continue
             best.sure = best.sure or found.sure
@@ -153,21 +154,31 @@
             self.entries[stored.name] = entry
             log.info("router", router=stored.name, address=entry.address)
 
-    def _pull_from(
-        self, entry: RouterEntry, kind: str, revision: int
-    ) -> Copy | None:
+    def _addresses(self) -> list[str]:
+        """Return the addresses of other routers, as far as they are known.
+
+        A router that starts while the store is away knows none but the first
+        ones; without them it would refuse everything until the store is back.
+        """
+        known = {
+            entry.address
+            for name, entry in self.entries.items()
+            if name != self.name
+        }
+        found = known or set(self.first_peers)
+        return sorted(found - {self.entry.address})
+
+    def _pull_from(self, address: str, kind: str, revision: int) -> Copy | None:
         query = urllib.parse.urlencode({"after": revision})
         path = urllib.parse.quote(kind, safe="")
-        url = f"http://{entry.address}/copies/{path}?{query}"
+        url = f"http://{address}/copies/{path}?{query}"
         try:
             reply = send(url, timeout_s=PULL_S, max_bytes=MAX_COPY_BYTES)
             if reply.status != HTTPStatus.OK:
                 return None
             found: Copy = decode_json(reply.body, Copy)
         except (pycurl.error, msgspec.DecodeError) as error:
-            log.info(
-                "no copy", kind=kind, address=entry.address, error=str(error)
-            )
+            log.info("no copy", kind=kind, address=address, error=str(error))
             return None
         return found
 
--- a/lacewingdock/components/routes/__init__.py
+++ b/lacewingdock/components/routes/__init__.py
@@ -1,6 +1,6 @@
 """Support for the routing table in force, which never goes back."""
 
-import time
+import threading
 
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.log import get_logger
@@ -19,15 +19,15 @@
 
     Attributes:
         table: The table in force; None until one is known.
-        taken_at: Monotonic time at which it came into force.
+        known: Set once there is a table.
     """
 
-    __slots__ = ("table", "taken_at")
+    __slots__ = ("known", "table")
 
     def __init__(self) -> None:
         """Start without a table."""
         self.table: RoutingTable | None = None
-        self.taken_at = 0.0
+        self.known = threading.Event()
 
     def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
         """Take what a whole list shows."""
@@ -55,7 +55,7 @@
         if known is not None and table.version <= known.version:
             return
         self.table = table
-        self.taken_at = time.monotonic()
+        self.known.set()
         log.info(
             "configuration in force",
             version=table.version,
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -114,8 +114,11 @@
         incarnation = new_id()
         self.routes = Routes()
         self.directory = Directory()
-        entry = RouterEntry(f"{host.address}:{host.peer_port}", incarnation)
-        self.routers = Routers(self.api, host.instance, entry, self.random)
+        address = "{}:{}".format(*host.peer_address)
+        entry = RouterEntry(address, incarnation)
+        self.routers = Routers(
+            self.api, host.instance, entry, host.first_peers, self.random
+        )
         self.shifts = Shifts(
             host,
             incarnation,
@@ -134,8 +137,7 @@
         self.ready = ReadinessPort(
             host.ready_address, self.missing, self.leaving
         )
-        address = (host.address, host.peer_port)
-        self.copies = CopiesPort(address, self.mirrors, self.health)
+        self.copies = CopiesPort(host.peer_address, self.mirrors, self.health)
 
     def missing(self) -> str:
         """Return what is missing to serve; empty if nothing."""
--- a/lacewingdock/helpers/server_connection.py
+++ b/lacewingdock/helpers/server_connection.py
@@ -103,7 +103,7 @@
         # Once a request has begun, no later than this must it be whole.
         until = time.monotonic() + limits.read_s
         self.started = False
-        _check_framing(event)
+        self._check_head(event, limits.header_bytes)
         body = self._read_body(until, limits.body_bytes)
         self.read_at = time.monotonic()
         return ServerRequest(
@@ -204,6 +204,31 @@
             raise LacewingdockError(kind, str(error)) from error
         return None if event is h11.NEED_DATA else event  # type: ignore[return-value]
 
+    def _check_head(self, request: h11.Request, most: int) -> None:
+        """Refuse a head that is too long, or gives its length in two ways.
+
+        The library bounds only heads that come in several reads. Of two
+        lengths, two readers see different ends: what one takes for the body,
+        the other takes for the next request, which nobody sent.
+
+        Raises:
+            LacewingdockError: HEADERS_TOO_LARGE or BAD_REQUEST.
+        """
+        size = len(request.method) + len(request.target)
+        size += sum(len(n) + len(v) + 4 for n, v in request.headers)
+        if size > most:
+            self.keep = False
+            raise LacewingdockError(
+                ErrorKind.HEADERS_TOO_LARGE, f"more than {most} bytes"
+            )
+        names = {name for name, _ in request.headers}
+        if names >= {b"transfer-encoding", b"content-length"}:
+            self.keep = False
+            raise LacewingdockError(
+                ErrorKind.BAD_REQUEST,
+                "both Transfer-Encoding and Content-Length",
+            )
+
     def _read_body(self, until: float, most: int) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -277,19 +302,3 @@
             self.sock.settimeout(left_s)
             if not self.sock.recv(READ_BYTES):
                 return
-
-
-def _check_framing(request: h11.Request) -> None:
-    """Refuse a request whose length is given in two ways.
-
-    Two readers of it would see different ends: what one takes for the body,
-    the other takes for the next request, which nobody sent.
-
-    Raises:
-        LacewingdockError: BAD_REQUEST.
-    """
-    names = [name for name, _ in request.headers]
-    if b"transfer-encoding" in names and b"content-length" in names:
-        raise LacewingdockError(
-            ErrorKind.BAD_REQUEST, "both Transfer-Encoding and Content-Length"
-        )
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -17,7 +17,7 @@
 class _Listen(msgspec.Struct):
     front: _Address
     ready: _Address
-    control: str = ""
+    control: _Address | None = None
 
 
 class _Bounds(msgspec.Struct):
@@ -52,6 +52,8 @@
     port_range: Annotated[list[int], Meta(min_length=2, max_length=2)]
     listen: _Listen
     platform: _Platform
+    # Control addresses of some instances; they may be down by now.
+    seeds: list[_Address] = []
     region: str = ""
     zones: dict[str, str] = {}
     heartbeat_ms: _Positive = 1000.0
@@ -96,8 +98,8 @@
         address=file.ip,
         callers_address=_address(file.listen.front),
         ready_address=_address(file.listen.ready),
-        peer_port=file.port_range[0],
-        peer_ports=(file.port_range[0], file.port_range[1]),
+        peer_address=_peer_address(file),
+        first_peers=tuple(file.seeds),
         platform=f"http://{file.platform.address}",
         platform_writes_per_s=file.platform.writes_per_s,
         platform_reads_per_s=file.platform.reads_per_s,
@@ -120,6 +122,13 @@
     )
 
 
+def _peer_address(file: _File) -> tuple[str, int]:
+    """Return where other routers call: the control address if there is one."""
+    if file.listen.control:
+        return _address(file.listen.control)
+    return file.ip, file.port_range[0]
+
+
 def _address(text: str) -> tuple[str, int]:
     host, _, port = text.rpartition(":")
     return host, int(port)
--- a/lacewingdock/world/host.py
+++ b/lacewingdock/world/host.py
@@ -46,8 +46,9 @@
         address: IP number it is reached at.
         callers_address: Where callers connect.
         ready_address: Where the balancer asks whether it is ready.
-        peer_port: Port for other routers.
-        peer_ports: First and last port that routers may use between them.
+        peer_address: Where other routers call this one.
+        first_peers: Addresses of other routers, known before the store
+            answers; they may be out of date.
         platform: URL of the platform's object API.
         platform_writes_per_s: Writes a second for the whole fleet.
         platform_reads_per_s: Reads a second for the whole fleet.
@@ -62,8 +63,8 @@
     address: str
     callers_address: tuple[str, int]
     ready_address: tuple[str, int]
-    peer_port: int
-    peer_ports: tuple[int, int] = (0, 0)
+    peer_address: tuple[str, int]
+    first_peers: tuple[str, ...] = ()
     platform: str
     platform_writes_per_s: float = 100.0
     platform_reads_per_s: float = 500.0
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -217,7 +217,7 @@
             address="127.0.0.1",
             callers_address=("127.0.0.1", 0),
             ready_address=("127.0.0.1", 0),
-            peer_port=0,
+            peer_address=("127.0.0.1", 0),
             platform="http://127.0.0.1:1",
         )
         self.directory = Directory()
@@ -230,6 +230,7 @@
             {KEY: Caller("w-1")},
             limits or CallerLimits(idle_s=1.0),
         )
+        self.routes.known.set()
         source = random.Random(7)
         self.shifts = Shifts(self.host, "inc", None, self.directory, lambda: 1)
         self.gateway = Gateway(
--- /dev/null
+++ b/tests/components/shifts/test_shift.py
@@ -0,0 +1,323 @@
+"""Tests of a roll-out: exposure, sessions, judgement, its end."""
+
+import pytest
+
+from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.shifts import shift as shift_module
+from lacewingdock.components.shifts.evidence import Sample
+from lacewingdock.components.shifts.report import Report, Stage
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.const import RAN_UNKNOWN
+from lacewingdock.platform.object_api import (
+    Change,
+    Snapshot,
+    StoredObject,
+    unavailable,
+)
+from lacewingdock.world.backend import ShiftState, UpstreamEntry
+from lacewingdock.world.call import Call
+from lacewingdock.world.host import Bounds, HostProfile
+
+DURATION_S = 20.0
+
+
+class Store:
+    """The platform's store: orders and reports, with a revision."""
+
+    def __init__(self):
+        self.order = StoredObject(
+            "svc",
+            1,
+            {"service": "svc", "target": "v2", "duration_s": DURATION_S},
+        )
+        self.reports = {}
+        self.revision = 1
+        self.down = False
+
+    def write(self, _kind, name, spec, expect, _purpose):
+        """Write a report."""
+        if self.down:
+            raise unavailable("down", RAN_UNKNOWN)
+        known = self.reports.get(name)
+        if (known.revision if known else 0) != expect:
+            return False, known
+        self.revision += 1
+        self.reports[name] = StoredObject(name, self.revision, spec)
+        return True, self.reports[name]
+
+    def write_status(self, _kind, _name, status, expect, _purpose):
+        """Write what became of the order."""
+        if self.down:
+            raise unavailable("down", RAN_UNKNOWN)
+        if self.order.revision != expect:
+            return False, self.order
+        self.revision += 1
+        self.order = StoredObject("svc", self.revision, self.order.spec, status)
+        return True, self.order
+
+
+class Clock:
+    """Boot time that the test moves."""
+
+    def __init__(self, monkeypatch):
+        self.now = 1000.0
+        monkeypatch.setattr(shift_module, "_now", lambda: self.now)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    return Clock(monkeypatch)
+
+
+def router(store, name="r-1", entries=("v1", "v1", "v2", "v2")):
+    """Return a router's roll-outs, with the order seen."""
+    directory = Directory()
+    for index, version in enumerate(entries):
+        directory.take(
+            UpstreamEntry(f"i-{index}", "svc", "h", 1, "d", version, 4)
+        )
+    host = HostProfile(
+        instance=name,
+        failure_domain="d",
+        address="h",
+        callers_address=("h", 1),
+        ready_address=("h", 2),
+        peer_address=("h", 3),
+        platform="http://h",
+        bounds=Bounds(exposure_share=0.15, session_s=5.0),
+    )
+    shifts = Shifts(host, f"{name}-inc", store, directory, lambda: 2)
+    shifts.settled["svc"] = "v1"
+    see(shifts, store)
+    return shifts
+
+
+def see(shifts, store):
+    """Let a router see the order and all reports."""
+    shifts.replace(
+        Snapshot(store.revision, {"svc": store.order}), doubtful=False
+    )
+    for stored in store.reports.values():
+        shifts.take_report(
+            Report(**{**stored.spec, "stage": Stage(stored.spec["stage"])})
+        )
+
+
+def call(number, session=""):
+    return Call(f"c-{number}", b"POST", b"/", "h", "/", session=session)
+
+
+def share_of_new(shifts, count=2000):
+    rules = [shifts.version("svc", call(n)) for n in range(count)]
+    return sum(rule.allows("v2") for rule in rules) / count
+
+
+def sample(version, instance, bad=False, seconds=0.1):
+    return Sample("svc", version, instance, "r", bad, False, seconds)
+
+
+def good_answers(shifts, count=20):
+    for n in range(count):
+        shifts.add(sample("v2", f"i-{2 + n % 2}"), "")
+        shifts.add(sample("v1", f"i-{n % 2}"), "")
+
+
+@pytest.mark.parametrize(
+    ("part", "low", "high"),
+    [(0.1, 0.05, 0.10), (0.45, 0.05, 0.10), (0.55, 0.4, 0.6), (0.7, 1.0, 1.0)],
+)
+def test_share_by_time(clock, part, low, high):
+    store = Store()
+    shifts = router(store)
+    good_answers(shifts)
+    for step in range(1, 11):
+        clock.now = 1000 + DURATION_S * part * step / 10
+        shifts.round()
+    assert low <= share_of_new(shifts) <= high
+
+
+def test_without_answers_it_does_not_move_on(clock):
+    shifts = router(Store())
+    clock.now += DURATION_S * 0.8
+    shifts.round()
+    assert shifts.running["svc"].stage is Stage.CANARY
+
+
+def test_without_an_order_a_new_version_gets_nothing():
+    """Symptom: a version gets traffic before its order is seen.
+
+    Its instances are listed a moment earlier. Cause: any version was taken.
+    """
+    store = Store()
+    shifts = router(store)
+    shifts.running.clear()
+    assert share_of_new(shifts) == 0.0
+
+
+@pytest.mark.parametrize("stage", [Stage.CANARY, Stage.ALL])
+def test_session_keeps_its_version_in_the_first_half(clock, stage):
+    shifts = router(Store())
+    for n in range(200):
+        shifts.pins.keep("svc", f"s-{n}", "v1")
+    shifts.running["svc"].stage = stage
+    moved = sum(
+        shifts.version("svc", call(n, f"s-{n}")).allows("v2")
+        for n in range(200)
+    )
+    assert moved == (0 if stage is Stage.CANARY else 200)
+
+
+def test_session_on_the_new_version_stays_there(clock):
+    shifts = router(Store())
+    shifts.pins.keep("svc", "s", "v2")
+    rules = [shifts.version("svc", call(n, "s")) for n in range(50)]
+    assert all(rule.allows("v2") and not rule.allows("v1") for rule in rules)
+
+
+def test_routers_agree_on_a_session(clock):
+    store = Store()
+    first, second = router(store, "r-1"), router(store, "r-2")
+    for n in range(300):
+        session = f"s-{n}"
+        assert first.version("svc", call(1, session)) == second.version(
+            "svc", call(2, session)
+        )
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        [sample("v2", f"i-{2 + n % 2}", bad=True) for n in range(6)],
+        [sample("v2", f"i-{2 + n % 2}", seconds=0.9) for n in range(6)],
+    ],
+    ids=["errors", "slow"],
+)
+def test_bad_version_is_rolled_back(clock, bad, monkeypatch):
+    """A handful of bad answers, far below the 50 that start the bound."""
+    store = Store()
+    shifts = router(store)
+    good_answers(shifts)
+    evidence = shifts.running["svc"].evidence
+    monkeypatch.setattr(evidence.__class__, "_is_new_cause", lambda *_: True)
+    for one in bad:
+        shifts.add(one, "")
+    shifts.round()
+    assert store.order.status == {"state": "rolled_back", "target": "v2"}
+    assert share_of_new(shifts) == 0.0
+
+
+def test_one_bad_instance_is_no_bad_version(clock, monkeypatch):
+    store = Store()
+    shifts = router(store)
+    good_answers(shifts)
+    evidence = shifts.running["svc"].evidence
+    monkeypatch.setattr(evidence.__class__, "_is_new_cause", lambda *_: True)
+    for _ in range(10):
+        shifts.add(sample("v2", "i-2", bad=True), "")
+    shifts.round()
+    assert store.order.status["state"] == "running"
+
+
+def test_crash_counts_once(clock):
+    """Symptom: a good version is rolled back because one instance crashed.
+
+    All that ran there fails at once. Cause: each was taken for evidence.
+    """
+    store = Store()
+    shifts = router(store)
+    good_answers(shifts)
+    for _ in range(30):
+        shifts.add(sample("v2", "i-2", bad=True), "")
+        shifts.add(sample("v2", "i-3", bad=True), "")
+    assert shifts.running["svc"].evidence.bad == 2
+
+
+def test_evidence_of_all_routers_is_added_up(clock):
+    store = Store()
+    first, second = router(store, "r-1"), router(store, "r-2")
+    for shifts, instance in ((first, "i-2"), (second, "i-3")):
+        good_answers(shifts, 5)
+        evidence = shifts.running["svc"].evidence
+        evidence.bad = 2
+        evidence.answers += 2
+        evidence.bad_instances.add(instance)
+    first.round()
+    assert store.order.status["state"] == "running"
+    see(second, store)
+    second.round()
+    assert store.order.status["state"] == "rolled_back"
+
+
+def test_found_bad_in_an_outage_gets_nothing_before_it_is_written(clock):
+    store = Store()
+    shifts = router(store)
+    good_answers(shifts)
+    shifts.running["svc"].evidence.bad = 9
+    shifts.running["svc"].evidence.bad_instances |= {"i-2", "i-3"}
+    store.down = True
+    shifts.round()
+    assert share_of_new(shifts) == 0.0
+    store.down = False
+    shifts.round()
+    assert store.order.status["state"] == "rolled_back"
+
+
+@pytest.mark.parametrize(
+    ("old_running", "part", "state"),
+    [(0, 0.8, "completed"), (1, 0.8, "running"), (1, 0.96, "completed")],
+)
+def test_completed_once_nothing_runs_on_the_old_version(
+    clock, old_running, part, state
+):
+    store = Store()
+    shifts = router(store)
+    good_answers(shifts)
+    shifts.round()
+    shifts.directory.instances["i-0"].running = old_running
+    for moment in (0.56, 0.62, part):
+        clock.now = 1000 + DURATION_S * moment
+        shifts.round()
+    assert store.order.status["state"] == state
+
+
+def test_not_completed_while_another_router_is_behind(clock):
+    store = Store()
+    first, second = router(store, "r-1"), router(store, "r-2")
+    good_answers(first)
+    second.round()
+    see(first, store)
+    for moment in (0.56, 0.62, 0.8):
+        clock.now = 1000 + DURATION_S * moment
+        first.round()
+    assert store.order.status["state"] == "running"
+
+
+def test_restarted_router_takes_the_time_from_reports(clock):
+    """Symptom: after a restart a roll-out starts again and misses its time."""
+    store = Store()
+    first = router(store, "r-1")
+    clock.now += 12.0
+    first.round()
+    second = router(store, "r-2")
+    assert second.running["svc"].elapsed_s == pytest.approx(12.0)
+
+
+def test_late_write_meets_the_end(clock):
+    """A status written by a router that was frozen changes nothing."""
+    store = Store()
+    first, second = router(store, "r-1"), router(store, "r-2")
+    frozen = second.running["svc"].order
+    first._end(first.running["svc"], ShiftState.ROLLED_BACK)
+    assert second.running["svc"].order is frozen
+    second._end(second.running["svc"], ShiftState.COMPLETED)
+    assert store.order.status["state"] == "rolled_back"
+    assert "svc" not in second.running
+    assert share_of_new(second) == 0.0
+
+
+def test_completed_version_is_the_settled_one(clock):
+    store = Store()
+    shifts = router(store)
+    store.write_status("", "", {"state": "completed", "target": "v2"}, 1, "")
+    shifts.change(Change(store.order, False), doubtful=False)
+    assert share_of_new(shifts) == 1.0
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,178 @@
+"""Tests of the documents that the platform keeps."""
+
+import copy
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.platform.documents import (
+    read_configuration,
+    read_instance,
+    read_shift,
+    shift_status,
+)
+from lacewingdock.platform.object_api import StoredObject
+from lacewingdock.world.backend import ShiftState
+from lacewingdock.world.route import Caller, Repeat, Target
+from tests.fuzz.common import json_values
+
+ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 20000,
+    "goal_ms": 800,
+    "gap_target_ms": 600,
+    "priority": 1,
+    "sizes": ["s", "l"],
+    "service": "svc",
+    "max_attempts": 3,
+    "public": False,
+    "resumable": True,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        ROUTE,
+        {**ROUTE, "name": "deep", "path_prefix": "/a/b/"},
+        {
+            **ROUTE,
+            "name": "split",
+            "path_prefix": "/s/",
+            "kind": "non_idempotent",
+            "service": "",
+            "split": [
+                {"service": "x", "weight": 90},
+                {"service": "y", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "svc",
+            "max_conns": 290,
+            "engine": {
+                "models": [
+                    {"name": "s", "cost": 0.1},
+                    {"name": "l", "cost": 0.2},
+                ]
+            },
+        }
+    ],
+    "limits": {"max_header_bytes": 99, "idle_timeout_ms": 1500},
+    "tenants": [{"name": "w", "api_keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def table(**changes):
+    return read_configuration(StoredObject("main", 3, {**CONFIG, **changes}))
+
+
+def test_configuration():
+    found = table()
+    route = found.find("h.EXAMPLE", "/a/x")
+    assert (route.name, route.repeat) == ("r", Repeat.RESUMABLE)
+    assert (route.timeout_s, route.goal_s, route.gap_s) == (20.0, 0.8, 0.6)
+    assert route.models == ("s", "l")
+    assert found.callers["k2"] == Caller("w", 1)
+    assert (found.limits.header_bytes, found.limits.idle_s) == (99, 1.5)
+    assert found.services["svc"].relative_cost("s") == 0.5
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("h.example", "/a/b/c", "deep"),
+        ("h.example", "/a/b", "r"),
+        ("h.example", "/a", None),
+        ("other", "/a/", None),
+        ("h.example", "/s/", "split"),
+    ],
+)
+def test_longest_prefix(host, path, name):
+    route = table().find(host, path)
+    assert (route.name if route else None) == name
+
+
+@pytest.mark.parametrize(
+    ("kind", "resumable", "repeat"),
+    [
+        ("idempotent", False, Repeat.IDEMPOTENT),
+        ("non_idempotent", True, Repeat.ONCE),
+        ("streaming", False, Repeat.ONCE),
+        ("streaming", True, Repeat.RESUMABLE),
+        # What a later version of the platform may add runs once at most.
+        ("of a later version", True, Repeat.ONCE),
+    ],
+)
+def test_contract(kind, resumable, repeat):
+    one = {**ROUTE, "kind": kind, "resumable": resumable}
+    assert table(routes=[one]).routes[0].repeat is repeat
+
+
+def test_split():
+    assert table().find("h.example", "/s/").targets == (
+        Target("x", 90),
+        Target("y", 10),
+    )
+
+
+def test_without_workspaces_no_key_is_asked_for():
+    spec = copy.deepcopy(CONFIG)
+    del spec["tenants"]
+    assert read_configuration(StoredObject("main", 1, spec)).callers is None
+
+
+@pytest.mark.parametrize(
+    ("state", "leaving"), [("ready", False), ("draining", True)]
+)
+def test_instance(state, leaving):
+    spec = {
+        "service": "svc",
+        "address": "10.0.0.9:80",
+        "zone": "hall",
+        "version": "v1",
+        "slots": 48,
+        "state": state,
+        "sequence": 4,
+    }
+    found = read_instance(StoredObject("i-1", 2, spec))
+    assert (found.id, found.host, found.port) == ("i-1", "10.0.0.9", 80)
+    assert (found.failure_domain, found.leaving) == ("hall", leaving)
+
+
+@pytest.mark.parametrize(
+    ("status", "state"),
+    [
+        (None, ShiftState.ORDERED),
+        ({}, ShiftState.ORDERED),
+        ({"state": "running", "target": "v2"}, ShiftState.RUNNING),
+        ({"state": "completed", "target": "v2"}, ShiftState.COMPLETED),
+        # What became of the order before this one.
+        ({"state": "completed", "target": "v1"}, ShiftState.ORDERED),
+        ({"state": "odd", "target": "v2"}, ShiftState.ORDERED),
+    ],
+)
+def test_order(status, state):
+    spec = {"service": "svc", "target": "v2", "duration_s": 12}
+    order = read_shift(StoredObject("svc", 5, spec, status))
+    assert (order.state, order.duration_s) == (state, 12.0)
+    assert shift_status(order, ShiftState.RUNNING) == {
+        "state": "running",
+        "target": "v2",
+    }
+
+
+@given(
+    json_values
+    | st.fixed_dictionaries({"version": json_values, "routes": json_values})
+)
+def test_odd_documents_are_coded_errors(spec):
+    for read in (read_configuration, read_instance, read_shift):
+        try:
+            read(StoredObject("main", 1, spec, spec))
+        except LacewingdockError as error:
+            assert error.kind is ErrorKind.BAD_MANIFEST
