--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, TypeVar
 
 from lacewingdock.components.gateway.events import EventCutter
 from lacewingdock.components.upstreams.connection import (
@@ -22,6 +22,8 @@
 # Longest body of an answer that is not a stream.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 
+T = TypeVar("T")
+
 
 @dataclass(slots=True)
 class Whole:
@@ -93,18 +95,31 @@
     first_at: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class Wait:
+    """How long an attempt waits for the next piece of an answer.
+
+    Attributes:
+        silent_s: Seconds, where nothing at all comes from the instance.
+        queued_s: Seconds, where others are answered by it meanwhile.
+    """
+
+    silent_s: float
+    queued_s: float
+
+
 @dataclass(slots=True)
 class Patience:
     """How long an attempt waits.
 
     Attributes:
-        head_s: Seconds for the head of the answer.
-        gap_s: Seconds between pieces of the body.
+        head: For the head of the answer, and the first event.
+        gap: Between pieces of the body.
         end: Monotonic time at which the request is given up.
     """
 
-    head_s: float
-    gap_s: float
+    head: Wait
+    gap: Wait
     end: float
 
 
@@ -221,7 +236,7 @@
             sending.left_s,
         )
         connection.watch_caller(self.caller.sock)
-        head = connection.read_head(self._until(self.patience.head_s))
+        head = self._wait(connection, self.patience.head, connection.read_head)
         self.began()
         if head.not_run:
             connection.read_whole(self.patience.end, MAX_BODY_BYTES)
@@ -241,13 +256,13 @@
     ) -> tuple[Result, AnswerHead | None]:
         """Pass a stream on, whole events at a time."""
         cutter = EventCutter()
-        wait_s = self.patience.head_s
+        wait = self.patience.head
         while True:
-            data = connection.read_body(self._until(wait_s))
+            data = self._wait(connection, wait, connection.read_body)
             if data is None:
                 break
             self._pass_on(head, cutter, data)
-            wait_s = self.patience.gap_s
+            wait = self.patience.gap
         if cutter.rest:
             return Broken("stream ended in the middle of an event"), None
         if not self.progress.started:
@@ -269,5 +284,31 @@
         progress.events += len(events)
         self.caller.send(b"".join(event.data for event in events))
 
-    def _until(self, wait_s: float) -> float:
-        return min(time.monotonic() + wait_s, self.patience.end)
+    def _wait(
+        self,
+        connection: UpstreamConnection,
+        wait: Wait,
+        read: Callable[[float], T],
+    ) -> T:
+        """Read a piece, for as long as the instance shows life.
+
+        An instance that answers others has this request in its queue, and
+        another's queue is no shorter; one that is silent to all is down.
+
+        Raises:
+            TimedOut: Nothing came in time.
+        """
+        start = time.monotonic()
+        last = min(start + wait.queued_s, self.patience.end)
+        until = min(start + wait.silent_s, last)
+        while True:
+            try:
+                found = read(until)
+            except TimedOut:
+                alive = self.instance.heard_at > until - wait.silent_s
+                if until >= last or not alive:
+                    raise
+                until = min(until + wait.silent_s, last)
+            else:
+                self.instance.heard_at = connection.heard_at
+                return found
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -14,11 +14,13 @@
     Result,
     Streamed,
     Unsure,
+    Wait,
     Whole,
 )
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.gateway.sizing import (
     CONFIDENCE_ENOUGH,
+    RELAXED_BELOW,
     Pressure,
 )
 from lacewingdock.components.routes import Routes
@@ -38,15 +40,18 @@
 # Attempts that reach no upstream do not count, since nothing ran; more than
 # this many in a row say that none can be reached.
 MAX_UNREACHED: Final = 4
-# An answer that takes this many times its goal is late by any measure; where
-# another instance may be asked, it is asked then.
-HEAD_GOALS: Final = 2.0
+# An instance from which nothing at all comes for this many times the goal is
+# taken for down, and another is asked. Where it answers others meanwhile, the
+# request is in its queue: another's is no shorter, so it is left there up to
+# the second figure. Callers give a stream up after four goals.
+SILENT_GOALS: Final = 1.0
+QUEUED_GOALS: Final = 4.0
 MIN_HEAD_S: Final = 0.3
-# And this many times what answers take of their goal at the moment.
-HEAD_PRESSURE: Final = 3.0
-# A pause in a stream that is this many times the longest one that is on time.
-GAP_GOALS: Final = 2.0
-MIN_GAP_S: Final = 1.0
+# The same between two events, in times the longest pause that is on time. An
+# upstream that ran out of memory interrupts streams, and reads them again.
+SILENT_GAPS: Final = 1.5
+QUEUED_GAPS: Final = 4.0
+MIN_GAP_S: Final = 0.9
 # With less time left than this, another attempt can't be answered.
 MIN_LEFT_S: Final = 0.03
 # Attempts that a request takes where a larger model is asked after a smaller.
@@ -401,12 +406,18 @@
             and len(self.tried) + 1 < route.max_attempts
         )
         if not repeats:
-            return Patience(left_s, left_s, self.end)
-        # Where all instances are slow, the place in a queue is worth keeping.
-        slow = self.gateway.pressure(self.service).now() * HEAD_PRESSURE
+            whole = Wait(left_s, left_s)
+            return Patience(whole, whole, self.end)
+        queued = QUEUED_GOALS if route.streaming else SILENT_GOALS * 2
         return Patience(
-            max(route.goal_s * max(HEAD_GOALS, slow), MIN_HEAD_S),
-            max(route.gap_s * GAP_GOALS, MIN_GAP_S),
+            Wait(
+                max(route.goal_s * SILENT_GOALS, MIN_HEAD_S),
+                max(route.goal_s * queued, MIN_HEAD_S),
+            ),
+            Wait(
+                max(route.gap_s * SILENT_GAPS, MIN_GAP_S),
+                max(route.gap_s * QUEUED_GAPS, MIN_GAP_S),
+            ),
             self.end,
         )
 
@@ -447,8 +458,12 @@
         )
 
     def _feel(self, result: Result, events: int) -> None:
-        """Take how late the largest model's answer began, or did not."""
-        if not self.model or self.model != self.route.models[-1]:
+        """Take how late an answer began, or did not.
+
+        The largest model's always counts; a smaller one's only where it is
+        late itself, since it is far faster and would hide the other.
+        """
+        if not self.model:
             return
         began_at = self.progress.first_at if not events else 0.0
         if not began_at:
@@ -456,7 +471,8 @@
                 return
             began_at = time.monotonic()
         part = (began_at - self.started) / max(self.route.goal_s, 1e-3)
-        self.gateway.pressure(self.service).add(part)
+        if self.model == self.route.models[-1] or part >= RELAXED_BELOW:
+            self.gateway.pressure(self.service).add(part)
 
     def _may_repeat(self, result: Result) -> bool:
         """Whether another attempt may be made, and can still be answered."""
--- a/lacewingdock/components/gateway/sizing.py
+++ b/lacewingdock/components/gateway/sizing.py
@@ -21,6 +21,9 @@
 # loses half: after a burst the larger model is tried again within seconds.
 NEW_WEIGHT: Final = 0.15
 HALF_LIFE_S: Final = 3.0
+# A single answer counts no more than this: beyond, it is late by any measure,
+# and the mean must come down again soon after a burst.
+MOST: Final = 1.5
 
 
 class Pressure:
@@ -43,6 +46,7 @@
         """Count an answer that began after a part of its goal."""
         with self._lock:
             before = self.now()
+            part = min(part, MOST)
             self.mean = before + NEW_WEIGHT * (part - before)
             self.at = time.monotonic()
 
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -42,6 +42,7 @@
         parser: State of the protocol.
         idle_since: Monotonic time at which it was last put aside.
         keep_s: Seconds that it may be kept idle.
+        heard_at: Monotonic time of the last bytes that came.
         used: Requests sent so far.
     """
 
@@ -50,6 +51,7 @@
         "_poll",
         "_request",
         "_watched",
+        "heard_at",
         "idle_since",
         "keep_s",
         "parser",
@@ -63,6 +65,7 @@
         self.keep_s = keep_s
         self.idle_since = time.monotonic()
         self.used = 0
+        self.heard_at = 0.0
         self.parser = _new_parser()
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
@@ -229,6 +232,7 @@
             data = self.sock.recv(READ_BYTES)
         except OSError as error:
             raise UpstreamLost(f"receive: {error!r}") from error
+        self.heard_at = time.monotonic()
         try:
             self.parser.receive_data(data)
         except h11.RemoteProtocolError as error:
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -31,6 +31,7 @@
         running: Requests of this router that are at it now.
         unread: Work of those whose answers have not begun.
         failures: Recent failures, halved again and again.
+        heard_at: Monotonic time of the last bytes that came from it.
         failed_at: Monotonic time up to which `failures` is reckoned.
         trial_at: Monotonic time from which one request may try it again.
         lapsed: Whether its entry is missing since an outage of the store.
@@ -42,6 +43,7 @@
         "failed_at",
         "failures",
         "gone",
+        "heard_at",
         "lapsed",
         "running",
         "trial_at",
@@ -56,6 +58,7 @@
         self.failures = 0.0
         self.failed_at = time.monotonic()
         self.trial_at = 0.0
+        self.heard_at = 0.0
         self.lapsed = False
         self.gone = False
 
