--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -136,6 +136,29 @@
         store = ObjectStore(settings.platform)
         return show_statement(store, workspace, settings.day, settings.json)
 
+    @command()
+    def explain(
+        self,
+        request: str = "",
+        workspace: str = "",
+        since: str = "",
+        until: str = "",
+    ) -> str:
+        """Tell a request's story from log lines on standard input.
+
+        Without REQUEST, list the requests of a workspace in a span of time.
+        """
+        from lacewingdock.components.story import (
+            list_requests,
+            read_lines,
+            tell_request,
+        )
+
+        lines = read_lines(sys.stdin)
+        if request:
+            return tell_request(lines, request)
+        return list_requests(lines, workspace, since, until)
+
     @command()
     def version(self) -> str:
         """Print the version."""
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -385,6 +385,7 @@
             attempt.began()
             self.gateway.chooser.done(instance)
         self._learn(instance, result, start, events)
+        self._log_attempt(instance, result, time.monotonic() - start)
         return result
 
     def _priority(self) -> int:
@@ -518,13 +519,37 @@
             return str(ErrorKind.CALLER_LEFT)
         return f"{error.kind}: {error.detail}"
 
+    def _log_attempt(
+        self, instance: Instance, result: Result, seconds: float
+    ) -> None:
+        """Tell of an attempt, and of what the choice of its instance rested on.
+
+        The figures are this router's own and as of now; what the platform
+        says of the instance is in the line of its entry.
+        """
+        entry, now = instance.entry, time.monotonic()
+        log.info(
+            "attempt",
+            request=self.call.id,
+            upstream=entry.id,
+            version=entry.version,
+            model=self.model,
+            running=instance.running,
+            unread=round(instance.unread, 2),
+            failures=round(instance.recent_failures(now), 2),
+            heard_s=round(now - instance.heard_at, 3),
+            result=type(result).__name__,
+            detail=getattr(result, "detail", ""),
+            seconds=round(seconds, 4),
+        )
+
     def _ask_larger(self, instance: Instance, result: Unsure) -> None:
         """Have the largest model answer instead of an unsure smaller one."""
         before, self.model = self.model, self.route.models[-1]
         log.info(
             "larger model",
             request=self.call.id,
-            instance=instance.entry.id,
+            upstream=instance.entry.id,
             model=before,
             confidence=result.confidence,
             enough=round(self.enough, 1),
@@ -535,9 +560,9 @@
         log.info(
             "another attempt",
             request=self.call.id,
-            instance=instance.entry.id,
+            upstream=instance.entry.id,
             result=type(result).__name__,
-            detail=getattr(result, "detail", ""),
+            retries_left=round(self.gateway.budget(self.service).saved, 1),
             after_event=self.progress.last_event,
             attempts=len(self.tried),
             left_s=round(self.end - time.monotonic(), 3),
@@ -552,6 +577,7 @@
         log.info(
             "request",
             request=self.call.id,
+            session=self.call.session,
             route=route.name if route else None,
             workspace=self.caller.workspace if self.caller else None,
             service=self.service,
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -139,11 +139,11 @@
             known.entry = entry
             known.lapsed = False
         log.info(
-            "instance",
-            instance=entry.id,
+            "upstream",
+            upstream=entry.id,
             service=entry.service,
             version=entry.version,
-            failure_domain=entry.failure_domain,
+            domain=entry.failure_domain,
             leaving=entry.leaving,
             known=known is not None,
         )
@@ -155,12 +155,12 @@
             return
         if doubtful and not known.entry.leaving:
             known.lapsed = True
-            log.info("instance lapsed", instance=name)
+            log.info("upstream lapsed", upstream=name)
             return
         known.gone = True
         del self.instances[name]
         self._index()
-        log.info("instance gone", instance=name, lapsed=known.lapsed)
+        log.info("upstream gone", upstream=name, lapsed=known.lapsed)
 
     def drop_lapsed(self) -> None:
         """Take out the instances whose entries did not come back."""
--- a/lacewingdock/components/upstreams/sync.py
+++ b/lacewingdock/components/upstreams/sync.py
@@ -45,6 +45,6 @@
         return read_instance(stored)
     except LacewingdockError as error:
         log.error(
-            "faulty entry left out", instance=stored.name, error=str(error)
+            "faulty entry left out", upstream=stored.name, error=str(error)
         )
         return None
--- a/tests/components/gateway/test_at_most_once.py
+++ b/tests/components/gateway/test_at_most_once.py
@@ -6,6 +6,7 @@
 takes a dead kept connection for proof that nothing was run.
 """
 
+import pycurl
 import pytest
 
 from lacewingdock.world.route import Repeat
@@ -179,3 +180,17 @@
     left = next(one for one in lines if one.startswith("deadline-ms"))
     assert 1000 < int(left.split(": ")[1]) <= 1500
     assert upstream.bodies == [b"hello"]
+
+
+def test_why_libcurl_is_not_used_here():
+    """It sends a request again where the kept connection was closed on it."""
+    once = Upstream(answer(), send(then="close"), answer())
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, f"http://127.0.0.1:{once.port}/")
+    curl.setopt(pycurl.NOPROXY, "*")
+    curl.setopt(pycurl.POSTFIELDS, "booking")
+    curl.setopt(pycurl.HTTPHEADER, ["Attempt-Id: c-1"])
+    curl.setopt(pycurl.WRITEFUNCTION, lambda _: None)
+    for _ in range(2):
+        curl.perform()
+    assert len(once.requests) == 3
--- /dev/null
+++ b/tests/components/story/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of story."""
