--- /dev/null
+++ b/lacewingdock/components/admission/fleet_budget.py
@@ -0,0 +1,51 @@
+"""Support for a router's part of the retries that a whole fleet may make."""
+
+from collections import deque
+from typing import Final
+
+from lacewingdock.components.admission.retry_budget import RetryBudget
+
+# Of the retries that the operators allow a request, the part that each request
+# adds at once, and the part that may be saved up for later ones. Together they
+# stay under the whole, so that a span's retries do, wherever it begins.
+NOW_PART: Final = 0.85
+SAVED_PART: Final = 0.1
+
+
+class FleetBudget(RetryBudget):
+    """A retry budget whose size follows the fleet's and the traffic.
+
+    The fleet may make so many retries a request and so many besides in any
+    span. The first part needs no division, as each router counts its own
+    requests; the second is divided by the routers there are. A large fleet's
+    part of it is under one retry, so some of the first part is saved up too.
+
+    Attributes:
+        ratio: Retries allowed a request.
+        counts: Requests counted so far, at each of the last seconds.
+    """
+
+    __slots__ = ("counts", "ratio")
+
+    def __init__(self, ratio: float, extra: float, span_s: float) -> None:
+        """Start with the part of the retries besides.
+
+        Args:
+            ratio: Retries allowed a request.
+            extra: This router's part of those allowed besides.
+            span_s: Span in which they are counted, in seconds.
+        """
+        super().__init__(ratio * NOW_PART, extra * NOW_PART)
+        self.ratio = ratio
+        self.counts: deque[int] = deque([0], maxlen=max(int(span_s), 1))
+
+    def tick(self, extra: float) -> None:
+        """Take the size anew; called once a second.
+
+        Args:
+            extra: This router's part of the retries besides.
+        """
+        recent = self.requests - self.counts[0]
+        self.counts.append(self.requests)
+        saved = SAVED_PART * self.ratio * recent
+        self.burst = extra * NOW_PART + saved
--- a/lacewingdock/components/admission/retry_budget.py
+++ b/lacewingdock/components/admission/retry_budget.py
@@ -21,9 +21,10 @@
         share: Retries that each request adds.
         burst: Retries that may be saved up.
         saved: Retries that may be made now.
+        requests: Requests counted so far.
     """
 
-    __slots__ = ("_lock", "burst", "saved", "share")
+    __slots__ = ("_lock", "burst", "requests", "saved", "share")
 
     def __init__(
         self, share: float = RETRY_SHARE, burst: float = RETRY_BURST
@@ -32,11 +33,13 @@
         self.share = share
         self.burst = burst
         self.saved = burst
+        self.requests = 0
         self._lock = threading.Lock()
 
     def count_request(self) -> None:
         """Add a request's share."""
         with self._lock:
+            self.requests += 1
             self.saved = min(self.burst, self.saved + self.share)
 
     def take(self) -> bool:
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -4,7 +4,7 @@
 import time
 from typing import Final
 
-from lacewingdock.components.admission.retry_budget import RetryBudget
+from lacewingdock.components.admission.fleet_budget import FleetBudget
 from lacewingdock.components.gateway.attempt import (
     Attempt,
     Broken,
@@ -58,7 +58,7 @@
 ATTEMPTS_OF_CASCADE: Final = 2
 # Retries that must be saved up before a smaller model is asked first: the
 # larger one's attempt takes one, and failures shall find some.
-CASCADE_RESERVE: Final = 3.0
+CASCADE_RESERVE: Final = 2.0
 # A request that meets a starting router waits this long for its first
 # configuration, which takes some round trips to the store; a refusal would
 # have the caller wait longer.
@@ -90,8 +90,9 @@
         metrics: Counters and histograms.
         budgets: Retry budgets by service.
         pressures: How late each service's answers begin.
-        retry_ratio: Retries that a request of a service adds to its budget.
-        retry_burst: Retries that may be saved up.
+        retry_ratio: Retries that the fleet may make a request.
+        retry_extra: This router's part of the retries besides.
+        retry_span_s: Span in which they are counted.
         random: Source of draws.
     """
 
@@ -102,8 +103,9 @@
         "pool",
         "pressures",
         "random",
-        "retry_burst",
+        "retry_extra",
         "retry_ratio",
+        "retry_span_s",
         "routes",
         "shifts",
     )
@@ -115,7 +117,8 @@
         shifts: Shifts,
         metrics: GatewayMetrics,
         retry_ratio: float,
-        retry_burst: float,
+        retry_extra: float,
+        retry_span_s: float,
         source: random.Random,
     ) -> None:
         """Take the parts."""
@@ -124,20 +127,29 @@
         self.shifts = shifts
         self.metrics = metrics
         self.pool = ConnectionPool()
-        self.budgets: dict[str, RetryBudget] = {}
+        self.budgets: dict[str, FleetBudget] = {}
         self.pressures: dict[str, Pressure] = {}
         self.retry_ratio = retry_ratio
-        self.retry_burst = retry_burst
+        self.retry_extra = retry_extra
+        self.retry_span_s = retry_span_s
         self.random = source
 
-    def budget(self, service: str) -> RetryBudget:
+    def budget(self, service: str) -> FleetBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
-            budget = RetryBudget(self.retry_ratio, self.retry_burst)
+            budget = FleetBudget(
+                self.retry_ratio, self.retry_extra, self.retry_span_s
+            )
             # Two tasks at once agree on one.
             return self.budgets.setdefault(service, budget)
         return self.budgets[service]
 
+    def share_retries(self, extra: float) -> None:
+        """Take this router's part of the retries besides; once a second."""
+        self.retry_extra = extra
+        for budget in list(self.budgets.values()):
+            budget.tick(extra)
+
     def pressure(self, service: str) -> Pressure:
         """Return how late a service's answers begin."""
         return self.pressures.setdefault(service, Pressure())
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -54,6 +54,9 @@
 
 # Routers come and go rarely, and their addresses matter only in an outage.
 ROUTERS_WATCH_S: Final = 20.0
+# An order that is seen late only starts late, and a version that was found bad
+# is told by the reports as well.
+ORDERS_WATCH_S: Final = 8.0
 # Outside of roll-outs nothing is reported.
 REPORTS_WATCH_S: Final = 8.0
 # Reports come from every router while a roll-out is under way; gathered for
@@ -62,9 +65,6 @@
 # Of the retries that the fleet may make, each router takes its part as if
 # there were at least this many: it may not know all others yet.
 MIN_ROUTERS: Final = 6
-# The part of the allowed retries that is used; the rest is for requests that
-# move between the ends of two spans.
-RETRY_PART: Final = 0.85
 # A stop serves on this long: the balancer asks once a second and turns away
 # after two answers that are not 200. Where it has nobody else to send callers
 # to it goes on sending them here; a stream that began later than about 3 s
@@ -193,11 +193,17 @@
             chooser,
             self.shifts,
             GatewayMetrics(self.registry),
-            bounds.retry_ratio * RETRY_PART,
-            bounds.retry_extra * RETRY_PART / MIN_ROUTERS,
+            bounds.retry_ratio,
+            self._retry_extra(),
+            bounds.retry_window_s,
             self.random,
         )
 
+    def _retry_extra(self) -> float:
+        """Return this router's part of the fleet's retries besides."""
+        routers = max(self.routers.count(), MIN_ROUTERS)
+        return self.host.bounds.retry_extra / routers
+
     def _mirrors(self) -> dict[str, Mirror]:
         health = StoreHealth(LAPSE_S)
         wait_s = self.host.bounds.contact_s * WATCH_PART
@@ -221,6 +227,7 @@
             for kind, listener in listeners.items()
         }
         mirrors[KIND_ROUTERS].wait_s = lambda: ROUTERS_WATCH_S
+        mirrors[KIND_SHIFTS].wait_s = lambda: ORDERS_WATCH_S
         mirrors[KIND_REPORTS].wait_s = lambda: (
             wait_s if self.shifts.running else REPORTS_WATCH_S
         )
@@ -235,6 +242,7 @@
 
     def _keep_house(self) -> None:
         self.gateway.pool.prune()
+        self.gateway.share_retries(self._retry_extra())
         if not self.health.doubtful:
             self.directory.drop_lapsed()
 
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -240,6 +240,7 @@
             GatewayMetrics(prometheus_client.CollectorRegistry()),
             0.5,
             20.0,
+            10.0,
             source,
         )
         self.leaving = threading.Event()
--- /dev/null
+++ b/tests/components/gateway/test_budget.py
@@ -0,0 +1,72 @@
+"""Tests that all routers' retries together stay within the fleet's bound."""
+
+import pytest
+
+from lacewingdock.components.gateway.exchange import CASCADE_RESERVE
+from lacewingdock.daemons.router import RouterDaemon
+from lacewingdock.settings import RouterSettings
+from lacewingdock.world.host import Bounds, HostProfile
+
+
+def daemon_of(routers, bounds):
+    """Return a router's daemon that knows of that many routers."""
+    host = HostProfile(
+        instance="r-0",
+        failure_domain="d",
+        address="127.0.0.1",
+        callers_address=("127.0.0.1", 0),
+        ready_address=("127.0.0.1", 0),
+        peer_address=("127.0.0.1", 0),
+        platform="http://127.0.0.1:1",
+        bounds=bounds,
+    )
+    found = RouterDaemon(host, RouterSettings(config="x"))
+    for number in range(1, routers):
+        found.routers.entries[f"r-{number}"] = found.routers.entry
+    found._keep_house()
+    for port in (found.callers, found.ready, found.copies):
+        port.listener.close()
+    return found
+
+
+@pytest.mark.parametrize("routers", [1, 4, 5, 27, 300])
+@pytest.mark.parametrize("rate", [0, 1, 20, 100])
+def test_sum_over_the_fleet(routers, rate):
+    """Symptom: a fleet of thirty makes several times the retries allowed.
+
+    Cause: each router saved up the part of one in six, however many there
+    were. The worst span begins with all saved up, and all retry as they can.
+    """
+    bounds = Bounds(retry_ratio=0.9, retry_extra=52.0, retry_window_s=10.0)
+    daemon = daemon_of(routers, bounds)
+    budget = daemon.gateway.budget("svc")
+    for _ in range(30):
+        for _ in range(rate):
+            budget.count_request()
+        daemon._keep_house()
+    taken = 0
+    for _ in range(10):
+        for _ in range(rate):
+            budget.count_request()
+            taken += budget.take()
+        while budget.take():
+            taken += 1
+        daemon._keep_house()
+    allowed = bounds.retry_ratio * rate * 10 * routers + bounds.retry_extra
+    assert taken * routers <= allowed
+
+
+@pytest.mark.parametrize("routers", [1, 27, 300])
+def test_large_fleets_can_ask_a_larger_model(routers):
+    """Symptom: in a fleet of thirty every request goes to the largest model.
+
+    Cause: a router's part of the saved retries was under the reserve that a
+    cascade asks for, whatever its traffic.
+    """
+    daemon = daemon_of(routers, Bounds(retry_ratio=0.9, retry_extra=52.0))
+    budget = daemon.gateway.budget("svc")
+    for _ in range(15):
+        for _ in range(10):
+            budget.count_request()
+        daemon._keep_house()
+    assert budget.saved >= CASCADE_RESERVE
