--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -248,8 +248,10 @@
     def _is_done(self, shift: Shift) -> bool:
         """Whether all requests moved and nothing runs on what is stopped."""
         reports = shift.living_reports()
-        if shift.stage is not Stage.ALL or any(
-            report.stage is not Stage.ALL for report in reports
+        if (
+            shift.suspect
+            or shift.stage is not Stage.ALL
+            or any(report.stage is not Stage.ALL for report in reports)
         ):
             return False
         if shift.due:
--- a/lacewingdock/components/shifts/const.py
+++ b/lacewingdock/components/shifts/const.py
@@ -46,3 +46,16 @@
 # Reports of all routers together take at most this part of the platform's
 # writes a second.
 WRITES_PART: Final = 0.2
+
+# A wealth at which a version counts as bad, and one at which it is suspect: it
+# gets no more than it has, and is rolled back if it is still suspect at the
+# deadline. A good version that is rolled back is a duty missed; a bad one that
+# gets all requests is a broken promise.
+BAD_WEALTH: Final = 200.0
+# The fewest bad answers for that: a crash takes two instances at a time.
+MIN_BAD: Final = 4
+SUSPECT_WEALTH: Final = 5.0
+# The old version's share of bad answers goes by about ten times this many
+# requests, since troubles of the moment hit both versions.
+CONTROL_HALF_LIFE: Final = 6.0
+MOST_TOLERATED: Final = 0.3
--- a/lacewingdock/components/shifts/evidence.py
+++ b/lacewingdock/components/shifts/evidence.py
@@ -7,13 +7,15 @@
 
 from lacewingdock.components.exposure.const import (
     ERROR_SHARES,
-    FALSE_ALARM_ERRORS,
+    ERROR_TOLERANCE,
 )
 from lacewingdock.components.exposure.evidence import error_factor
 from lacewingdock.components.exposure.judge import Control
 from lacewingdock.components.shifts.const import (
+    CONTROL_HALF_LIFE,
     MEDIAN_MIN,
     MEDIAN_OF,
+    MOST_TOLERATED,
     SAME_CAUSE_S,
     SLOW_EXTRA_S,
     SLOW_FACTOR,
@@ -64,7 +66,7 @@
 
     def __init__(self) -> None:
         """Start without answers."""
-        self.control = Control()
+        self.control = Control(CONTROL_HALF_LIFE)
         self.answers = 0
         self.bad = 0
         self.bad_instances: set[str] = set()
@@ -104,21 +106,60 @@
         return True
 
 
-def is_bad_version(answers: int, bad: int, level: float) -> bool:
-    """Whether that many bad answers speak against a version.
+class ChangeDetector:
+    """Tells when a version's share of bad answers rises above a level.
 
-    The same bet as `exposure.evidence` makes answer by answer, worked out at
-    once from the sums over all routers.
+    The bets are those of `exposure.evidence`, on the sums over all routers.
+    A bet that lost what it had starts again from one (a CUSUM test), so that
+    good answers from before do not hide a version that turns bad: it had 7 bad
+    of 31 answers, and then of 1,600, where a single bet still trusted it.
 
-    Args:
-        answers: Answers of the version.
+    Attributes:
+        answers: Answers seen.
         bad: Bad ones among them.
-        level: Share of bad answers that a good version may have.
+        wealths: Wealth of each bet.
+    """
+
+    __slots__ = ("answers", "bad", "wealths")
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self.answers = 0
+        self.bad = 0
+        self.wealths = [1.0] * len(ERROR_SHARES)
+
+    def see(self, answers: int, bad: int, level: float) -> None:
+        """Take the sums as they are now.
+
+        Args:
+            answers: Answers of the version.
+            bad: Bad ones among them.
+            level: Share of bad answers that a good version may have.
+        """
+        more_bad = max(bad - self.bad, 0)
+        more_good = max(answers - self.answers - more_bad, 0)
+        self.answers = max(answers, self.answers)
+        self.bad = max(bad, self.bad)
+        for index, share in enumerate(ERROR_SHARES):
+            wealth = self.wealths[index]
+            # Answers of one round have no order; the good ones go first,
+            # so that they do not take from what the bad ones show.
+            wealth *= error_factor(share, False, level) ** more_good
+            wealth = max(wealth, 1.0)
+            wealth *= error_factor(share, True, level) ** more_bad
+            self.wealths[index] = wealth
+
+    @property
+    def wealth(self) -> float:
+        """Mean wealth of the bets; one where nothing speaks against it."""
+        return sum(self.wealths) / len(self.wealths)
+
+
+def tolerated(control: Control) -> float:
+    """Return the share of bad answers that a good version may have now.
+
+    Twice the old version's, as a longer roll-out takes it, hid a version that
+    failed half of its requests while the old one had lost four instances.
     """
-    good = answers - bad
-    wealths = [
-        error_factor(share, True, level) ** bad
-        * error_factor(share, False, level) ** good
-        for share in ERROR_SHARES
-    ]
-    return sum(wealths) / len(wealths) >= 1.0 / FALSE_ALARM_ERRORS
+    seen = control.errors / control.requests if control.requests else 0.0
+    return min(seen + ERROR_TOLERANCE, MOST_TOLERATED)
--- a/lacewingdock/components/shifts/shift.py
+++ b/lacewingdock/components/shifts/shift.py
@@ -6,15 +6,22 @@
 from typing import Final
 
 from lacewingdock.components.shifts.const import (
+    BAD_WEALTH,
     CANARY_PART,
     FORCE_BEFORE_S,
     MIN_ANSWERS,
+    MIN_BAD,
     MOVE_PART,
     RAMP_PART,
     RAMP_SHARE,
     REPORT_LOST_S,
+    SUSPECT_WEALTH,
+)
+from lacewingdock.components.shifts.evidence import (
+    ChangeDetector,
+    Evidence,
+    tolerated,
 )
-from lacewingdock.components.shifts.evidence import Evidence, is_bad_version
 from lacewingdock.components.shifts.report import Report, Stage
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.backend import ShiftOrder
@@ -53,6 +60,7 @@
         known_s: Seconds since the order at that moment, by others' reports.
         stage: How far requests are moved.
         evidence: What this router saw of the new version.
+        detector: Tells when the sum over all routers speaks against it.
         found_bad: Why the version counts as bad; empty while it does not.
         reports: Other routers' newest reports by object name, with the
             monotonic time at which each came.
@@ -62,6 +70,7 @@
 
     __slots__ = (
         "canary_share",
+        "detector",
         "evidence",
         "found_bad",
         "known_s",
@@ -79,6 +88,7 @@
         self.known_s = 0.0
         self.stage = Stage.CANARY
         self.evidence = Evidence()
+        self.detector = ChangeDetector()
         self.found_bad = ""
         self.reports: dict[str, tuple[float, Report]] = {}
         self.canary_share = exposure_share * CANARY_PART
@@ -101,8 +111,8 @@
 
     @property
     def suspect(self) -> bool:
-        """Whether more than one instance of the new version failed."""
-        return len(self.evidence.bad_instances) > 1
+        """Whether answers speak against the version, if not enough."""
+        return self.detector.wealth >= SUSPECT_WEALTH
 
     def takes(self, call: Call) -> bool:
         """Whether a request that is free to move goes to the new version.
@@ -161,7 +171,7 @@
         )
 
     def _due(self) -> Stage:
-        if self._sum("answers") < MIN_ANSWERS:
+        if self._sum("answers") < MIN_ANSWERS or self.suspect:
             return self.stage
         if self.part < self.move_at:
             return Stage.CANARY
@@ -170,17 +180,23 @@
 
     def _judge(self) -> None:
         answers, bad = self._sum("answers"), self._sum("bad")
-        level = self.evidence.control.error_level()
+        level = tolerated(self.evidence.control)
+        self.detector.see(answers, bad, level)
         instances = set(self.evidence.bad_instances)
         by_report = False
         for _, report in self.reports.values():
             instances.update(report.bad_instances)
             by_report = by_report or report.found_bad
         # One instance that fails is a bad instance, not a bad version.
-        judged = len(instances) > 1 and is_bad_version(answers, bad, level)
-        if not (judged or by_report):
+        wealth = self.detector.wealth if len(instances) > 1 else 1.0
+        if by_report:
+            self.found_bad = "another router's report"
+        elif wealth >= BAD_WEALTH and bad >= MIN_BAD:
+            self.found_bad = "answers"
+        elif wealth >= SUSPECT_WEALTH and self.due:
+            self.found_bad = "suspect at the deadline"
+        else:
             return
-        self.found_bad = "another router's report" if by_report else "answers"
         log.warning(
             "version is bad",
             service=self.order.service,
@@ -188,6 +204,7 @@
             answers=answers,
             bad=bad,
             level=round(level, 4),
+            wealth=round(self.detector.wealth, 1),
             instances=len(instances),
             by=self.found_bad,
             elapsed_s=round(self.elapsed_s, 2),
--- a/tests/components/shifts/test_shift.py
+++ b/tests/components/shifts/test_shift.py
@@ -229,6 +229,49 @@
     assert share_of_new(shifts) == 0.0
 
 
+def test_version_that_turns_bad_late_is_found(clock, monkeypatch):
+    """Symptom: a version that fails half of its requests is completed.
+
+    It answers well for most of the order's time, while the old version loses
+    instances; then it fails. Cause: the good answers from before outweighed
+    the bad ones, and twice the old version's failures were tolerated.
+    """
+    store = Store()
+    shifts = router(store)
+    evidence = shifts.running["svc"].evidence
+    monkeypatch.setattr(evidence.__class__, "_is_new_cause", lambda *_: True)
+    good_answers(shifts, 40)
+    for n in range(10):
+        shifts.add(sample("v1", f"i-{n % 2}", bad=n % 2 == 0), "")
+    for _ in range(40):
+        shifts.add(sample("v1", "i-0"), "")
+    shifts.round()
+    for n in range(16):
+        shifts.add(sample("v2", f"i-{2 + n // 2 % 2}", bad=n % 2 == 0), "")
+        shifts.round()
+    assert store.order.status["state"] == "rolled_back"
+
+
+def test_suspect_version_is_held_and_rolled_back_at_the_deadline(
+    clock, monkeypatch
+):
+    store = Store()
+    shifts = router(store)
+    evidence = shifts.running["svc"].evidence
+    monkeypatch.setattr(evidence.__class__, "_is_new_cause", lambda *_: True)
+    good_answers(shifts, 12)
+    shifts.round()
+    for instance in ("i-2", "i-3"):
+        shifts.add(sample("v2", instance, bad=True), "")
+    for moment in (0.9, 0.93, 0.94):
+        clock.now = 1000 + DURATION_S * moment
+        shifts.round()
+    assert shifts.running["svc"].stage is Stage.CANARY
+    clock.now = 1000 + DURATION_S * 0.96
+    shifts.round()
+    assert store.order.status["state"] == "rolled_back"
+
+
 def test_one_bad_instance_is_no_bad_version(clock, monkeypatch):
     store = Store()
     shifts = router(store)
