--- a/lacewingdock/components/gateway/__init__.py
+++ b/lacewingdock/components/gateway/__init__.py
@@ -8,7 +8,8 @@
 import socket
 import threading
 
-from lacewingdock.components.gateway.exchange import Exchange, Gateway
+from lacewingdock.components.gateway.exchange import Exchange
+from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.server_connection import (
     CallerGone,
--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -6,6 +6,7 @@
 from typing import Final, TypeVar
 
 from lacewingdock.components.gateway.events import EventCutter
+from lacewingdock.components.gateway.patience import Patience, Wait
 from lacewingdock.components.upstreams.connection import (
     CallerLeft,
     TimedOut,
@@ -95,34 +96,6 @@
     first_at: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
-class Wait:
-    """How long an attempt waits for the next piece of an answer.
-
-    Attributes:
-        silent_s: Seconds, where nothing at all comes from the instance.
-        queued_s: Seconds, where others are answered by it meanwhile.
-    """
-
-    silent_s: float
-    queued_s: float
-
-
-@dataclass(slots=True)
-class Patience:
-    """How long an attempt waits.
-
-    Attributes:
-        head: For the head of the answer, and the first event.
-        gap: Between pieces of the body.
-        end: Monotonic time at which the request is given up.
-    """
-
-    head: Wait
-    gap: Wait
-    end: float
-
-
 class Attempt:
     """One attempt.
 
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -1,57 +1,41 @@
 """Support for one request of a caller, from its route to its answer."""
 
-import random
 import time
 from typing import Final
 
-from lacewingdock.components.admission.fleet_budget import FleetBudget
 from lacewingdock.components.gateway.attempt import (
     Attempt,
     Broken,
     NotRun,
-    Patience,
     Progress,
     Result,
     Streamed,
     Unsure,
-    Wait,
     Whole,
 )
-from lacewingdock.components.gateway.metrics import GatewayMetrics
+from lacewingdock.components.gateway.gateway import Gateway, answer_error
+from lacewingdock.components.gateway.patience import (
+    Patience,
+    patience_for,
+    patience_of_last,
+)
 from lacewingdock.components.gateway.sizing import (
     CONFIDENCE_ENOUGH,
     RELAXED_BELOW,
-    Pressure,
 )
-from lacewingdock.components.routes import Routes
-from lacewingdock.components.shifts import Sample, Shifts
-from lacewingdock.components.upstreams.choice import Chooser, Work
+from lacewingdock.components.shifts import Sample
+from lacewingdock.components.upstreams.choice import Work
 from lacewingdock.components.upstreams.connection import CallerLeft
 from lacewingdock.components.upstreams.directory import Instance
-from lacewingdock.components.upstreams.pool import ConnectionPool
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.helpers.problem import MEDIA_TYPE, problem_body
 from lacewingdock.helpers.server_connection import CallerGone, ServerConnection
-from lacewingdock.platform.wire import refusal_headers
 from lacewingdock.world.call import AnswerHead, Call, Sending
 from lacewingdock.world.route import Caller, Repeat, Route, RoutingTable
 
 # Attempts that reach no upstream do not count, since nothing ran; more than
 # this many in a row say that none can be reached.
 MAX_UNREACHED: Final = 4
-# An instance from which nothing at all comes for this many times the goal is
-# taken for down, and another is asked. Where it answers others meanwhile, the
-# request is in its queue: another's is no shorter, so it is left there up to
-# the second figure. Callers give a stream up after four goals.
-SILENT_GOALS: Final = 1.0
-QUEUED_GOALS: Final = 4.0
-MIN_HEAD_S: Final = 0.3
-# The same between two events, in times the longest pause that is on time. An
-# upstream that ran out of memory interrupts streams, and reads them again.
-SILENT_GAPS: Final = 1.5
-QUEUED_GAPS: Final = 4.0
-MIN_GAP_S: Final = 0.9
 # With less time left than this, another attempt can't be answered.
 MIN_LEFT_S: Final = 0.03
 # Attempts that a request takes where a larger model is asked after a smaller.
@@ -79,99 +63,6 @@
 log = get_logger("gateway")
 
 
-class Gateway:
-    """What all requests share.
-
-    Attributes:
-        routes: The routing table.
-        chooser: Chooses upstream instances.
-        pool: Connections to them.
-        shifts: Roll-outs under way.
-        metrics: Counters and histograms.
-        budgets: Retry budgets by service.
-        pressures: How late each service's answers begin.
-        retry_ratio: Retries that the fleet may make a request.
-        retry_extra: This router's part of the retries besides.
-        retry_span_s: Span in which they are counted.
-        random: Source of draws.
-    """
-
-    __slots__ = (
-        "budgets",
-        "chooser",
-        "metrics",
-        "pool",
-        "pressures",
-        "random",
-        "retry_extra",
-        "retry_ratio",
-        "retry_span_s",
-        "routes",
-        "shifts",
-    )
-
-    def __init__(
-        self,
-        routes: Routes,
-        chooser: Chooser,
-        shifts: Shifts,
-        metrics: GatewayMetrics,
-        retry_ratio: float,
-        retry_extra: float,
-        retry_span_s: float,
-        source: random.Random,
-    ) -> None:
-        """Take the parts."""
-        self.routes = routes
-        self.chooser = chooser
-        self.shifts = shifts
-        self.metrics = metrics
-        self.pool = ConnectionPool()
-        self.budgets: dict[str, FleetBudget] = {}
-        self.pressures: dict[str, Pressure] = {}
-        self.retry_ratio = retry_ratio
-        self.retry_extra = retry_extra
-        self.retry_span_s = retry_span_s
-        self.random = source
-
-    def budget(self, service: str) -> FleetBudget:
-        """Return the retry budget of a service."""
-        if service not in self.budgets:
-            budget = FleetBudget(
-                self.retry_ratio, self.retry_extra, self.retry_span_s
-            )
-            # Two tasks at once agree on one.
-            return self.budgets.setdefault(service, budget)
-        return self.budgets[service]
-
-    def share_retries(self, extra: float) -> None:
-        """Take this router's part of the retries besides; once a second."""
-        self.retry_extra = extra
-        for budget in list(self.budgets.values()):
-            budget.tick(extra)
-
-    def pressure(self, service: str) -> Pressure:
-        """Return how late a service's answers begin."""
-        return self.pressures.setdefault(service, Pressure())
-
-    def refuse(
-        self, connection: ServerConnection, call: Call, error: LacewingdockError
-    ) -> None:
-        """Refuse a request before anything is done about it."""
-        log.info("request refused", request=call.id, code=error.kind)
-        self.metrics.finished("", error.kind, 0.0)
-        _answer_error(connection, error, call.id)
-
-    def refuse_unread(
-        self, connection: ServerConnection, error: LacewingdockError
-    ) -> None:
-        """Refuse a request that could not be read."""
-        log.info("request unread", code=error.kind, detail=error.detail)
-        self.metrics.finished("", error.kind, 0.0)
-        connection.keep = False
-        _answer_error(connection, error, "")
-
-
 class Exchange:
     """One request, served by the task of its connection.
 
@@ -378,7 +269,7 @@
             instance,
             self.call,
             self.connection,
-            self._patience(),
+            self._patience(instance),
             self.progress,
             self.route.streaming,
             self._accepts,
@@ -409,32 +300,18 @@
             rank = self.caller.priority
         return min(max(rank, 0), LAST_PRIORITY)
 
-    def _patience(self) -> Patience:
-        """Return how long an attempt waits.
-
-        Where no other instance may be asked, silence is no reason to end an
-        attempt: the answer may come yet.
-        """
-        route, left_s = self.route, max(self.end - time.monotonic(), 0.0)
-        repeats = (
-            route.repeat is not Repeat.ONCE
-            and len(self.tried) + 1 < route.max_attempts
-        )
-        if not repeats:
-            whole = Wait(left_s, left_s)
-            return Patience(whole, whole, self.end)
-        queued = QUEUED_GOALS if route.streaming else SILENT_GOALS * 2
-        return Patience(
-            Wait(
-                max(route.goal_s * SILENT_GOALS, MIN_HEAD_S),
-                max(route.goal_s * queued, MIN_HEAD_S),
-            ),
-            Wait(
-                max(route.gap_s * SILENT_GAPS, MIN_GAP_S),
-                max(route.gap_s * QUEUED_GAPS, MIN_GAP_S),
-            ),
-            self.end,
+    def _patience(self, instance: Instance) -> Patience:
+        """Return how long an attempt waits."""
+        may_repeat = (
+            self.route.repeat is not Repeat.ONCE
+            and len(self.tried) + 1 < self.route.max_attempts
+            and self.gateway.chooser.has_other(
+                self.service, [*self.tried, instance.entry.id]
+            )
         )
+        if may_repeat:
+            return patience_for(self.route, self.end)
+        return patience_of_last(self.end)
 
     def _learn(
         self, instance: Instance, result: Result, start: float, events: int
@@ -528,7 +405,7 @@
         if self.progress.started:
             return self._break_off(error.detail)
         try:
-            _answer_error(self.connection, error, self.call.id)
+            answer_error(self.connection, error, self.call.id)
         except CallerGone:
             return str(ErrorKind.CALLER_LEFT)
         return f"{error.kind}: {error.detail}"
@@ -613,15 +490,3 @@
         case Streamed() | Unsure():
             return False
     return True
-
-
-def _answer_error(
-    connection: ServerConnection, error: LacewingdockError, call_id: str
-) -> None:
-    headers = [(b"Content-Type", MEDIA_TYPE.encode())]
-    headers += refusal_headers(call_id)
-    if error.retry_after_s is not None:
-        after = f"{error.retry_after_s:.3f}".encode()
-        headers.append((b"Retry-After", after))
-    body = problem_body(error, call_id)
-    connection.answer(error.answer.status, headers, body)
--- /dev/null
+++ b/lacewingdock/components/gateway/gateway.py
@@ -0,0 +1,129 @@
+"""Support for what all requests of a router share."""
+
+import random
+
+from lacewingdock.components.admission.fleet_budget import FleetBudget
+from lacewingdock.components.gateway.metrics import GatewayMetrics
+from lacewingdock.components.gateway.sizing import Pressure
+from lacewingdock.components.routes import Routes
+from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.upstreams.choice import Chooser
+from lacewingdock.components.upstreams.pool import ConnectionPool
+from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.problem import MEDIA_TYPE, problem_body
+from lacewingdock.helpers.server_connection import ServerConnection
+from lacewingdock.platform.wire import refusal_headers
+from lacewingdock.world.call import Call
+
+log = get_logger("gateway")
+
+
+class Gateway:
+    """What all requests share.
+
+    Attributes:
+        routes: The routing table.
+        chooser: Chooses upstream instances.
+        pool: Connections to them.
+        shifts: Roll-outs under way.
+        metrics: Counters and histograms.
+        budgets: Retry budgets by service.
+        pressures: How late each service's answers begin.
+        retry_ratio: Retries that the fleet may make a request.
+        retry_extra: This router's part of the retries besides.
+        retry_span_s: Span in which they are counted.
+        random: Source of draws.
+    """
+
+    __slots__ = (
+        "budgets",
+        "chooser",
+        "metrics",
+        "pool",
+        "pressures",
+        "random",
+        "retry_extra",
+        "retry_ratio",
+        "retry_span_s",
+        "routes",
+        "shifts",
+    )
+
+    def __init__(
+        self,
+        routes: Routes,
+        chooser: Chooser,
+        shifts: Shifts,
+        metrics: GatewayMetrics,
+        retry_ratio: float,
+        retry_extra: float,
+        retry_span_s: float,
+        source: random.Random,
+    ) -> None:
+        """Take the parts."""
+        self.routes = routes
+        self.chooser = chooser
+        self.shifts = shifts
+        self.metrics = metrics
+        self.pool = ConnectionPool()
+        self.budgets: dict[str, FleetBudget] = {}
+        self.pressures: dict[str, Pressure] = {}
+        self.retry_ratio = retry_ratio
+        self.retry_extra = retry_extra
+        self.retry_span_s = retry_span_s
+        self.random = source
+
+    def budget(self, service: str) -> FleetBudget:
+        """Return the retry budget of a service."""
+        if service not in self.budgets:
+            budget = FleetBudget(
+                self.retry_ratio, self.retry_extra, self.retry_span_s
+            )
+            # Two tasks at once agree on one.
+            return self.budgets.setdefault(service, budget)
+        return self.budgets[service]
+
+    def share_retries(self, extra: float) -> None:
+        """Take this router's part of the retries besides; once a second."""
+        self.retry_extra = extra
+        for budget in list(self.budgets.values()):
+            budget.tick(extra)
+
+    def pressure(self, service: str) -> Pressure:
+        """Return how late a service's answers begin."""
+        return self.pressures.setdefault(service, Pressure())
+
+    def refuse(
+        self, connection: ServerConnection, call: Call, error: LacewingdockError
+    ) -> None:
+        """Refuse a request before anything is done about it."""
+        log.info("request refused", request=call.id, code=error.kind)
+        self.metrics.finished("", error.kind, 0.0)
+        answer_error(connection, error, call.id)
+
+    def refuse_unread(
+        self, connection: ServerConnection, error: LacewingdockError
+    ) -> None:
+        """Refuse a request that could not be read."""
+        log.info("request unread", code=error.kind, detail=error.detail)
+        self.metrics.finished("", error.kind, 0.0)
+        connection.keep = False
+        answer_error(connection, error, "")
+
+
+def answer_error(
+    connection: ServerConnection, error: LacewingdockError, call_id: str
+) -> None:
+    """Answer with a problem document and when to come back.
+
+    Raises:
+        CallerGone: The connection broke.
+    """
+    headers = [(b"Content-Type", MEDIA_TYPE.encode())]
+    headers += refusal_headers(call_id)
+    if error.retry_after_s is not None:
+        after = f"{error.retry_after_s:.3f}".encode()
+        headers.append((b"Retry-After", after))
+    body = problem_body(error, call_id)
+    connection.answer(error.answer.status, headers, body)
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -87,6 +87,13 @@
                 chosen.trial_at = now + 1.0
         return chosen
 
+    def has_other(self, service: str, tried: Collection[str]) -> bool:
+        """Whether a service has an open instance beside those tried."""
+        return any(
+            one.open and one.entry.id not in tried
+            for one in self.directory.of_service(service)
+        )
+
     def began(self, instance: Instance, work: Work) -> None:
         """Count a request's prompt as read: its answer began, or it ended."""
         with self.directory.lock:
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -16,7 +16,7 @@
 import prometheus_client
 
 from lacewingdock.components.gateway import CallersPort
-from lacewingdock.components.gateway.exchange import Gateway
+from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.mirror import (
     WATCH_PART,
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -10,7 +10,7 @@
 import prometheus_client
 
 from lacewingdock.components.gateway import CallersPort
-from lacewingdock.components.gateway.exchange import Gateway
+from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
--- /dev/null
+++ b/tests/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemons as processes."""
--- /dev/null
+++ b/tests/daemons/test_router.py
@@ -0,0 +1,272 @@
+"""Tests of the router as a process, before the platform's stand-in."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from bench.http import call
+from lacewingdock.platform.object_api import ObjectApi
+from tests.components.gateway.fakes import (
+    END,
+    Upstream,
+    event,
+    read_answer,
+    request,
+    stream_head,
+)
+
+ROOT = Path(__file__).parents[2]
+START_S = 20.0
+
+PROFILE = """
+node_name = "{name}"
+ip = "127.0.0.1"
+zone = "d1"
+port_range = [{peer}, {peer}]
+seeds = ["127.0.0.1:{other}"]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{peer}"
+[platform]
+address = "127.0.0.1:{platform}"
+[bounds]
+grace_s = 5
+contact_ms = 1500
+"""
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait(condition, timeout_s=START_S):
+    end = time.monotonic() + timeout_s
+    while not condition():
+        assert time.monotonic() < end, "did not come about in time"
+        time.sleep(0.02)
+
+
+def start(*arguments, env=None, log=subprocess.DEVNULL):
+    return subprocess.Popen(
+        [sys.executable, "-m", *arguments],
+        cwd=ROOT,
+        stdout=log,
+        stderr=log,
+        env={**os.environ, **(env or {})},
+        process_group=0,
+    )
+
+
+class Router:
+    """One router process and its ports."""
+
+    def __init__(self, tmp_path, platform, name="r-1", other=1):
+        self.front, self.ready, self.peer = (free_port() for _ in range(3))
+        self.path = tmp_path / f"{name}.toml"
+        self.path.write_text(
+            PROFILE.format(
+                name=name,
+                peer=self.peer,
+                front=self.front,
+                ready=self.ready,
+                platform=platform,
+                other=other,
+            )
+        )
+        self.log = tmp_path / f"{name}.log"
+        self.popen = None
+
+    def start(self):
+        env = {"LACEWINGDOCK_CONFIG": str(self.path)}
+        with self.log.open("ab") as log:
+            self.popen = start("lacewingdock", "router", env=env, log=log)
+
+    def is_ready(self):
+        try:
+            url = f"http://127.0.0.1:{self.ready}/ready"
+            return call("GET", url).status == 200
+        except Exception:
+            return False
+
+    def connect(self):
+        sock = socket.create_connection(("127.0.0.1", self.front), 5)
+        sock.settimeout(10)
+        return sock
+
+    def call(self, sock=None, **fields):
+        sock = sock or self.connect()
+        sock.sendall(request(deadline_ms=8000, **fields))
+        return read_answer(sock)
+
+    def stop(self):
+        if self.popen and self.popen.poll() is None:
+            os.kill(self.popen.pid, signal.SIGKILL)
+            self.popen.wait()
+
+
+def configuration(version, **routes):
+    """Return a configuration with a route by prefix to a service each."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": "h.example",
+                "path_prefix": f"/{name}/",
+                "kind": kind,
+                "resumable": True,
+                "timeout_ms": 8000,
+                "goal_ms": 2000,
+                "gap_target_ms": 600,
+                "service": "svc",
+                "max_attempts": 2,
+            }
+            for name, kind in routes.items()
+        ],
+        "tenants": [{"name": "w-1", "api_keys": ["key-1"]}],
+    }
+
+
+@pytest.fixture
+def site(tmp_path):
+    """A platform, an upstream and two routers that are not started."""
+    port = free_port()
+    platform = start("standins.platform", f"--port={port}")
+    url = f"http://127.0.0.1:{port}"
+    api = ObjectApi(url)
+    wait(lambda: _answers(api))
+    upstream = Upstream()
+    _, stored = api.write(
+        "config",
+        "main",
+        configuration(3, r="idempotent", s="streaming"),
+        0,
+        "test",
+    )
+    api.write(
+        "servers",
+        "i-1",
+        {
+            "service": "svc",
+            "address": f"127.0.0.1:{upstream.port}",
+            "zone": "d1",
+            "version": "v1",
+            "slots": 4,
+            "state": "ready",
+        },
+        0,
+        "test",
+    )
+    first = Router(tmp_path, port)
+    second = Router(tmp_path, port, "r-2", first.peer)
+    site = type("Site", (), {})()
+    site.url, site.api, site.upstream = url, api, upstream
+    site.first, site.second, site.revision = first, second, stored.revision
+    yield site
+    for router in (first, second):
+        router.stop()
+    platform.kill()
+    platform.wait()
+    upstream.close()
+
+
+def _answers(api):
+    try:
+        api.list_kind("config", "test")
+    except Exception:
+        return False
+    return True
+
+
+def _faults(site, **faults):
+    call("POST", f"{site.url}/faults", faults)
+
+
+def test_configuration_and_planned_stop(site):
+    router = site.first
+    router.start()
+    wait(router.is_ready)
+    assert router.call(path="/r/x")[0] == 200
+    assert router.call(path="/new/x")[0] == 404
+    spec = configuration(9, r="idempotent", s="streaming", new="idempotent")
+    site.api.write("config", "main", spec, site.revision, "test")
+    wait(lambda: router.call(path="/new/x")[0] == 200, 2.0)
+
+    def long_stream(sock, call_id, _):
+        sock.sendall(stream_head(call_id) + event(1))
+        time.sleep(3.2)
+        sock.sendall(event(2) + END)
+
+    site.upstream.steps = [long_stream]
+    found = {}
+    sock = router.connect()
+    thread = threading.Thread(
+        target=lambda: found.update(answer=router.call(sock, path="/s/x"))
+    )
+    thread.start()
+    wait(lambda: any("/s/x" in one for one in site.upstream.requests))
+    kept = router.connect()
+    os.kill(router.popen.pid, signal.SIGTERM)
+    wait(lambda: not router.is_ready(), 1.0)
+    # It serves on until the balancer has turned away, and says so.
+    status, headers, _ = router.call(kept, path="/r/x")
+    assert (status, headers["connection"]) == (200, "close")
+    thread.join()
+    assert found["answer"][2] == b"id: 1\ndata: e1\n\nid: 2\ndata: e2\n\n"
+    assert router.popen.wait(5) == 0
+    lines = router.log.read_text()
+    for message in ("started", "ready", "leaving", "stopped"):
+        assert f'"message":"{message}"' in lines
+
+
+def test_router_that_starts_in_an_outage_learns_from_another(site):
+    """Symptom: a restarted router refuses everything until the store is back.
+
+    Cause: it knew no other router, since their addresses are in the store.
+    """
+    site.first.start()
+    wait(site.first.is_ready)
+    _faults(site, down=True)
+    site.second.start()
+    wait(site.second.is_ready)
+    assert site.second.call(path="/r/x")[0] == 200
+    _faults(site)
+
+
+def test_store_outage_stops_nothing_and_dropped_history_is_read(site):
+    router = site.first
+    router.start()
+    wait(router.is_ready)
+    _faults(site, down=True)
+    time.sleep(1.5)
+    assert router.call(path="/r/x")[0] == 200
+    _faults(site)
+    spec = configuration(9, other="idempotent")
+    site.api.write("config", "main", spec, site.revision, "test")
+    call("POST", f"{site.url}/forget", {})
+    wait(lambda: router.call(path="/other/x")[0] == 200, 4.0)
+    assert router.call(path="/r/x")[0] == 404
+
+
+def test_faulty_settings_end_with_their_fault(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text('node_name = "n"\n')
+    done = subprocess.run(
+        [sys.executable, "-m", "lacewingdock", "router", f"--config={path}"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    assert (done.returncode, "bad_setting" in done.stderr) == (2, True)
