--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -8,7 +8,7 @@
 import random
 import socket
 import urllib.parse
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
@@ -68,10 +68,20 @@
         entry: This router's entry.
         entries: Every router's entry by name.
         first_peers: Addresses that are asked while no entries are known.
+        tell: Returns what others are told along with a question; this
+            router can't write it to the store then.
         random: Source of draws.
     """
 
-    __slots__ = ("api", "entries", "entry", "first_peers", "name", "random")
+    __slots__ = (
+        "api",
+        "entries",
+        "entry",
+        "first_peers",
+        "name",
+        "random",
+        "tell",
+    )
 
     def __init__(
         self,
@@ -88,6 +98,7 @@
         self.entries: dict[str, RouterEntry] = {name: entry}
         self.first_peers = first_peers
         self.random = source
+        self.tell: Callable[[], bytes] = lambda: b""
 
     def count(self) -> int:
         """Return how many routers there are, this one too."""
@@ -173,7 +184,9 @@
         path = urllib.parse.quote(kind, safe="")
         url = f"http://{address}/copies/{path}?{query}"
         try:
-            reply = send(url, timeout_s=PULL_S, max_bytes=MAX_COPY_BYTES)
+            reply = send(
+                url, self.tell(), timeout_s=PULL_S, max_bytes=MAX_COPY_BYTES
+            )
             if reply.status != HTTPStatus.OK:
                 return None
             found: Copy = decode_json(reply.body, Copy)
@@ -189,16 +202,18 @@
     Attributes:
         mirrors: The mirrors by kind.
         health: What this router knows of the store.
+        told: Takes what another router tells along with a question.
         listener: Accepts the connections.
     """
 
-    __slots__ = ("health", "listener", "mirrors")
+    __slots__ = ("health", "listener", "mirrors", "told")
 
     def __init__(
         self,
         address: tuple[str, int],
         mirrors: Mapping[str, Mirror],
         health: StoreHealth,
+        told: Callable[[bytes], None],
     ) -> None:
         """Bind the port; `listener.run` serves it.
 
@@ -207,6 +222,7 @@
         """
         self.mirrors = mirrors
         self.health = health
+        self.told = told
         self.listener = Listener("copies", address, self.serve, MAX_CONNECTIONS)
 
     def serve(self, sock: socket.socket) -> None:
@@ -231,6 +247,8 @@
         if mirror is None or not after.isdigit():
             connection.answer(HTTPStatus.NOT_FOUND, [], b"")
             return
+        if request.body:
+            self.told(request.body)
         copy = Copy(sure=not self.health.doubtful)
         found = mirror.snapshot()
         if found is not None and found.revision > int(after):
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -9,6 +9,8 @@
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from lacewingdock.components.shifts.const import (
     REPORT_S,
     WRITES_PART,
@@ -20,6 +22,7 @@
 from lacewingdock.components.shifts.shift import Shift, VersionRule
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.platform.documents import (
     KIND_SHIFTS,
@@ -167,6 +170,29 @@
         with self._lock:
             shift.take_report(report)
 
+    def own_reports(self) -> bytes:
+        """Return this router's reports, for others to hear in an outage."""
+        running = list(self.running.values())
+        reports = [
+            self.reporter.report(shift, self._old_running(shift))
+            for shift in running
+        ]
+        return msgspec.json.encode(reports) if reports else b""
+
+    def hear(self, data: bytes) -> None:
+        """Take another router's reports from itself.
+
+        A router that the store turns away can't write them; without its bad
+        answers the others would each have to see enough by themselves.
+        """
+        try:
+            reports: list[Report] = decode_json(data, list[Report])
+        except msgspec.DecodeError as error:
+            log.error("reports refused", error=str(error))
+            return
+        for report in reports:
+            self.take_report(report)
+
     def round(self) -> None:
         """Judge, move on, report and end what is due."""
         for shift in list(self.running.values()):
--- a/lacewingdock/components/shifts/reporter.py
+++ b/lacewingdock/components/shifts/reporter.py
@@ -59,7 +59,19 @@
 
     def write(self, shift: Shift, old_running: int) -> None:
         """Write the report of a roll-out if it is due."""
-        report = Report(
+        report = self.report(shift, old_running)
+        if not self._is_due(report):
+            return
+        try:
+            self._write(report)
+        except LacewingdockError as error:
+            log.warning("report not written", error=str(error))
+            return
+        self.written[report.name] = report
+
+    def report(self, shift: Shift, old_running: int) -> Report:
+        """Return what this router has to report of a roll-out."""
+        return Report(
             service=shift.order.service,
             target=shift.order.target,
             router=self.router,
@@ -72,14 +84,6 @@
             old_running=old_running,
             found_bad=bool(shift.found_bad),
         )
-        if not self._is_due(report):
-            return
-        try:
-            self._write(report)
-        except LacewingdockError as error:
-            log.warning("report not written", error=str(error))
-            return
-        self.written[report.name] = report
 
     def _is_due(self, report: Report) -> bool:
         """Whether a report must be written now.
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -126,6 +126,7 @@
             self.directory,
             self.routers.count,
         )
+        self.routers.tell = self.shifts.own_reports
         self.mirrors = self._mirrors()
         self.gateway = self._gateway()
         self.callers = CallersPort(
@@ -137,7 +138,9 @@
         self.ready = ReadinessPort(
             host.ready_address, self.missing, self.leaving
         )
-        self.copies = CopiesPort(host.peer_address, self.mirrors, self.health)
+        self.copies = CopiesPort(
+            host.peer_address, self.mirrors, self.health, self.shifts.hear
+        )
 
     def missing(self) -> str:
         """Return what is missing to serve; empty if nothing."""
--- a/tests/components/shifts/test_shift.py
+++ b/tests/components/shifts/test_shift.py
@@ -314,6 +314,24 @@
     assert store.order.status["state"] == "rolled_back"
 
 
+def test_evidence_of_a_router_that_the_store_turns_away(clock):
+    """Symptom: each router has to see four bad answers by itself.
+
+    The store turns two of three away; their reports reach nobody.
+    """
+    store = Store()
+    cut, other = router(store, "r-1"), router(store, "r-2")
+    good_answers(cut, 5)
+    evidence = cut.running["svc"].evidence
+    evidence.bad = 4
+    evidence.answers += 4
+    evidence.bad_instances |= {"i-2", "i-3"}
+    other.hear(b"no reports")
+    other.hear(cut.own_reports())
+    other.round()
+    assert store.order.status["state"] == "rolled_back"
+
+
 def test_found_bad_in_an_outage_gets_nothing_before_it_is_written(clock):
     store = Store()
     shifts = router(store)
