--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -5,6 +5,7 @@
 routers is taken instead: the store may serve them and turn this one away.
 """
 
+import math
 import random
 import threading
 import time
@@ -95,7 +96,7 @@
         self.away = False
         self.failed_at = 0.0
         self.returned_at = 0.0
-        self.served_others_at = 0.0
+        self.served_others_at = -math.inf
         self._lock = threading.Lock()
 
     @property
@@ -107,7 +108,8 @@
         is missing left.
         """
         now = time.monotonic()
-        if now - self.served_others_at < SERVED_OTHERS_S:
+        since = now if self.away else self.returned_at
+        if self.served_others_at > since - SERVED_OTHERS_S:
             return False
         recent = now < self.returned_at + self.settle_s
         return self.away or (recent and self.returned_at > 0)
@@ -121,8 +123,8 @@
         if lost:
             log.warning("store lost", kind=kind, error=error)
 
-    def answered(self, kind: str) -> None:
-        """Count a call that was answered."""
+    def answered(self, kind: str) -> bool:
+        """Count a call that was answered; return whether the store is back."""
         with self._lock:
             returned = self.away
             self.away = False
@@ -131,6 +133,7 @@
         if returned:
             away_s = round(self.returned_at - self.failed_at, 3)
             log.info("store back", kind=kind, since_last_failure_s=away_s)
+        return returned
 
 
 class Mirror:
@@ -232,7 +235,7 @@
         )
         if time.monotonic() - start > wait_s + LATE_S:
             self.health.failed(self.kind, "watch ended late")
-        self.health.answered(self.kind)
+        returned = self.health.answered(self.kind)
         with self._lock:
             for change in found.changes:
                 if change.removed:
@@ -243,6 +246,8 @@
             self.updated_at = time.monotonic()
         for change in found.changes:
             self.listener.change(change, doubtful=self.health.doubtful)
+        if returned:
+            self._ask_routers()
 
     def _list(self) -> None:
         try:
@@ -253,10 +258,17 @@
             self._ask_routers()
             time.sleep(self.pause.failed())
             return
-        self.health.answered(self.kind)
+        returned = self.health.answered(self.kind)
         self._take(found)
+        if returned:
+            self._ask_routers()
 
     def _ask_routers(self) -> None:
+        """Take another router's copy, and whether the store answers it.
+
+        Asked while the store does not answer, and once when it does again:
+        a router that was cut off from all could not ask before.
+        """
         copy = self.pull(self.kind, self.revision or 0)
         if copy.sure:
             self.health.served_others_at = time.monotonic()
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -75,6 +75,9 @@
 GRACE_MARGIN_S: Final = 0.6
 LEAVE_POLL_S: Final = 0.05
 HOUSEKEEPING_S: Final = 1.0
+# An instance that left may get requests for two seconds, which another
+# router's word that it did must not come after.
+LAPSED_S: Final = 0.2
 ANNOUNCE_RETRY_S: Final = 1.0
 DRAIN_LOG_S: Final = 0.3
 
@@ -165,6 +168,7 @@
             _start(listener.name, listener.run, self.stopping)
         _start("announce", self._announce)
         _start("shifts", self._every, ROUND_S, self.shifts.round)
+        _start("lapsed", self._every, LAPSED_S, self._drop_lapsed)
         _start("housekeeping", self._every, HOUSEKEEPING_S, self._keep_house)
         if self.settings.metrics_port:
             prometheus_client.start_http_server(
@@ -246,6 +250,8 @@
     def _keep_house(self) -> None:
         self.gateway.pool.prune()
         self.gateway.share_retries(self._retry_extra())
+
+    def _drop_lapsed(self) -> None:
         if not self.health.doubtful:
             self.directory.drop_lapsed()
 
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -9,6 +9,7 @@
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import RAN_NO
+from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.platform.object_api import (
     Change,
     Changes,
@@ -131,6 +132,30 @@
     assert found == lapsed
 
 
+def test_router_that_was_cut_off_from_all_asks_at_its_return():
+    """Symptom: an instance gets a request 2.1 s after it left.
+
+    A router is cut off from the store and from all others; at its return the
+    entry of an instance that left is missing. Cause: it had nobody's word
+    that the store had answered others, and held the entry for lapsed for
+    2.3 s after.
+    """
+    copies = [Copy(sure=False), Copy(sure=True)]
+    mirror, directory, health = mirror_of(
+        listed(5, "a", "b"), AWAY, removed(6, "b")
+    )
+    mirror.pull = lambda *_: copies.pop(0) if copies else Copy(sure=False)
+    for _ in range(3):
+        try:
+            mirror._step()
+        except LacewingdockError as error:
+            health.failed("servers", str(error))
+            mirror._ask_routers()
+    assert not health.doubtful
+    directory.drop_lapsed()
+    assert set(directory.instances) == {"a"}
+
+
 def test_lapsed_entry_that_does_not_come_back_is_gone():
     mirror, directory, health = mirror_of(
         listed(5, "a", "b"), AWAY, removed(6, "b")
