--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -147,8 +147,8 @@
         pull: Returns the newest copy that other routers have beyond a
             revision.
         wait_s: Returns the seconds that a watch waits.
-        pause_s: Seconds between two watches, for a kind that changes often
-            and may be seen a little later: each answer is a call.
+        pause_s: Returns the seconds between two watches, for a kind that
+            changes often and may be seen later: each answer is a call.
         objects: The objects by name.
         revision: Revision up to which the copy is complete; None at first.
         updated_at: Monotonic time at which that was last confirmed.
@@ -180,7 +180,7 @@
         pull: Callable[[str, int], Copy],
         source: random.Random,
         wait_s: Callable[[], float],
-        pause_s: float = 0.0,
+        pause_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Take what it mirrors; `run` does it."""
         self.kind = kind
@@ -211,8 +211,8 @@
                 stopping.wait(self.pause.failed())
             else:
                 self.pause.succeeded()
-                if self.pause_s:
-                    stopping.wait(self.pause_s)
+                if pause_s := self.pause_s():
+                    stopping.wait(pause_s)
 
     def snapshot(self) -> Snapshot | None:
         """Return the copy as it is."""
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -62,6 +62,9 @@
 # Reports come from every router while a roll-out is under way; gathered for
 # this long they cost one call instead of one each.
 REPORTS_PAUSE_S: Final = 0.8
+# A large fleet gathers them longer, so that reading them takes at most this
+# part of the platform's reads: 6 s at 1,200 routers and 2,000 reads a second.
+REPORTS_READS_PART: Final = 0.1
 # Of the retries that the fleet may make, each router takes its part as if
 # there were at least this many: it may not know all others yet.
 MIN_ROUTERS: Final = 6
@@ -238,10 +241,15 @@
         mirrors[KIND_REPORTS].wait_s = lambda: (
             wait_s if self.shifts.running else REPORTS_WATCH_S
         )
-        mirrors[KIND_REPORTS].pause_s = REPORTS_PAUSE_S
+        mirrors[KIND_REPORTS].pause_s = self._reports_pause
         self.health = health
         return mirrors
 
+    def _reports_pause(self) -> float:
+        """Return how long reports are gathered for one call."""
+        reads = self.host.platform_reads_per_s * REPORTS_READS_PART
+        return max(REPORTS_PAUSE_S, self.routers.count() / reads)
+
     def _announce(self) -> None:
         while not self.routers.announce():
             if self.stopping.wait(ANNOUNCE_RETRY_S):
