--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -209,6 +209,11 @@
                 self.health.failed(self.kind, str(error))
                 self._ask_routers()
                 stopping.wait(self.pause.failed())
+            except Exception:
+                # A task that died unseen would leave this router deaf to the
+                # kind for good.
+                log.exception("round failed", kind=self.kind)
+                stopping.wait(self.pause.failed())
             else:
                 self.pause.succeeded()
                 if pause_s := self.pause_s():
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -176,6 +176,35 @@
     assert set(directory.instances) == {"a", "b"}
 
 
+def test_fault_in_a_listener_does_not_end_the_mirror():
+    """Symptom: a router never again hears of a change, and logs nothing.
+
+    Cause: what the listener raised ended the task that mirrors.
+    """
+    mirror, directory, _ = mirror_of(
+        listed(5, "a"), Changes(6, [Change(entry("b"), False)]), listed(7, "c")
+    )
+    take, faults = directory.take, [ValueError("a fault")]
+
+    def fail_once(found):
+        if faults:
+            raise faults.pop()
+        take(found)
+
+    mirror.listener.directory = type(
+        "",
+        (),
+        {
+            "take": staticmethod(fail_once),
+            "replace_all": directory.replace_all,
+            "remove": directory.remove,
+        },
+    )
+    run(mirror)
+    assert not faults
+    assert "a" in directory.instances
+
+
 def test_faulty_entry_hides_no_other():
     bad = StoredObject("bad", 1, {"service": 3})
     odd = entry("odd", address="nowhere")
