--- a/tests/helpers/test_log_stream.py
+++ b/tests/helpers/test_log_stream.py
@@ -1,6 +1,8 @@
 """Tests of the log stream: bounded, never blocking."""
 
+import json
 import os
+import select
 import time
 
 import pytest
@@ -27,21 +29,41 @@
     assert lines == [str(number) for number in range(50)]
 
 
-def test_stalled_reader_blocks_nobody(pipe, monkeypatch):
+@pytest.mark.parametrize("pause_s", [0.0, 3 * log_stream.GATHER_S])
+def test_stalled_reader_blocks_nobody(pipe, monkeypatch, pause_s):
     """Symptom: requests hang while the log collector is stuck.
 
-    The pipe is full. Cause: whoever logged wrote to it by himself.
+    The pipe is full. Cause: whoever logged wrote to it by himself. With the
+    pause, lines are gathered, and the first drops told of, before the end; each line
+    is then here, or in what was told, or still to be told.
     """
+    count = 30_000
     monkeypatch.setattr(log_stream, "LINES_PER_S", 1e9)
     monkeypatch.setattr(log_stream, "BURST", 1e9)
     stream = LogStream(pipe[1])
     stream.allowed = 1e9
     start = time.monotonic()
-    for _ in range(30_000):
+    for number in range(count):
+        if number == count - 1000:
+            time.sleep(pause_s)
         stream.write("x" * 100 + "\n")
     assert time.monotonic() - start < 2.0
-    assert stream.dropped >= 30_000 - 2 * log_stream.MAX_LINES
     assert len(stream._lines) <= log_stream.MAX_LINES
+    arrived, told = _read_all(pipe[0])
+    dropped = told + stream.dropped
+    assert arrived + dropped == count
+    # Nothing left the queue while the reader stalled.
+    assert dropped >= count - log_stream.MAX_LINES
+
+
+def _read_all(descriptor):
+    """Read until nothing comes; return lines that came and drops told of."""
+    text = b""
+    while select.select([descriptor], [], [], 0.5)[0]:
+        text += os.read(descriptor, 1 << 20)
+    lines = text.decode().splitlines()
+    told = [json.loads(one)["lines"] for one in lines if one[0] == "{"]
+    return len(lines) - len(told), sum(told)
 
 
 def test_flood_is_bounded_and_what_is_dropped_is_said(pipe):
