--- a/tests/helpers/test_log_stream.py
+++ b/tests/helpers/test_log_stream.py
@@ -34,8 +34,8 @@
     """Symptom: requests hang while the log collector is stuck.
 
     The pipe is full. Cause: whoever logged wrote to it by himself. With the
-    pause, lines are gathered, and the first drops told of, before the end; each line
-    is then here, or in what was told, or still to be told.
+    pause, lines are gathered, and the first drops told of, before the end;
+    each line is then here, or in what was told, or still to be told.
     """
     count = 30_000
     monkeypatch.setattr(log_stream, "LINES_PER_S", 1e9)
