--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -14,7 +14,6 @@
 )
 from lacewingdock.components.upstreams.directory import Instance
 from lacewingdock.components.upstreams.pool import ConnectionPool
-from lacewingdock.const import RAN_NO
 from lacewingdock.exceptions import UpstreamLost
 from lacewingdock.helpers.server_connection import ServerConnection
 from lacewingdock.platform.wire import upstream_headers
@@ -110,7 +109,6 @@
         accepts: Whether a stream's head shows an answer that is good enough.
         on_began: Called once, when the answer begins or the attempt ends.
         has_begun: Whether it was called.
-        sent: Whether anything may have reached the upstream.
     """
 
     __slots__ = (
@@ -123,7 +121,6 @@
         "patience",
         "pool",
         "progress",
-        "sent",
         "streaming",
     )
 
@@ -150,7 +147,6 @@
         self.accepts = accepts
         self.on_began = on_began
         self.has_begun = False
-        self.sent = False
 
     def run(self, sending: Sending) -> Result:
         """Make the attempt.
@@ -167,8 +163,6 @@
         try:
             result, head = self._exchange(connection, sending)
         except UpstreamLost as error:
-            if error.ran == RAN_NO:
-                return NotRun(error.detail, reached=False)
             return Broken(error.detail)
         except TimedOut:
             return Broken("silent", timed_out=True)
@@ -199,7 +193,6 @@
         call = self.call
         if self.caller.left():
             raise CallerLeft
-        self.sent = True
         connection.send(
             call.id,
             call.method,
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -24,7 +24,6 @@
     RELAXED_BELOW,
 )
 from lacewingdock.components.shifts import Sample
-from lacewingdock.components.upstreams.choice import Work
 from lacewingdock.components.upstreams.connection import CallerLeft
 from lacewingdock.components.upstreams.directory import Instance
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -79,7 +78,7 @@
         progress: How far its stream got.
         tried: Ids of the instances that it reached.
         unreached: Attempts that reached none.
-        work: What the request takes of an instance.
+        unread: What the next attempt has to read at its instance.
         may_have_run: Whether an attempt did not say that it was not run.
         model: The model that answers.
     """
@@ -100,7 +99,7 @@
         "table",
         "tried",
         "unreached",
-        "work",
+        "unread",
     )
 
     table: RoutingTable
@@ -121,7 +120,7 @@
         self.progress = Progress()
         self.tried: list[str] = []
         self.unreached = 0
-        self.work = Work(0.0)
+        self.unread = 0.0
         self.may_have_run = False
         self.enough = CONFIDENCE_ENOUGH
 
@@ -240,11 +239,11 @@
         shift = self.gateway.shifts.version(
             self.service, self.call, again=self.may_have_run
         )
-        self.work = self._work()
+        self.unread = self._to_read()
         instance = self.gateway.chooser.choose(
             self.service,
             lambda one: shift.allows(one.entry.version),
-            self.work,
+            self.unread,
             self.tried,
         )
         if instance is None:
@@ -265,15 +264,15 @@
             return LacewingdockError(ErrorKind.DEADLINE, detail)
         return LacewingdockError(ErrorKind.UPSTREAM_FAILED, detail)
 
-    def _work(self) -> Work:
-        """Return what the request takes of an instance."""
+    def _to_read(self) -> float:
+        """Return what the request has to read at an instance."""
         call = self.call
         costs = self.table.services.get(self.service)
         share = costs.relative_cost(self.model) if costs else 1.0
-        return Work(call.tokens_in * share / WORK_UNIT)
+        return call.tokens_in * share / WORK_UNIT
 
     def _attempt(self, instance: Instance) -> Result:
-        start, work = time.monotonic(), self.work
+        start, unread = time.monotonic(), self.unread
         attempt = Attempt(
             self.gateway.pool,
             instance,
@@ -283,7 +282,7 @@
             self.progress,
             self.route.streaming,
             self._accepts,
-            lambda: self.gateway.chooser.began(instance, work),
+            lambda: self.gateway.chooser.began(instance, unread),
         )
         sending = Sending(
             instance=instance.entry.id,
--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -151,7 +151,6 @@
             changes often and may be seen later: each answer is a call.
         objects: The objects by name.
         revision: Revision up to which the copy is complete; None at first.
-        updated_at: Monotonic time at which that was last confirmed.
         ready: Set once there is a copy.
     """
 
@@ -167,7 +166,6 @@
         "pull",
         "ready",
         "revision",
-        "updated_at",
         "wait_s",
     )
 
@@ -192,7 +190,6 @@
         self.pause_s = pause_s
         self.objects: dict[str, StoredObject] = {}
         self.revision: int | None = None
-        self.updated_at = 0.0
         self.ready = threading.Event()
         self.pause = Backoff(RETRY_S, RETRY_LIMIT_S, source)
         self._lock = threading.Lock()
@@ -248,7 +245,6 @@
                 else:
                     self.objects[change.object.name] = change.object
             self.revision = max(self.revision, found.revision)
-            self.updated_at = time.monotonic()
         for change in found.changes:
             self.listener.change(change, doubtful=self.health.doubtful)
         if returned:
@@ -295,6 +291,5 @@
                 return
             self.objects = dict(found.objects)
             self.revision = found.revision
-            self.updated_at = time.monotonic()
         self.listener.replace(found, doubtful=self.health.doubtful)
         self.ready.set()
--- a/lacewingdock/components/readiness.py
+++ b/lacewingdock/components/readiness.py
@@ -8,7 +8,12 @@
 
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.helpers.server_connection import CallerGone, ServerConnection
+from lacewingdock.helpers.server_connection import (
+    CallerGone,
+    ServerConnection,
+    ServerRequest,
+    serve_requests,
+)
 from lacewingdock.helpers.sockets import Listener
 from lacewingdock.world.route import CallerLimits
 
@@ -49,17 +54,12 @@
 
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection."""
-        connection = ServerConnection(sock)
         try:
-            while connection.read_request(_LIMITS):
-                self._answer(connection)
-                if not connection.reusable:
-                    break
+            serve_requests(sock, _LIMITS, self._answer)
         except (CallerGone, LacewingdockError) as error:
             log.info("question unread", error=repr(error))
-        connection.close()
 
-    def _answer(self, connection: ServerConnection) -> None:
+    def _answer(self, connection: ServerConnection, _: ServerRequest) -> None:
         missing = "leaving" if self.leaving.is_set() else self.missing()
         if missing != self.last:
             self.last = missing
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -25,6 +25,7 @@
     CallerGone,
     ServerConnection,
     ServerRequest,
+    serve_requests,
 )
 from lacewingdock.helpers.sockets import Listener
 from lacewingdock.platform.object_api import (
@@ -112,13 +113,9 @@
         """
         spec = msgspec.to_builtins(self.entry)
         try:
-            written, found = self.api.write(
+            written, _ = self.api.write_over(
                 KIND_ROUTERS, self.name, spec, ABSENT, "announce"
             )
-            if not written and found.revision:
-                written, _ = self.api.write(
-                    KIND_ROUTERS, self.name, spec, found.revision, "announce"
-                )
         except LacewingdockError as error:
             log.warning("not announced", error=str(error))
             return False
@@ -227,15 +224,10 @@
 
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection."""
-        connection = ServerConnection(sock)
         try:
-            while request := connection.read_request(_LIMITS):
-                self._answer(connection, request)
-                if not connection.reusable:
-                    break
+            serve_requests(sock, _LIMITS, self._answer)
         except (CallerGone, LacewingdockError) as error:
             log.info("router's request unread", error=repr(error))
-        connection.close()
 
     def _answer(
         self, connection: ServerConnection, request: ServerRequest
--- a/lacewingdock/components/shifts/reporter.py
+++ b/lacewingdock/components/shifts/reporter.py
@@ -107,13 +107,9 @@
         self.written_at[name] = time.monotonic()
         expect = self.revisions.get(name, ABSENT)
         spec = dataclasses.asdict(report)
-        written, found = self.api.write(
+        # An earlier start of this router may have written it, or a write
+        # whose answer was lost.
+        _, found = self.api.write_over(
             KIND_REPORTS, name, spec, expect, "shift-report"
         )
-        if not written and found.revision:
-            # An earlier start of this router wrote it, or a write whose
-            # answer was lost.
-            _, found = self.api.write(
-                KIND_REPORTS, name, spec, found.revision, "shift-report"
-            )
         self.revisions[name] = found.revision
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -3,11 +3,11 @@
 import random
 import time
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
 from typing import Final
 
 from lacewingdock.components.upstreams.directory import (
     FAILURES_TO_PASS_OVER,
+    TRIAL_AFTER_S,
     Directory,
     Instance,
 )
@@ -15,7 +15,7 @@
 # A failure counts like this many requests more on the instance, so that one
 # that fails part of its requests gets few while it is not passed over.
 FAILURE_WEIGHT: Final = 4.0
-# What another failure domain costs, as a part of the request: enough to decide
+# What another failure domain costs, in requests that run: enough to decide
 # between equals, too little to unbalance them.
 DISTANCE_WEIGHT: Final = 0.5
 # What 1,000 tokens that the largest model still has to read cost, in requests
@@ -23,17 +23,6 @@
 UNREAD_WEIGHT: Final = 1.0
 
 
-@dataclass(slots=True, frozen=True)
-class Work:
-    """What a request takes of an instance, in one unit for all.
-
-    Attributes:
-        total: All of it.
-    """
-
-    total: float
-
-
 class Chooser:
     """Chooses the instance with the least work that this router knows of.
 
@@ -57,7 +46,7 @@
         self,
         service: str,
         allowed: Callable[[Instance], bool],
-        work: Work,
+        unread: float,
         tried: Collection[str] = (),
     ) -> Instance | None:
         """Return an instance and count the request in, or None.
@@ -65,7 +54,7 @@
         Args:
             service: The service.
             allowed: Whether an instance may run the request.
-            work: What the request takes.
+            unread: What it has to read there, in `UNREAD_WEIGHT`'s unit.
             tried: Ids of instances that the request was at; one of them is
                 taken only where there is no other.
         """
@@ -80,11 +69,11 @@
             return None
         # A trial in progress must not be joined by others.
         with self.directory.lock:
-            chosen = self._least(self._fit(fresh, now), now, work)
+            chosen = self._least(self._fit(fresh, now), now)
             chosen.running += 1
-            chosen.unread += work.total
+            chosen.unread += unread
             if chosen.recent_failures(now) >= FAILURES_TO_PASS_OVER:
-                chosen.trial_at = now + 1.0
+                chosen.trial_at = now + TRIAL_AFTER_S
         return chosen
 
     def has_other(self, service: str, tried: Collection[str]) -> bool:
@@ -94,10 +83,10 @@
             for one in self.directory.of_service(service)
         )
 
-    def began(self, instance: Instance, work: Work) -> None:
+    def began(self, instance: Instance, unread: float) -> None:
         """Count a request's prompt as read: its answer began, or it ended."""
         with self.directory.lock:
-            instance.unread -= work.total
+            instance.unread -= unread
 
     def done(self, instance: Instance) -> None:
         """Count a request out."""
@@ -114,15 +103,13 @@
         ]
         return fit or found
 
-    def _least(
-        self, found: Sequence[Instance], now: float, work: Work
-    ) -> Instance:
+    def _least(self, found: Sequence[Instance], now: float) -> Instance:
         return min(
             found,
-            key=lambda one: (self._load(one, now, work), self.random.random()),
+            key=lambda one: (self._load(one, now), self.random.random()),
         )
 
-    def _load(self, one: Instance, now: float, work: Work) -> float:
+    def _load(self, one: Instance, now: float) -> float:
         """Return what runs on an instance, and what speaks against it."""
         load = one.running + UNREAD_WEIGHT * one.unread
         if one.entry.failure_domain != self.failure_domain:
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -43,7 +43,6 @@
         idle_since: Monotonic time at which it was last put aside.
         keep_s: Seconds that it may be kept idle.
         heard_at: Monotonic time of the last bytes that came.
-        used: Requests sent so far.
     """
 
     __slots__ = (
@@ -56,7 +55,6 @@
         "keep_s",
         "parser",
         "sock",
-        "used",
     )
 
     def __init__(self, sock: socket.socket, keep_s: float) -> None:
@@ -64,7 +62,6 @@
         self.sock = sock
         self.keep_s = keep_s
         self.idle_since = time.monotonic()
-        self.used = 0
         self.heard_at = 0.0
         self.parser = _new_parser()
         self._poll = select.poll()
@@ -102,7 +99,6 @@
             method=method, target=target, headers=headers
         )
         data = _written(self.parser, self._request, body)
-        self.used += 1
         self.sock.settimeout(max(timeout_s, 0.01))
         try:
             self.sock.sendall(data)
--- a/lacewingdock/helpers/server_connection.py
+++ b/lacewingdock/helpers/server_connection.py
@@ -4,6 +4,7 @@
 import select
 import socket
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Final
@@ -302,3 +303,23 @@
             self.sock.settimeout(left_s)
             if not self.sock.recv(READ_BYTES):
                 return
+
+
+def serve_requests(
+    sock: socket.socket,
+    limits: CallerLimits,
+    answer: Callable[[ServerConnection, ServerRequest], None],
+) -> None:
+    """Answer the requests of a connection until one side ends it.
+
+    Raises:
+        LacewingdockError, CallerGone: As `ServerConnection.read_request`.
+    """
+    connection = ServerConnection(sock)
+    try:
+        while request := connection.read_request(limits):
+            answer(connection, request)
+            if not connection.reusable:
+                return
+    finally:
+        connection.close()
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -255,6 +255,22 @@
         body = {"metadata": metadata, "spec": spec}
         return self._write(method, path, name, body, purpose)
 
+    def write_over(
+        self, kind: str, name: str, spec: Any, expect: int, purpose: str
+    ) -> tuple[bool, StoredObject]:
+        """Write an object's spec, once more over what is there in its way.
+
+        For objects that one process alone writes, where another revision is
+        its own earlier write. Arguments and returns as `write`.
+
+        Raises:
+            LacewingdockError: As `write`.
+        """
+        written, found = self.write(kind, name, spec, expect, purpose)
+        if written or not found.revision:
+            return written, found
+        return self.write(kind, name, spec, found.revision, purpose)
+
     def write_status(
         self, kind: str, name: str, status: Any, expect: int, purpose: str
     ) -> tuple[bool, StoredObject]:
--- a/tests/components/gateway/test_at_most_once.py
+++ b/tests/components/gateway/test_at_most_once.py
@@ -11,7 +11,6 @@
 
 from lacewingdock.world.route import Repeat
 from tests.components.gateway.fakes import (
-    Stage,
     Upstream,
     answer,
     ok,
@@ -47,19 +46,6 @@
 }
 
 
-@pytest.fixture
-def staged():
-    made = []
-
-    def make(*args, **kwargs):
-        made.append(Stage(*args, **kwargs))
-        return made[-1]
-
-    yield make
-    for stage in made:
-        stage.close()
-
-
 @pytest.mark.parametrize("kept", [False, True], ids=["fresh", "kept"])
 @pytest.mark.parametrize("fate", FATES)
 def test_request_that_may_run_once_is_written_once(staged, fate, kept):
--- a/tests/components/gateway/test_streams.py
+++ b/tests/components/gateway/test_streams.py
@@ -5,7 +5,6 @@
 from lacewingdock.world.route import Repeat
 from tests.components.gateway.fakes import (
     END,
-    Stage,
     Upstream,
     answer,
     event,
@@ -30,19 +29,6 @@
     return route(repeat, streaming=True, gap_s=0.1, **changes)
 
 
-@pytest.fixture
-def staged():
-    made = []
-
-    def make(*args, **kwargs):
-        made.append(Stage(*args, **kwargs))
-        return made[-1]
-
-    yield make
-    for stage in made:
-        stage.close()
-
-
 def add(stage, upstream, name="i-2"):
     """Add an instance that is asked after the first."""
     stage.directory.take(upstream.entry(name, failure_domain="d2"))
--- a/tests/components/shifts/test_shift.py
+++ b/tests/components/shifts/test_shift.py
@@ -11,6 +11,7 @@
 from lacewingdock.const import RAN_UNKNOWN
 from lacewingdock.platform.object_api import (
     Change,
+    ObjectApi,
     Snapshot,
     StoredObject,
     unavailable,
@@ -46,6 +47,8 @@
         self.reports[name] = StoredObject(name, self.revision, spec)
         return True, self.reports[name]
 
+    write_over = ObjectApi.write_over
+
     def write_status(self, _kind, _name, status, expect, _purpose):
         """Write what became of the order."""
         if self.down:
--- a/tests/components/upstreams/test_choice.py
+++ b/tests/components/upstreams/test_choice.py
@@ -6,11 +6,11 @@
 import pytest
 
 from lacewingdock.components.upstreams import choice, directory
-from lacewingdock.components.upstreams.choice import Chooser, Work
+from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
 
-NO_WORK = Work(0.0)
+NOTHING = 0.0
 
 
 class Clock:
@@ -35,9 +35,9 @@
     return Chooser(found, "a", random.Random(3))
 
 
-def choose(found, count=1, work=NO_WORK, tried=()):
+def choose(found, count=1, unread=NOTHING, tried=()):
     return Counter(
-        found.choose("svc", lambda _: True, work, tried).entry.id
+        found.choose("svc", lambda _: True, unread, tried).entry.id
         for _ in range(count)
     )
 
@@ -53,10 +53,10 @@
 
 def test_unread_prompts_count(clock):
     found = chooser(x="a", y="a")
-    first = found.choose("svc", lambda _: True, Work(12.0))
+    first = found.choose("svc", lambda _: True, 12.0)
     others = choose(found, 8)
     assert others[first.entry.id] == 0
-    found.began(first, Work(12.0))
+    found.began(first, 12.0)
     assert found.directory.instances[first.entry.id].unread == 0
 
 
@@ -95,4 +95,4 @@
         found.directory.remove("x", doubtful=False)
     assert choose(found, 5) == {"y": 5}
     found.directory.remove("y", doubtful=False)
-    assert found.choose("svc", lambda _: True, NO_WORK) is None
+    assert found.choose("svc", lambda _: True, NOTHING) is None
