--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -23,45 +23,27 @@
 
 
 class _Bounds(msgspec.Struct):
-    contact_ms: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 3000.0
-    drain_ms: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 2000.0
-    grace_s: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 8.0
-    config_apply_ms: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 2000.0
+    contact_ms: _Positive = 3000.0
+    drain_ms: _Positive = 2000.0
+    grace_s: _Positive = 8.0
+    config_apply_ms: _Positive = 2000.0
     retry_budget_ratio: Annotated[float, Meta(ge=0.0)] = 0.1
-    budget_window_s: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 10.0
+    budget_window_s: _Positive = 10.0
     retry_budget_extra: Annotated[float, Meta(ge=0.0)] = 10.0
     exposure_share: Annotated[float, Meta(gt=0, le=1)] = 0.1
     exposure_tolerance: Annotated[float, Meta(ge=0.0)] = 0.0
-    rollback_ms: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 5000.0
+    rollback_ms: _Positive = 5000.0
     session_s: Annotated[float, Meta(ge=0.0)] = 0.0
 
 
 class _Platform(msgspec.Struct):
     address: _Address
-    writes_per_s: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 100.0
-    reads_per_s: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 500.0
+    writes_per_s: _Positive = 100.0
+    reads_per_s: _Positive = 500.0
 
 
 class _Limits(msgspec.Struct):
-    memory_mb: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 256.0
+    memory_mb: _Positive = 256.0
     max_fds: Annotated[int, Meta(gt=0)] = 1024
 
 
@@ -76,9 +58,7 @@
     seeds: list[_Address] = []
     region: str = ""
     zones: dict[str, str] = {}
-    heartbeat_ms: # Bounds of numbers are floats, as in `world/objects.py`: `typing` keeps one of
-# two equal annotations, and 0 would be shown where the other says 0.0.
-_Positive = 1000.0
+    heartbeat_ms: _Positive = 1000.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
