--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -7,6 +7,7 @@
 from typing import Any, Final
 
 import fire
+import msgspec
 
 from lacewingdock.const import VERSION
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
@@ -22,6 +23,7 @@
     EntrySettings,
     ReportSettings,
     RouterSettings,
+    ShowSettings,
     SidecarSettings,
     load_settings,
 )
@@ -31,6 +33,8 @@
 # its flags, one of which starts an interpreter.
 FIRE_WORDS: Final = ("-", "--")
 INTERRUPTED: Final = 130
+# What the platform's settings files are told from manifests by.
+PROFILE_SUFFIX: Final = ".toml"
 
 
 class Commands:
@@ -60,9 +64,14 @@
 
     @command()
     def check(self, file: str) -> str:
-        """Check a configuration manifest and say what it holds."""
+        """Check a manifest, or a platform's settings file (FILE.toml)."""
+        from lacewingdock.platform.profile import load_profile
         from lacewingdock.world.manifest import parse_manifest
 
+        if file.endswith(PROFILE_SUFFIX):
+            host = load_profile(file)
+            place = f"{host.instance} in {host.failure_domain}"
+            return f"{file}: settings of {place}, no faults"
         manifest = parse_manifest(_read(file))
         return f"{file}: {len(manifest)} objects, no faults"
 
@@ -159,6 +168,20 @@
             return tell_request(lines, request)
         return list_requests(lines, workspace, since, until)
 
+    @command(ShowSettings)
+    def show(self, **flags: str) -> str:
+        """Show what a running router believes."""
+        from lacewingdock.components.inspection.show import (
+            read_state,
+            show_state,
+        )
+
+        settings = load_settings(ShowSettings, flags)
+        state = read_state(settings.router)
+        if settings.json:
+            return msgspec.json.encode(state).decode()
+        return show_state(state)
+
     @command()
     def version(self) -> str:
         """Print the version."""
--- a/lacewingdock/components/admission/fleet_budget.py
+++ b/lacewingdock/components/admission/fleet_budget.py
@@ -1,6 +1,7 @@
 """Support for a router's part of the retries that a whole fleet may make."""
 
 from collections import deque
+from dataclasses import dataclass
 from typing import Final
 
 from lacewingdock.components.admission.retry_budget import RetryBudget
@@ -12,6 +13,21 @@
 SAVED_PART: Final = 0.1
 
 
+@dataclass(slots=True, frozen=True)
+class RetryTerms:
+    """What a router may make of a fleet's retries.
+
+    Attributes:
+        ratio: Retries allowed a request.
+        extra: This router's part of those allowed besides.
+        span_s: Span in which they are counted, in seconds.
+    """
+
+    ratio: float
+    extra: float
+    span_s: float
+
+
 class FleetBudget(RetryBudget):
     """A retry budget whose size follows the fleet's and the traffic.
 
@@ -21,31 +37,26 @@
     part of it is under one retry, so some of the first part is saved up too.
 
     Attributes:
-        ratio: Retries allowed a request.
         counts: Requests counted so far, at each of the last seconds.
     """
 
-    __slots__ = ("counts", "ratio")
-
-    def __init__(self, ratio: float, extra: float, span_s: float) -> None:
-        """Start with the part of the retries besides.
+    __slots__ = ("counts",)
 
-        Args:
-            ratio: Retries allowed a request.
-            extra: This router's part of those allowed besides.
-            span_s: Span in which they are counted, in seconds.
-        """
-        super().__init__(ratio * NOW_PART, extra * NOW_PART)
-        self.ratio = ratio
-        self.counts: deque[int] = deque([0], maxlen=max(int(span_s), 1))
+    def __init__(self, terms: RetryTerms) -> None:
+        """Start with the part of the retries besides."""
+        super().__init__(terms.ratio * NOW_PART, terms.extra * NOW_PART)
+        self.counts: deque[int] = deque([0], maxlen=_seconds(terms))
 
-    def tick(self, extra: float) -> None:
-        """Take the size anew; called once a second.
-
-        Args:
-            extra: This router's part of the retries besides.
-        """
+    def tick(self, terms: RetryTerms) -> None:
+        """Take the size anew; called once a second."""
+        if self.counts.maxlen != _seconds(terms):
+            self.counts = deque(self.counts, maxlen=_seconds(terms))
         recent = self.requests - self.counts[0]
         self.counts.append(self.requests)
-        saved = SAVED_PART * self.ratio * recent
-        self.burst = extra * NOW_PART + saved
+        saved = SAVED_PART * terms.ratio * recent
+        self.share = terms.ratio * NOW_PART
+        self.burst = terms.extra * NOW_PART + saved
+
+
+def _seconds(terms: RetryTerms) -> int:
+    return max(int(terms.span_s), 1)
--- a/lacewingdock/components/gateway/__init__.py
+++ b/lacewingdock/components/gateway/__init__.py
@@ -7,6 +7,7 @@
 
 import socket
 import threading
+from typing import Final
 
 from lacewingdock.components.gateway.exchange import Exchange
 from lacewingdock.components.gateway.gateway import Gateway
@@ -22,8 +23,10 @@
 
 # Connections served at once, of the descriptors that the platform gives: each
 # may hold one to an upstream besides, and files and the store need some.
-CONNECTIONS_SHARE = 0.35
-MAX_CONNECTIONS = 1500
+CONNECTIONS_SHARE: Final = 0.35
+# Each connection is served by a thread, of which the processor can switch
+# between so many at most while answers stay in time.
+MAX_CONNECTIONS: Final = 1500
 
 
 class CallersPort:
--- a/lacewingdock/components/gateway/gateway.py
+++ b/lacewingdock/components/gateway/gateway.py
@@ -2,7 +2,10 @@
 
 import random
 
-from lacewingdock.components.admission.fleet_budget import FleetBudget
+from lacewingdock.components.admission.fleet_budget import (
+    FleetBudget,
+    RetryTerms,
+)
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.gateway.sizing import Pressure
 from lacewingdock.components.routes import Routes
@@ -30,9 +33,7 @@
         metrics: Counters and histograms.
         budgets: Retry budgets by service.
         pressures: How late each service's answers begin.
-        retry_ratio: Retries that the fleet may make a request.
-        retry_extra: This router's part of the retries besides.
-        retry_span_s: Span in which they are counted.
+        retry_terms: What this router may make of the fleet's retries.
         random: Source of draws.
     """
 
@@ -43,9 +44,7 @@
         "pool",
         "pressures",
         "random",
-        "retry_extra",
-        "retry_ratio",
-        "retry_span_s",
+        "retry_terms",
         "routes",
         "shifts",
     )
@@ -56,9 +55,7 @@
         chooser: Chooser,
         shifts: Shifts,
         metrics: GatewayMetrics,
-        retry_ratio: float,
-        retry_extra: float,
-        retry_span_s: float,
+        retry_terms: RetryTerms,
         source: random.Random,
     ) -> None:
         """Take the parts."""
@@ -69,26 +66,22 @@
         self.pool = ConnectionPool()
         self.budgets: dict[str, FleetBudget] = {}
         self.pressures: dict[str, Pressure] = {}
-        self.retry_ratio = retry_ratio
-        self.retry_extra = retry_extra
-        self.retry_span_s = retry_span_s
+        self.retry_terms = retry_terms
         self.random = source
 
     def budget(self, service: str) -> FleetBudget:
         """Return the retry budget of a service."""
         if service not in self.budgets:
-            budget = FleetBudget(
-                self.retry_ratio, self.retry_extra, self.retry_span_s
-            )
             # Two tasks at once agree on one.
+            budget = FleetBudget(self.retry_terms)
             return self.budgets.setdefault(service, budget)
         return self.budgets[service]
 
-    def share_retries(self, extra: float) -> None:
-        """Take this router's part of the retries besides; once a second."""
-        self.retry_extra = extra
+    def share_retries(self, terms: RetryTerms) -> None:
+        """Take this router's part of the fleet's retries; once a second."""
+        self.retry_terms = terms
         for budget in list(self.budgets.values()):
-            budget.tick(extra)
+            budget.tick(terms)
 
     def pressure(self, service: str) -> Pressure:
         """Return how late a service's answers begin."""
--- a/lacewingdock/components/gateway/patience.py
+++ b/lacewingdock/components/gateway/patience.py
@@ -14,11 +14,15 @@
 QUEUED_GOALS: Final = 4.0
 # An answer that is no stream takes its goal or fails; its caller waits less.
 QUEUED_GOALS_WHOLE: Final = 2.0
+# The shortest of these waits: a goal of milliseconds is missed by a lost packet
+# that is sent again after 0.2 s, and a second attempt would only add load.
 MIN_HEAD_S: Final = 0.3
 # The same between two events, in times the longest pause that is on time. An
 # upstream that ran out of memory interrupts streams, and reads them again.
 SILENT_GAPS: Final = 1.5
 QUEUED_GAPS: Final = 4.0
+# The shortest wait between two events, for the same reason: two packets lost
+# in a row take 0.6 s.
 MIN_GAP_S: Final = 0.9
 
 
--- /dev/null
+++ b/lacewingdock/components/inspection/gather.py
@@ -0,0 +1,90 @@
+"""Support for gathering what a router's parts believe."""
+
+import time
+from collections.abc import Iterable
+
+from lacewingdock.components.gateway.gateway import Gateway
+from lacewingdock.components.inspection.state import (
+    CopyState,
+    PeerState,
+    RollOutState,
+    ServiceState,
+    UpstreamState,
+)
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.routers import Routers
+from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.upstreams.directory import Directory
+
+
+def gather_copies(mirrors: Iterable[Mirror]) -> list[CopyState]:
+    """Return the state of each copy."""
+    return [
+        CopyState(mirror.kind, mirror.revision, len(mirror.objects))
+        for mirror in mirrors
+    ]
+
+
+def gather_upstreams(directory: Directory) -> list[UpstreamState]:
+    """Return the state of each upstream instance, by service and id."""
+    now = time.monotonic()
+    found = [
+        UpstreamState(
+            upstream=one.entry.id,
+            service=one.entry.service,
+            version=one.entry.version,
+            failure_domain=one.entry.failure_domain,
+            leaving=one.entry.leaving,
+            lapsed=one.lapsed,
+            running=one.running,
+            unread=round(one.unread, 2),
+            failures=round(one.recent_failures(now), 2),
+            heard_s=round(now - one.heard_at, 3) if one.heard_at else None,
+        )
+        for one in list(directory.instances.values())
+    ]
+    return sorted(found, key=lambda one: (one.service, one.upstream))
+
+
+def gather_services(gateway: Gateway) -> list[ServiceState]:
+    """Return the state of each service that requests came for."""
+    shifts = gateway.shifts
+    return [
+        ServiceState(
+            service=service,
+            settled=shifts.settled.get(service, ""),
+            refused=shifts.refused.get(service, ""),
+            requests=budget.requests,
+            retries_left=round(budget.saved, 1),
+            lateness=round(gateway.pressure(service).now(), 3),
+        )
+        for service, budget in sorted(gateway.budgets.items())
+    ]
+
+
+def gather_roll_outs(shifts: Shifts) -> list[RollOutState]:
+    """Return the state of each roll-out under way."""
+    return [
+        RollOutState(
+            service=service,
+            target=shift.order.target,
+            stage=shift.stage.name,
+            elapsed_s=round(shift.elapsed_s, 2),
+            duration_s=shift.order.duration_s,
+            answers=shift.evidence.answers,
+            bad=shift.evidence.bad,
+            suspect=shift.suspect,
+            found_bad=shift.found_bad,
+            reports=len(shift.living_reports()),
+        )
+        for service, shift in sorted(shifts.running.items())
+    ]
+
+
+def gather_routers(routers: Routers) -> list[PeerState]:
+    """Return the other routers."""
+    return [
+        PeerState(name, entry.address)
+        for name, entry in sorted(routers.entries.items())
+        if name != routers.name
+    ]
--- /dev/null
+++ b/lacewingdock/components/inspection/state.py
@@ -0,0 +1,152 @@
+"""Support for what a router tells of its beliefs, as typed values."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class CopyState:
+    """A copy of one kind of the platform's objects.
+
+    Attributes:
+        kind: The kind.
+        revision: Revision up to which it is complete; None where there is
+            none yet.
+        objects: How many objects it holds.
+    """
+
+    kind: str
+    revision: int | None
+    objects: int
+
+
+@dataclass(slots=True)
+class UpstreamState:
+    """An upstream instance.
+
+    Attributes:
+        upstream: Its id.
+        service: The service it serves.
+        version: The version it runs.
+        failure_domain: Where it stands.
+        leaving: Whether the platform says that it leaves.
+        lapsed: Whether its entry is missing since an outage of the store.
+        running: This router's requests that are at it.
+        unread: Work of those whose answers have not begun, in thousands of
+            tokens of the largest model.
+        failures: Recent failures, older ones counting less.
+        heard_s: Seconds since bytes came from it; None where none did.
+    """
+
+    upstream: str
+    service: str
+    version: str
+    failure_domain: str
+    leaving: bool
+    lapsed: bool
+    running: int
+    unread: float
+    failures: float
+    heard_s: float | None
+
+
+@dataclass(slots=True)
+class RollOutState:
+    """A roll-out under way.
+
+    Attributes:
+        service: The service.
+        target: The new version.
+        stage: How far requests are moved.
+        elapsed_s: Seconds since the order.
+        duration_s: Seconds that it may take.
+        answers: Answers of the new version that this router saw.
+        bad: Bad ones among them.
+        suspect: Whether the sum over all routers speaks against it.
+        found_bad: Why it counts as bad; empty while it does not.
+        reports: Routers whose reports are counted.
+    """
+
+    service: str
+    target: str
+    stage: str
+    elapsed_s: float
+    duration_s: float
+    answers: int
+    bad: int
+    suspect: bool
+    found_bad: str
+    reports: int
+
+
+@dataclass(slots=True)
+class PeerState:
+    """Another router.
+
+    Attributes:
+        router: Its name.
+        address: Where it is asked for copies.
+    """
+
+    router: str
+    address: str
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """A service as this router's requests found it.
+
+    Attributes:
+        service: The service.
+        settled: The version that it is on outside of roll-outs.
+        refused: The version that was rolled back.
+        requests: Requests counted since the start.
+        retries_left: Retries that may be made now.
+        lateness: How late its answers begin, as a part of their goal.
+    """
+
+    service: str
+    settled: str
+    refused: str
+    requests: int
+    retries_left: float
+    lateness: float
+
+
+@dataclass(slots=True)
+class RouterState:
+    """What a router believes, at one moment.
+
+    Attributes:
+        instance: Name of the router.
+        failure_domain: Where it stands.
+        release: Release of the program.
+        up_s: Seconds since its start.
+        missing: What is missing to serve; empty if nothing.
+        leaving: Whether it is to stop.
+        active: Requests that were read and not yet answered.
+        configuration: Version of the configuration in force; None without.
+        store_away: Whether its last call of the platform's store failed.
+        store_doubtful: Whether a missing entry need not mean that something
+            is gone.
+        copies: Copies of the platform's objects.
+        services: The services.
+        upstreams: The upstream instances.
+        roll_outs: Roll-outs under way.
+        routers: The other routers.
+    """
+
+    instance: str
+    failure_domain: str
+    release: str
+    up_s: float
+    missing: str
+    leaving: bool
+    active: int
+    configuration: int | None
+    store_away: bool
+    store_doubtful: bool
+    copies: list[CopyState] = field(default_factory=list)
+    services: list[ServiceState] = field(default_factory=list)
+    upstreams: list[UpstreamState] = field(default_factory=list)
+    roll_outs: list[RollOutState] = field(default_factory=list)
+    routers: list[PeerState] = field(default_factory=list)
--- a/lacewingdock/components/language/client.py
+++ b/lacewingdock/components/language/client.py
@@ -13,11 +13,11 @@
 from lacewingdock.helpers.http_client import send
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.json import decode_json
+from lacewingdock.helpers.text_table import text_table
 
 TIMEOUT_S: Final = 15.0
 HISTORY: Final = Path("~/.lacewingdock_history")
 HISTORY_LINES: Final = 1000
-MAX_CELL_CHARS: Final = 60
 
 
 class Client:
@@ -112,35 +112,12 @@
     if reply["command"]:
         lines.append(f"command {reply['command']}")
     if columns:
-        cells = [[_cell(row[c]) for c in columns] for row in reply["rows"]]
-        widths = [
-            max([len(name), *(len(row[i]) for row in cells)])
-            for i, name in enumerate(columns)
-        ]
-        for row in [columns, *cells]:
-            padded = (c.ljust(w) for c, w in zip(row, widths, strict=True))
-            lines.append("  ".join(padded).rstrip())
-        lines.append(f"({len(cells)} rows, from {reply['source']})")
+        rows = [[row[c] for c in columns] for row in reply["rows"]]
+        lines += text_table(columns, rows)
+        lines.append(f"({len(rows)} rows, from {reply['source']})")
     return "\n".join(lines)
 
 
-def _cell(value: Any) -> str:
-    match value:
-        case None:
-            return "-"
-        case bool():
-            return "yes" if value else "no"
-        case float():
-            return f"{value:g}"
-        case list():
-            text = ",".join(map(str, value)) or "-"
-        case dict():
-            text = ",".join(f"{k}={_cell(v)}" for k, v in value.items())
-        case _:
-            text = str(value)
-    return text if len(text) <= MAX_CELL_CHARS else text[:57] + "..."
-
-
 def as_text(reply: dict[str, Any], as_json: bool) -> str:
     """Return a reply as JSON or as a table."""
     return msgspec.json.encode(reply).decode() if as_json else as_table(reply)
--- a/lacewingdock/components/readiness.py
+++ b/lacewingdock/components/readiness.py
@@ -19,6 +19,7 @@
 
 # The balancer asks once a second, mostly over a kept connection.
 _LIMITS: Final = CallerLimits(read_s=1.0, idle_s=10.0)
+# One balancer, which may open a new connection before an old one is closed.
 MAX_CONNECTIONS: Final = 16
 
 log = get_logger("readiness")
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -44,6 +44,7 @@
 # Routers asked in one round: the second is for the case that the first is
 # gone or as cut off as the one that asks.
 ASKED: Final = 2
+# Longest copy that is read: 6,500 upstream entries of 1 KB, and as much again.
 MAX_COPY_BYTES: Final = 16 * 1024 * 1024
 # Connections from other routers served at once.
 MAX_CONNECTIONS: Final = 64
@@ -68,7 +69,8 @@
         name: This router's name.
         entry: This router's entry.
         entries: Every router's entry by name.
-        first_peers: Addresses that are asked while no entries are known.
+        first_peers: Returns addresses that are asked while no entries are
+            known.
         tell: Returns what others are told along with a question; this
             router can't write it to the store then.
         random: Source of draws.
@@ -89,7 +91,7 @@
         api: ObjectApi,
         name: str,
         entry: RouterEntry,
-        first_peers: tuple[str, ...],
+        first_peers: Callable[[], tuple[str, ...]],
         source: random.Random,
     ) -> None:
         """Take this router's entry; `announce` writes it."""
@@ -173,7 +175,7 @@
             for name, entry in self.entries.items()
             if name != self.name
         }
-        found = known or set(self.first_peers)
+        found = known or set(self.first_peers())
         return sorted(found - {self.entry.address})
 
     def _pull_from(self, address: str, kind: str, revision: int) -> Copy | None:
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -96,13 +96,15 @@
         self.running: dict[str, Shift] = {}
         self.settled: dict[str, str] = {}
         self.refused: dict[str, str] = {}
-        self.pins = SessionPins(host.bounds.session_s)
-        pace = host.platform_writes_per_s * WRITES_PART
+        self.pins = SessionPins(lambda: host.bounds.session_s)
         self.reporter = Reporter(
             api,
             host.instance,
             incarnation,
-            lambda: max(REPORT_S, routers() / pace),
+            lambda: max(
+                REPORT_S,
+                routers() / (host.platform_writes_per_s * WRITES_PART),
+            ),
         )
         self._lock = threading.Lock()
 
--- a/lacewingdock/components/shifts/const.py
+++ b/lacewingdock/components/shifts/const.py
@@ -52,10 +52,12 @@
 # deadline. A good version that is rolled back is a duty missed; a bad one that
 # gets all requests is a broken promise.
 BAD_WEALTH: Final = 200.0
-# The fewest bad answers for that: a crash takes two instances at a time.
-MIN_BAD: Final = 4
 SUSPECT_WEALTH: Final = 5.0
+# The fewest bad answers that convict: a crash takes two instances at a time.
+MIN_BAD: Final = 4
 # The old version's share of bad answers goes by about ten times this many
 # requests, since troubles of the moment hit both versions.
 CONTROL_HALF_LIFE: Final = 6.0
+# The largest share of bad answers that the old version excuses: beyond, the
+# new one could fail almost always and still look no worse.
 MOST_TOLERATED: Final = 0.3
--- a/lacewingdock/components/shifts/pins.py
+++ b/lacewingdock/components/shifts/pins.py
@@ -2,22 +2,25 @@
 
 import threading
 import time
+from collections.abc import Callable
+from typing import Final
 
 # A request that is still running keeps its session; the bound of the pause
 # counts from its end, which the last attempt's start is not.
-MARGIN_S = 3.0
+MARGIN_S: Final = 3.0
 
 
 class SessionPins:
     """The version of each session, as this router saw it.
 
     Attributes:
-        session_s: Longest pause between requests of a session.
+        session_s: Returns the longest pause between requests of a session,
+            in seconds.
     """
 
     __slots__ = ("_lock", "_pins", "session_s")
 
-    def __init__(self, session_s: float) -> None:
+    def __init__(self, session_s: Callable[[], float]) -> None:
         """Start without sessions."""
         self.session_s = session_s
         self._pins: dict[tuple[str, str], tuple[str, float]] = {}
@@ -42,7 +45,7 @@
     @property
     def kept_s(self) -> float:
         """Seconds for which a session is remembered."""
-        return self.session_s + MARGIN_S
+        return self.session_s() + MARGIN_S
 
     def prune(self) -> None:
         """Forget the sessions that ended."""
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -14,6 +14,7 @@
 from lacewingdock.platform.wire import read_answer
 from lacewingdock.world.call import AnswerHead, Headers
 
+# Read at once at most: a link's usual window, so that one read takes what came.
 READ_BYTES: Final = 64 * 1024
 # Longest head of an answer that is read.
 MAX_HEAD_BYTES: Final = 64 * 1024
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -15,9 +15,20 @@
 
 import prometheus_client
 
+from lacewingdock.components.admission.fleet_budget import RetryTerms
 from lacewingdock.components.gateway import CallersPort
 from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.components.gateway.metrics import GatewayMetrics
+from lacewingdock.components.host_watch import LOOK_S, HostWatch
+from lacewingdock.components.inspection import InspectionPort
+from lacewingdock.components.inspection.gather import (
+    gather_copies,
+    gather_roll_outs,
+    gather_routers,
+    gather_services,
+    gather_upstreams,
+)
+from lacewingdock.components.inspection.state import RouterState
 from lacewingdock.components.mirror import (
     WATCH_PART,
     Listener,
@@ -37,10 +48,11 @@
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import LAPSE_S, Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
-from lacewingdock.const import THREAD_STACK_BYTES
+from lacewingdock.const import THREAD_STACK_BYTES, VERSION
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger, start_logging
 from lacewingdock.helpers.log_stream import LogStream
+from lacewingdock.helpers.sockets import Listener as PortListener
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
     KIND_INSTANCES,
@@ -48,9 +60,8 @@
 )
 from lacewingdock.platform.metrics import PlatformCalls
 from lacewingdock.platform.object_api import ObjectApi
-from lacewingdock.platform.profile import load_profile
+from lacewingdock.platform.profile import parse_profile, read_text
 from lacewingdock.settings import RouterSettings
-from lacewingdock.world.host import HostProfile
 
 # Routers come and go rarely, and their addresses matter only in an outage.
 ROUTERS_WATCH_S: Final = 20.0
@@ -76,12 +87,17 @@
 LINGER_S: Final = 2.4
 # What a stop leaves of the grace time for ending the process.
 GRACE_MARGIN_S: Final = 0.6
+# How often a stop looks whether its last requests have ended.
 LEAVE_POLL_S: Final = 0.05
+# How often idle connections are pruned and the part of the retries is taken
+# anew, which `FleetBudget` counts in seconds.
 HOUSEKEEPING_S: Final = 1.0
 # An instance that left may get requests for two seconds, which another
 # router's word that it did must not come after.
 LAPSED_S: Final = 0.2
+# How soon a failed announcement is tried again; it is needed in outages only.
 ANNOUNCE_RETRY_S: Final = 1.0
+# How long the end of the process waits for the last log lines to be read.
 DRAIN_LOG_S: Final = 0.3
 
 log = get_logger("router")
@@ -93,6 +109,8 @@
     Attributes:
         host: What the platform says of this instance.
         settings: The command line's settings.
+        watch: Takes changes of the settings file.
+        asked: Set when an operator asks for the settings file to be read.
         stopping: Set when the process shall end.
         leaving: Set from the order to stop.
         api: The platform's store.
@@ -105,12 +123,18 @@
         callers: The callers' port.
         ready: The balancer's port.
         copies: The other routers' port.
+        inspection: The port of metrics and beliefs; None without.
+        started: Monotonic time of the start.
     """
 
-    def __init__(self, host: HostProfile, settings: RouterSettings) -> None:
+    def __init__(self, watch: HostWatch, settings: RouterSettings) -> None:
         """Build the daemon; nothing runs before `run`."""
+        host = watch.host
         self.host = host
+        self.watch = watch
         self.settings = settings
+        self.started = time.monotonic()
+        self.asked = threading.Event()
         self.stopping = threading.Event()
         self.leaving = threading.Event()
         self.random = random.Random(os.urandom(8))
@@ -123,7 +147,7 @@
         address = "{}:{}".format(*host.peer_address)
         entry = RouterEntry(address, incarnation)
         self.routers = Routers(
-            self.api, host.instance, entry, host.first_peers, self.random
+            self.api, host.instance, entry, self._first_peers, self.random
         )
         self.shifts = Shifts(
             host,
@@ -147,6 +171,39 @@
         self.copies = CopiesPort(
             host.peer_address, self.mirrors, self.health, self.shifts.hear
         )
+        self.inspection = self._inspection()
+
+    def listeners(self) -> list[PortListener]:
+        """Return what accepts connections."""
+        found = [
+            self.callers.listener,
+            self.ready.listener,
+            self.copies.listener,
+        ]
+        if self.inspection is not None:
+            found.append(self.inspection.listener)
+        return found
+
+    def state(self) -> RouterState:
+        """Return what the router believes now."""
+        host, table = self.host, self.routes.table
+        return RouterState(
+            instance=host.instance,
+            failure_domain=host.failure_domain,
+            release=VERSION,
+            up_s=round(time.monotonic() - self.started, 1),
+            missing=self.missing(),
+            leaving=self.leaving.is_set(),
+            active=self.callers.active.value,
+            configuration=table.version if table else None,
+            store_away=self.health.away,
+            store_doubtful=self.health.doubtful,
+            copies=gather_copies(self.mirrors.values()),
+            services=gather_services(self.gateway),
+            upstreams=gather_upstreams(self.directory),
+            roll_outs=gather_roll_outs(self.shifts),
+            routers=gather_routers(self.routers),
+        )
 
     def missing(self) -> str:
         """Return what is missing to serve; empty if nothing."""
@@ -163,23 +220,20 @@
         """
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.leaving.set())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload())
+        signal.signal(signal.SIGHUP, lambda *_: self.asked.set())
         for mirror in self.mirrors.values():
             _start(mirror.kind, mirror.run, self.stopping)
-        for port in (self.callers, self.ready, self.copies):
-            listener = port.listener
+        for listener in self.listeners():
             _start(listener.name, listener.run, self.stopping)
         _start("announce", self._announce)
         _start("shifts", self._every, ROUND_S, self.shifts.round)
         _start("lapsed", self._every, LAPSED_S, self._drop_lapsed)
         _start("housekeeping", self._every, HOUSEKEEPING_S, self._keep_house)
-        if self.settings.metrics_port:
-            prometheus_client.start_http_server(
-                self.settings.metrics_port, self.host.address, self.registry
-            )
         log.info("started", profile=self.settings.config)
-        while not self.leaving.wait(1.0):
-            pass
+        while not self.leaving.wait(LOOK_S):
+            asked = self.asked.is_set()
+            self.asked.clear()
+            self.watch.look(asked=asked)
         return self._leave()
 
     def _leave(self) -> int:
@@ -195,28 +249,32 @@
         log.info("stopped", requests_left=left)
         return left
 
+    def _inspection(self) -> InspectionPort | None:
+        if not self.settings.metrics_port:
+            return None
+        address = (self.host.address, self.settings.metrics_port)
+        return InspectionPort(address, self.registry, self.state)
+
     def _gateway(self) -> Gateway:
-        bounds = self.host.bounds
         chooser = Chooser(self.directory, self.host.failure_domain, self.random)
         return Gateway(
             self.routes,
             chooser,
             self.shifts,
             GatewayMetrics(self.registry),
-            bounds.retry_ratio,
-            self._retry_extra(),
-            bounds.retry_window_s,
+            self._retry_terms(),
             self.random,
         )
 
-    def _retry_extra(self) -> float:
-        """Return this router's part of the fleet's retries besides."""
+    def _retry_terms(self) -> RetryTerms:
+        """Return what this router may make of the fleet's retries."""
+        bounds = self.host.bounds
         routers = max(self.routers.count(), MIN_ROUTERS)
-        return self.host.bounds.retry_extra / routers
+        extra = bounds.retry_extra / routers
+        return RetryTerms(bounds.retry_ratio, extra, bounds.retry_window_s)
 
     def _mirrors(self) -> dict[str, Mirror]:
         health = StoreHealth(LAPSE_S)
-        wait_s = self.host.bounds.contact_s * WATCH_PART
         listeners: dict[str, Listener] = {
             KIND_CONFIGURATION: self.routes,
             KIND_INSTANCES: InstanceListener(self.directory),
@@ -232,19 +290,26 @@
                 listener,
                 self.routers.pull,
                 self.random,
-                lambda: wait_s,
+                self._watch_s,
             )
             for kind, listener in listeners.items()
         }
         mirrors[KIND_ROUTERS].wait_s = lambda: ROUTERS_WATCH_S
         mirrors[KIND_SHIFTS].wait_s = lambda: ORDERS_WATCH_S
         mirrors[KIND_REPORTS].wait_s = lambda: (
-            wait_s if self.shifts.running else REPORTS_WATCH_S
+            self._watch_s() if self.shifts.running else REPORTS_WATCH_S
         )
         mirrors[KIND_REPORTS].pause_s = self._reports_pause
         self.health = health
         return mirrors
 
+    def _watch_s(self) -> float:
+        """Return how long the platform may leave a watch without an answer."""
+        return self.host.bounds.contact_s * WATCH_PART
+
+    def _first_peers(self) -> tuple[str, ...]:
+        return self.host.first_peers
+
     def _reports_pause(self) -> float:
         """Return how long reports are gathered for one call."""
         reads = self.host.platform_reads_per_s * REPORTS_READS_PART
@@ -257,7 +322,7 @@
 
     def _keep_house(self) -> None:
         self.gateway.pool.prune()
-        self.gateway.share_retries(self._retry_extra())
+        self.gateway.share_retries(self._retry_terms())
 
     def _drop_lapsed(self) -> None:
         if not self.health.doubtful:
@@ -275,15 +340,6 @@
             except Exception:
                 log.exception("round failed", task=function.__qualname__)
 
-    def _reload(self) -> None:
-        """Read the settings file again; what differs needs a restart."""
-        try:
-            found = load_profile(self.settings.config)
-        except Exception as error:
-            log.error("settings not read again", error=str(error))
-            return
-        log.info("settings read again", changed=found != self.host)
-
 
 def run_router(settings: RouterSettings) -> int:
     """Run a router until it is stopped.
@@ -295,7 +351,8 @@
         LacewingdockError: It can't start.
     """
     threading.stack_size(THREAD_STACK_BYTES)
-    host = load_profile(settings.config)
+    text = read_text(settings.config)
+    host = parse_profile(text, settings.config)
     stream = LogStream(sys.stdout.fileno())
     start_logging(
         settings.log_level,
@@ -303,7 +360,7 @@
         instance=host.instance,
         failure_domain=host.failure_domain,
     )
-    left = RouterDaemon(host, settings).run()
+    left = RouterDaemon(HostWatch(settings.config, text, host), settings).run()
     stream.drain(DRAIN_LOG_S)
     return left
 
--- a/lacewingdock/helpers/reference.py
+++ b/lacewingdock/helpers/reference.py
@@ -3,13 +3,17 @@
 `python -m lacewingdock.helpers.reference` writes them anew; a test compares.
 """
 
-import ast
 import re
 from pathlib import Path
 from typing import Any, Final
 
 from lacewingdock.exceptions import ANSWERS, ErrorKind
 from lacewingdock.helpers.describe import Setting, describe
+from lacewingdock.helpers.source_tables import (
+    constant_table,
+    log_table,
+    markdown_table,
+)
 from lacewingdock.settings import (
     OTHER_SETTINGS,
     SECRETS,
@@ -26,15 +30,6 @@
 # What stands between a table's two marks is generated.
 MARK: Final = "<!-- {0} {1} -->"
 NESTED: Final = (Step, Objective, Operation)
-# Folders of components that a router is made of.
-ROUTER_COMPONENTS: Final = (
-    "gateway",
-    "mirror",
-    "routers",
-    "routes",
-    "shifts",
-    "upstreams",
-)
 
 
 def tables() -> dict[str, dict[str, str]]:
@@ -49,8 +44,8 @@
     kinds = {kind: _fields(cls) for kind, cls in CLASSES.items()}
     kinds |= {cls.__name__: _fields(cls) for cls in NESTED}
     return {
-        "logs.md": {"logs": _logs()},
-        "configuration.md": settings | kinds,
+        "logs.md": {"logs": log_table()},
+        "configuration.md": settings | kinds | {"constants": constant_table()},
         "errors.md": {"errors": _errors()},
     }
 
@@ -71,16 +66,8 @@
     return page
 
 
-def _table(heads: tuple[str, ...], rows: list[tuple[str, ...]]) -> str:
-    lines = [heads, tuple("---" for _ in heads), *rows]
-    return "\n".join(
-        "| " + " | ".join(cell.replace("|", "\\|") for cell in line) + " |"
-        for line in lines
-    )
-
-
 def _settings(cls: type[Any], without: set[str] | None = None) -> str:
-    return _table(
+    return markdown_table(
         ("flag", "variable", "meaning", "allowed", "default"),
         [
             (
@@ -97,7 +84,7 @@
 
 
 def _fields(cls: type[Any]) -> str:
-    return _table(
+    return markdown_table(
         ("field", "meaning", "allowed", "default"),
         [
             (f"`{s.name}`", s.meaning, s.allowed, _default(s))
@@ -111,7 +98,7 @@
 
 
 def _errors() -> str:
-    return _table(
+    return markdown_table(
         ("code", "status", "ran", "Retry-After", "exit status", "title"),
         [
             (
@@ -129,55 +116,6 @@
     )
 
 
-def _logs() -> str:
-    """Return every line that a router logs, read from its source."""
-    rows: set[tuple[str, ...]] = set()
-    for path in _router_sources():
-        tree = ast.parse(path.read_text("utf-8"))
-        channel = _channel(tree)
-        for node in ast.walk(tree):
-            if isinstance(node, ast.Call) and (row := _log_row(node)):
-                rows.add((channel, *row))
-    return _table(("logger", "message", "level", "fields"), sorted(rows))
-
-
-def _router_sources() -> list[Path]:
-    package = Path(__file__).parents[1]
-    found = [
-        path
-        for folder in ROUTER_COMPONENTS
-        for path in sorted((package / "components" / folder).glob("*.py"))
-    ]
-    return [
-        *found,
-        package / "components/readiness.py",
-        package / "daemons/router.py",
-        package / "helpers/sockets.py",
-    ]
-
-
-def _channel(tree: ast.AST) -> str:
-    for node in ast.walk(tree):
-        if (
-            isinstance(node, ast.Call)
-            and ast.unparse(node.func) == "get_logger"
-        ):
-            return str(ast.literal_eval(node.args[0]))
-    return ""
-
-
-def _log_row(node: ast.Call) -> tuple[str, str, str] | None:
-    """Return message, level and fields of a call that logs; None of others."""
-    name, _, level = ast.unparse(node.func).rpartition(".")
-    if name != "log" or not node.args:
-        return None
-    first = node.args[0]
-    choices = [first.body, first.orelse] if isinstance(first, ast.IfExp) else []
-    texts = [str(ast.literal_eval(one)) for one in choices or [first]]
-    fields = ", ".join(f"`{one.arg}`" for one in node.keywords if one.arg)
-    return " / ".join(texts), level, fields
-
-
 def main() -> None:
     """Write every generated table into its page; new ones get a heading."""
     for name, contents in tables().items():
--- a/lacewingdock/helpers/server_connection.py
+++ b/lacewingdock/helpers/server_connection.py
@@ -16,6 +16,7 @@
 from lacewingdock.world.call import Headers
 from lacewingdock.world.route import CallerLimits
 
+# Read at once at most: a link's usual window, so that one read takes what came.
 READ_BYTES: Final = 64 * 1024
 # A caller that takes nothing for this long is given up; its answer would
 # hold memory and an upstream's place.
--- a/lacewingdock/helpers/sockets.py
+++ b/lacewingdock/helpers/sockets.py
@@ -12,6 +12,9 @@
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.tally import Tally
 
+# Connections that wait to be accepted: a burst of a second at twice the load of
+# a large deployment. A full queue drops the opening packet, which is sent again
+# only after a second.
 BACKLOG: Final = 512
 # A short pause where no descriptor is left: the connection stays in the
 # queue, and without it the loop would spin.
--- /dev/null
+++ b/lacewingdock/helpers/source_tables.py
@@ -0,0 +1,147 @@
+"""Support for tables of the docs that are read from a router's source."""
+
+import ast
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final
+
+# Folders of components that a router is made of.
+ROUTER_COMPONENTS: Final = (
+    "gateway",
+    "inspection",
+    "mirror",
+    "routers",
+    "routes",
+    "shifts",
+    "upstreams",
+)
+# Single modules that belong to it besides.
+ROUTER_MODULES: Final = (
+    "components/admission/fleet_budget.py",
+    "components/host_watch.py",
+    "components/readiness.py",
+    "daemons/router.py",
+    "helpers/log_stream.py",
+    "helpers/server_connection.py",
+    "helpers/sockets.py",
+)
+_ROOT: Final = Path(__file__).parents[1]
+
+
+def markdown_table(
+    heads: tuple[str, ...], rows: Sequence[tuple[str, ...]]
+) -> str:
+    """Return a table; what would end a cell is escaped."""
+    lines = [heads, tuple("---" for _ in heads), *rows]
+    return "\n".join(
+        "| " + " | ".join(cell.replace("|", "\\|") for cell in line) + " |"
+        for line in lines
+    )
+
+
+def log_table() -> str:
+    """Return every line that a router logs."""
+    rows: set[tuple[str, ...]] = set()
+    for path in _sources():
+        tree = ast.parse(path.read_text("utf-8"))
+        channel = _channel(tree)
+        for node in ast.walk(tree):
+            if isinstance(node, ast.Call) and (row := _log_row(node)):
+                rows.add((channel, *row))
+    return markdown_table(
+        ("logger", "message", "level", "fields"), sorted(rows)
+    )
+
+
+def constant_table() -> str:
+    """Return every number that a router's behaviour rests on."""
+    rows = [
+        (f"`{path.relative_to(_ROOT)}`", *row)
+        for path in _sources()
+        for row in _constants(path.read_text("utf-8"))
+    ]
+    return markdown_table(("module", "constant", "value", "meaning"), rows)
+
+
+def _sources() -> list[Path]:
+    found = [
+        path
+        for folder in ROUTER_COMPONENTS
+        for path in sorted((_ROOT / "components" / folder).glob("*.py"))
+    ]
+    return [*found, *(_ROOT / name for name in ROUTER_MODULES)]
+
+
+def _constants(source: str) -> list[tuple[str, str, str]]:
+    """Return name, value and comment of a module's constants of numbers.
+
+    Constants that follow each other without a comment between share one.
+    """
+    lines = source.splitlines()
+    found: list[tuple[str, str, str]] = []
+    last_line, comment = 0, ""
+    for node in ast.parse(source).body:
+        if not isinstance(node, ast.AnnAssign) or node.value is None:
+            continue
+        value = ast.unparse(node.value)
+        name = ast.unparse(node.target)
+        if name.startswith("_") or not _is_final(node) or not _is_number(value):
+            continue
+        above = _comment_above(lines, node.lineno)
+        if above or last_line != node.lineno - 1:
+            comment = above
+        last_line = node.end_lineno or node.lineno
+        found.append((f"`{name}`", value, comment))
+    return found
+
+
+def _is_final(node: ast.AnnAssign) -> bool:
+    return ast.unparse(node.annotation).startswith("Final")
+
+
+def _is_number(text: str) -> bool:
+    """Whether an expression has nothing but numbers and their operators."""
+    return all(
+        isinstance(
+            node,
+            (
+                ast.Expression,
+                ast.BinOp,
+                ast.UnaryOp,
+                ast.operator,
+                ast.unaryop,
+                ast.Constant,
+            ),
+        )
+        and not isinstance(getattr(node, "value", 0), str | bytes)
+        for node in ast.walk(ast.parse(text, mode="eval"))
+    )
+
+
+def _comment_above(lines: list[str], line: int) -> str:
+    start = line - 1
+    while start and lines[start - 1].startswith("#"):
+        start -= 1
+    return " ".join(one.lstrip("# ") for one in lines[start : line - 1])
+
+
+def _channel(tree: ast.AST) -> str:
+    for node in ast.walk(tree):
+        if (
+            isinstance(node, ast.Call)
+            and ast.unparse(node.func) == "get_logger"
+        ):
+            return str(ast.literal_eval(node.args[0]))
+    return ""
+
+
+def _log_row(node: ast.Call) -> tuple[str, str, str] | None:
+    """Return message, level and fields of a call that logs; None of others."""
+    name, _, level = ast.unparse(node.func).rpartition(".")
+    if name != "log" or not node.args:
+        return None
+    first = node.args[0]
+    choices = [first.body, first.orelse] if isinstance(first, ast.IfExp) else []
+    texts = [str(ast.literal_eval(one)) for one in choices or [first]]
+    fields = ", ".join(f"`{one.arg}`" for one in node.keywords if one.arg)
+    return " / ".join(texts), level, fields
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -24,15 +24,11 @@
 
 class _Bounds(msgspec.Struct):
     contact_ms: _Positive = 3000.0
-    drain_ms: _Positive = 2000.0
     grace_s: _Positive = 8.0
-    config_apply_ms: _Positive = 2000.0
     retry_budget_ratio: Annotated[float, Meta(ge=0.0)] = 0.1
     budget_window_s: _Positive = 10.0
     retry_budget_extra: Annotated[float, Meta(ge=0.0)] = 10.0
     exposure_share: Annotated[float, Meta(gt=0, le=1)] = 0.1
-    exposure_tolerance: Annotated[float, Meta(ge=0.0)] = 0.0
-    rollback_ms: _Positive = 5000.0
     session_s: Annotated[float, Meta(ge=0.0)] = 0.0
 
 
@@ -43,7 +39,6 @@
 
 
 class _Limits(msgspec.Struct):
-    memory_mb: _Positive = 256.0
     max_fds: Annotated[int, Meta(gt=0)] = 1024
 
 
@@ -56,9 +51,6 @@
     platform: _Platform
     # Control addresses of some instances; they may be down by now.
     seeds: list[_Address] = []
-    region: str = ""
-    zones: dict[str, str] = {}
-    heartbeat_ms: _Positive = 1000.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -72,12 +64,39 @@
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
     """
+    return parse_profile(read_text(path), path)
+
+
+def read_text(path: str) -> str:
+    """Return a settings file's text.
+
+    Raises:
+        LacewingdockError: BAD_SETTING, when it can't be read.
+    """
     try:
-        found = tomllib.loads(Path(path).read_text("utf-8"))
+        return Path(path).read_text("utf-8")
     except (OSError, ValueError) as error:
         raise LacewingdockError(
             ErrorKind.BAD_SETTING, f"{path}: {error}"
         ) from error
+
+
+def parse_profile(text: str, path: str) -> HostProfile:
+    """Check the text of a settings file.
+
+    Args:
+        text: What it holds.
+        path: Where it lies, for errors.
+
+    Raises:
+        LacewingdockError: BAD_SETTING, naming key and value.
+    """
+    try:
+        found = tomllib.loads(text)
+    except ValueError as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_SETTING, f"{path}: {error}"
+        ) from error
     return read_profile(found, path)
 
 
@@ -105,20 +124,14 @@
         platform=f"http://{file.platform.address}",
         platform_writes_per_s=file.platform.writes_per_s,
         platform_reads_per_s=file.platform.reads_per_s,
-        heartbeat_s=file.heartbeat_ms / 1000,
-        memory_mb=file.limits.memory_mb,
         max_files=file.limits.max_fds,
         bounds=Bounds(
             contact_s=bounds.contact_ms / 1000,
-            drain_s=bounds.drain_ms / 1000,
             grace_s=bounds.grace_s,
-            apply_s=bounds.config_apply_ms / 1000,
             retry_ratio=bounds.retry_budget_ratio,
             retry_window_s=bounds.budget_window_s,
             retry_extra=bounds.retry_budget_extra,
             exposure_share=bounds.exposure_share,
-            exposure_tolerance=bounds.exposure_tolerance,
-            rollback_s=bounds.rollback_ms / 1000,
             session_s=bounds.session_s,
         ),
     )
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -235,7 +235,7 @@
 
     Attributes:
         config: The settings file that the platform writes.
-        metrics_port: Port of /metrics; 0 serves none.
+        metrics_port: Port of /metrics and /state; 0 serves none.
         log_level: Lowest level that is logged.
     """
 
@@ -244,6 +244,19 @@
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
 
 
+@dataclass(slots=True, kw_only=True)
+class ShowSettings:
+    """Settings of the command that shows what a router believes.
+
+    Attributes:
+        router: URL of a router's metrics port.
+        json: Whether JSON is printed in place of tables.
+    """
+
+    router: Url
+    json: bool = False
+
+
 def load_settings(
     cls: type[T],
     flags: Mapping[str, Any],
@@ -384,4 +397,5 @@
     ClientSettings,
     ReportSettings,
     RouterSettings,
+    ShowSettings,
 )
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -9,6 +9,7 @@
 
 import prometheus_client
 
+from lacewingdock.components.admission.fleet_budget import RetryTerms
 from lacewingdock.components.gateway import CallersPort
 from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.components.gateway.metrics import GatewayMetrics
@@ -238,9 +239,7 @@
             Chooser(self.directory, "d1", source),
             self.shifts,
             GatewayMetrics(prometheus_client.CollectorRegistry()),
-            0.5,
-            20.0,
-            10.0,
+            RetryTerms(0.5, 20.0, 10.0),
             source,
         )
         self.leaving = threading.Event()
--- a/tests/components/gateway/test_budget.py
+++ b/tests/components/gateway/test_budget.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lacewingdock.components.gateway.exchange import CASCADE_RESERVE
+from lacewingdock.components.host_watch import HostWatch
 from lacewingdock.daemons.router import RouterDaemon
 from lacewingdock.settings import RouterSettings
 from lacewingdock.world.host import Bounds, HostProfile
@@ -20,7 +21,7 @@
         platform="http://127.0.0.1:1",
         bounds=bounds,
     )
-    found = RouterDaemon(host, RouterSettings(config="x"))
+    found = RouterDaemon(HostWatch("x", "", host), RouterSettings(config="x"))
     for number in range(1, routers):
         found.routers.entries[f"r-{number}"] = found.routers.entry
     found._keep_house()
@@ -56,6 +57,30 @@
     assert taken * routers <= allowed
 
 
+def test_changed_settings_change_the_budget():
+    """Symptom: a lowered share of retries holds only after a restart.
+
+    Cause: each budget kept the share that it was created with.
+    """
+    daemon = daemon_of(6, Bounds(retry_ratio=0.9, retry_extra=60.0))
+    budget = daemon.gateway.budget("svc")
+    assert budget.saved == pytest.approx(0.85 * 10)
+    daemon.host.bounds = Bounds(
+        retry_ratio=0.1, retry_extra=24.0, retry_window_s=4.0
+    )
+    daemon._keep_house()
+    while budget.take():
+        pass
+    for _ in range(40):
+        budget.count_request()
+        daemon._keep_house()
+    taken = 0
+    while budget.take():
+        taken += 1
+    # 24 besides for six routers, of which it may take 0.85 each.
+    assert taken == 3
+
+
 @pytest.mark.parametrize("routers", [1, 27, 300])
 def test_large_fleets_can_ask_a_larger_model(routers):
     """Symptom: in a fleet of thirty every request goes to the largest model.
--- /dev/null
+++ b/tests/components/inspection/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of looking into a running router."""
--- /dev/null
+++ b/tests/components/inspection/test_inspection.py
@@ -0,0 +1,94 @@
+"""Tests of looking into a running router."""
+
+import socket
+import threading
+
+import msgspec
+import prometheus_client
+import pytest
+
+from lacewingdock.components.inspection import InspectionPort
+from lacewingdock.components.inspection.show import read_state, show_state
+from lacewingdock.components.inspection.state import (
+    CopyState,
+    RouterState,
+    UpstreamState,
+)
+from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.http_client import get
+
+STATE = RouterState(
+    instance="r-1",
+    failure_domain="d1",
+    release="1",
+    up_s=3.5,
+    missing="",
+    leaving=False,
+    active=2,
+    configuration=7,
+    store_away=True,
+    store_doubtful=False,
+    copies=[CopyState("config", 41, 1)],
+    upstreams=[
+        UpstreamState("i-1", "svc", "v1", "d1", False, True, 3, 1.5, 0.2, None)
+    ],
+)
+
+
+@pytest.fixture
+def port():
+    """An inspection port that is served."""
+    registry = prometheus_client.CollectorRegistry()
+    prometheus_client.Counter("asked", "Questions", registry=registry).inc(3)
+    found = InspectionPort(("127.0.0.1", 0), registry, lambda: STATE)
+    stopping = threading.Event()
+    threading.Thread(
+        target=found.listener.run, args=(stopping,), daemon=True
+    ).start()
+    yield "http://{}:{}".format(*found.listener.address)
+    stopping.set()
+    found.listener.close()
+
+
+def test_state_comes_as_it_is(port):
+    assert read_state(port) == STATE
+
+
+def test_metrics_come_as_text(port):
+    assert b"asked_total 3.0" in get(f"{port}/metrics")
+
+
+@pytest.mark.parametrize("path", ["/", "/state/x", "/metricsx"])
+def test_other_paths_are_not_found(port, path):
+    with pytest.raises(OSError, match="404"):
+        get(port + path)
+
+
+@pytest.mark.parametrize(
+    "data", [b"\r\n\r\n", b"GET /state HTTP/9.9\r\n\r\n", b"\xff" * 99]
+)
+def test_what_is_no_request_ends_its_connection_only(port, data):
+    host, _, number = port.removeprefix("http://").partition(":")
+    with socket.create_connection((host, int(number)), 5) as sock:
+        sock.sendall(data)
+        sock.shutdown(socket.SHUT_WR)
+        sock.recv(65536)
+    assert read_state(port) == STATE
+
+
+@pytest.mark.parametrize("body", [b"{}", b"no json", b'{"instance": 3}'])
+def test_a_server_that_is_no_router_is_a_coded_error(monkeypatch, body):
+    name = "lacewingdock.components.inspection.show.get"
+    monkeypatch.setattr(name, lambda _: body)
+    with pytest.raises(LacewingdockError, match="no router"):
+        read_state("http://127.0.0.1:1")
+
+
+def test_shown_state_has_every_field_and_row():
+    text = show_state(STATE)
+    for name in msgspec.to_builtins(STATE):
+        assert name in text
+    assert "upstreams (1)" in text
+    row = next(line for line in text.splitlines() if line.startswith("i-1"))
+    cells = "i-1 svc v1 d1 no yes 3 1.5 0.2 -"
+    assert row.split() == cells.split()
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -9,12 +9,15 @@
 import time
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from bench.http import call
+from lacewingdock.helpers.http_client import get as get_bytes
 from lacewingdock.platform.object_api import ObjectApi
 from tests.components.gateway.fakes import (
     END,
+    LINGER_NONE,
     Upstream,
     event,
     read_answer,
@@ -71,7 +74,9 @@
     """One router process and its ports."""
 
     def __init__(self, tmp_path, platform, name="r-1", other=1):
-        self.front, self.ready, self.peer = (free_port() for _ in range(3))
+        self.front, self.ready, self.peer, self.metrics = (
+            free_port() for _ in range(4)
+        )
         self.path = tmp_path / f"{name}.toml"
         self.path.write_text(
             PROFILE.format(
@@ -87,7 +92,10 @@
         self.popen = None
 
     def start(self):
-        env = {"LACEWINGDOCK_CONFIG": str(self.path)}
+        env = {
+            "LACEWINGDOCK_CONFIG": str(self.path),
+            "LACEWINGDOCK_METRICS_PORT": str(self.metrics),
+        }
         with self.log.open("ab") as log:
             self.popen = start("lacewingdock", "router", env=env, log=log)
 
@@ -188,6 +196,10 @@
     return True
 
 
+def get(url):
+    return get_bytes(url).decode()
+
+
 def _faults(site, **faults):
     call("POST", f"{site.url}/faults", faults)
 
@@ -229,6 +241,93 @@
         assert f'"message":"{message}"' in lines
 
 
+def test_changed_settings_are_taken_with_and_without_a_signal(site):
+    """Symptom: a longer grace time is in the file, and running answers end.
+
+    Cause: the settings file was read at start only.
+    """
+    router = site.first
+    router.start()
+    wait(router.is_ready)
+    text = router.path.read_text()
+    router.path.write_text(text.replace("grace_s = 5", "grace_s = 7"))
+    wait(lambda: '"taken":["bounds"]' in router.log.read_text(), 3.0)
+    router.path.write_text(text + "faulty")
+    wait(lambda: "settings not read again" in router.log.read_text(), 3.0)
+    router.path.write_text(text)
+    os.kill(router.popen.pid, signal.SIGHUP)
+    wait(lambda: '"asked":true' in router.log.read_text(), 3.0)
+    assert router.call(path="/r/x")[0] == 200
+
+
+def command(*arguments, text=""):
+    """Run a command line; returns its exit status and output."""
+    done = subprocess.run(
+        [sys.executable, "-m", "lacewingdock", *arguments],
+        cwd=ROOT,
+        input=text,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+    return done.returncode, done.stdout + done.stderr
+
+
+def test_show_tells_what_a_running_router_believes(site):
+    router = site.first
+    router.start()
+    wait(router.is_ready)
+    assert router.call(path="/r/x")[0] == 200
+    url = f"http://127.0.0.1:{router.metrics}"
+    status, text = command("show", f"--router={url}")
+    assert status == 0, text
+    lines = [line.split() for line in text.splitlines()]
+    assert ["configuration", "3"] in lines
+    assert ["store_away", "no"] in lines
+    assert ["i-1", "svc", "v1", "d1", "no", "no"] in [one[:6] for one in lines]
+    status, text = command("show", f"--router={url}", "--json")
+    assert msgspec.json.decode(text)["services"][0]["requests"] == 1
+    assert "lacewingdock_gateway_requests_total" in get(f"{url}/metrics")
+    assert command("check", str(router.path)) == (
+        0,
+        f"{router.path}: settings of r-1 in d1, no faults\n",
+    )
+    router.path.write_text("ip = 3")
+    assert command("check", str(router.path))[0] == 2
+
+
+def test_a_failed_booking_is_explained_from_the_routers_own_log(site):
+    """A reset on the way: the captured log leads from the id to the cause."""
+
+    def reset(sock, *_):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        return False
+
+    router = site.first
+    spec = configuration(9, b="unsafe")
+    site.api.write("config", "main", spec, site.revision, "test")
+    router.start()
+    wait(router.is_ready)
+    site.upstream.steps = [reset]
+    assert router.call(path="/b/x", call_id="booking-17")[0] == 502
+    assert router.call(path="/b/x", call_id="booking-18")[0] == 200
+    wait(lambda: '"request":"booking-18"' in router.log.read_text())
+    log = router.log.read_text()
+    status, text = command("explain", "booking-17", text=log)
+    assert status == 0, text
+    own = [line for line in text.splitlines() if line.startswith("*")]
+    assert len(own) == 2
+    for said in ("upstream=i-1", "result=Broken", "ConnectionReset"):
+        assert said in own[0]
+    assert "outcome=upstream_failed" in own[1]
+    # What the router had come to believe of configuration and upstream.
+    assert "configuration in force: version=9" in text
+    assert "upstream: upstream=i-1 service=svc" in text
+    status, text = command("explain", "--workspace=w-1", text=log)
+    assert (status, text.count("request=booking-")) == (0, 2)
+
+
 def test_router_that_starts_in_an_outage_learns_from_another(site):
     """Symptom: a restarted router refuses everything until the store is back.
 
--- a/tests/platform/test_profile.py
+++ b/tests/platform/test_profile.py
@@ -13,14 +13,13 @@
     "zone": "hall",
     "port_range": [7340, 7355],
     "seeds": ["10.2.0.1:8229"],
-    "heartbeat_ms": 1200,
     "listen": {
         "front": "10.1.0.4:8227",
         "ready": "10.1.0.4:8220",
         "control": "10.1.0.4:8229",
     },
     "platform": {"address": "10.9.0.1:8223", "writes_per_s": 400},
-    "bounds": {"drain_ms": 2500, "grace_s": 9, "retry_budget_ratio": 0.9},
+    "bounds": {"contact_ms": 2500, "grace_s": 9, "retry_budget_ratio": 0.9},
     "new_field": {"of": "a later version"},
 }
 GONE = object()
@@ -45,8 +44,8 @@
     assert host.callers_address == ("10.1.0.4", 8227)
     assert host.peer_address == ("10.1.0.4", 8229)
     assert host.first_peers == ("10.2.0.1:8229",)
-    assert (host.bounds.drain_s, host.bounds.grace_s) == (2.5, 9.0)
-    assert (host.heartbeat_s, host.platform_writes_per_s) == (1.2, 400.0)
+    assert (host.bounds.contact_s, host.bounds.grace_s) == (2.5, 9.0)
+    assert host.platform_writes_per_s == 400.0
 
 
 def test_without_a_control_address_a_port_of_the_range_is_taken():
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,6 +10,8 @@
 from lacewingdock.cli import Commands
 from lacewingdock.helpers.command import command_table
 from lacewingdock.helpers.reference import DOCS, fill, tables
+from lacewingdock.helpers.source_tables import constant_table
+from lacewingdock.platform import profile
 
 ROOT = Path(__file__).parents[1]
 PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / DOCS).rglob("*.md")])
@@ -56,6 +58,25 @@
     assert fill(page, tables()[name]) == page
 
 
+def test_every_constant_says_what_it_is_for():
+    rows = constant_table().splitlines()[2:]
+    assert len(rows) > 50
+    assert [row for row in rows if row.endswith("|  |")] == []
+
+
+def test_every_key_that_is_read_of_the_platforms_file_is_told():
+    text = (ROOT / DOCS / "configuration.md").read_text("utf-8")
+    parts = {"bounds": profile._Bounds, "limits": profile._Limits}
+    parts |= {"listen": profile._Listen, "platform": profile._Platform}
+    keys = [
+        f"{part}.{name}"
+        for part, cls in parts.items()
+        for name in cls.__struct_fields__
+    ]
+    keys += [n for n in profile._File.__struct_fields__ if n not in parts]
+    assert [key for key in keys if f"`{key}`" not in text] == []
+
+
 def test_every_metric_of_the_daemons_is_in_the_operators_page():
     page = (ROOT / DOCS / "operators" / "reports.md").read_text("utf-8")
     source = "".join(
