Router: metrics by contract, rank and end; beliefs as gauges

Cause: requests were counted by service and outcome alone; upstream states, roll-out evidence, retries left and requests in progress were in no metric.

Change: an Outcome says how a request ended, in place of text that the metrics took apart; counters and the histogram have contract and rank, attempts the instance's state before them; gauges come from the state that 'show' reads.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -14,6 +14,14 @@
     Whole,
 )
 from lacewingdock.components.gateway.gateway import Gateway, answer_error
+from lacewingdock.components.gateway.outcome import (
+    End,
+    Outcome,
+    answered,
+    broken_off,
+    left,
+    refused,
+)
 from lacewingdock.components.gateway.patience import (
     Patience,
     patience_for,
@@ -132,7 +140,7 @@
         except LacewingdockError as error:
             outcome = self._refuse(error)
         except (CallerGone, CallerLeft):
-            outcome = str(ErrorKind.CALLER_LEFT)
+            outcome = left()
             self.connection.keep = False
         except Exception as error:
             # A fault of ours must not leave the caller without an answer.
@@ -210,7 +218,7 @@
         weights = [target.weight for target in targets]
         return self.gateway.random.choices(targets, weights)[0].service
 
-    def _attempts(self) -> str:
+    def _attempts(self) -> Outcome:
         """Make attempts until there is an answer; return the outcome.
 
         Raises:
@@ -222,7 +230,7 @@
             result = self._attempt(instance)
             if isinstance(result, Streamed):
                 self.connection.finish()
-                return "streamed"
+                return Outcome(End.STREAMED)
             if isinstance(result, Unsure):
                 self._ask_larger(instance, result)
                 continue
@@ -232,7 +240,7 @@
             if isinstance(result, Whole) and not self.progress.started:
                 head = result.head
                 self.connection.answer(head.status, head.headers, result.body)
-                return f"status {head.status}"
+                return answered(head.status)
             return self._give_up(result)
 
     def _choose(self) -> Instance:
@@ -298,6 +306,8 @@
         finally:
             attempt.began()
             self.gateway.chooser.done(instance)
+        state = instance.state(start)
+        self.gateway.metrics.attempted(state, type(result).__name__)
         self._learn(instance, result, start, events)
         self._log_attempt(instance, result, time.monotonic() - start)
         return result
@@ -343,7 +353,6 @@
             self.may_have_run = True
         self._feel(result, events)
         self.tried.append(instance.entry.id)
-        self.gateway.metrics.attempted(type(result).__name__)
         first_at = self.progress.first_at if not events else 0.0
         self.gateway.shifts.add(
             Sample(
@@ -387,7 +396,7 @@
             return False
         return self.gateway.budget(self.service).take()
 
-    def _give_up(self, result: Result) -> str:
+    def _give_up(self, result: Result) -> Outcome:
         """End a request that no attempt answered; return the outcome.
 
         Raises:
@@ -398,20 +407,20 @@
             return self._break_off(detail)
         raise self._no_answer(detail)
 
-    def _break_off(self, detail: str) -> str:
+    def _break_off(self, detail: str) -> Outcome:
         """Close a stream that nothing goes on with, visibly not whole."""
         self.connection.keep = False
         self.connection.abort()
-        return f"broken off: {detail}"
+        return broken_off(detail)
 
-    def _refuse(self, error: LacewingdockError) -> str:
+    def _refuse(self, error: LacewingdockError) -> Outcome:
         if self.progress.started:
             return self._break_off(error.detail)
         try:
             answer_error(self.connection, error, self.call.id)
         except CallerGone:
-            return str(ErrorKind.CALLER_LEFT)
-        return f"{error.kind}: {error.detail}"
+            return left()
+        return refused(error)
 
     def _log_attempt(
         self, instance: Instance, result: Result, seconds: float
@@ -462,11 +471,15 @@
             left_s=round(self.end - time.monotonic(), 3),
         )
 
-    def _finished(self, outcome: str) -> None:
+    def _finished(self, outcome: Outcome) -> None:
         seconds = time.monotonic() - self.started
         route = getattr(self, "route", None)
         self.gateway.metrics.finished(
-            self.service, outcome.partition(":")[0], seconds
+            self.service,
+            route.repeat if route else None,
+            self._priority() if route else None,
+            outcome,
+            seconds,
         )
         log.info(
             "request",
@@ -480,7 +493,7 @@
             instances=self.tried,
             unreached=self.unreached,
             events=self.progress.events,
-            outcome=outcome,
+            outcome=str(outcome),
             seconds=round(seconds, 4),
         )
 
--- a/lacewingdock/components/gateway/gateway.py
+++ b/lacewingdock/components/gateway/gateway.py
@@ -7,6 +7,7 @@
     RetryTerms,
 )
 from lacewingdock.components.gateway.metrics import GatewayMetrics
+from lacewingdock.components.gateway.outcome import refused
 from lacewingdock.components.gateway.sizing import Pressure
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
@@ -92,7 +93,7 @@
     ) -> None:
         """Refuse a request before anything is done about it."""
         log.info("request refused", request=call.id, code=error.kind)
-        self.metrics.finished("", error.kind, 0.0)
+        self.metrics.finished("", None, None, refused(error), 0.0)
         answer_error(connection, error, call.id)
 
     def refuse_unread(
@@ -100,7 +101,7 @@
     ) -> None:
         """Refuse a request that could not be read."""
         log.info("request unread", code=error.kind, detail=error.detail)
-        self.metrics.finished("", error.kind, 0.0)
+        self.metrics.finished("", None, None, refused(error), 0.0)
         connection.keep = False
         answer_error(connection, error, "")
 
--- /dev/null
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -0,0 +1,86 @@
+"""Support for showing what a router believes as metrics."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from lacewingdock.components.inspection.state import RouterState
+
+
+class Beliefs(Collector):
+    """Collects gauges from a router's state when they are asked for.
+
+    Attributes:
+        state: Returns what the router believes.
+    """
+
+    __slots__ = ("state",)
+
+    def __init__(self, state: Callable[[], RouterState]) -> None:
+        """Take where the state comes from."""
+        self.state = state
+
+    def describe(self) -> Iterator[Metric]:
+        """Yield nothing: names need no state to be asked for at start."""
+        return iter(())
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the gauges as they are now."""
+        state = self.state()
+        yield _plain("active_requests", "Requests in progress", state.active)
+        yield _plain(
+            "configuration_version",
+            "Version of the configuration in force; 0 without",
+            state.configuration or 0,
+        )
+        yield _plain(
+            "store_away",
+            "1 while the store does not answer this router",
+            state.store_away,
+        )
+        yield from _upstreams(state)
+        yield from _services(state)
+        yield from _roll_outs(state)
+
+
+def _plain(name: str, text: str, value: float) -> Metric:
+    return GaugeMetricFamily(f"lacewingdock_router_{name}", text, value=value)
+
+
+def _gauge(name: str, text: str, labels: list[str]) -> GaugeMetricFamily:
+    return GaugeMetricFamily(f"lacewingdock_router_{name}", text, labels=labels)
+
+
+def _upstreams(state: RouterState) -> Iterator[Metric]:
+    counts = Counter((one.service, one.state) for one in state.upstreams)
+    instances = _gauge("upstreams", "Upstream instances", ["service", "state"])
+    for labels, count in counts.items():
+        instances.add_metric(list(labels), count)
+    yield instances
+
+
+def _services(state: RouterState) -> Iterator[Metric]:
+    retries = _gauge("retries_left", "Retries saved up", ["service"])
+    lateness = _gauge(
+        "lateness", "How late answers begin, in their goal", ["service"]
+    )
+    for one in state.services:
+        retries.add_metric([one.service], one.retries_left)
+        lateness.add_metric([one.service], one.lateness)
+    yield retries
+    yield lateness
+
+
+def _roll_outs(state: RouterState) -> Iterator[Metric]:
+    answers = _gauge(
+        "roll_out_answers",
+        "Answers of the new version that this router saw",
+        ["service", "stage", "bad"],
+    )
+    for one in state.roll_outs:
+        good = one.answers - one.bad
+        answers.add_metric([one.service, one.stage, "no"], good)
+        answers.add_metric([one.service, one.stage, "yes"], one.bad)
+    yield answers
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -28,8 +28,7 @@
         service: The service it serves.
         version: The version it runs.
         failure_domain: Where it stands.
-        leaving: Whether the platform says that it leaves.
-        lapsed: Whether its entry is missing since an outage of the store.
+        state: What speaks against it.
         running: This router's requests that are at it.
         unread: Work of those whose answers have not begun, in thousands of
             tokens of the largest model.
@@ -41,8 +40,7 @@
     service: str
     version: str
     failure_domain: str
-    leaving: bool
-    lapsed: bool
+    state: str
     running: int
     unread: float
     failures: float
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from enum import StrEnum
 from typing import Final
 
 from lacewingdock.helpers.log import get_logger
@@ -23,6 +24,24 @@
 log = get_logger("upstreams")
 
 
+class InstanceState(StrEnum):
+    """What speaks against an upstream instance.
+
+    Attributes:
+        SOUND: Nothing.
+        PASSED_OVER: It failed lately.
+        LAPSED: Its entry is missing since an outage of the store.
+        LEAVING: The platform says that it leaves.
+        GONE: It left.
+    """
+
+    SOUND = "sound"
+    PASSED_OVER = "passed_over"
+    LAPSED = "lapsed"
+    LEAVING = "leaving"
+    GONE = "gone"
+
+
 class Instance:
     """An upstream instance and what this router saw of it.
 
@@ -67,6 +86,18 @@
         """Whether it takes new requests, as the platform says."""
         return not self.entry.leaving and not self.gone
 
+    def state(self, now: float) -> InstanceState:
+        """Return what speaks against it, the gravest only."""
+        if self.gone:
+            return InstanceState.GONE
+        if self.entry.leaving:
+            return InstanceState.LEAVING
+        if self.lapsed:
+            return InstanceState.LAPSED
+        if self.recent_failures(now) >= FAILURES_TO_PASS_OVER:
+            return InstanceState.PASSED_OVER
+        return InstanceState.SOUND
+
     def recent_failures(self, now: float) -> float:
         """Return the failures, older ones counting less."""
         age = max(now - self.failed_at, 0.0)
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -21,6 +21,7 @@
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.host_watch import LOOK_S, HostWatch
 from lacewingdock.components.inspection import InspectionPort
+from lacewingdock.components.inspection.beliefs import Beliefs
 from lacewingdock.components.inspection.gather import (
     gather_copies,
     gather_roll_outs,
@@ -172,6 +173,7 @@
             host.peer_address, self.mirrors, self.health, self.shifts.hear
         )
         self.inspection = self._inspection()
+        self.registry.register(Beliefs(self.state))
 
     def listeners(self) -> list[PortListener]:
         """Return what accepts connections."""
--- a/tests/components/inspection/test_inspection.py
+++ b/tests/components/inspection/test_inspection.py
@@ -8,10 +8,13 @@
 import pytest
 
 from lacewingdock.components.inspection import InspectionPort
+from lacewingdock.components.inspection.beliefs import Beliefs
 from lacewingdock.components.inspection.show import read_state, show_state
 from lacewingdock.components.inspection.state import (
     CopyState,
+    RollOutState,
     RouterState,
+    ServiceState,
     UpstreamState,
 )
 from lacewingdock.exceptions import LacewingdockError
@@ -29,8 +32,10 @@
     store_away=True,
     store_doubtful=False,
     copies=[CopyState("config", 41, 1)],
+    services=[ServiceState("svc", "v1", "", 12, 7.5, 0.1)],
+    roll_outs=[RollOutState("svc", "v2", "RAMP", 3.5, 20.0, 9, 2, True, "", 4)],
     upstreams=[
-        UpstreamState("i-1", "svc", "v1", "d1", False, True, 3, 1.5, 0.2, None)
+        UpstreamState("i-1", "svc", "v1", "d1", "lapsed", 3, 1.5, 0.2, None)
     ],
 )
 
@@ -40,6 +45,7 @@
     """An inspection port that is served."""
     registry = prometheus_client.CollectorRegistry()
     prometheus_client.Counter("asked", "Questions", registry=registry).inc(3)
+    registry.register(Beliefs(lambda: STATE))
     found = InspectionPort(("127.0.0.1", 0), registry, lambda: STATE)
     stopping = threading.Event()
     threading.Thread(
@@ -55,7 +61,17 @@
 
 
 def test_metrics_come_as_text(port):
-    assert b"asked_total 3.0" in get(f"{port}/metrics")
+    text = get(f"{port}/metrics").decode()
+    for line in (
+        "asked_total 3.0",
+        'lacewingdock_router_upstreams{service="svc",state="lapsed"} 1.0',
+        'lacewingdock_router_retries_left{service="svc"} 7.5',
+        "lacewingdock_router_active_requests 2.0",
+        "lacewingdock_router_store_away 1.0",
+        'lacewingdock_router_roll_out_answers{bad="yes",service="svc",'
+        'stage="RAMP"} 2.0',
+    ):
+        assert line in text.splitlines()
 
 
 @pytest.mark.parametrize("path", ["/", "/state/x", "/metricsx"])
@@ -90,5 +106,5 @@
         assert name in text
     assert "upstreams (1)" in text
     row = next(line for line in text.splitlines() if line.startswith("i-1"))
-    cells = "i-1 svc v1 d1 no yes 3 1.5 0.2 -"
+    cells = "i-1 svc v1 d1 lapsed 3 1.5 0.2 -"
     assert row.split() == cells.split()
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -285,7 +285,7 @@
     lines = [line.split() for line in text.splitlines()]
     assert ["configuration", "3"] in lines
     assert ["store_away", "no"] in lines
-    assert ["i-1", "svc", "v1", "d1", "no", "no"] in [one[:6] for one in lines]
+    assert ["i-1", "svc", "v1", "d1", "sound"] in [one[:5] for one in lines]
     status, text = command("show", f"--router={url}", "--json")
     assert msgspec.json.decode(text)["services"][0]["requests"] == 1
     assert "lacewingdock_gateway_requests_total" in get(f"{url}/metrics")
