Router: a request that crashes what runs it is held back by all routers

Cause: its repeats, the router's own and its caller's, were sent on as if nothing were known; each took down another instance, through every router anew.

Ruled out: the entry's quarantine, which runs a suspect alone (no sidecar holds others off an instance here); refusing for good after three (an honest request that meets three crashes of another cause would be locked out: trials instead); a kind of its own in the store (a watch more; the router's own object has it).

Change: suspects/ counts losses at instances that show no life since, tells those that were not answered within 0.4 s in the status of the router's object, and refuses from three on, for 20 to 40 s and longer after each failed trial.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -62,10 +62,12 @@
     Attributes:
         detail: Why.
         timed_out: Whether the upstream was silent for too long.
+        ended: Whether it closed or reset the connection.
     """
 
     detail: str
     timed_out: bool = False
+    ended: bool = False
 
 
 @dataclass(slots=True)
@@ -163,7 +165,7 @@
         try:
             result, head = self._exchange(connection, sending)
         except UpstreamLost as error:
-            return Broken(error.detail)
+            return Broken(error.detail, ended=connection.ended)
         except TimedOut:
             return Broken("silent", timed_out=True)
         finally:
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -89,12 +89,14 @@
         unread: What the next attempt has to read at its instance.
         may_have_run: Whether an attempt did not say that it was not run.
         model: The model that answers.
+        crashes: Whether it crashes the instances that run it.
     """
 
     __slots__ = (
         "call",
         "caller",
         "connection",
+        "crashes",
         "end",
         "enough",
         "gateway",
@@ -130,6 +132,7 @@
         self.unreached = 0
         self.unread = 0.0
         self.may_have_run = False
+        self.crashes = False
         self.enough = CONFIDENCE_ENOUGH
 
     def run(self) -> None:
@@ -181,11 +184,20 @@
         if call.patience_s is not None:
             patience_s = min(patience_s, call.patience_s)
         self.end = self.started + patience_s
+        if self.gateway.suspects.holds(call, self.workspace):
+            raise LacewingdockError(
+                ErrorKind.REPEATS_CRASH, "it was lost at several instances"
+            )
         self.service = self._service()
         if call.any_model and route.models:
             self.model = self._first_model()
         self.gateway.budget(self.service).count_request()
 
+    @property
+    def workspace(self) -> str:
+        """Name of the caller's workspace; empty where none is known."""
+        return self.caller.workspace if self.caller else ""
+
     def _first_model(self) -> str:
         """Return the smallest model where a larger one may be asked after.
 
@@ -294,7 +306,7 @@
         )
         sending = Sending(
             instance=instance.entry.id,
-            workspace=self.caller.workspace if self.caller else "",
+            workspace=self.workspace,
             left_s=max(self.end - start, 0.001),
             model=self.model,
             last_event=self.progress.last_event,
@@ -345,10 +357,14 @@
                 instance.failed(0.5)
             case Broken():
                 instance.failed(1.0)
+                if result.ended:
+                    self._note_loss(instance)
             case Whole(head, _) if head.status >= _SERVER_ERROR:
                 instance.failed(0.5)
+                self.gateway.suspects.answered(self.call, self.workspace)
             case _:
                 instance.succeeded()
+                self.gateway.suspects.answered(self.call, self.workspace)
         if not isinstance(result, NotRun):
             self.may_have_run = True
         self._feel(result, events)
@@ -367,6 +383,15 @@
             self.call.session,
         )
 
+    def _note_loss(self, instance: Instance) -> None:
+        """Note that an instance lost the request, which may be the cause."""
+        if self.progress.started:
+            # It was answered in part, so it is not what crashed the instance.
+            return
+        self.crashes = self.gateway.suspects.lost(
+            self.call, self.workspace, instance.entry.id
+        )
+
     def _feel(self, result: Result, events: int) -> None:
         """Take how late an answer began, or did not.
 
@@ -386,7 +411,7 @@
 
     def _may_repeat(self, result: Result) -> bool:
         """Whether another attempt may be made, and can still be answered."""
-        if self.end - time.monotonic() < MIN_LEFT_S:
+        if self.crashes or self.end - time.monotonic() < MIN_LEFT_S:
             return False
         if isinstance(result, NotRun) and not result.reached:
             return self.unreached < MAX_UNREACHED
--- a/lacewingdock/components/gateway/gateway.py
+++ b/lacewingdock/components/gateway/gateway.py
@@ -11,6 +11,7 @@
 from lacewingdock.components.gateway.sizing import Pressure
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.suspects import Suspects
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.pool import ConnectionPool
 from lacewingdock.exceptions import LacewingdockError
@@ -31,6 +32,7 @@
         chooser: Chooses upstream instances.
         pool: Connections to them.
         shifts: Roll-outs under way.
+        suspects: Requests that were lost at instances.
         metrics: Counters and histograms.
         budgets: Retry budgets by service.
         pressures: How late each service's answers begin.
@@ -48,6 +50,7 @@
         "retry_terms",
         "routes",
         "shifts",
+        "suspects",
     )
 
     def __init__(
@@ -55,6 +58,7 @@
         routes: Routes,
         chooser: Chooser,
         shifts: Shifts,
+        suspects: Suspects,
         metrics: GatewayMetrics,
         retry_terms: RetryTerms,
         source: random.Random,
@@ -63,6 +67,7 @@
         self.routes = routes
         self.chooser = chooser
         self.shifts = shifts
+        self.suspects = suspects
         self.metrics = metrics
         self.pool = ConnectionPool()
         self.budgets: dict[str, FleetBudget] = {}
--- a/lacewingdock/components/quarantine/fingerprint.py
+++ b/lacewingdock/components/quarantine/fingerprint.py
@@ -1,14 +1,13 @@
 """Support for telling that two requests are the same."""
 
-import hashlib
 from typing import Any, Final
 
 import msgspec
 
+from lacewingdock.helpers.digest import digest
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.links.messages import Attempt
 
-FINGERPRINT_BYTES: Final = 16
 # Fields of a chat completion that do not change what the engine runs.
 _IGNORED: Final = frozenset({"metadata", "stream", "stream_options", "user"})
 
@@ -24,17 +23,13 @@
     Returns:
         32 hex digits.
     """
-    parts = (
+    return digest(
         attempt.workspace.encode(),
         attempt.target.encode(),
         attempt.method.encode(),
         attempt.path.encode(),
         _normalise(attempt.body),
     )
-    digest = hashlib.sha256()
-    for part in parts:
-        digest.update(len(part).to_bytes(4, "big") + part)
-    return digest.digest()[:FINGERPRINT_BYTES].hex()
 
 
 def _normalise(body: bytes) -> bytes:
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -9,7 +9,7 @@
 import socket
 import urllib.parse
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import Final
 
@@ -61,6 +61,19 @@
     incarnation: str
 
 
+@dataclass(slots=True)
+class RouterStatus:
+    """What a router tells all others through the store.
+
+    Attributes:
+        incarnation: The start that tells it; an object outlives it.
+        losses: Instances at which requests were lost, by fingerprint.
+    """
+
+    incarnation: str
+    losses: dict[str, list[str]] = field(default_factory=dict)
+
+
 class Routers:
     """The other routers.
 
@@ -73,6 +86,8 @@
             known.
         tell: Returns what others are told along with a question; this
             router can't write it to the store then.
+        heard: Takes what another router tells all, by its name.
+        revision: Revision of this router's object, as far as it knows.
         random: Source of draws.
     """
 
@@ -81,8 +96,10 @@
         "entries",
         "entry",
         "first_peers",
+        "heard",
         "name",
         "random",
+        "revision",
         "tell",
     )
 
@@ -101,7 +118,9 @@
         self.entries: dict[str, RouterEntry] = {name: entry}
         self.first_peers = first_peers
         self.random = source
+        self.revision = ABSENT
         self.tell: Callable[[], bytes] = lambda: b""
+        self.heard: Callable[[str, RouterStatus], None] = lambda *_: None
 
     def count(self) -> int:
         """Return how many routers there are, this one too."""
@@ -115,15 +134,41 @@
         """
         spec = msgspec.to_builtins(self.entry)
         try:
-            written, _ = self.api.write_over(
+            written, found = self.api.write_over(
                 KIND_ROUTERS, self.name, spec, ABSENT, "announce"
             )
         except LacewingdockError as error:
             log.warning("not announced", error=str(error))
             return False
+        self.revision = found.revision
         log.info("announced", address=self.entry.address, written=written)
         return written
 
+    def publish(self, losses: dict[str, list[str]]) -> bool:
+        """Tell all routers where requests were lost; return whether it stands.
+
+        A conflict is an earlier write whose answer was lost: nobody else
+        writes this object.
+        """
+        status = RouterStatus(self.entry.incarnation, losses)
+        for _ in range(2):
+            try:
+                written, found = self.api.write_status(
+                    KIND_ROUTERS,
+                    self.name,
+                    msgspec.to_builtins(status),
+                    self.revision,
+                    "router-status",
+                )
+            except LacewingdockError as error:
+                log.warning("status not written", error=str(error))
+                return False
+            self.revision = found.revision
+            if written:
+                log.info("status", losses=len(losses), revision=found.revision)
+                return True
+        return False
+
     def pull(self, kind: str, revision: int) -> Copy:
         """Return the newest copy that others have beyond a revision."""
         others = self._addresses()
@@ -148,7 +193,9 @@
         """Take one entry in."""
         del doubtful
         if change.removed:
-            self.entries.pop(change.object.name, None)
+            gone = self.entries.pop(change.object.name, None)
+            if gone is not None:
+                self.heard(change.object.name, RouterStatus(gone.incarnation))
         else:
             self._take(change.object)
 
@@ -163,6 +210,22 @@
         if self.entries.get(stored.name) != entry:
             self.entries[stored.name] = entry
             log.info("router", router=stored.name, address=entry.address)
+        self._take_status(stored, entry)
+
+    def _take_status(self, stored: StoredObject, entry: RouterEntry) -> None:
+        """Take what a router tells; what an earlier start told is void."""
+        status = RouterStatus(entry.incarnation)
+        if stored.status:
+            try:
+                found = msgspec.convert(stored.status, RouterStatus)
+            except msgspec.ValidationError as error:
+                log.error(
+                    "status refused", router=stored.name, error=str(error)
+                )
+                return
+            if found.incarnation == entry.incarnation:
+                status = found
+        self.heard(stored.name, status)
 
     def _addresses(self) -> list[str]:
         """Return the addresses of other routers, as far as they are known.
--- /dev/null
+++ b/lacewingdock/components/suspects/__init__.py
@@ -0,0 +1,231 @@
+"""Support for requests that crash the upstream instances that run them.
+
+Such a request comes again, through any router, and would take one instance
+after the other down. Every router notes at which instances a request was lost,
+tells the others, and refuses it once the sum is clear.
+"""
+
+import math
+import random
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from lacewingdock.components.suspects.const import (
+    CRASHES_TO_HOLD,
+    FORGET_S,
+    HOLD_S,
+    LIFE_MARGIN_S,
+    MAX_HOLD_S,
+    MAX_SUSPECTS,
+    MAX_TOLD,
+    TELL_AFTER_S,
+    TRIAL_S,
+)
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.helpers.digest import digest
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.world.call import Call
+
+# Instances at which requests were lost, by the requests' fingerprints.
+Losses = dict[str, list[str]]
+
+log = get_logger("suspects")
+
+
+@dataclass(slots=True)
+class Suspect:
+    """A request that was lost and not answered since.
+
+    Attributes:
+        own: Instances at which this router lost it, with the monotonic time.
+        told: Instances at which other routers did, with the time of hearing.
+        hold_s: For how long a crash has it held back.
+        held_until: Monotonic time until which it is held back.
+        tried: Whether one passed as a trial since it was held back.
+    """
+
+    own: dict[str, float] = field(default_factory=dict)
+    told: dict[str, float] = field(default_factory=dict)
+    hold_s: float = HOLD_S
+    held_until: float = 0.0
+    tried: bool = False
+
+    @property
+    def newest(self) -> float:
+        """Monotonic time of the last loss."""
+        return max([*self.own.values(), *self.told.values()], default=0.0)
+
+
+class Suspects:
+    """The requests that were lost at instances, by fingerprint.
+
+    Attributes:
+        directory: The upstream instances.
+        publish: Tells the other routers; returns whether they can know.
+        random: Source of draws.
+        suspects: The requests, the oldest first.
+        heard: What each other router told last.
+        told: What was told to them last.
+    """
+
+    __slots__ = (
+        "_lock",
+        "directory",
+        "heard",
+        "publish",
+        "random",
+        "suspects",
+        "told",
+    )
+
+    def __init__(
+        self,
+        directory: Directory,
+        publish: Callable[[Losses], bool],
+        source: random.Random,
+    ) -> None:
+        """Start without suspects."""
+        self.directory = directory
+        self.publish = publish
+        self.random = source
+        self.suspects: dict[str, Suspect] = {}
+        self.heard: dict[str, Losses] = {}
+        self.told: Losses = {}
+        self._lock = threading.Lock()
+
+    def holds(self, call: Call, workspace: str) -> bool:
+        """Whether a request is held back, as it crashes what runs it.
+
+        Costs nothing while no request was lost. Once it was held back for
+        long enough, one passes as a trial.
+        """
+        if not self.suspects:
+            return False
+        fingerprint = fingerprint_of(call, workspace)
+        with self._lock:
+            suspect = self.suspects.get(fingerprint)
+            if suspect is None or not self._is_cause(suspect):
+                return False
+            now = time.monotonic()
+            if now < suspect.held_until:
+                return True
+            suspect.held_until = now + TRIAL_S
+            suspect.tried = True
+        log.info("suspect tried", request=call.id, fingerprint=fingerprint)
+        return False
+
+    def lost(self, call: Call, workspace: str, instance: str) -> bool:
+        """Note that an instance ended the connection of a request it had.
+
+        Returns:
+            Whether the request is to be run no more.
+        """
+        fingerprint = fingerprint_of(call, workspace)
+        with self._lock:
+            suspect = self._suspect(fingerprint)
+            suspect.own[instance] = time.monotonic()
+            return self._judge(fingerprint, suspect)
+
+    def answered(self, call: Call, workspace: str) -> None:
+        """Note that an instance began to answer a request."""
+        if not self.suspects:
+            return
+        with self._lock:
+            self.suspects.pop(fingerprint_of(call, workspace), None)
+
+    def hear(self, router: str, losses: Losses) -> None:
+        """Take what another router told; only what is new in it counts."""
+        with self._lock:
+            before = self.heard.pop(router, {})
+            if losses:
+                self.heard[router] = losses
+            for fingerprint, instances in losses.items():
+                new = set(instances) - set(before.get(fingerprint, ()))
+                if new:
+                    suspect = self._suspect(fingerprint)
+                    suspect.told |= dict.fromkeys(new, time.monotonic())
+                    self._judge(fingerprint, suspect)
+
+    def round(self) -> None:
+        """Forget what is old, and tell the others what is new."""
+        now = time.monotonic()
+        with self._lock:
+            for fingerprint, suspect in list(self.suspects.items()):
+                if now - suspect.newest > FORGET_S:
+                    del self.suspects[fingerprint]
+            found = {
+                fingerprint: instances
+                for fingerprint, suspect in self.suspects.items()
+                if (instances := self._crashed(suspect.own, now - TELL_AFTER_S))
+            }
+        newest = dict(list(found.items())[-MAX_TOLD:])
+        if newest != self.told and self.publish(newest):
+            self.told = newest
+
+    def _suspect(self, fingerprint: str) -> Suspect:
+        """Return the record of a request, as the newest one."""
+        suspect = self.suspects.pop(fingerprint, None) or Suspect()
+        self.suspects[fingerprint] = suspect
+        while len(self.suspects) > MAX_SUSPECTS:
+            del self.suspects[next(iter(self.suspects))]
+        return suspect
+
+    def _judge(self, fingerprint: str, suspect: Suspect) -> bool:
+        """Hold a request back if enough speaks against it.
+
+        Returns:
+            Whether it is held back.
+        """
+        if not self._is_cause(suspect):
+            return False
+        if suspect.tried:
+            suspect.hold_s = min(2 * suspect.hold_s, MAX_HOLD_S)
+            suspect.tried = False
+        # Spread, so that one router's trial tells the others before theirs.
+        hold_s = suspect.hold_s * (1.0 + self.random.random())
+        until = time.monotonic() + hold_s
+        suspect.held_until = max(suspect.held_until, until)
+        log.warning(
+            "request held back",
+            fingerprint=fingerprint,
+            own=sorted(suspect.own),
+            told=sorted(suspect.told),
+            hold_s=round(hold_s, 1),
+        )
+        return True
+
+    def _is_cause(self, suspect: Suspect) -> bool:
+        crashed = {*self._crashed(suspect.own), *self._crashed(suspect.told)}
+        return len(crashed) >= CRASHES_TO_HOLD
+
+    def _crashed(
+        self, losses: dict[str, float], before: float = math.inf
+    ) -> list[str]:
+        """Return the instances that show no life since they lost a request.
+
+        Args:
+            losses: The instances, with the monotonic times of the losses.
+            before: Monotonic time up to which losses count.
+        """
+        return sorted(
+            name
+            for name, lost_at in losses.items()
+            if lost_at <= before and not self._lives(name, lost_at)
+        )
+
+    def _lives(self, name: str, lost_at: float) -> bool:
+        """Whether an instance sent anything since a loss.
+
+        One that crashed comes back under another id.
+        """
+        instance = self.directory.instances.get(name)
+        if instance is None:
+            return False
+        return instance.heard_at > lost_at + LIFE_MARGIN_S
+
+
+def fingerprint_of(call: Call, workspace: str) -> str:
+    """Return what repeats of a request have in common: caller, path, body."""
+    return digest(workspace.encode(), call.method, call.target, call.body)
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -44,6 +44,7 @@
         idle_since: Monotonic time at which it was last put aside.
         keep_s: Seconds that it may be kept idle.
         heard_at: Monotonic time of the last bytes that came.
+        ended: Whether the upstream closed or reset it.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "_poll",
         "_request",
         "_watched",
+        "ended",
         "heard_at",
         "idle_since",
         "keep_s",
@@ -64,6 +66,7 @@
         self.keep_s = keep_s
         self.idle_since = time.monotonic()
         self.heard_at = 0.0
+        self.ended = False
         self.parser = _new_parser()
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
@@ -104,6 +107,7 @@
         try:
             self.sock.sendall(data)
         except OSError as error:
+            self.ended = True
             raise UpstreamLost(f"send: {error!r}", RAN_UNKNOWN) from error
 
     def watch_caller(self, caller: socket.socket | None) -> None:
@@ -228,8 +232,12 @@
         try:
             data = self.sock.recv(READ_BYTES)
         except OSError as error:
+            self.ended = True
             raise UpstreamLost(f"receive: {error!r}") from error
-        self.heard_at = time.monotonic()
+        if data:
+            self.heard_at = time.monotonic()
+        else:
+            self.ended = True
         try:
             self.parser.receive_data(data)
         except h11.RemoteProtocolError as error:
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -46,6 +46,8 @@
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import ReportListener, Shifts
 from lacewingdock.components.shifts.const import KIND_REPORTS, ROUND_S
+from lacewingdock.components.suspects import Suspects
+from lacewingdock.components.suspects.const import TELL_EVERY_S
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import LAPSE_S, Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
@@ -119,6 +121,7 @@
         routes: The routing table.
         directory: The upstream instances.
         shifts: Roll-outs.
+        suspects: Requests that were lost at instances.
         routers: The other routers.
         gateway: What requests share.
         callers: The callers' port.
@@ -158,6 +161,12 @@
             self.routers.count,
         )
         self.routers.tell = self.shifts.own_reports
+        self.suspects = Suspects(
+            self.directory, self.routers.publish, self.random
+        )
+        self.routers.heard = lambda router, status: self.suspects.hear(
+            router, status.losses
+        )
         self.mirrors = self._mirrors()
         self.gateway = self._gateway()
         self.callers = CallersPort(
@@ -229,6 +238,7 @@
             _start(listener.name, listener.run, self.stopping)
         _start("announce", self._announce)
         _start("shifts", self._every, ROUND_S, self.shifts.round)
+        _start("suspects", self._every, TELL_EVERY_S, self.suspects.round)
         _start("lapsed", self._every, LAPSED_S, self._drop_lapsed)
         _start("housekeeping", self._every, HOUSEKEEPING_S, self._keep_house)
         log.info("started", profile=self.settings.config)
@@ -263,6 +273,7 @@
             self.routes,
             chooser,
             self.shifts,
+            self.suspects,
             GatewayMetrics(self.registry),
             self._retry_terms(),
             self.random,
--- a/lacewingdock/exceptions.py
+++ b/lacewingdock/exceptions.py
@@ -39,6 +39,7 @@
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     PORT_TAKEN = "port_taken"
     QUARANTINED = "quarantined"
+    REPEATS_CRASH = "repeats_crash"
     SLOW_CALLER = "slow_caller"
     UNAUTHORIZED = "unauthorized"
     UNKNOWN_MODEL = "unknown_model"
@@ -135,6 +136,11 @@
     ErrorKind.QUARANTINED: Answer(
         422, "This request crashed upstreams and is quarantined"
     ),
+    ErrorKind.REPEATS_CRASH: Answer(
+        429,
+        "This request crashed upstreams each time, and is not run for now",
+        retry_after_s=60.0,
+    ),
     ErrorKind.SLOW_CALLER: Answer(
         408, "The request did not come in time", retry_after_s=1.0
     ),
--- a/lacewingdock/helpers/source_tables.py
+++ b/lacewingdock/helpers/source_tables.py
@@ -13,6 +13,7 @@
     "routers",
     "routes",
     "shifts",
+    "suspects",
     "upstreams",
 )
 # Single modules that belong to it besides.
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -15,6 +15,7 @@
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.suspects import Suspects
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
@@ -233,11 +234,14 @@
         )
         self.routes.known.set()
         source = random.Random(7)
+        self.published = []
         self.shifts = Shifts(self.host, "inc", None, self.directory, lambda: 1)
+        self.suspects = Suspects(self.directory, self._publish, source)
         self.gateway = Gateway(
             self.routes,
             Chooser(self.directory, "d1", source),
             self.shifts,
+            self.suspects,
             GatewayMetrics(prometheus_client.CollectorRegistry()),
             RetryTerms(0.5, 20.0, 10.0),
             source,
@@ -250,6 +254,10 @@
         self.pool = ThreadPoolExecutor(4)
         self.pool.submit(self.port.listener.run, self.stopping)
 
+    def _publish(self, losses):
+        self.published.append(losses)
+        return True
+
     def close(self):
         """End it."""
         self.stopping.set()
--- /dev/null
+++ b/tests/components/gateway/test_suspects.py
@@ -0,0 +1,100 @@
+"""Tests of requests that crash the instances that they reach."""
+
+import pytest
+
+from lacewingdock.world.route import Repeat
+from tests.components.gateway.fakes import (
+    Upstream,
+    answer,
+    route,
+    send,
+    stream_head,
+)
+
+
+def crash(upstream):
+    """Return a step that ends the instance with the request's connection."""
+
+    def step(*_):
+        upstream.close()
+        return False
+
+    return step
+
+
+def crashing(count):
+    """Return instances of which each crashes at its first request."""
+    found = [Upstream() for _ in range(count)]
+    for upstream in found:
+        upstream.steps = [crash(upstream)]
+    return found
+
+
+@pytest.mark.parametrize("repeat", [Repeat.IDEMPOTENT, Repeat.ONCE])
+def test_request_that_crashes_what_runs_it_is_held_back(staged, repeat):
+    """Symptom: one request, sent again and again, takes down all instances.
+
+    Sequence: it is lost at an instance; it is repeated by the router where it
+    may be, and by its caller; each repeat takes down another instance. Cause:
+    nothing was remembered of it.
+    """
+    upstreams = crashing(6)
+    stage = staged([route(repeat, max_attempts=2)], upstreams)
+    statuses = []
+    for number in range(8):
+        status, headers, _ = stage.call(call_id=f"c-{number}", body=b"bad")
+        statuses.append(status)
+    assert sum(not one.steps for one in upstreams) == 3
+    assert statuses[-1] == 429
+    assert float(headers["retry-after"]) > 10
+    assert set(statuses) == {502, 429}
+    # What was refused as not run reached no instance.
+    refused = [f"c-{n}" for n, one in enumerate(statuses) if one == 429]
+    heads = [head for one in upstreams for head in one.requests]
+    assert not [i for i in refused for head in heads if f"{i}\r" in head]
+
+
+def test_others_go_on(staged):
+    upstreams = [*crashing(3), Upstream()]
+    stage = staged([route(max_attempts=2)], upstreams)
+    for number in range(4):
+        stage.call(call_id=f"c-{number}", body=b"bad")
+    for number in range(6):
+        call_id, body = f"d-{number}", b"good %d" % number
+        status, _, _ = stage.call(call_id=call_id, body=body)
+        assert status == 200
+
+
+@pytest.mark.parametrize(
+    "fate",
+    [
+        send(b"garbage\r\n\r\n", then="close"),
+        send(lambda i: answer_without_seal(i), then="keep"),
+        send(then="silent"),
+        send(lambda i: stream_head(i), then="keep"),
+    ],
+    ids=["no http", "no seal", "silent", "stream without an event"],
+)
+def test_bad_answers_are_no_crashes(staged, fate):
+    upstreams = [Upstream(fate), Upstream(fate), Upstream(fate), Upstream()]
+    stage = staged([route(max_attempts=3, timeout_s=0.6)], upstreams)
+    for number in range(3):
+        stage.call(call_id=f"c-{number}")
+    assert stage.suspects.suspects == {}
+
+
+def answer_without_seal(call_id):
+    """Return an answer that is not the upstream's own."""
+    head = b"HTTP/1.1 200 OK\r\nAttempt-Id: " + call_id
+    return head + b"\r\nContent-Length: 2\r\n\r\nok"
+
+
+def test_an_answer_between_clears(staged):
+    upstreams = crashing(3)
+    upstreams[1].steps = [answer()]
+    stage = staged([route(Repeat.ONCE)], upstreams)
+    statuses = [
+        stage.call(call_id=f"c-{number}", body=b"common")[0]
+        for number in range(6)
+    ]
+    assert 429 not in statuses
--- /dev/null
+++ b/tests/components/suspects/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the requests that crash upstream instances."""
--- /dev/null
+++ b/tests/components/suspects/test_suspects.py
@@ -0,0 +1,233 @@
+"""Tests of holding back requests that crash what runs them."""
+
+import random
+import time
+
+import pytest
+
+from lacewingdock.components.suspects import Suspects, fingerprint_of
+from lacewingdock.components.suspects.const import (
+    CRASHES_TO_HOLD,
+    FORGET_S,
+    HOLD_S,
+    MAX_SUSPECTS,
+    TELL_AFTER_S,
+    TRIAL_S,
+)
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.world.backend import UpstreamEntry
+from lacewingdock.world.call import Call
+
+
+def call(name="c-1", body=b"poison", target=b"/r/x"):
+    """Return a request."""
+    return Call(
+        id=name, method=b"POST", target=target, host="h", path="/r/x", body=body
+    )
+
+
+class Clock:
+    """Stands in for the monotonic clock."""
+
+    def __init__(self, monkeypatch):
+        self.now = 1000.0
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+
+class Fleet:
+    """Routers that hear each other at once."""
+
+    def __init__(self, count, instances=8):
+        self.directories = [Directory() for _ in range(count)]
+        for directory in self.directories:
+            for number in range(instances):
+                directory.take(entry(f"i-{number}"))
+        self.writes = 0
+        self.routers = [
+            Suspects(
+                directory,
+                lambda losses, n=n: self.publish(n, losses),
+                random.Random(n),
+            )
+            for n, directory in enumerate(self.directories)
+        ]
+
+    def publish(self, number, losses):
+        """Take what one router tells to all others."""
+        self.writes += 1
+        for other, router in enumerate(self.routers):
+            if other != number:
+                router.hear(f"r-{number}", losses)
+        return True
+
+    def round(self):
+        """Let all routers tell."""
+        for router in self.routers:
+            router.round()
+
+
+def entry(name):
+    """Return an upstream's entry."""
+    return UpstreamEntry(
+        id=name,
+        service="svc",
+        host="127.0.0.1",
+        port=1,
+        failure_domain="d1",
+        version="v1",
+        slots=4,
+    )
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A clock that moves when it is told to."""
+    return Clock(monkeypatch)
+
+
+def test_one_router_holds_back_what_crashed_three(clock):
+    """Symptom: one request takes an instance down each time it comes.
+
+    Sequence: a request is lost at an instance; its repeats are lost at others.
+    Cause: each repeat was routed as if nothing were known of it.
+    """
+    suspects = Fleet(1).routers[0]
+    held = [suspects.lost(call(), "w", f"i-{n}") for n in range(3)]
+    assert held == [False, False, True]
+    assert suspects.holds(call("c-9"), "w")
+    assert not suspects.holds(call(), "another")
+    assert not suspects.holds(call(body=b"other"), "w")
+    assert not suspects.holds(call(target=b"/r/y"), "w")
+
+
+def test_losses_add_up_over_the_fleet(clock):
+    """Symptom: a request takes down two instances through each router.
+
+    Cause: each router knew its own losses only.
+    """
+    fleet = Fleet(3)
+    for number, router in enumerate(fleet.routers):
+        assert not router.holds(call(), "w")
+        router.lost(call(), "w", f"i-{number}")
+        clock.now += TELL_AFTER_S + 0.1
+        fleet.round()
+    assert [one.holds(call(), "w") for one in fleet.routers] == [True] * 3
+    assert fleet.writes == 3
+    fleet.round()
+    assert fleet.writes == 3
+
+
+def test_an_answer_clears(clock):
+    suspects = Fleet(1).routers[0]
+    for number in range(2):
+        suspects.lost(call(), "w", f"i-{number}")
+    suspects.answered(call(), "w")
+    assert not suspects.lost(call(), "w", "i-2")
+    clock.now += TELL_AFTER_S + 0.1
+    suspects.round()
+    assert suspects.told == {fingerprint_of(call(), "w"): ["i-2"]}
+
+
+def test_lost_connections_of_living_instances_do_not_count(clock):
+    """Symptom: a common request is refused after connections were reset.
+
+    Cause: a reset was taken for a crash, though the instance went on
+    answering others.
+    """
+    fleet = Fleet(2)
+    suspects, directory = fleet.routers[0], fleet.directories[0]
+    for number in range(3):
+        suspects.lost(call(), "w", f"i-{number}")
+        clock.now += 0.2
+        directory.instances[f"i-{number}"].heard_at = clock.now
+    assert not suspects.holds(call(), "w")
+    clock.now += 1.0
+    fleet.round()
+    assert fleet.writes == 0
+
+
+@pytest.mark.parametrize("gone", [True, False])
+def test_a_crashed_instance_comes_back_under_another_id(clock, gone):
+    fleet = Fleet(1)
+    suspects, directory = fleet.routers[0], fleet.directories[0]
+    for number in range(3):
+        suspects.lost(call(), "w", f"i-{number}")
+        if gone:
+            directory.remove(f"i-{number}", doubtful=False)
+    assert suspects.holds(call(), "w")
+
+
+def test_one_trial_after_each_hold_and_longer_holds(clock, monkeypatch):
+    """Three instances crashed for another cause: one answer clears it.
+
+    Otherwise each trial costs one instance, ever more seldom.
+    """
+    suspects = Fleet(1).routers[0]
+    monkeypatch.setattr(suspects.random, "random", lambda: 0.0)
+    for number in range(CRASHES_TO_HOLD):
+        suspects.lost(call(), "w", f"i-{number}")
+    trials = []
+    for step in range(2000):
+        clock.now += 0.1
+        if not suspects.holds(call(), "w"):
+            trials.append(round(step / 10))
+            suspects.lost(call(), "w", f"i-{3 + len(trials)}")
+    assert trials == [20, 60, 140]
+    clock.now += 1000.0
+    assert not suspects.holds(call(), "w")
+    assert suspects.holds(call(), "w")
+    clock.now += TRIAL_S
+    suspects.answered(call(), "w")
+    assert not suspects.holds(call(), "w")
+
+
+def test_bound_over_the_fleet(clock):
+    """At most three more instances in 34 s after the third crash is known."""
+    fleet = Fleet(4, instances=100)
+    crashes, third_at = 0, None
+    for step in range(400):
+        clock.now += 0.1
+        router = fleet.routers[step % 4]
+        if not router.holds(call(), "w"):
+            if third_at is not None and clock.now > third_at + 3.0:
+                crashes += 1
+            router.lost(call(), "w", f"i-{step % 100}")
+            if third_at is None and step >= 2:
+                third_at = clock.now
+        if step % 3 == 0:
+            fleet.round()
+    assert 0 < crashes <= 3
+
+
+def test_what_was_heard_before_does_not_count_again(clock):
+    fleet = Fleet(2)
+    teller, hearer = fleet.routers
+    teller.lost(call(), "w", "i-0")
+    clock.now += 1.0
+    fleet.round()
+    hearer.answered(call(), "w")
+    teller.lost(call(body=b"other"), "w", "i-1")
+    clock.now += 1.0
+    fleet.round()
+    assert fingerprint_of(call(), "w") not in hearer.suspects
+    assert fingerprint_of(call(body=b"other"), "w") in hearer.suspects
+
+
+def test_memory_and_time_are_bounded(clock):
+    suspects = Fleet(1).routers[0]
+    for number in range(MAX_SUSPECTS + 50):
+        suspects.lost(call(body=b"%d" % number), "w", "i-0")
+    assert len(suspects.suspects) == MAX_SUSPECTS
+    clock.now += FORGET_S + 1
+    suspects.round()
+    assert suspects.suspects == {}
+
+
+def test_what_could_not_be_told_is_told_again(clock):
+    told = []
+    suspects = Suspects(Directory(), told.append, random.Random(1))
+    suspects.lost(call(), "w", "i-0")
+    clock.now += HOLD_S
+    suspects.round()
+    suspects.round()
+    assert len(told) == 2
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -145,6 +145,18 @@
     }
 
 
+def server(port):
+    """Return an instance's entry, as the platform's store has it."""
+    return {
+        "service": "svc",
+        "address": f"127.0.0.1:{port}",
+        "zone": "d1",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+    }
+
+
 @pytest.fixture
 def site(tmp_path):
     """A platform, an upstream and two routers that are not started."""
@@ -164,14 +176,7 @@
     api.write(
         "servers",
         "i-1",
-        {
-            "service": "svc",
-            "address": f"127.0.0.1:{upstream.port}",
-            "zone": "d1",
-            "version": "v1",
-            "slots": 4,
-            "state": "ready",
-        },
+        server(upstream.port),
         0,
         "test",
     )
@@ -328,6 +333,43 @@
     assert (status, text.count("request=booking-")) == (0, 2)
 
 
+def test_request_that_crashes_instances_is_held_back_by_all_routers(site):
+    """Symptom: a request takes down two instances through each router.
+
+    Cause: what one router saw of it, the others did not know.
+    """
+
+    def crashing(upstream):
+        def step(*_):
+            upstream.close()
+            return False
+
+        upstream.steps = [step]
+        return upstream
+
+    upstreams = [crashing(site.upstream)]
+    for number in range(2, 7):
+        upstreams.append(crashing(Upstream()))
+        entry = server(upstreams[-1].port)
+        site.api.write("servers", f"i-{number}", entry, 0, "test")
+    for router in (site.first, site.second):
+        router.start()
+    for router in (site.first, site.second):
+        wait(router.is_ready)
+        wait(
+            lambda r=router: r.log.read_text().count('"message":"upstream"') > 5
+        )
+    assert site.first.call(path="/r/x", body=b"bad")[0] == 502
+    time.sleep(1.0)
+    assert site.second.call(path="/r/x", body=b"bad")[0] == 502
+    wait(lambda: "request held back" in site.first.log.read_text(), 3.0)
+    for router in (site.first, site.second):
+        assert router.call(path="/r/x", body=b"bad")[0] == 429
+    assert sum(not one.steps for one in upstreams) == 3
+    for upstream in upstreams[1:]:
+        upstream.close()
+
+
 def test_router_that_starts_in_an_outage_learns_from_another(site):
     """Symptom: a restarted router refuses everything until the store is back.
 
