--- a/lacewingdock/components/inspection/__init__.py
+++ b/lacewingdock/components/inspection/__init__.py
@@ -8,7 +8,6 @@
 import msgspec
 
 from lacewingdock.components.gateway.metrics import GatewayMetrics
-from lacewingdock.components.inspection.state import RouterState
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.server_connection import (
@@ -23,6 +22,7 @@
 
 if TYPE_CHECKING:
     from lacewingdock.components.inspection.exposition import Exposition
+    from lacewingdock.components.inspection.state import RouterState
 
 METRICS_PATH: Final = b"/metrics"
 STATE_PATH: Final = b"/state"
@@ -50,7 +50,7 @@
     def __init__(
         self,
         address: tuple[str, int],
-        state: Callable[[], RouterState],
+        state: "Callable[[], RouterState]",
         metrics: GatewayMetrics,
         api: ObjectApi,
     ) -> None:
--- a/lacewingdock/components/rollouts/record.py
+++ b/lacewingdock/components/rollouts/record.py
@@ -18,7 +18,8 @@
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.store import Stored
-from lacewingdock.world.objects import Name, Share
+from lacewingdock.world.names import Name
+from lacewingdock.world.objects import Share
 
 
 @dataclass(slots=True, kw_only=True)
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -12,7 +12,7 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from lacewingdock.components.admission.fleet_budget import RetryTerms
 from lacewingdock.components.gateway import CallersPort
@@ -20,14 +20,6 @@
 from lacewingdock.components.gateway.metrics import GatewayMetrics
 from lacewingdock.components.host_watch import LOOK_S, HostWatch
 from lacewingdock.components.inspection import InspectionPort
-from lacewingdock.components.inspection.gather import (
-    gather_copies,
-    gather_roll_outs,
-    gather_routers,
-    gather_services,
-    gather_upstreams,
-)
-from lacewingdock.components.inspection.state import RouterState
 from lacewingdock.components.mirror import (
     WATCH_PART,
     Listener,
@@ -49,7 +41,7 @@
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import LAPSE_S, Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
-from lacewingdock.const import THREAD_STACK_BYTES, VERSION
+from lacewingdock.const import THREAD_STACK_BYTES
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger, start_logging
@@ -65,6 +57,9 @@
 from lacewingdock.platform.profile import parse_profile, read_text
 from lacewingdock.settings import RouterSettings, load_settings
 
+if TYPE_CHECKING:
+    from lacewingdock.components.inspection.state import RouterState
+
 # Without a copy of these no request can be routed.
 ESSENTIAL_KINDS: Final = (KIND_CONFIGURATION, KIND_INSTANCES, KIND_SHIFTS)
 # Routers come and go rarely, and their addresses matter only in an outage.
@@ -208,26 +203,11 @@
             found.append(self.inspection.listener)
         return found
 
-    def state(self) -> RouterState:
+    def state(self) -> "RouterState":
         """Return what the router believes now."""
-        host, table = self.host, self.routes.table
-        return RouterState(
-            instance=host.instance,
-            failure_domain=host.failure_domain,
-            release=VERSION,
-            up_s=round(time.monotonic() - self.started, 1),
-            missing=self.missing(),
-            leaving=self.leaving.is_set(),
-            active=self.callers.active.value,
-            configuration=table.version if table else None,
-            store_away=self.health.away,
-            store_doubtful=self.health.doubtful,
-            copies=gather_copies(self.mirrors.values()),
-            services=gather_services(self.gateway),
-            upstreams=gather_upstreams(self.directory),
-            roll_outs=gather_roll_outs(self.shifts),
-            routers=gather_routers(self.routers),
-        )
+        from lacewingdock.daemons.router_state import router_state
+
+        return router_state(self)
 
     def missing(self) -> str:
         """Return what is missing to serve; empty if nothing."""
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -12,7 +12,7 @@
 from lacewingdock.const import ENV_PREFIX, MAX_FRAME_BYTES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.describe import allowed
-from lacewingdock.world.objects import Name
+from lacewingdock.world.names import Name
 
 _OCTET: Final = r"(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 _HOST: Final = rf"{_OCTET}(\.{_OCTET}){{3}}"
--- a/lacewingdock/world/manifest.py
+++ b/lacewingdock/world/manifest.py
@@ -7,7 +7,7 @@
 import yaml
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.world.objects import NAME_PATTERN
+from lacewingdock.world.names import NAME_PATTERN
 from lacewingdock.world.world import CLASSES, World, decode_item
 
 MAX_MANIFEST_CHARS: Final = 4 * 1024 * 1024
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -6,17 +6,10 @@
 
 from msgspec import Meta
 
-# "$" would also match before a line feed at the end.
-NAME_PATTERN: Final = r"^[a-z0-9][a-z0-9.-]{0,62}\Z"
+from lacewingdock.world.names import Name
+
 MAX_PORT: Final = 65535
 
-Name = Annotated[
-    str,
-    Meta(
-        pattern=NAME_PATTERN,
-        description="lower-case letters, digits, '.' and '-', at most 63",
-    ),
-]
 Digest = Annotated[
     str,
     Meta(pattern=r"^[0-9a-f]{64}\Z", description="64 hex digits"),
