Router: what routers that are gone for good left in the store is removed

Cause: each router's object and its reports stayed. The fleet's retries are divided by the routers there are, so they would grow ever scarcer while machines are replaced; in an outage all the dead would be asked for copies.

Ruled out: leases with a heartbeat (1,200 writes in each interval); removing where a copy can't be pulled (a partition would remove the living).

Change: a router announces itself every 5 to 10 minutes; who did not for an hour is removed by the revision that was seen, so one that came back stays.

Before: test_routers_that_are_gone_are_removed fails (no such function; three objects stay). After: passes.

--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -7,6 +7,7 @@
 
 import random
 import socket
+import time
 import urllib.parse
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -46,6 +47,12 @@
 ASKED: Final = 2
 # Longest copy that is read: 6,500 upstream entries of 1 KB, and as much again.
 MAX_COPY_BYTES: Final = 16 * 1024 * 1024
+# How often a router announces itself again, at the latest: at 1,200 routers
+# about three writes a second, under a hundredth of the platform's.
+ANNOUNCE_EVERY_S: Final = 600.0
+# A router that did not for so long is gone: several announcements that failed,
+# and clocks that are wrong by minutes.
+GONE_AFTER_S: Final = 3600.0
 # Connections from other routers served at once.
 MAX_CONNECTIONS: Final = 64
 _LIMITS: Final = CallerLimits(read_s=1.0, idle_s=2.0)
@@ -55,10 +62,17 @@
 
 @dataclass(slots=True)
 class RouterEntry:
-    """Where a router is reached."""
+    """Where a router is reached.
+
+    Attributes:
+        address: Its port for other routers, as IP:PORT.
+        incarnation: Its start.
+        seen_at: Unix time, in seconds, at which it last announced itself.
+    """
 
     address: str
     incarnation: str
+    seen_at: int = 0
 
 
 @dataclass(slots=True)
@@ -86,6 +100,7 @@
             known.
         tell: Returns what others are told along with a question; this
             router can't write it to the store then.
+        revisions: Revisions of the other routers' objects, by name.
         heard: Takes what another router tells all, by its name.
         revision: Revision of this router's object, as far as it knows.
         random: Source of draws.
@@ -100,6 +115,7 @@
         "name",
         "random",
         "revision",
+        "revisions",
         "tell",
     )
 
@@ -119,6 +135,7 @@
         self.first_peers = first_peers
         self.random = source
         self.revision = ABSENT
+        self.revisions: dict[str, int] = {}
         self.tell: Callable[[], bytes] = lambda: b""
         self.heard: Callable[[str, RouterStatus], None] = lambda *_: None
 
@@ -132,10 +149,11 @@
         An earlier start of the router may have left one, at the same address
         or another.
         """
+        self.entry.seen_at = int(time.time())
         spec = msgspec.to_builtins(self.entry)
         try:
             written, found = self.api.write_over(
-                KIND_ROUTERS, self.name, spec, ABSENT, "announce"
+                KIND_ROUTERS, self.name, spec, self.revision, "announce"
             )
         except LacewingdockError as error:
             log.warning("not announced", error=str(error))
@@ -169,6 +187,27 @@
                 return True
         return False
 
+    def remove_gone(self) -> None:
+        """Remove the objects of routers that are gone for good.
+
+        Nothing else does: each would be counted for good where the fleet's
+        retries are divided, and be asked for copies in each outage. Who was
+        merely away for long announces itself again.
+        """
+        before = time.time() - GONE_AFTER_S
+        for name, entry in list(self.entries.items()):
+            if name == self.name or entry.seen_at > before:
+                continue
+            revision = self.revisions.get(name, ABSENT)
+            try:
+                gone = self.api.remove(
+                    KIND_ROUTERS, name, revision, "remove-router"
+                )
+            except LacewingdockError as error:
+                log.warning("router not removed", error=str(error))
+                return
+            log.info("router removed", router=name, gone=gone)
+
     def pull(self, kind: str, revision: int) -> Copy:
         """Return the newest copy that others have beyond a revision."""
         others = self._addresses()
@@ -193,6 +232,7 @@
         """Take one entry in."""
         del doubtful
         if change.removed:
+            self.revisions.pop(change.object.name, None)
             gone = self.entries.pop(change.object.name, None)
             if gone is not None:
                 self.heard(change.object.name, RouterStatus(gone.incarnation))
@@ -207,8 +247,10 @@
         except msgspec.ValidationError as error:
             log.error("entry refused", router=stored.name, error=str(error))
             return
-        if self.entries.get(stored.name) != entry:
-            self.entries[stored.name] = entry
+        self.revisions[stored.name] = stored.revision
+        known = self.entries.get(stored.name)
+        self.entries[stored.name] = entry
+        if known is None or known.incarnation != entry.incarnation:
             log.info("router", router=stored.name, address=entry.address)
         self._take_status(stored, entry)
 
--- a/lacewingdock/components/shifts/reporter.py
+++ b/lacewingdock/components/shifts/reporter.py
@@ -2,18 +2,22 @@
 
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 
 from lacewingdock.components.shifts.const import (
     KIND_REPORTS,
     REPORT_BAD_S,
     REPORT_S,
 )
-from lacewingdock.components.shifts.report import Report, Stage
+from lacewingdock.components.shifts.report import (
+    Report,
+    Stage,
+    read_report,
+)
 from lacewingdock.components.shifts.shift import Shift
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.platform.object_api import ABSENT, ObjectApi
+from lacewingdock.platform.object_api import ABSENT, ObjectApi, StoredObject
 
 log = get_logger("shifts")
 
@@ -69,6 +73,28 @@
             return
         self.written[report.name] = report
 
+    def remove_gone(
+        self, reports: Iterable[StoredObject], routers: Collection[str]
+    ) -> None:
+        """Remove the reports of routers that are gone for good.
+
+        Args:
+            reports: All reports.
+            routers: Names of the routers that there are.
+        """
+        for stored in reports:
+            report = read_report(stored)
+            if report is not None and report.router in routers:
+                continue
+            try:
+                self.api.remove(
+                    KIND_REPORTS, stored.name, stored.revision, "remove-report"
+                )
+            except LacewingdockError as error:
+                log.warning("report not removed", error=str(error))
+                return
+            log.info("report removed", report=stored.name)
+
     def report(self, shift: Shift, old_running: int) -> Report:
         """Return what this router has to report of a roll-out."""
         return Report(
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -28,6 +28,7 @@
 )
 from lacewingdock.components.readiness import ReadinessPort
 from lacewingdock.components.routers import (
+    ANNOUNCE_EVERY_S,
     KIND_ROUTERS,
     CopiesPort,
     RouterEntry,
@@ -324,9 +325,27 @@
         return max(REPORTS_PAUSE_S, self.routers.count() / reads)
 
     def _announce(self) -> None:
-        while not self.routers.announce():
-            if self.stopping.wait(ANNOUNCE_RETRY_S):
-                return
+        """Announce this router, again and again."""
+        wait_s = 0.0
+        while not self.stopping.wait(wait_s):
+            if not self.routers.announce():
+                wait_s = ANNOUNCE_RETRY_S
+                continue
+            self._remove_gone()
+            # Spread, so that not all remove what is gone at once.
+            wait_s = ANNOUNCE_EVERY_S * self.random.uniform(0.5, 1.0)
+
+    def _remove_gone(self) -> None:
+        """Remove what routers left in the store that are gone for good."""
+        routers, reports = (
+            self.mirrors[kind].snapshot()
+            for kind in (KIND_ROUTERS, KIND_REPORTS)
+        )
+        if routers is None or reports is None or self.shifts.running:
+            return
+        self.routers.remove_gone()
+        known = {self.host.instance, *routers.objects}
+        self.shifts.reporter.remove_gone(reports.objects.values(), known)
 
     def _keep_house(self) -> None:
         self.gateway.pool.prune()
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -285,6 +285,20 @@
             "PUT", path, name, {**body, "status": status}, purpose
         )
 
+    def remove(self, kind: str, name: str, expect: int, purpose: str) -> bool:
+        """Remove an object if its revision is the expected one.
+
+        Returns:
+            Whether it is gone, by this call or another.
+
+        Raises:
+            LacewingdockError: As `write`.
+        """
+        path = f"{_path(kind, name)}?revision={expect}"
+        also = (HTTPStatus.CONFLICT, HTTPStatus.NOT_FOUND)
+        reply = self._call("DELETE", path, purpose, also=also)
+        return reply.status != HTTPStatus.CONFLICT
+
     def _write(
         self, method: str, path: str, name: str, body: Any, purpose: str
     ) -> tuple[bool, StoredObject]:
@@ -344,7 +358,7 @@
         else:
             curl.setopt(pycurl.POSTFIELDS, msgspec.json.encode(body))
         curl.setopt(pycurl.CUSTOMREQUEST, method)
-        ran = RAN_NO if body is None else RAN_UNKNOWN
+        ran = RAN_NO if method == "GET" else RAN_UNKNOWN
         try:
             curl.perform()
         except pycurl.error as error:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -229,6 +229,9 @@
             known = self.objects.get(kind, {}).get(name)
             if known is None:
                 return json_response({"error": "not found"}, 404)
+            expect = request.args.get("revision", known.revision, type=int)
+            if expect != known.revision:
+                return json_response(known.shown(), 409)
             self._remove(known)
         return json_response(known.shown())
 
--- /dev/null
+++ b/tests/components/routers/test_routers.py
@@ -0,0 +1,185 @@
+"""Tests of what routers tell each other through the store."""
+
+import random
+import time
+
+import pytest
+
+from lacewingdock.components.routers import (
+    GONE_AFTER_S,
+    KIND_ROUTERS,
+    RouterEntry,
+    Routers,
+)
+from lacewingdock.components.shifts.const import KIND_REPORTS
+from lacewingdock.components.shifts.report import Report
+from lacewingdock.components.shifts.reporter import Reporter
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.platform.object_api import (
+    ABSENT,
+    Change,
+    Snapshot,
+    StoredObject,
+)
+
+
+class Store:
+    """Keeps objects of any kind, as the platform's store does."""
+
+    def __init__(self):
+        self.objects = {}
+        self.revision = 10
+        self.fails = False
+
+    def _put(self, kind, name, expect, **changes):
+        if self.fails:
+            raise LacewingdockError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+        known = self.objects.get((kind, name))
+        if (known.revision if known else ABSENT) != expect:
+            return False, known or StoredObject(name, ABSENT)
+        self.revision += 1
+        fields = {"spec": known.spec, "status": known.status} if known else {}
+        stored = StoredObject(name, self.revision, **fields | changes)
+        self.objects[kind, name] = stored
+        return True, stored
+
+    def write_over(self, kind, name, spec, expect, _):
+        """Write a spec, once more over what is in its way."""
+        written, found = self._put(kind, name, expect, spec=spec)
+        if written or not found.revision:
+            return written, found
+        return self._put(kind, name, found.revision, spec=spec)
+
+    def write_status(self, kind, name, status, expect, _):
+        """Write a status."""
+        return self._put(kind, name, expect, status=status)
+
+    def remove(self, kind, name, expect, _):
+        """Remove an object."""
+        if self.fails:
+            raise LacewingdockError(ErrorKind.PLATFORM_UNAVAILABLE, "away")
+        known = self.objects.get((kind, name))
+        if known is not None and known.revision != expect:
+            return False
+        self.objects.pop((kind, name), None)
+        return True
+
+
+class Fleet:
+    """Routers with one store, which see its objects when they are told to."""
+
+    def __init__(self, *names):
+        self.store = Store()
+        self.heard = []
+        self.routers = {}
+        for name in names:
+            self.start(name, "1")
+
+    def start(self, name, incarnation):
+        """Start a router, or start it again."""
+        entry = RouterEntry(f"{name}:1", incarnation)
+        found = Routers(self.store, name, entry, lambda: (), random.Random(1))
+        found.heard = lambda router, status: self.heard.append(
+            (name, router, status.losses)
+        )
+        self.routers[name] = found
+        assert found.announce()
+        return found
+
+    def see(self, name):
+        """Have a router read all routers' objects."""
+        objects = {
+            stored.name: stored
+            for (kind, _), stored in self.store.objects.items()
+            if kind == KIND_ROUTERS
+        }
+        self.routers[name].replace(Snapshot(99, objects), doubtful=False)
+
+
+def test_losses_reach_the_others():
+    fleet = Fleet("r-1", "r-2")
+    assert fleet.routers["r-1"].publish({"f": ["i-1"]})
+    fleet.see("r-2")
+    assert fleet.heard == [("r-2", "r-1", {"f": ["i-1"]})]
+    # A further announcement keeps what was told.
+    assert fleet.routers["r-1"].announce()
+    fleet.see("r-2")
+    assert fleet.heard[-1] == ("r-2", "r-1", {"f": ["i-1"]})
+
+
+def test_what_an_earlier_start_told_is_void():
+    fleet = Fleet("r-1", "r-2")
+    fleet.routers["r-1"].publish({"f": ["i-1"]})
+    fleet.start("r-1", "2")
+    fleet.see("r-2")
+    assert fleet.heard == [("r-2", "r-1", {})]
+
+
+def test_a_write_whose_answer_was_lost_is_written_over():
+    fleet = Fleet("r-1")
+    router = fleet.routers["r-1"]
+    fleet.store.write_status(
+        KIND_ROUTERS, "r-1", {"incarnation": "1"}, router.revision, ""
+    )
+    assert router.publish({"f": ["i-1"]})
+    fleet.store.fails = True
+    assert not router.publish({})
+    assert not router.announce()
+
+
+@pytest.mark.parametrize("status", [7, {"incarnation": 3}, {"losses": "x"}])
+def test_odd_status_is_passed_over(status):
+    fleet = Fleet("r-1", "r-2")
+    key = (KIND_ROUTERS, "r-1")
+    fleet.store.objects[key].status = status
+    fleet.see("r-2")
+    assert fleet.heard == []
+    assert fleet.routers["r-2"].count() == 2
+
+
+def test_routers_that_are_gone_are_removed(monkeypatch):
+    """Symptom: retries grow ever scarcer while machines are replaced.
+
+    Cause: each router's object stayed for good, and the fleet's retries were
+    divided by all that ever were.
+    """
+    fleet = Fleet("r-1", "r-2", "r-3")
+    now = time.time()
+    monkeypatch.setattr(time, "time", lambda: now + GONE_AFTER_S + 5)
+    assert fleet.routers["r-2"].announce()
+    fleet.see("r-1")
+    fleet.routers["r-1"].remove_gone()
+    names = {name for _, name in fleet.store.objects}
+    assert names == {"r-1", "r-2"}
+    entry = fleet.routers["r-3"].entry
+    gone = Change(StoredObject("r-3", 99, spec=entry), removed=True)
+    fleet.routers["r-1"].change(gone, doubtful=False)
+    assert fleet.routers["r-1"].count() == 2
+    # One that was away, not gone, comes back.
+    assert not fleet.routers["r-3"].announce()
+    assert fleet.routers["r-3"].announce()
+    fleet.see("r-1")
+    assert fleet.routers["r-1"].count() == 3
+
+
+def test_a_router_that_came_back_meanwhile_is_not_removed(monkeypatch):
+    fleet = Fleet("r-1", "r-2")
+    fleet.see("r-1")
+    now = time.time()
+    monkeypatch.setattr(time, "time", lambda: now + GONE_AFTER_S + 5)
+    assert fleet.routers["r-2"].announce()
+    fleet.routers["r-1"].remove_gone()
+    assert (KIND_ROUTERS, "r-2") in fleet.store.objects
+
+
+def test_reports_of_routers_that_are_gone_are_removed():
+    store = Store()
+    reporter = Reporter(store, "r-1", "1", lambda: 1.0)
+    for router in ("r-1", "r-2"):
+        report = Report("svc", "v2", router, "1")
+        spec = {"service": "svc", "target": "v2", "router": router}
+        spec["incarnation"] = "1"
+        store.write_over(KIND_REPORTS, report.name, spec, ABSENT, "")
+    store.write_over(KIND_REPORTS, "odd", {"x": 1}, ABSENT, "")
+    reporter.remove_gone(list(store.objects.values()), {"r-1"})
+    assert [name for _, name in store.objects] == ["svc.r-1"]
