Sizes bend by what waits, before late answers tell of it

Cause: how late answers begin was known only once they had begun. After a restart, and at the start of a burst, all that came at once went to the largest model for as long as its first answers took; those answers came late, and kept others late.

Change: requests that wait for the largest model count with twice their time so far, the expected end of their wait.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -302,8 +302,9 @@
             self.progress,
             self.route.streaming,
             self._accepts,
-            lambda: self.gateway.chooser.began(instance, unread),
+            lambda: self._began(instance, unread),
         )
+        self._await_largest()
         sending = Sending(
             instance=instance.entry.id,
             workspace=self.workspace,
@@ -324,6 +325,15 @@
         self._log_attempt(instance, result, time.monotonic() - start)
         return result
 
+    def _await_largest(self) -> None:
+        if self.model and self.model == self.route.models[-1]:
+            pressure = self.gateway.pressure(self.service)
+            pressure.wait(self, self.started, self.route.goal_s)
+
+    def _began(self, instance: Instance, unread: float) -> None:
+        self.gateway.chooser.began(instance, unread)
+        self.gateway.pressure(self.service).begun(self)
+
     def _priority(self) -> int:
         """Return the request's rank; its workspace's goes first."""
         rank = self.route.priority
