Settings: bounds of numbers are written as numbers of their type

Cause: typing keeps one of two equal annotations, and 0 equals 0.0, so the docs' table depended on which module was imported first; it failed once, after names had moved.

--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -28,7 +28,7 @@
     retry_budget_ratio: Annotated[float, Meta(ge=0.0)] = 0.1
     budget_window_s: _Positive = 10.0
     retry_budget_extra: Annotated[float, Meta(ge=0.0)] = 10.0
-    exposure_share: Annotated[float, Meta(gt=0, le=1)] = 0.1
+    exposure_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.1
     session_s: Annotated[float, Meta(ge=0.0)] = 0.0
 
 
--- a/lacewingdock/settings.py
+++ b/lacewingdock/settings.py
@@ -37,7 +37,7 @@
     ),
 ]
 Port = Annotated[int, Meta(ge=0, le=65535)]
-Seconds = Annotated[float, Meta(gt=0, le=86400)]
+Seconds = Annotated[float, Meta(gt=0.0, le=86400.0)]
 
 # Taken from the environment only; flags can be seen by others.
 SECRETS: Final = frozenset({"operator_key"})
@@ -121,8 +121,8 @@
     request_s: Seconds = 30.0
     deadline_s: Seconds = 120.0
     subset: Annotated[int, Meta(ge=2, le=1000)] = 24
-    rated_share: Annotated[float, Meta(ge=0, le=1)] = 0.01
-    good_rating: Annotated[float, Meta(ge=0, le=1)] = 0.5
+    rated_share: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.01
+    good_rating: Annotated[float, Meta(ge=0.0, le=1.0)] = 0.5
 
 
 @dataclass(slots=True, kw_only=True)
@@ -194,7 +194,7 @@
     operator_key: str = ""
     id: str = ""
     json: bool = False
-    watch_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
+    watch_s: Annotated[float, Meta(ge=0.0, le=86400.0)] = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
@@ -226,7 +226,7 @@
     samples: str = ""
     html: str = ""
     json: bool = False
-    every_s: Annotated[float, Meta(ge=0, le=86400)] = 0.0
+    every_s: Annotated[float, Meta(ge=0.0, le=86400.0)] = 0.0
 
 
 @dataclass(slots=True, kw_only=True)
