--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -13,6 +13,7 @@
     Unsure,
     Whole,
 )
+from lacewingdock.components.gateway.cascade import Cascade
 from lacewingdock.components.gateway.gateway import Gateway, answer_error
 from lacewingdock.components.gateway.outcome import (
     End,
@@ -27,17 +28,13 @@
     patience_for,
     patience_of_last,
 )
-from lacewingdock.components.gateway.sizing import (
-    CONFIDENCE_ENOUGH,
-    RELAXED_BELOW,
-)
 from lacewingdock.components.shifts import Sample
 from lacewingdock.components.upstreams.connection import CallerLeft
 from lacewingdock.components.upstreams.directory import Instance
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.server_connection import CallerGone, ServerConnection
-from lacewingdock.world.call import AnswerHead, Call, Sending
+from lacewingdock.world.call import Call, Sending
 from lacewingdock.world.route import Caller, Repeat, Route, RoutingTable
 
 # Attempts that reach no upstream do not count, since nothing ran; more than
@@ -45,11 +42,6 @@
 MAX_UNREACHED: Final = 4
 # With less time left than this, another attempt can't be answered.
 MIN_LEFT_S: Final = 0.03
-# Attempts that a request takes where a larger model is asked after a smaller.
-ATTEMPTS_OF_CASCADE: Final = 2
-# Retries that must be saved up before a smaller model is asked first: the
-# larger one's attempt takes one, and failures shall find some.
-CASCADE_RESERVE: Final = 2.0
 # A request that meets a starting router waits this long for the first
 # configuration, instances and roll-outs, which take some round trips to the
 # store; a refusal would have the caller wait longer.
@@ -82,26 +74,24 @@
         service: The service it goes to.
         caller: Its workspace.
         end: Monotonic time at which it is given up.
-        enough: Confidence that was last asked of a smaller model.
         progress: How far its stream got.
         tried: Ids of the instances that it reached.
         unreached: Attempts that reached none.
         unread: What the next attempt has to read at its instance.
         may_have_run: Whether an attempt did not say that it was not run.
-        model: The model that answers.
+        cascade: Which of the route's models answers.
         crashes: Whether it crashes the instances that run it.
     """
 
     __slots__ = (
         "call",
         "caller",
+        "cascade",
         "connection",
         "crashes",
         "end",
-        "enough",
         "gateway",
         "may_have_run",
-        "model",
         "progress",
         "route",
         "service",
@@ -114,6 +104,7 @@
 
     table: RoutingTable
     route: Route
+    cascade: Cascade
 
     def __init__(
         self, gateway: Gateway, call: Call, connection: ServerConnection
@@ -125,7 +116,6 @@
         self.started = connection.read_at
         self.caller: Caller | None = None
         self.service = ""
-        self.model = ""
         self.end = self.started + DEFAULT_PATIENCE_S
         self.progress = Progress()
         self.tried: list[str] = []
@@ -133,7 +123,6 @@
         self.unread = 0.0
         self.may_have_run = False
         self.crashes = False
-        self.enough = CONFIDENCE_ENOUGH
 
     def run(self) -> None:
         """Serve the request to its final answer."""
@@ -189,8 +178,9 @@
                 ErrorKind.REPEATS_CRASH, "it was lost at several instances"
             )
         self.service = self._service()
-        if call.any_model and route.models:
-            self.model = self._first_model()
+        self.cascade = Cascade(
+            self.gateway, call, route, self.service, self.started
+        )
         self.gateway.budget(self.service).count_request()
 
     @property
@@ -198,31 +188,6 @@
         """Name of the caller's workspace; empty where none is known."""
         return self.caller.workspace if self.caller else ""
 
-    def _first_model(self) -> str:
-        """Return the smallest model where a larger one may be asked after.
-
-        That takes two attempts, and one more that may fail.
-        """
-        models = self.route.models
-        may_ask_on = (
-            self.route.repeat is Repeat.RESUMABLE
-            and self.route.max_attempts > ATTEMPTS_OF_CASCADE
-            and self.gateway.budget(self.service).saved >= CASCADE_RESERVE
-        )
-        return models[0] if may_ask_on else models[-1]
-
-    def _accepts(self, head: AnswerHead) -> bool:
-        """Whether an answer's first words show that it is good enough."""
-        if not self.model or self.model == self.route.models[-1]:
-            return True
-        # This attempt is not among those counted yet.
-        if len(self.tried) + 2 > self.route.max_attempts:
-            return True
-        self.enough = self.gateway.pressure(self.service).enough()
-        if head.confidence is None or head.confidence >= self.enough:
-            return True
-        return not self.gateway.budget(self.service).take()
-
     def _service(self) -> str:
         targets = self.route.targets
         if len(targets) == 1:
@@ -244,7 +209,8 @@
                 self.connection.finish()
                 return Outcome(End.STREAMED)
             if isinstance(result, Unsure):
-                self._ask_larger(instance, result)
+                left_s = self.end - time.monotonic()
+                self.cascade.ask_larger(instance.entry.id, result, left_s)
                 continue
             if _is_failure(result) and self._may_repeat(result):
                 self._log_repeat(instance, result)
@@ -288,7 +254,7 @@
         """Return what the request has to read at an instance."""
         call = self.call
         costs = self.table.services.get(self.service)
-        share = costs.relative_cost(self.model) if costs else 1.0
+        share = costs.relative_cost(self.cascade.model) if costs else 1.0
         return call.tokens_in * share / WORK_UNIT
 
     def _attempt(self, instance: Instance) -> Result:
@@ -301,15 +267,16 @@
             self._patience(instance),
             self.progress,
             self.route.streaming,
-            self._accepts,
+            # This attempt is not among those counted yet.
+            lambda head: self.cascade.accepts(head, len(self.tried) + 1),
             lambda: self._began(instance, unread),
         )
-        self._await_largest()
+        self.cascade.begin()
         sending = Sending(
             instance=instance.entry.id,
             workspace=self.workspace,
             left_s=max(self.end - start, 0.001),
-            model=self.model,
+            model=self.cascade.model,
             last_event=self.progress.last_event,
             priority=self._priority(),
         )
@@ -325,14 +292,9 @@
         self._log_attempt(instance, result, time.monotonic() - start)
         return result
 
-    def _await_largest(self) -> None:
-        if self.model and self.model == self.route.models[-1]:
-            pressure = self.gateway.pressure(self.service)
-            pressure.wait(self, self.started, self.route.goal_s)
-
     def _began(self, instance: Instance, unread: float) -> None:
         self.gateway.chooser.began(instance, unread)
-        self.gateway.pressure(self.service).begun(self)
+        self.cascade.began()
 
     def _priority(self) -> int:
         """Return the request's rank; its workspace's goes first."""
@@ -377,9 +339,9 @@
                 self.gateway.suspects.answered(self.call, self.workspace)
         if not isinstance(result, NotRun):
             self.may_have_run = True
-        self._feel(result, events)
-        self.tried.append(instance.entry.id)
         first_at = self.progress.first_at if not events else 0.0
+        self.cascade.feel(result, first_at)
+        self.tried.append(instance.entry.id)
         self.gateway.shifts.add(
             Sample(
                 service=self.service,
@@ -402,23 +364,6 @@
             self.call, self.workspace, instance.entry.id
         )
 
-    def _feel(self, result: Result, events: int) -> None:
-        """Take how late an answer began, or did not.
-
-        The largest model's always counts; a smaller one's only where it is
-        late itself, since it is far faster and would hide the other.
-        """
-        if not self.model:
-            return
-        began_at = self.progress.first_at if not events else 0.0
-        if not began_at:
-            if not (isinstance(result, Broken) and result.timed_out):
-                return
-            began_at = time.monotonic()
-        part = (began_at - self.started) / max(self.route.goal_s, 1e-3)
-        if self.model == self.route.models[-1] or part >= RELAXED_BELOW:
-            self.gateway.pressure(self.service).add(part)
-
     def _may_repeat(self, result: Result) -> bool:
         """Whether another attempt may be made, and can still be answered."""
         if self.crashes or self.end - time.monotonic() < MIN_LEFT_S:
@@ -471,7 +416,7 @@
             request=self.call.id,
             upstream=entry.id,
             version=entry.version,
-            model=self.model,
+            model=self.cascade.model,
             running=instance.running,
             unread=round(instance.unread, 2),
             failures=round(instance.recent_failures(now), 2),
@@ -481,19 +426,6 @@
             seconds=round(seconds, 4),
         )
 
-    def _ask_larger(self, instance: Instance, result: Unsure) -> None:
-        """Have the largest model answer instead of an unsure smaller one."""
-        before, self.model = self.model, self.route.models[-1]
-        log.info(
-            "larger model",
-            request=self.call.id,
-            upstream=instance.entry.id,
-            model=before,
-            confidence=result.confidence,
-            enough=round(self.enough, 1),
-            left_s=round(self.end - time.monotonic(), 3),
-        )
-
     def _log_repeat(self, instance: Instance, result: Result) -> None:
         log.info(
             "another attempt",
@@ -508,7 +440,9 @@
 
     def _finished(self, outcome: Outcome) -> None:
         seconds = time.monotonic() - self.started
+        # One that was refused early has no route, or no cascade.
         route = getattr(self, "route", None)
+        cascade = getattr(self, "cascade", None)
         self.gateway.metrics.finished(
             self.service,
             route.repeat if route else None,
@@ -523,7 +457,7 @@
             route=route.name if route else None,
             workspace=self.caller.workspace if self.caller else None,
             service=self.service,
-            model=self.model,
+            model=cascade.model if cascade else "",
             configuration=self.table.version if route else None,
             instances=self.tried,
             unreached=self.unreached,
--- a/tests/components/gateway/test_budget.py
+++ b/tests/components/gateway/test_budget.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lacewingdock.components.gateway.exchange import CASCADE_RESERVE
+from lacewingdock.components.gateway.cascade import CASCADE_RESERVE
 from lacewingdock.components.host_watch import HostWatch
 from lacewingdock.daemons.router import RouterDaemon
 from lacewingdock.settings import RouterSettings
