--- a/lacewingdock/components/gateway/cascade.py
+++ b/lacewingdock/components/gateway/cascade.py
@@ -95,16 +95,6 @@
             left_s=round(left_s, 3),
         )
 
-    def begin(self) -> None:
-        """Count the request as waiting, if the largest model shall answer."""
-        if self.model and self.is_largest:
-            pressure = self.gateway.pressure(self.service)
-            pressure.wait(self, self.started, self.route.goal_s)
-
-    def began(self) -> None:
-        """Count it no more: the answer began, or never will."""
-        self.gateway.pressure(self.service).begun(self)
-
     def feel(self, result: Result, began_at: float) -> None:
         """Take how late an answer began, or did not.
 
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -269,9 +269,8 @@
             self.route.streaming,
             # This attempt is not among those counted yet.
             lambda head: self.cascade.accepts(head, len(self.tried) + 1),
-            lambda: self._began(instance, unread),
+            lambda: self.gateway.chooser.began(instance, unread),
         )
-        self.cascade.begin()
         sending = Sending(
             instance=instance.entry.id,
             workspace=self.workspace,
@@ -292,10 +291,6 @@
         self._log_attempt(instance, result, time.monotonic() - start)
         return result
 
-    def _began(self, instance: Instance, unread: float) -> None:
-        self.gateway.chooser.began(instance, unread)
-        self.cascade.began()
-
     def _priority(self) -> int:
         """Return the request's rank; its workspace's goes first."""
         rank = self.route.priority
--- a/lacewingdock/components/gateway/sizing.py
+++ b/lacewingdock/components/gateway/sizing.py
@@ -24,9 +24,6 @@
 # A single answer counts no more than this: beyond, it is late by any measure,
 # and the mean must come down again soon after a burst.
 MOST: Final = 1.5
-# So many answers that begin at once are added to those that wait, so that one
-# alone that is late does not speak for all.
-NO_WAIT: Final = 2.0
 # A goal of nothing would make every answer late without end.
 MIN_GOAL_S: Final = 1e-3
 
@@ -37,51 +34,15 @@
     Attributes:
         mean: Running mean of the parts.
         at: Monotonic time of the last answer.
-        waits: Requests whose answers have not begun, with the monotonic time
-            since which each waits and its goal in seconds.
     """
 
-    __slots__ = ("_lock", "at", "mean", "waits")
+    __slots__ = ("_lock", "at", "mean")
 
     def __init__(self) -> None:
         """Start without pressure."""
         self.mean = 0.0
         self.at = time.monotonic()
         self._lock = threading.Lock()
-        self.waits: dict[object, tuple[float, float]] = {}
-
-    def wait(self, request: object, since: float, goal_s: float) -> None:
-        """Count a request whose answer has not begun.
-
-        Args:
-            request: The request, as a key.
-            since: Monotonic time at which its wait began.
-            goal_s: Its goal.
-        """
-        with self._lock:
-            self.waits[request] = (since, max(goal_s, MIN_GOAL_S))
-
-    def begun(self, request: object) -> None:
-        """Count a request no more: its answer began, or never will."""
-        with self._lock:
-            self.waits.pop(request, None)
-
-    def expected(self) -> float:
-        """Return how late the answers that are awaited will begin.
-
-        Those that wait have waited half of their time on average. The mean of
-        answers that began tells of a crowd only after it has waited; with this
-        the largest model is spared from its first moment on. Worth 0.021 on
-        one deployment's days of trouble and high load (standard error 0.011,
-        15 pairs) and 0.006 (0.003) on another's.
-        """
-        now = time.monotonic()
-        with self._lock:
-            parts = [
-                min((now - since) / goal_s, MOST)
-                for since, goal_s in self.waits.values()
-            ]
-        return 2.0 * sum(parts) / (len(parts) + NO_WAIT)
 
     def add(self, part: float) -> None:
         """Count an answer that began after a part of its goal."""
@@ -98,6 +59,5 @@
 
     def enough(self) -> float:
         """Return the confidence that is enough for a smaller model."""
-        felt = max(self.now(), self.expected())
-        room = (ANY_FROM - felt) / (ANY_FROM - RELAXED_BELOW)
+        room = (ANY_FROM - self.now()) / (ANY_FROM - RELAXED_BELOW)
         return CONFIDENCE_ENOUGH * min(max(room, 0.0), 1.0)
