Router: a loss counts as a crash once the instance takes no connection

Ruled out: a crash (ids and entries stayed; each answered another request within 1.6 s); judging a second later (an instance may be silent to a router for longer).

Change: a loss counts when the instance is gone or took no connection since; where no other request shows it, one is opened and closed unused. What others tell counts unless this router saw the instance live since.

Before: test_answers_lost_in_a_row_at_quiet_instances_do_not_count fails on the rule as it was. After: it passes; the tests of real crashes pass unchanged.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -318,7 +318,7 @@
         match result:
             case NotRun(_, reached=False):
                 self.unreached += 1
-                instance.failed(1.0)
+                instance.took_no_connection()
                 return
             case NotRun():
                 instance.failed(0.5)
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -9,7 +9,7 @@
 import random
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from lacewingdock.components.suspects.const import (
@@ -23,7 +23,7 @@
     TELL_AFTER_S,
     TRIAL_S,
 )
-from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.directory import Directory, Instance
 from lacewingdock.helpers.digest import digest
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.call import Call
@@ -64,6 +64,7 @@
     Attributes:
         directory: The upstream instances.
         publish: Tells the other routers; returns whether they can know.
+        reach: Opens a connection to an instance; returns whether it took it.
         random: Source of draws.
         suspects: The requests, the oldest first.
         heard: What each other router told last.
@@ -76,6 +77,7 @@
         "heard",
         "publish",
         "random",
+        "reach",
         "suspects",
         "told",
     )
@@ -84,11 +86,13 @@
         self,
         directory: Directory,
         publish: Callable[[Losses], bool],
+        reach: Callable[[Instance], bool],
         source: random.Random,
     ) -> None:
         """Start without suspects."""
         self.directory = directory
         self.publish = publish
+        self.reach = reach
         self.random = source
         self.suspects: dict[str, Suspect] = {}
         self.heard: dict[str, Losses] = {}
@@ -126,6 +130,10 @@
         with self._lock:
             suspect = self._suspect(fingerprint)
             suspect.own[instance] = time.monotonic()
+            losses = suspect.own | suspect.told
+        if len(losses) > 1:
+            self._verify(losses.items())
+        with self._lock:
             return self._judge(fingerprint, suspect)
 
     def answered(self, call: Call, workspace: str) -> None:
@@ -159,6 +167,14 @@
             for fingerprint, suspect in list(self.suspects.items()):
                 if now - suspect.newest > FORGET_S:
                     del self.suspects[fingerprint]
+            losses = [
+                loss
+                for suspect in self.suspects.values()
+                for loss in suspect.own.items()
+                if loss[1] <= now - TELL_AFTER_S
+            ]
+        self._verify(losses)
+        with self._lock:
             found = {
                 fingerprint: instances
                 for fingerprint, suspect in self.suspects.items()
@@ -179,6 +195,24 @@
             for fingerprint, instances in losses.items()
         )
 
+    def _verify(self, losses: Iterable[tuple[str, float]]) -> None:
+        """Learn of instances that lost a request whether they crashed.
+
+        Whoever lost a connection and takes new ones has not crashed. Without
+        this, nothing tells where no other request goes there.
+
+        Args:
+            losses: The instances, with the monotonic times of the losses.
+        """
+        for name, lost_at in losses:
+            instance = self.directory.instances.get(name)
+            if instance is None or _is_known(instance, lost_at):
+                continue
+            if self.reach(instance):
+                instance.reached_at = time.monotonic()
+            else:
+                instance.took_no_connection()
+
     def _suspect(self, fingerprint: str) -> Suspect:
         """Return the record of a request, as the newest one."""
         suspect = self.suspects.pop(fingerprint, None) or Suspect()
@@ -212,13 +246,19 @@
         return True
 
     def _is_cause(self, suspect: Suspect) -> bool:
-        crashed = {*self._crashed(suspect.own), *self._crashed(suspect.told)}
+        """Whether enough instances crashed; the tellers saw that theirs did."""
+        told = {
+            name
+            for name, heard_at in suspect.told.items()
+            if not self._shows_life(name, heard_at)
+        }
+        crashed = told.union(self._crashed(suspect.own))
         return len(crashed) >= CRASHES_TO_HOLD
 
     def _crashed(
         self, losses: dict[str, float], before: float = math.inf
     ) -> list[str]:
-        """Return the instances that show no life since they lost a request.
+        """Return the instances that crashed when they lost a request.
 
         Args:
             losses: The instances, with the monotonic times of the losses.
@@ -227,18 +267,38 @@
         return sorted(
             name
             for name, lost_at in losses.items()
-            if lost_at <= before and not self._lives(name, lost_at)
+            if lost_at <= before and self._has_crashed(name, lost_at)
         )
 
-    def _lives(self, name: str, lost_at: float) -> bool:
-        """Whether an instance sent anything since a loss.
+    def _has_crashed(self, name: str, lost_at: float) -> bool:
+        """Whether an instance is gone, or took no connection, since a loss.
 
         One that crashed comes back under another id.
         """
         instance = self.directory.instances.get(name)
         if instance is None:
-            return False
-        return instance.heard_at > lost_at + LIFE_MARGIN_S
+            return True
+        return not _lives(instance, lost_at) and _failed(instance, lost_at)
+
+    def _shows_life(self, name: str, since: float) -> bool:
+        instance = self.directory.instances.get(name)
+        return instance is not None and _lives(instance, since)
+
+
+def _lives(instance: Instance, lost_at: float) -> bool:
+    """Whether an instance sent anything, or took a connection, since a loss."""
+    if instance.reached_at >= lost_at:
+        return True
+    return instance.heard_at > lost_at + LIFE_MARGIN_S
+
+
+def _failed(instance: Instance, lost_at: float) -> bool:
+    return instance.unreached_at >= lost_at
+
+
+def _is_known(instance: Instance, lost_at: float) -> bool:
+    """Whether it is known if an instance crashed at a loss."""
+    return _lives(instance, lost_at) or _failed(instance, lost_at)
 
 
 def fingerprint_of(call: Call, workspace: str) -> str:
--- a/lacewingdock/components/suspects/const.py
+++ b/lacewingdock/components/suspects/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+# How long an instance has to take a connection that shows whether it crashed.
+REACH_S: Final = 0.2
 # Crashed instances from which a request is held back. An honest request is in
 # flight at one crash, and with bad luck at a second one that follows; at three
 # different ones, without an answer between, it is likely the cause.
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -51,6 +51,9 @@
         unread: Work of those whose answers have not begun.
         failures: Recent failures, halved again and again.
         heard_at: Monotonic time of the last bytes that came from it.
+        reached_at: Monotonic time at which it last took a connection that was
+            opened to see whether it does.
+        unreached_at: Monotonic time at which it last took no connection.
         failed_at: Monotonic time up to which `failures` is reckoned.
         trial_at: Monotonic time from which one request may try it again.
         lapsed: Whether its entry is missing since an outage of the store.
@@ -64,8 +67,10 @@
         "gone",
         "heard_at",
         "lapsed",
+        "reached_at",
         "running",
         "trial_at",
+        "unreached_at",
         "unread",
     )
 
@@ -78,6 +83,8 @@
         self.failed_at = time.monotonic()
         self.trial_at = 0.0
         self.heard_at = 0.0
+        self.reached_at = 0.0
+        self.unreached_at = 0.0
         self.lapsed = False
         self.gone = False
 
@@ -110,6 +117,11 @@
         self.failed_at = now
         self.trial_at = now + TRIAL_AFTER_S
 
+    def took_no_connection(self) -> None:
+        """Count a connection that it did not take."""
+        self.unreached_at = time.monotonic()
+        self.failed(1.0)
+
     def succeeded(self) -> None:
         """Count a good answer: it takes the last failure back."""
         now = time.monotonic()
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -38,9 +38,14 @@
 from lacewingdock.components.shifts import ReportListener, Shifts
 from lacewingdock.components.shifts.const import KIND_REPORTS, ROUND_S
 from lacewingdock.components.suspects import Suspects
-from lacewingdock.components.suspects.const import TELL_EVERY_S
+from lacewingdock.components.suspects.const import REACH_S, TELL_EVERY_S
 from lacewingdock.components.upstreams.choice import Chooser
-from lacewingdock.components.upstreams.directory import LAPSE_S, Directory
+from lacewingdock.components.upstreams.connection import takes_connections
+from lacewingdock.components.upstreams.directory import (
+    LAPSE_S,
+    Directory,
+    Instance,
+)
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import THREAD_STACK_BYTES
 from lacewingdock.exceptions import LacewingdockError
@@ -174,7 +179,7 @@
         )
         self.routers.tell = self.shifts.own_reports
         self.suspects = Suspects(
-            self.directory, self.routers.publish, self.random
+            self.directory, self.routers.publish, _reach, self.random
         )
         self.routers.heard = lambda router, status: self.suspects.hear(
             router, status.losses
@@ -426,5 +431,10 @@
     exit_now(1 if left else 0)
 
 
+def _reach(instance: Instance) -> bool:
+    entry = instance.entry
+    return takes_connections(entry.host, entry.port, REACH_S)
+
+
 def _start(name: str, function: Callable[..., Any], *args: Any) -> None:
     threading.Thread(target=function, args=args, name=name, daemon=True).start()
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -15,6 +15,7 @@
 from lacewingdock.components.shifts import Shifts
 from lacewingdock.components.suspects import Suspects
 from lacewingdock.components.upstreams.choice import Chooser
+from lacewingdock.components.upstreams.connection import takes_connections
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
 from lacewingdock.world.host import HostProfile
@@ -237,7 +238,9 @@
         source = random.Random(7)
         self.published = []
         self.shifts = Shifts(self.host, "inc", None, self.directory, lambda: 1)
-        self.suspects = Suspects(self.directory, self._publish, source)
+        self.suspects = Suspects(
+            self.directory, self._publish, self._reach, source
+        )
         self.gateway = Gateway(
             self.routes,
             Chooser(self.directory, "d1", source),
@@ -255,6 +258,10 @@
         self.pool = ThreadPoolExecutor(4)
         self.pool.submit(self.port.listener.run, self.stopping)
 
+    def _reach(self, instance):
+        entry = instance.entry
+        return takes_connections(entry.host, entry.port, 0.2)
+
     def _publish(self, losses):
         self.published.append(losses)
         return True
--- a/tests/components/suspects/test_suspects.py
+++ b/tests/components/suspects/test_suspects.py
@@ -43,15 +43,21 @@
             for number in range(instances):
                 directory.take(entry(f"i-{number}"))
         self.writes = 0
+        self.alive = set()
         self.routers = [
             Suspects(
                 directory,
                 lambda losses, n=n: self.publish(n, losses),
+                self.reach,
                 random.Random(n),
             )
             for n, directory in enumerate(self.directories)
         ]
 
+    def reach(self, instance):
+        """Connect to an instance: crashed ones take no connection."""
+        return instance.entry.id in self.alive
+
     def publish(self, number, losses):
         """Take what one router tells to all others."""
         self.writes += 1
@@ -146,6 +152,25 @@
     assert fleet.writes == 0
 
 
+def test_answers_lost_in_a_row_at_quiet_instances_do_not_count(clock):
+    """Symptom: a good request is refused with 429 while answers get lost.
+
+    Sequence: the three attempts of one request are reset within a moment; none
+    of the instances has answered another request in between. Cause: who sent nothing
+    since the loss was taken for crashed.
+    """
+    fleet = Fleet(2)
+    fleet.alive = {f"i-{number}" for number in range(8)}
+    suspects = fleet.routers[0]
+    for number in range(3):
+        assert not suspects.lost(call(), "w", f"i-{number}")
+        clock.now += 0.06
+    assert not suspects.holds(call("c-2"), "w")
+    clock.now += 1.0
+    fleet.round()
+    assert fleet.writes == 0
+
+
 @pytest.mark.parametrize("gone", [True, False])
 def test_a_crashed_instance_comes_back_under_another_id(clock, gone):
     fleet = Fleet(1)
@@ -225,7 +250,7 @@
 
 def test_what_could_not_be_told_is_told_again(clock):
     told = []
-    suspects = Suspects(Directory(), told.append, random.Random(1))
+    suspects = Suspects(Directory(), told.append, None, random.Random(1))
     suspects.lost(call(), "w", "i-0")
     clock.now += HOLD_S
     suspects.round()
