--- a/tests/components/suspects/test_suspects.py
+++ b/tests/components/suspects/test_suspects.py
@@ -156,8 +156,8 @@
     """Symptom: a good request is refused with 429 while answers get lost.
 
     Sequence: the three attempts of one request are reset within a moment; none
-    of the instances has answered another request in between. Cause: who sent nothing
-    since the loss was taken for crashed.
+    of the instances has answered another request in between. Cause: who sent
+    nothing since the loss was taken for crashed.
     """
     fleet = Fleet(2)
     fleet.alive = {f"i-{number}" for number in range(8)}
