--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -12,13 +12,8 @@
 
 from bench import cascade_run as cascades
 from bench.report import Figure, figure, progress, show
-from bench.rollout_inputs import (
-    CANDIDATES,
-    Candidate,
-    Ended,
-    fixed_step,
-    roll_out,
-)
+from bench.rollout_figures import stop_figure
+from bench.rollout_inputs import CANDIDATES, fixed_step, roll_out
 
 TARGETS: Final = (0.85, 0.9)
 BASELINES: Final = {
@@ -98,35 +93,10 @@
         with ProcessPoolExecutor(WORKERS) as pool:
             ended = list(pool.map(roll_out, [candidate] * len(seeds), seeds))
         fixed = [fixed_step(candidate, seed) for seed in seeds]
-        figures.append(_rollout_figure(candidate, ended, fixed))
+        figures.append(stop_figure(candidate, ended, "fixed step", fixed))
     return figures
 
 
-def _rollout_figure(
-    candidate: Candidate, ended: list[Ended], fixed: list[Ended]
-) -> Figure:
-    if candidate.name == "healthy":
-        return figure(
-            "healthy roll-outs stopped",
-            [statistics.mean(e.is_stopped for e in ended)],
-            "part",
-            baseline={
-                "fixed step": statistics.mean(e.is_stopped for e in fixed)
-            },
-            aim="at most 0.01",
-            reached=lambda value: value <= 0.01,
-        )
-    limit = 20 if candidate.errors > 0.1 else 300
-    return figure(
-        f"answered before the stop, {candidate.name}",
-        [float(e.answered) for e in ended],
-        "requests",
-        baseline={"fixed step": statistics.median(e.answered for e in fixed)},
-        aim=f"median at most {limit}",
-        reached=lambda value: value <= limit,
-    )
-
-
 def main(
     json: bool = False,
     seed: int = 1000,
--- a/bench/exposure.py
+++ b/bench/exposure.py
@@ -4,47 +4,20 @@
 rating of all entries at once.
 """
 
-import statistics
 from concurrent.futures import ProcessPoolExecutor
 from typing import Final
 
 import fire
 
 from bench import rollout_fleet, rollout_inputs
-from bench.report import Figure, figure, progress, show
-from bench.rollout_inputs import CANDIDATES, Candidate, Ended
+from bench.report import progress, show
+from bench.rollout_figures import stop_figure
+from bench.rollout_inputs import CANDIDATES
 
 FLEETS: Final = (2, 20)
 WORKERS: Final = 4
 
 
-def _figure(
-    candidate: Candidate, count: int, ended: list[Ended], alone: list[Ended]
-) -> Figure:
-    if candidate.name == "healthy":
-        return figure(
-            f"healthy roll-outs stopped, {count} entries",
-            [statistics.mean(e.is_stopped for e in ended)],
-            "part",
-            baseline={
-                "in one process": statistics.mean(e.is_stopped for e in alone)
-            },
-            aim="at most 0.01",
-            reached=lambda value: value <= 0.01,
-        )
-    limit = 20 if candidate.errors > 0.1 else 300
-    return figure(
-        f"answered before the stop, {candidate.name}, {count} entries",
-        [float(e.answered) for e in ended],
-        "requests",
-        baseline={
-            "in one process": statistics.median(e.answered for e in alone)
-        },
-        aim=f"median at most {limit}",
-        reached=lambda value: value <= limit,
-    )
-
-
 def main(json: bool = False, seed: int = 3000, rollouts: int = 200) -> None:
     """Print the exposure beside that under the in-process judge.
 
@@ -65,7 +38,15 @@
                 ended = list(
                     pool.map(rollout_fleet.roll_out, same, seeds, counts)
                 )
-                figures.append(_figure(candidate, count, ended, alone))
+                figures.append(
+                    stop_figure(
+                        candidate,
+                        ended,
+                        "in one process",
+                        alone,
+                        f", {count} entries",
+                    )
+                )
     show("exposure", seed, figures, json)
 
 
--- a/lacewingdock/links/handshake.py
+++ b/lacewingdock/links/handshake.py
@@ -11,6 +11,7 @@
     MAX_HELLO_BYTES,
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.address import split_address
 from lacewingdock.links.keys import KeyRing
 from lacewingdock.links.link import Link, read_frame
 from lacewingdock.links.messages import Hello, Proof
@@ -83,9 +84,8 @@
     Returns:
         The socket, what the peer said of itself, and what is to be signed.
     """
-    host, _, port = address.rpartition(":")
     sock = socket.create_connection(
-        (host, int(port)), min(timeout_s, DIAL_TIMEOUT_S)
+        split_address(address), min(timeout_s, DIAL_TIMEOUT_S)
     )
     try:
         sock.settimeout(timeout_s)
--- a/lacewingdock/platform/callers_address.py
+++ b/lacewingdock/platform/callers_address.py
@@ -3,6 +3,8 @@
 import tomllib
 from pathlib import Path
 
+from lacewingdock.helpers.address import split_address
+
 
 def read_callers_address(path: str) -> tuple[str, int]:
     """Return where callers connect; nothing else of the file is checked.
@@ -12,5 +14,4 @@
             `profile.load_profile`, which names key and value.
     """
     found = tomllib.loads(Path(path).read_text("utf-8"))
-    host, _, port = found["listen"]["front"].rpartition(":")
-    return host, int(port)
+    return split_address(found["listen"]["front"])
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -8,6 +8,7 @@
 from msgspec import Meta
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.address import split_address
 from lacewingdock.world.host import Bounds, HostProfile
 
 _Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}\Z")]
@@ -115,8 +116,8 @@
         instance=file.node_name,
         failure_domain=file.zone,
         address=file.ip,
-        callers_address=_address(file.listen.front),
-        ready_address=_address(file.listen.ready),
+        callers_address=split_address(file.listen.front),
+        ready_address=split_address(file.listen.ready),
         peer_address=_peer_address(file),
         first_peers=tuple(file.seeds),
         platform=f"http://{file.platform.address}",
@@ -138,15 +139,10 @@
 def _peer_address(file: _File) -> tuple[str, int]:
     """Return where other routers call: the control address if there is one."""
     if file.listen.control:
-        return _address(file.listen.control)
+        return split_address(file.listen.control)
     return file.ip, file.port_range[0]
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 def _value_at(found: dict[str, Any], error: Exception) -> str:
     """Return the value that an error's path names, as text."""
     _, _, path = str(error).rpartition("`$.")
--- a/lacewingdock/world/objects.py
+++ b/lacewingdock/world/objects.py
@@ -6,6 +6,7 @@
 
 from msgspec import Meta
 
+from lacewingdock.helpers.address import split_address
 from lacewingdock.world.names import Name
 
 MAX_PORT: Final = 65535
@@ -231,7 +232,7 @@
         Raises:
             ValueError: The IP number or the port is out of range.
         """
-        host, _, port = self.address.rpartition(":")
+        host, port = split_address(self.address)
         ipaddress.IPv4Address(host)
-        if int(port) > MAX_PORT:
+        if port > MAX_PORT:
             raise ValueError(f"no such port: {port}")
