Router: fields that nobody read are gone; one function makes counters

Found on a last reading: the status of a refusal by an upstream, the head of a stream that was passed on, the connections that a pool opened; and a counter's loop that stood twice. Behaviour and metrics are the same.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -37,8 +37,6 @@
 class Streamed:
     """The stream was passed on to its end."""
 
-    head: AnswerHead
-
 
 @dataclass(slots=True)
 class NotRun:
@@ -47,12 +45,10 @@
     Attributes:
         detail: Why.
         reached: Whether it reached an upstream, which refused it.
-        status: The upstream's status; 0 where it was not reached.
     """
 
     detail: str
     reached: bool
-    status: int = 0
 
 
 @dataclass(slots=True)
@@ -208,7 +204,7 @@
         self.began()
         if head.not_run:
             connection.read_whole(self.patience.end, MAX_BODY_BYTES)
-            return NotRun("refused", reached=True, status=head.status), head
+            return NotRun("refused", reached=True), head
         if head.success and (not head.sealed or head.encoded):
             return Broken("answer is not the upstream's own"), None
         fresh = head.success and not self.progress.started
@@ -235,7 +231,7 @@
             return Broken("stream ended in the middle of an event"), None
         if not self.progress.started:
             return Broken("stream without an event"), None
-        return Streamed(head), head
+        return Streamed(), head
 
     def _pass_on(
         self, head: AnswerHead, cutter: EventCutter, data: bytes
--- a/lacewingdock/components/inspection/exposition.py
+++ b/lacewingdock/components/inspection/exposition.py
@@ -3,9 +3,9 @@
 Loaded when metrics are asked for first; see `gateway/metrics.py`.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from itertools import accumulate
-from typing import Final
+from typing import Any, Final
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 from prometheus_client.core import (
@@ -48,20 +48,18 @@
     def collect(self) -> Iterator[Metric]:
         """Yield the counts as they are now."""
         found = self.metrics.copy()
-        requests = CounterMetricFamily(
+        yield _counter(
             "lacewingdock_gateway_requests",
             "Requests by service, contract of repetition, rank and outcome",
-            labels=RequestLabels._fields,
+            RequestLabels._fields,
+            found.requests,
         )
-        for labels, count in found.requests.items():
-            requests.add_metric(labels, count)
-        attempts = CounterMetricFamily(
+        yield _counter(
             "lacewingdock_gateway_attempts",
             "Attempts by state of the upstream instance before, and result",
-            labels=AttemptLabels._fields,
+            AttemptLabels._fields,
+            found.attempts,
         )
-        for of, count in found.attempts.items():
-            attempts.add_metric(of, count)
         seconds = HistogramMetricFamily(
             "lacewingdock_gateway_request_seconds",
             "Seconds from a whole request to the end of its answer",
@@ -69,7 +67,7 @@
         )
         for when, times in found.seconds.items():
             seconds.add_metric(when, _buckets(times), times.total_s)
-        yield from (requests, attempts, seconds)
+        yield seconds
 
 
 class Exposition:
@@ -98,6 +96,19 @@
         return CONTENT_TYPE_LATEST, generate_latest(self.registry)
 
 
+def _counter(
+    name: str,
+    text: str,
+    labels: Sequence[str],
+    counts: Mapping[Any, int],
+) -> Metric:
+    """Return a counter with the counts by the values of its labels."""
+    found = CounterMetricFamily(name, text, labels=labels)
+    for values, count in counts.items():
+        found.add_metric(values, count)
+    return found
+
+
 def _buckets(times: Times) -> list[tuple[str, float]]:
     """Return bounds and counts up to each."""
     return list(zip(_BOUNDS, accumulate(times.counts), strict=True))
--- a/lacewingdock/components/upstreams/pool.py
+++ b/lacewingdock/components/upstreams/pool.py
@@ -28,15 +28,13 @@
 
     Attributes:
         idle: Idle connections by instance id, the last used at the end.
-        opened: Connections opened so far.
     """
 
-    __slots__ = ("_lock", "idle", "opened")
+    __slots__ = ("_lock", "idle")
 
     def __init__(self) -> None:
         """Start empty."""
         self.idle: dict[str, list[UpstreamConnection]] = {}
-        self.opened = 0
         self._lock = threading.Lock()
 
     def take(
@@ -52,8 +50,6 @@
                 return kept
             kept.close()
         sock = connect(entry.host, entry.port, min(CONNECT_S, timeout_s))
-        with self._lock:
-            self.opened += 1
         return UpstreamConnection(sock, KEEP_S)
 
     def give_back(
