--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final, TypeVar
 
-from lacewingdock.components.gateway.events import EventCutter
+from lacewingdock.components.gateway.events import Event, EventCutter
 from lacewingdock.components.gateway.patience import Patience, Wait
 from lacewingdock.components.upstreams.connection import (
     CallerLeft,
@@ -85,12 +85,29 @@
         last_event: Id of the last event passed on.
         events: Events passed on.
         first_at: Monotonic time of the first one.
+        last_at: Monotonic time of the last one.
+        longest_pause_s: Seconds of the longest pause between two.
     """
 
     started: bool = False
     last_event: str = ""
     events: int = 0
     first_at: float = 0.0
+    last_at: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def passed_on(self, events: list[Event]) -> None:
+        """Note events that go to the caller now."""
+        now = time.monotonic()
+        if self.started:
+            pause_s = now - self.last_at
+            self.longest_pause_s = max(self.longest_pause_s, pause_s)
+        else:
+            self.started = True
+            self.first_at = now
+        self.last_at = now
+        self.last_event = events[-1].id or self.last_event
+        self.events += len(events)
 
 
 class Attempt:
@@ -239,13 +256,10 @@
         events = cutter.feed(data)
         if not events:
             return
-        progress = self.progress
-        if not progress.started:
-            progress.started = True
-            progress.first_at = time.monotonic()
+        is_first = not self.progress.started
+        self.progress.passed_on(events)
+        if is_first:
             self.caller.start(head.status, head.headers)
-        progress.last_event = events[-1].id or progress.last_event
-        progress.events += len(events)
         self.caller.send(b"".join(event.data for event in events))
 
     def _wait(
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -75,7 +75,7 @@
         caller: Its workspace.
         end: Monotonic time at which it is given up.
         progress: How far its stream got.
-        tried: Ids of the instances that it reached.
+        tried: The instances that it reached, by their starts.
         unreached: Attempts that reached none.
         unread: What the next attempt has to read at its instance.
         may_have_run: Whether an attempt did not say that it was not run.
@@ -304,7 +304,7 @@
             self.route.repeat is not Repeat.ONCE
             and len(self.tried) + 1 < self.route.max_attempts
             and self.gateway.chooser.has_other(
-                self.service, [*self.tried, instance.entry.id]
+                self.service, [*self.tried, instance.entry.incarnation]
             )
         )
         if may_repeat:
@@ -336,12 +336,12 @@
             self.may_have_run = True
         first_at = self.progress.first_at if not events else 0.0
         self.cascade.feel(result, first_at)
-        self.tried.append(instance.entry.id)
+        self.tried.append(instance.entry.incarnation)
         self.gateway.shifts.add(
             Sample(
                 service=self.service,
                 version=instance.entry.version,
-                instance=instance.entry.id,
+                instance=instance.entry.incarnation,
                 route=self.route.name,
                 bad=_is_failure(result) and not isinstance(result, NotRun),
                 refused=isinstance(result, NotRun),
@@ -356,7 +356,7 @@
             # It was answered in part, so it is not what crashed the instance.
             return
         self.crashes = self.gateway.suspects.lost(
-            self.call, self.workspace, instance.entry.id
+            self.call, self.workspace, instance.entry.incarnation
         )
 
     def _may_repeat(self, result: Result) -> bool:
@@ -457,10 +457,19 @@
             instances=self.tried,
             unreached=self.unreached,
             events=self.progress.events,
+            goal_s=route.goal_s if route else None,
+            first_s=self._first_s(),
+            pause_s=round(self.progress.longest_pause_s, 4),
             outcome=str(outcome),
             seconds=round(seconds, 4),
         )
 
+    def _first_s(self) -> float | None:
+        """Return after how many seconds a stream began; None if it did not."""
+        if not self.progress.started:
+            return None
+        return round(self.progress.first_at - self.started, 4)
+
 
 def _is_failure(result: Result) -> bool:
     """Whether an attempt gave no answer, or the upstream's own failure."""
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -123,6 +123,11 @@
     def lost(self, call: Call, workspace: str, instance: str) -> bool:
         """Note that an instance ended the connection of a request it had.
 
+        Args:
+            call: The request.
+            workspace: Its workspace.
+            instance: The instance, by its start.
+
         Returns:
             Whether the request is to be run no more.
         """
@@ -205,7 +210,7 @@
             losses: The instances, with the monotonic times of the losses.
         """
         for name, lost_at in losses:
-            instance = self.directory.instances.get(name)
+            instance = self.directory.incarnation(name)
             if instance is None or _is_known(instance, lost_at):
                 continue
             if self.reach(instance):
@@ -273,15 +278,15 @@
     def _has_crashed(self, name: str, lost_at: float) -> bool:
         """Whether an instance is gone, or took no connection, since a loss.
 
-        One that crashed comes back under another id.
+        One that crashed comes back as another start.
         """
-        instance = self.directory.instances.get(name)
+        instance = self.directory.incarnation(name)
         if instance is None:
             return True
         return not _lives(instance, lost_at) and _failed(instance, lost_at)
 
     def _shows_life(self, name: str, since: float) -> bool:
-        instance = self.directory.instances.get(name)
+        instance = self.directory.incarnation(name)
         return instance is not None and _lives(instance, since)
 
 
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -55,8 +55,8 @@
             service: The service.
             allowed: Whether an instance may run the request.
             unread: What it has to read there, in `UNREAD_WEIGHT`'s unit.
-            tried: Ids of instances that the request was at; one of them is
-                taken only where there is no other.
+            tried: Instances that the request was at, by their starts; one of
+                them is taken only where there is no other.
         """
         now = time.monotonic()
         found = [
@@ -64,7 +64,9 @@
             for one in self.directory.of_service(service)
             if one.open and allowed(one)
         ]
-        fresh = [one for one in found if one.entry.id not in tried] or found
+        fresh = [
+            one for one in found if one.entry.incarnation not in tried
+        ] or found
         if not fresh:
             return None
         # A trial in progress must not be joined by others.
@@ -79,7 +81,7 @@
     def has_other(self, service: str, tried: Collection[str]) -> bool:
         """Whether a service has an open instance beside those tried."""
         return any(
-            one.open and one.entry.id not in tried
+            one.open and one.entry.incarnation not in tried
             for one in self.directory.of_service(service)
         )
 
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -20,6 +20,9 @@
 # only a request shows that it is back: health checks cost as much and say
 # less.
 TRIAL_AFTER_S: Final = 1.0
+# Starts that are remembered at least, also of instances that left: a late write
+# of an earlier start must not bring it back. More than restart within minutes.
+MIN_BIRTHS: Final = 256
 
 log = get_logger("upstreams")
 
@@ -134,14 +137,17 @@
 
     Attributes:
         instances: The instances by id.
+        births: When the newest start known of each id was, in Unix
+            milliseconds, those that left lately too.
         lock: Held while requests are counted in or out.
     """
 
-    __slots__ = ("_by_service", "instances", "lock")
+    __slots__ = ("_by_service", "births", "instances", "lock")
 
     def __init__(self) -> None:
         """Start empty."""
         self.instances: dict[str, Instance] = {}
+        self.births: dict[str, int] = {}
         self.lock = threading.Lock()
         self._by_service: dict[str, list[Instance]] = {}
 
@@ -149,6 +155,13 @@
         """Return the instances of a service, leaving ones too."""
         return self._by_service.get(service, [])
 
+    def incarnation(self, name: str) -> Instance | None:
+        """Return the instance whose present start has a name, if any."""
+        found = self.instances.get(name.partition("@")[0])
+        if found is None or found.entry.incarnation != name:
+            return None
+        return found
+
     def versions(self, service: str) -> set[str]:
         """Return the versions that a service's open instances have."""
         return {
@@ -171,9 +184,25 @@
             self.remove(name, doubtful=doubtful)
 
     def take(self, entry: UpstreamEntry) -> None:
-        """Take a new or changed entry in."""
+        """Take a new or changed entry in.
+
+        An instance that started again under its id is another one: requests
+        and connections of its earlier start are lost, and what spoke against
+        that start does not speak against this one. What an earlier start wrote
+        last may be seen after the entry of the later one; it says nothing.
+        """
         known = self.instances.get(entry.id)
-        if known is None:
+        newest = self.births.get(entry.id, 0)
+        if entry.born < newest:
+            log.info("older start", upstream=entry.id, born=entry.born)
+            if not entry.born:
+                # An instance that says when it started says it always.
+                self.remove(entry.id, doubtful=False)
+            return
+        self._note_birth(entry)
+        if known is None or known.entry.born != entry.born:
+            if known is not None:
+                known.gone = True
             self.instances[entry.id] = Instance(entry)
             self._index()
         elif known.entry == entry and not known.lapsed:
@@ -188,6 +217,7 @@
             version=entry.version,
             domain=entry.failure_domain,
             leaving=entry.leaving,
+            born=entry.born,
             known=known is not None,
         )
 
@@ -211,6 +241,14 @@
             if known.lapsed:
                 self.remove(name, doubtful=False)
 
+    def _note_birth(self, entry: UpstreamEntry) -> None:
+        if not entry.born:
+            return
+        self.births.pop(entry.id, None)
+        self.births[entry.id] = entry.born
+        while len(self.births) > max(MIN_BIRTHS, 2 * len(self.instances)):
+            del self.births[next(iter(self.births))]
+
     def _index(self) -> None:
         index: dict[str, list[Instance]] = {}
         for instance in self.instances.values():
--- a/lacewingdock/components/upstreams/pool.py
+++ b/lacewingdock/components/upstreams/pool.py
@@ -27,7 +27,7 @@
     """Idle connections by instance; safe to use from any task.
 
     Attributes:
-        idle: Idle connections by instance id, the last used at the end.
+        idle: Idle connections by instance start, the last used at the end.
     """
 
     __slots__ = ("_lock", "idle")
@@ -45,7 +45,7 @@
         Raises:
             UpstreamLost: None could be opened; nothing ran.
         """
-        while (kept := self._pop(entry.id)) is not None:
+        while (kept := self._pop(entry.incarnation)) is not None:
             if kept.fit():
                 return kept
             kept.close()
@@ -72,7 +72,7 @@
             return
         connection.keep_s = KEEP_S if keep_s is None else keep_s - KEEP_MARGIN_S
         with self._lock:
-            kept = self.idle.setdefault(entry.id, [])
+            kept = self.idle.setdefault(entry.incarnation, [])
             if len(kept) < MAX_IDLE:
                 kept.append(connection)
                 return
--- a/lacewingdock/components/upstreams/sync.py
+++ b/lacewingdock/components/upstreams/sync.py
@@ -13,38 +13,55 @@
 class InstanceListener:
     """Takes the entries of upstream instances from their mirror.
 
+    An entry that no instance wrote names none that could be used, also where
+    it stands in place of a good one; the instance's next entry brings it back.
+
     Attributes:
         directory: Where they go.
+        faulty: Names of the entries that were left out, each logged once.
     """
 
-    __slots__ = ("directory",)
+    __slots__ = ("directory", "faulty")
 
     def __init__(self, directory: Directory) -> None:
         """Take where the entries go."""
         self.directory = directory
+        self.faulty: set[str] = set()
 
     def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
         """Take the whole list in."""
+        self.faulty &= snapshot.objects.keys()
         entries: dict[str, UpstreamEntry] = {}
         for stored in snapshot.objects.values():
-            if entry := _read(stored):
+            if entry := self._read(stored):
                 entries[entry.id] = entry
+        for name in self.faulty:
+            self.directory.remove(name, doubtful=False)
         self.directory.replace_all(entries, doubtful=doubtful)
 
     def change(self, change: Change, *, doubtful: bool) -> None:
         """Take one change in."""
+        name = change.object.name
         if change.removed:
-            self.directory.remove(change.object.name, doubtful=doubtful)
-        elif entry := _read(change.object):
+            self.faulty.discard(name)
+            self.directory.remove(name, doubtful=doubtful)
+        elif entry := self._read(change.object):
             self.directory.take(entry)
+        else:
+            self.directory.remove(name, doubtful=False)
 
-
-def _read(stored: StoredObject) -> UpstreamEntry | None:
-    """Decode an entry; one odd entry must not hide all the others."""
-    try:
-        return read_instance(stored)
-    except LacewingdockError as error:
-        log.error(
-            "faulty entry left out", upstream=stored.name, error=str(error)
-        )
-        return None
+    def _read(self, stored: StoredObject) -> UpstreamEntry | None:
+        try:
+            entry = read_instance(stored)
+        except LacewingdockError as error:
+            if stored.name not in self.faulty:
+                log.error(
+                    "faulty entry left out",
+                    upstream=stored.name,
+                    revision=stored.revision,
+                    error=str(error),
+                )
+            self.faulty.add(stored.name)
+            return None
+        self.faulty.discard(stored.name)
+        return entry
--- a/lacewingdock/platform/documents.py
+++ b/lacewingdock/platform/documents.py
@@ -1,6 +1,7 @@
 """Support for the documents that the platform keeps: decoded once, here."""
 
-from typing import Any, Final
+import socket
+from typing import Any, Final, Literal
 
 import msgspec
 
@@ -23,6 +24,8 @@
 KIND_SHIFTS: Final = "rollouts"
 CONFIGURATION_NAME: Final = "main"
 
+MAX_PORT: Final = 65535
+
 _IDEMPOTENT: Final = "idempotent"
 _STREAMING: Final = "streaming"
 _DRAINING: Final = "draining"
@@ -93,9 +96,14 @@
     service: str
     address: str
     zone: str
-    version: str = ""
-    slots: int = 1
-    state: str = "ready"
+    version: str
+    slots: int
+    state: Literal["ready", "draining"]
+    # Neither is used, but an entry without them is not an instance's own.
+    sequence: int
+    cold_left_ms: float
+    # Unix milliseconds of the instance's start.
+    born: int = 0
 
 
 class _Rollout(msgspec.Struct):
@@ -141,25 +149,39 @@
 def read_instance(stored: StoredObject) -> UpstreamEntry:
     """Decode the entry of an upstream instance; its name is its id.
 
+    Others may write there too, so an entry is taken only as an instance writes
+    it: with every field, each of its own type.
+
     Raises:
         LacewingdockError: BAD_MANIFEST, naming the field.
     """
-    found = _convert(stored, _Server)
-    host, _, port = found.address.rpartition(":")
-    if not host or not port.isdigit():
-        raise _faulty(stored, f"address: {found.address!r}")
+    found = _convert(stored, _Server, strict=True)
+    host, port = _address(stored, found.address)
     return UpstreamEntry(
         id=stored.name,
         service=found.service,
         host=host,
-        port=int(port),
+        port=port,
         failure_domain=found.zone,
         version=found.version,
         slots=max(found.slots, 1),
         leaving=found.state == _DRAINING,
+        born=found.born,
     )
 
 
+def _address(stored: StoredObject, text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+        number = int(port) if port.isascii() and port.isdigit() else 0
+    except (OSError, ValueError):
+        number = 0
+    if not 0 < number <= MAX_PORT:
+        raise _faulty(stored, f"address: {text!r}")
+    return host, number
+
+
 def read_shift(stored: StoredObject) -> ShiftOrder:
     """Decode an order to roll a version out, with what became of it.
 
@@ -192,9 +214,11 @@
     return {"state": state.value, "target": order.target}
 
 
-def _convert(stored: StoredObject, cls: type[Any]) -> Any:
+def _convert(
+    stored: StoredObject, cls: type[Any], *, strict: bool = False
+) -> Any:
     try:
-        return msgspec.convert(stored.spec, cls, strict=False)
+        return msgspec.convert(stored.spec, cls, strict=strict)
     except msgspec.ValidationError as error:
         raise _faulty(stored, str(error)) from error
 
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -18,6 +18,7 @@
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.json import decode_json
+from lacewingdock.helpers.log import get_logger
 from lacewingdock.platform.budget import CallBudget
 
 CALL_TIMEOUT_S: Final = 2.0
@@ -34,6 +35,8 @@
     HTTPStatus.SERVICE_UNAVAILABLE,
 )
 
+log = get_logger("platform")
+
 T = TypeVar("T")
 
 
@@ -106,14 +109,18 @@
     status: Any = None
 
 
+class _Named(msgspec.Struct):
+    metadata: _Metadata
+
+
 class _Page(msgspec.Struct):
-    items: list[_Object]
+    items: list[msgspec.Raw]
     current_rev: int
     has_more: bool = False
 
 
 class _Event(msgspec.Struct):
-    object: _Object
+    object: msgspec.Raw
     removed: bool = False
 
 
@@ -179,11 +186,11 @@
             page = _decode(self._call("GET", path, purpose), _Page, RAN_NO)
             if found is None:
                 found = Snapshot(page.current_rev)
-            for item in page.items:
-                found.objects[item.metadata.name] = _object(item)
-            if not page.has_more or not page.items:
+            items = _readable(page.items)
+            found.objects |= {item.name: item for item in items}
+            if not page.has_more or not items:
                 return found
-            query["since_rev"] = page.items[-1].metadata.name
+            query["since_rev"] = items[-1].name
 
     def watch_kind(
         self,
@@ -224,7 +231,11 @@
         found = _decode(reply, _Events, RAN_NO)
         return Changes(
             found.current_rev,
-            [Change(_object(e.object), e.removed) for e in found.events],
+            [
+                Change(one, event.removed)
+                for event in found.events
+                for one in _readable([event.object])
+            ],
         )
 
     def write(
@@ -409,6 +420,35 @@
     )
 
 
+def _readable(items: list[msgspec.Raw]) -> list[StoredObject]:
+    """Decode objects, each by itself: an odd one must not hide the others.
+
+    One whose content can't be decoded stands there without content, so that
+    what it replaces is not taken to be there still.
+    """
+    found = []
+    for item in items:
+        try:
+            found.append(_object(decode_json(bytes(item), _Object)))
+        except msgspec.DecodeError as error:
+            if named := _without_content(item):
+                found.append(named)
+            log.error(
+                "undecodable object",
+                object=named.name if named else "",
+                error=str(error),
+            )
+    return found
+
+
+def _without_content(item: msgspec.Raw) -> StoredObject | None:
+    try:
+        metadata = decode_json(bytes(item), _Named).metadata
+    except msgspec.DecodeError:
+        return None
+    return StoredObject(metadata.name, metadata.revision)
+
+
 def _decode(reply: Reply, cls: type[T], ran: str) -> T:
     """Decode an answer's body; `ran` says whether the call took effect.
 
--- a/lacewingdock/world/backend.py
+++ b/lacewingdock/world/backend.py
@@ -9,7 +9,7 @@
     """An upstream instance as the platform's list shows it.
 
     Attributes:
-        id: Id of this very start of it.
+        id: Its id. An instance may start again under the one that it had.
         service: What it serves.
         host: IP number.
         port: Port.
@@ -17,6 +17,7 @@
         version: Version of its software.
         slots: Requests it runs at once.
         leaving: Whether it takes no new work.
+        born: Unix time of its start, in milliseconds; 0 where not said.
     """
 
     id: str
@@ -27,6 +28,16 @@
     version: str
     slots: int
     leaving: bool = False
+    born: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Name of this very start of it.
+
+        Whatever was seen of an instance, or is held open to it, belongs to one
+        start: after a crash it knows nothing of what came before.
+        """
+        return f"{self.id}@{self.born}" if self.born else self.id
 
 
 class ShiftState(StrEnum):
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -32,6 +32,8 @@
         "version": "v1",
         "slots": 4,
         "state": "ready",
+        "sequence": 1,
+        "cold_left_ms": 0,
         **changes,
     }
     return StoredObject(name, 1, spec)
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -154,6 +154,8 @@
         "version": "v1",
         "slots": 4,
         "state": "ready",
+        "sequence": 1,
+        "cold_left_ms": 0,
     }
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -138,6 +138,7 @@
         "slots": 48,
         "state": state,
         "sequence": 4,
+        "cold_left_ms": 0,
     }
     found = read_instance(StoredObject("i-1", 2, spec))
     assert (found.id, found.host, found.port) == ("i-1", "10.0.0.9", 80)
