One listener takes objects one by one; a router tells its others' load and slowdown

Four listeners of mirrors had the same replace and change, and the router and the page of its state imported each other. The state and the metrics show what the other routers told, and the slowdown of a service's streams; the table of the state has one column more, so its test has. No decision changes.

--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -66,11 +66,16 @@
     lateness = _gauge(
         "lateness", "How late answers begin, in their goal", ["service"]
     )
+    slowdown = _gauge(
+        "slowdown", "Pauses of streams, in times those at rest", ["service"]
+    )
     for one in state.services:
         retries.add_metric([one.service], one.retries_left)
         lateness.add_metric([one.service], one.lateness)
+        slowdown.add_metric([one.service], one.slowdown)
     yield retries
     yield lateness
+    yield slowdown
 
 
 def _roll_outs(state: RouterState) -> Iterator[Metric]:
--- a/lacewingdock/components/inspection/gather.py
+++ b/lacewingdock/components/inspection/gather.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from lacewingdock.components.gateway.gateway import Gateway
+from lacewingdock.components.gossip.load import FleetLoad
 from lacewingdock.components.inspection.state import (
     CopyState,
     PeerState,
@@ -25,7 +26,9 @@
     ]
 
 
-def gather_upstreams(directory: Directory) -> list[UpstreamState]:
+def gather_upstreams(
+    directory: Directory, fleet_load: FleetLoad
+) -> list[UpstreamState]:
     """Return the state of each upstream instance, by service and id."""
     now = time.monotonic()
     found = [
@@ -37,6 +40,7 @@
             state=one.state(now),
             running=one.running,
             unread=round(one.unread, 2),
+            others_running=fleet_load.at(one.mark).running,
             failures=round(one.recent_failures(now), 2),
             heard_s=round(now - one.heard_at, 3) if one.heard_at else None,
         )
@@ -56,6 +60,7 @@
             requests=budget.requests,
             retries_left=round(budget.saved, 1),
             lateness=round(gateway.pressure(service).now(), 3),
+            slowdown=round(gateway.pressure(service).slowdown.now(), 2),
         )
         for service, budget in sorted(gateway.budgets.items())
     ]
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -32,6 +32,7 @@
         running: This router's requests that are at it.
         unread: Work of those whose answers have not begun, in thousands of
             tokens of the largest model.
+        others_running: Other routers' requests there, as they told.
         failures: Recent failures, older ones counting less.
         heard_s: Seconds since bytes came from it; None where none did.
     """
@@ -43,6 +44,7 @@
     state: str
     running: int
     unread: float
+    others_running: int
     failures: float
     heard_s: float | None
 
@@ -100,6 +102,7 @@
         requests: Requests counted since the start.
         retries_left: Retries that may be made now.
         lateness: How late its answers begin, as a part of their goal.
+        slowdown: Pauses between its streams' events, in times those at rest.
     """
 
     service: str
@@ -108,6 +111,7 @@
     requests: int
     retries_left: float
     lateness: float
+    slowdown: float
 
 
 @dataclass(slots=True)
--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -11,13 +11,13 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Final, Protocol
+from typing import Final
 
+from lacewingdock.components.mirror.listener import Listener
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.backoff import Backoff
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.platform.object_api import (
-    Change,
     HistoryGoneError,
     ObjectApi,
     Snapshot,
@@ -45,16 +45,6 @@
 log = get_logger("mirror")
 
 
-class Listener(Protocol):
-    """What a mirror tells of its kind."""
-
-    def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
-        """Take a whole list in."""
-
-    def change(self, change: Change, *, doubtful: bool) -> None:
-        """Take one change in."""
-
-
 @dataclass(slots=True)
 class Copy:
     """What one router tells another of a kind of objects.
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -31,9 +31,7 @@
 from lacewingdock.helpers.sockets import Listener
 from lacewingdock.platform.object_api import (
     ABSENT,
-    Change,
     ObjectApi,
-    Snapshot,
     StoredObject,
 )
 from lacewingdock.world.route import CallerLimits
@@ -222,24 +220,15 @@
                 best.snapshot = found.snapshot
         return best
 
-    def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
-        """Take all entries in."""
-        del doubtful
-        for stored in snapshot.objects.values():
-            self._take(stored)
-
-    def change(self, change: Change, *, doubtful: bool) -> None:
-        """Take one entry in."""
-        del doubtful
-        if change.removed:
-            self.revisions.pop(change.object.name, None)
-            gone = self.entries.pop(change.object.name, None)
-            if gone is not None:
-                self.heard(change.object.name, RouterStatus(gone.incarnation))
-        else:
-            self._take(change.object)
-
-    def _take(self, stored: StoredObject) -> None:
+    def drop(self, stored: StoredObject) -> None:
+        """Forget a router whose entry was removed."""
+        self.revisions.pop(stored.name, None)
+        gone = self.entries.pop(stored.name, None)
+        if gone is not None:
+            self.heard(stored.name, RouterStatus(gone.incarnation))
+
+    def take(self, stored: StoredObject) -> None:
+        """Take a router's entry."""
         if stored.name == self.name:
             return
         try:
--- a/lacewingdock/components/routes/__init__.py
+++ b/lacewingdock/components/routes/__init__.py
@@ -8,7 +8,7 @@
     CONFIGURATION_NAME,
     read_configuration,
 )
-from lacewingdock.platform.object_api import Change, Snapshot, StoredObject
+from lacewingdock.platform.object_api import StoredObject
 from lacewingdock.world.route import RoutingTable
 
 log = get_logger("routes")
@@ -29,19 +29,10 @@
         self.table: RoutingTable | None = None
         self.known = threading.Event()
 
-    def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
-        """Take what a whole list shows."""
-        del doubtful
-        if stored := snapshot.objects.get(CONFIGURATION_NAME):
-            self._take(stored)
-
-    def change(self, change: Change, *, doubtful: bool) -> None:
-        """Take one change; a removed configuration stays in force."""
-        del doubtful
-        if change.object.name == CONFIGURATION_NAME and not change.removed:
-            self._take(change.object)
-
-    def _take(self, stored: StoredObject) -> None:
+    def take(self, stored: StoredObject) -> None:
+        """Take a configuration; one that was removed stays in force."""
+        if stored.name != CONFIGURATION_NAME:
+            return
         try:
             table = read_configuration(stored)
         except LacewingdockError as error:
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -36,9 +36,7 @@
     shift_status,
 )
 from lacewingdock.platform.object_api import (
-    Change,
     ObjectApi,
-    Snapshot,
     StoredObject,
 )
 from lacewingdock.world.backend import ShiftOrder, ShiftState
@@ -155,20 +153,6 @@
             is_new = sample.version == shift.order.target
             shift.evidence.add(sample, is_new=is_new)
 
-    def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
-        """Take all orders in."""
-        del doubtful
-        for stored in snapshot.objects.values():
-            self._take(stored)
-
-    def change(self, change: Change, *, doubtful: bool) -> None:
-        """Take one order in; a removed one is over."""
-        del doubtful
-        if change.removed:
-            self._drop(change.object)
-        else:
-            self._take(change.object)
-
     def take_report(self, report: Report) -> None:
         """Take another router's report."""
         shift = self.running.get(report.service)
@@ -219,6 +203,14 @@
             with self._lock:
                 shift.hear_bad(message.router)
 
+    def take_stored_report(self, stored: StoredObject) -> None:
+        """Take another router's report from the store."""
+        report = read_report(stored)
+        if report is None:
+            log.error("report refused", report=stored.name)
+            return
+        self.take_report(report)
+
     def own_reports(self) -> bytes:
         """Return this router's reports, for others to hear in an outage."""
         running = list(self.running.values())
@@ -265,7 +257,8 @@
             self.settled[service] = next(iter(present - {refused}))
         return VersionRule(never=refused)
 
-    def _take(self, stored: StoredObject) -> None:
+    def take(self, stored: StoredObject) -> None:
+        """Take an order."""
         try:
             order = read_shift(stored)
         except LacewingdockError as error:
@@ -306,7 +299,8 @@
                 self.refused.pop(service, None)
                 self.running[service] = Shift(order, share)
 
-    def _drop(self, stored: StoredObject) -> None:
+    def drop(self, stored: StoredObject) -> None:
+        """Take an order that was removed: it is over."""
         for service, order in list(self.orders.items()):
             if order.name == stored.name:
                 self.running.pop(service, None)
@@ -364,37 +358,4 @@
             revision=found.revision,
         )
         if found.revision:
-            self._take(found)
-
-
-class ReportListener:
-    """Takes the routers' reports from their mirror.
-
-    Attributes:
-        shifts: Where they go.
-    """
-
-    __slots__ = ("shifts",)
-
-    def __init__(self, shifts: Shifts) -> None:
-        """Take where the reports go."""
-        self.shifts = shifts
-
-    def replace(self, snapshot: Snapshot, *, doubtful: bool) -> None:
-        """Take all reports in."""
-        del doubtful
-        for stored in snapshot.objects.values():
-            self._take(stored)
-
-    def change(self, change: Change, *, doubtful: bool) -> None:
-        """Take one report in."""
-        del doubtful
-        if not change.removed:
-            self._take(change.object)
-
-    def _take(self, stored: StoredObject) -> None:
-        report = read_report(stored)
-        if report is None:
-            log.error("report refused", report=stored.name)
-            return
-        self.shifts.take_report(report)
+            self.take(found)
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -25,10 +25,10 @@
 from lacewingdock.components.inspection import InspectionPort
 from lacewingdock.components.mirror import (
     WATCH_PART,
-    Listener,
     Mirror,
     StoreHealth,
 )
+from lacewingdock.components.mirror.listener import EachObject, Listener
 from lacewingdock.components.readiness import ReadinessPort
 from lacewingdock.components.routers import (
     ANNOUNCE_EVERY_S,
@@ -38,7 +38,7 @@
     Routers,
 )
 from lacewingdock.components.routes import Routes
-from lacewingdock.components.shifts import ReportListener, Shifts
+from lacewingdock.components.shifts import Shifts
 from lacewingdock.components.shifts.const import KIND_REPORTS, ROUND_S
 from lacewingdock.components.suspects import Suspects
 from lacewingdock.components.suspects.const import REACH_S, TELL_EVERY_S
@@ -343,11 +343,11 @@
     def _mirrors(self) -> dict[str, Mirror]:
         health = StoreHealth(LAPSE_S)
         listeners: dict[str, Listener] = {
-            KIND_CONFIGURATION: self.routes,
+            KIND_CONFIGURATION: EachObject(self.routes.take),
             KIND_INSTANCES: InstanceListener(self.directory),
-            KIND_SHIFTS: self.shifts,
-            KIND_REPORTS: ReportListener(self.shifts),
-            KIND_ROUTERS: self.routers,
+            KIND_SHIFTS: EachObject(self.shifts.take, self.shifts.drop),
+            KIND_REPORTS: EachObject(self.shifts.take_stored_report),
+            KIND_ROUTERS: EachObject(self.routers.take, self.routers.drop),
         }
         mirrors = {
             kind: Mirror(
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -1,8 +1,12 @@
 """Support for telling what a router believes; loaded when it is asked for."""
 
+import threading
 import time
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from lacewingdock.components.gateway import CallersPort
+from lacewingdock.components.gateway.gateway import Gateway
+from lacewingdock.components.gossip.load import FleetLoad
 from lacewingdock.components.inspection.gather import (
     gather_copies,
     gather_roll_outs,
@@ -11,13 +15,36 @@
     gather_upstreams,
 )
 from lacewingdock.components.inspection.state import RouterState
+from lacewingdock.components.mirror import Mirror, StoreHealth
+from lacewingdock.components.routers import Routers
+from lacewingdock.components.routes import Routes
+from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.const import VERSION
+from lacewingdock.world.host import HostProfile
 
-if TYPE_CHECKING:
-    from lacewingdock.daemons.router import RouterDaemon
 
+class Observed(Protocol):
+    """What of a router is told; see `RouterDaemon`."""
 
-def router_state(router: "RouterDaemon") -> RouterState:
+    host: HostProfile
+    routes: Routes
+    gateway: Gateway
+    callers: CallersPort
+    health: StoreHealth
+    mirrors: dict[str, Mirror]
+    directory: Directory
+    fleet_load: FleetLoad
+    shifts: Shifts
+    routers: Routers
+    leaving: threading.Event
+    started: float
+
+    def missing(self) -> str:
+        """Return what is missing to serve."""
+
+
+def router_state(router: Observed) -> RouterState:
     """Return what a router believes now."""
     host, table = router.host, router.routes.table
     return RouterState(
@@ -33,7 +60,7 @@
         store_doubtful=router.health.doubtful,
         copies=gather_copies(router.mirrors.values()),
         services=gather_services(router.gateway),
-        upstreams=gather_upstreams(router.directory),
+        upstreams=gather_upstreams(router.directory, router.fleet_load),
         roll_outs=gather_roll_outs(router.shifts),
         routers=gather_routers(router.routers),
     )
--- a/tests/components/inspection/test_inspection.py
+++ b/tests/components/inspection/test_inspection.py
@@ -35,10 +35,10 @@
     store_away=True,
     store_doubtful=False,
     copies=[CopyState("config", 41, 1)],
-    services=[ServiceState("svc", "v1", "", 12, 7.5, 0.1)],
+    services=[ServiceState("svc", "v1", "", 12, 7.5, 0.1, 1.5)],
     roll_outs=[RollOutState("svc", "v2", "RAMP", 3.5, 20.0, 9, 2, True, "", 4)],
     upstreams=[
-        UpstreamState("i-1", "svc", "v1", "d1", "lapsed", 3, 1.5, 0.2, None)
+        UpstreamState("i-1", "svc", "v1", "d1", "lapsed", 3, 1.5, 7, 0.2, None)
     ],
 )
 
@@ -121,5 +121,5 @@
         assert name in text
     assert "upstreams (1)" in text
     row = next(line for line in text.splitlines() if line.startswith("i-1"))
-    cells = "i-1 svc v1 d1 lapsed 3 1.5 0.2 -"
+    cells = "i-1 svc v1 d1 lapsed 3 1.5 7 0.2 -"
     assert row.split() == cells.split()
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lacewingdock.components.mirror import Copy, Mirror, StoreHealth
+from lacewingdock.components.mirror.listener import EachObject
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import RAN_NO
@@ -235,3 +236,17 @@
     mirror.stale = stale
     run(mirror)
     assert asked[:2] == [("list", False), ("watch", stale)]
+
+
+def test_objects_are_taken_one_by_one():
+    """What is missing from a list is kept; only a removal drops it."""
+    taken, dropped = [], []
+    found = EachObject(
+        lambda one: taken.append(one.name), lambda one: dropped.append(one.name)
+    )
+    for doubtful in (False, True):
+        found.replace(listed(5, "a", "b"), doubtful=doubtful)
+        found.change(Change(entry("c"), False), doubtful=doubtful)
+        found.change(Change(entry("a"), True), doubtful=doubtful)
+    assert taken == ["a", "b", "c"] * 2
+    assert dropped == ["a"] * 2
--- a/tests/components/routers/test_routers.py
+++ b/tests/components/routers/test_routers.py
@@ -17,8 +17,6 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.object_api import (
     ABSENT,
-    Change,
-    Snapshot,
     StoredObject,
 )
 
@@ -88,12 +86,9 @@
 
     def see(self, name):
         """Have a router read all routers' objects."""
-        objects = {
-            stored.name: stored
-            for (kind, _), stored in self.store.objects.items()
-            if kind == KIND_ROUTERS
-        }
-        self.routers[name].replace(Snapshot(99, objects), doubtful=False)
+        for (kind, _), stored in self.store.objects.items():
+            if kind == KIND_ROUTERS:
+                self.routers[name].take(stored)
 
 
 def test_losses_reach_the_others():
@@ -152,8 +147,7 @@
     names = {name for _, name in fleet.store.objects}
     assert names == {"r-1", "r-2"}
     entry = fleet.routers["r-3"].entry
-    gone = Change(StoredObject("r-3", 99, spec=entry), removed=True)
-    fleet.routers["r-1"].change(gone, doubtful=False)
+    fleet.routers["r-1"].drop(StoredObject("r-3", 99, spec=entry))
     assert fleet.routers["r-1"].count() == 2
     # One that was away, not gone, comes back.
     assert not fleet.routers["r-3"].announce()
--- a/tests/components/shifts/test_shift.py
+++ b/tests/components/shifts/test_shift.py
@@ -13,9 +13,7 @@
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.const import RAN_UNKNOWN
 from lacewingdock.platform.object_api import (
-    Change,
     ObjectApi,
-    Snapshot,
     StoredObject,
     unavailable,
 )
@@ -101,9 +99,7 @@
 
 def see(shifts, store):
     """Let a router see the order and all reports."""
-    shifts.replace(
-        Snapshot(store.revision, {"svc": store.order}), doubtful=False
-    )
+    shifts.take(store.order)
     for stored in store.reports.values():
         shifts.take_report(
             Report(**{**stored.spec, "stage": Stage(stored.spec["stage"])})
@@ -432,7 +428,7 @@
     store = Store()
     shifts = router(store)
     store.write_status("", "", {"state": "completed", "target": "v2"}, 1, "")
-    shifts.change(Change(store.order, False), doubtful=False)
+    shifts.take(store.order)
     assert share_of_new(shifts) == 1.0
 
 
