--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -78,9 +78,9 @@
 STALE_KINDS: Final = (KIND_ROUTERS, KIND_REPORTS)
 # Routers come and go rarely, and their addresses matter only in an outage.
 ROUTERS_WATCH_S: Final = 20.0
-# An order that is seen late starts late, and may end after its time: a watch that
-# went deaf while the store dropped its history hid one for 3.3 s, where watches
-# waited 8 s.
+# An order that is seen late starts late, and may end after its time: a watch
+# that went deaf while the store dropped its history hid one for 3.3 s, where
+# watches waited 8 s.
 ORDERS_WATCH_S: Final = 2.5
 # Outside of roll-outs nothing is reported.
 REPORTS_WATCH_S: Final = 8.0
