--- a/tests/components/gateway/conftest.py
+++ b/tests/components/gateway/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures of the gateway's tests."""
 
+import time
+
 import pytest
 
 from tests.components.gateway.fakes import Stage
@@ -16,3 +18,15 @@
     yield make
     for stage in made:
         stage.close()
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    """A clock that moves when it is told to."""
+    now = [1000.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+
+    def move(seconds):
+        now[0] += seconds
+
+    return move
--- a/tests/components/gateway/test_sizing.py
+++ b/tests/components/gateway/test_sizing.py
@@ -1,7 +1,5 @@
 """Tests of how sure a smaller model must be of its answer."""
 
-import time
-
 import pytest
 
 from lacewingdock.components.gateway.sizing import (
@@ -13,18 +11,6 @@
 )
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    """A clock that moves when it is told to."""
-    now = [1000.0]
-    monkeypatch.setattr(time, "monotonic", lambda: now[0])
-
-    def move(seconds):
-        now[0] += seconds
-
-    return move
-
-
 @pytest.mark.parametrize(
     ("part", "low", "high"),
     [
--- a/tests/components/gateway/test_slowdown.py
+++ b/tests/components/gateway/test_slowdown.py
@@ -6,8 +6,6 @@
 are still in time. Pauses as measured on engines of the thesis repository.
 """
 
-import time
-
 import pytest
 
 from lacewingdock.components.gateway.sizing import CONFIDENCE_ENOUGH, Pressure
@@ -16,18 +14,6 @@
 REST_S = 0.025
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    """A clock that moves when it is told to."""
-    now = [1000.0]
-    monkeypatch.setattr(time, "monotonic", lambda: now[0])
-
-    def move(seconds):
-        now[0] += seconds
-
-    return move
-
-
 def flow(found, clock, pause_s, seconds, streams=5):
     """Let streams go on with a pause between their events."""
     for _ in range(int(seconds / pause_s)):
