Sessions told to and fro grow older; streams of a few events show no pace

Two routers that told each other of a session made it younger by up to a second each time, so it stayed for the whole canary; the test fails with ages rounded down. A stream whose two events come at once had a pause of nothing, which as the pause at rest would have bent every size.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -52,6 +52,8 @@
 # Waits of callers that do not say how long; beyond any route's timeout.
 DEFAULT_PATIENCE_S: Final = 60.0
 
+# Streams with fewer events show no pace: they may all come at once.
+MIN_PACE_EVENTS: Final = 4
 # Tokens of prompts in the unit in which instances are compared.
 WORK_UNIT: Final = 1000.0
 # Upstreams rank requests from 0, the first, to this.
@@ -322,7 +324,7 @@
             events: Events that were passed on before it.
         """
         count = self.progress.events - events
-        if isinstance(result, Streamed) and count > 1:
+        if isinstance(result, Streamed) and count >= MIN_PACE_EVENTS:
             mean_s = (time.monotonic() - attempt.began_at) / count
             self.gateway.pressure(self.service).slowdown.ended(mean_s)
 
@@ -418,8 +420,8 @@
         """Tell of an attempt, and of what the choice of its instance rested on.
 
         The figures are as of now: this router's own, and what the others told
-        in the last second. What the platform
-        says of the instance is in the line of its entry.
+        in the last second. What the platform says of the instance is in the
+        line of its entry.
         """
         entry, now = instance.entry, time.monotonic()
         others = self.gateway.chooser.others(instance.mark)
--- a/lacewingdock/components/shifts/pins.py
+++ b/lacewingdock/components/shifts/pins.py
@@ -1,5 +1,6 @@
 """Support for remembering the version that a session is on."""
 
+import math
 import threading
 import time
 from collections.abc import Callable
@@ -45,11 +46,15 @@
         return pin[0]
 
     def of_service(self, service: str) -> list[KeptSession]:
-        """Return the sessions of a service that are remembered."""
+        """Return the sessions of a service that are remembered.
+
+        Ages are rounded up: rounded down, what two routers tell each other in
+        turn would grow younger, and the session would stay for good.
+        """
         now = time.monotonic()
         with self._lock:
             return [
-                KeptSession(name, session, version, int(now - at))
+                KeptSession(name, session, version, math.ceil(now - at))
                 for (name, session), (version, at) in self._pins.items()
                 if name == service and now - at <= self.kept_s
             ]
--- a/tests/components/shifts/test_shift.py
+++ b/tests/components/shifts/test_shift.py
@@ -8,6 +8,7 @@
 from lacewingdock.components.shifts import Shifts
 from lacewingdock.components.shifts import shift as shift_module
 from lacewingdock.components.shifts.evidence import Sample
+from lacewingdock.components.shifts.pins import SessionPins
 from lacewingdock.components.shifts.report import Report, Stage
 from lacewingdock.components.shifts.shift import SETTLE_S, Shift
 from lacewingdock.components.upstreams.directory import Directory
@@ -511,3 +512,22 @@
         shifts.round()
     is_completed = shifts.orders["svc"].state is ShiftState.COMPLETED
     assert is_completed is done
+
+
+def test_session_told_to_and_fro_grows_older(monkeypatch):
+    """Symptom: sessions that ended fill the messages of a whole roll-out.
+
+    Sequence: two routers tell each other of a session, a little after each
+    other. Cause: its age was rounded down each time.
+    """
+    now = [500.0]
+    monkeypatch.setattr(
+        "lacewingdock.components.shifts.pins.time.monotonic", lambda: now[0]
+    )
+    pins = [SessionPins(lambda: 5.0) for _ in range(2)]
+    pins[0].keep("svc", "s", "v1")
+    for turn in range(40):
+        now[0] += 0.33
+        for one in pins[turn % 2].of_service("svc"):
+            pins[1 - turn % 2].hear(one)
+    assert not any(one.of_service("svc") for one in pins)
