--- a/bench/platform/pairs.py
+++ b/bench/platform/pairs.py
@@ -7,6 +7,7 @@
 import os
 import statistics
 import sys
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
@@ -97,18 +98,26 @@
         f"{_mean([one.worth for one in after]):.3f}",
         f"{_mean(gains):+.3f}",
         f"{spread / len(gains) ** 0.5:.3f}",
-        *(
-            f"{_mean([value(one) for one in after]):.3f} "
-            f"({_mean([value(one) for one in after]) - _mean([value(one) for one in before]):+.3f})"  # noqa: E501
-            for value in (_served, _windows, _prices)
-        ),
-        str(sum(bool(one.broken) for one in before))
-        + "; "
-        + str(sum(bool(one.broken) for one in after)),
+        *(_change(before, after, of) for of in (_served, _windows, _prices)),
+        f"{_broken(before)}; {_broken(after)}",
     ]
     return "| " + " | ".join(cells) + " |"
 
 
+def _change(
+    before: list[Outcome],
+    after: list[Outcome],
+    of: Callable[[Outcome], float],
+) -> str:
+    """Return the mean of a value after, and how much more than before."""
+    now = _mean([of(one) for one in after])
+    return f"{now:.3f} ({now - _mean([of(one) for one in before]):+.3f})"
+
+
+def _broken(outcomes: list[Outcome]) -> int:
+    return sum(bool(one.broken) for one in outcomes)
+
+
 def _served(one: Outcome) -> float:
     return one.served
 
--- a/lacewingdock/components/gossip/__init__.py
+++ b/lacewingdock/components/gossip/__init__.py
@@ -32,8 +32,8 @@
     Attributes:
         mark: Digest of the instance's start.
         running: Requests there.
-        unread: What those whose answers have not begun have to read, in
-            hundredths of thousands of tokens of the largest model.
+        unread: What those whose answers have not begun have to read, in tens
+            of tokens of the largest model.
     """
 
     mark: int
--- a/lacewingdock/components/gossip/load.py
+++ b/lacewingdock/components/gossip/load.py
@@ -8,7 +8,7 @@
 from lacewingdock.components.gossip import MAX_ROWS, STALE_S, Message, Row
 from lacewingdock.components.upstreams.directory import Directory
 
-# Thousands of tokens in the unit in which messages tell of unread prompts.
+# Unread work counts thousands of tokens, in messages tens of them.
 UNREAD_UNIT: Final = 0.01
 
 
