One look-up of a roll-out, one home for failures; draws of sessions are remembered

Whether a result is a failure stands with the results; a roll-out of a service to a version is found by one function.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -22,6 +22,9 @@
 # Longest body of an answer that is not a stream.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 
+# From this status on an upstream says that it failed.
+SERVER_ERROR: Final = 500
+
 T = TypeVar("T")
 
 
@@ -76,6 +79,16 @@
 Result = Whole | Streamed | Unsure | NotRun | Broken
 
 
+def is_failure(result: Result) -> bool:
+    """Whether an attempt gave no answer, or the upstream's own failure."""
+    match result:
+        case Whole(head, _):
+            return head.status >= SERVER_ERROR
+        case Streamed() | Unsure():
+            return False
+    return True
+
+
 @dataclass(slots=True)
 class Progress:
     """How far a stream got towards the caller, over all attempts.
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -4,6 +4,7 @@
 from typing import Final
 
 from lacewingdock.components.gateway.attempt import (
+    SERVER_ERROR,
     Attempt,
     Broken,
     NotRun,
@@ -12,6 +13,7 @@
     Streamed,
     Unsure,
     Whole,
+    is_failure,
 )
 from lacewingdock.components.gateway.cascade import Cascade
 from lacewingdock.components.gateway.gateway import Gateway, answer_error
@@ -59,8 +61,6 @@
 # Upstreams rank requests from 0, the first, to this.
 LAST_PRIORITY: Final = 9
 
-_SERVER_ERROR: Final = 500
-
 log = get_logger("gateway")
 
 
@@ -214,7 +214,7 @@
                 left_s = self.end - time.monotonic()
                 self.cascade.ask_larger(instance.entry.id, result, left_s)
                 continue
-            if _is_failure(result) and self._may_repeat(result):
+            if is_failure(result) and self._may_repeat(result):
                 self._log_repeat(instance, result)
                 continue
             if isinstance(result, Whole) and not self.progress.started:
@@ -343,7 +343,7 @@
                 instance.failed(1.0)
                 if result.ended:
                     self._note_loss(instance)
-            case Whole(head, _) if head.status >= _SERVER_ERROR:
+            case Whole(head, _) if head.status >= SERVER_ERROR:
                 instance.failed(0.5)
             case _:
                 instance.succeeded()
@@ -360,7 +360,7 @@
                 version=instance.entry.version,
                 instance=instance.entry.incarnation,
                 route=self.route.name,
-                bad=_is_failure(result) and not isinstance(result, NotRun),
+                bad=is_failure(result) and not isinstance(result, NotRun),
                 refused=isinstance(result, NotRun),
                 seconds=(first_at or time.monotonic()) - start,
             ),
@@ -490,13 +490,3 @@
         if not self.progress.started:
             return None
         return round(self.progress.first_at - self.started, 4)
-
-
-def _is_failure(result: Result) -> bool:
-    """Whether an attempt gave no answer, or the upstream's own failure."""
-    match result:
-        case Whole(head, _):
-            return head.status >= _SERVER_ERROR
-        case Streamed() | Unsure():
-            return False
-    return True
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -155,9 +155,8 @@
 
     def take_report(self, report: Report) -> None:
         """Take another router's report."""
-        shift = self.running.get(report.service)
-        own = report.incarnation == self.reporter.incarnation
-        if shift is None or own or shift.order.target != report.target:
+        shift = self._running(report.service, report.target)
+        if shift is None or report.incarnation == self.reporter.incarnation:
             return
         with self._lock:
             shift.take_report(report)
@@ -197,11 +196,9 @@
         for one in message.sessions:
             self.pins.hear(one)
         for service, target in message.bad:
-            shift = self.running.get(service)
-            if shift is None or shift.order.target != target:
-                continue
-            with self._lock:
-                shift.hear_bad(message.router)
+            if shift := self._running(service, target):
+                with self._lock:
+                    shift.hear_bad(message.router)
 
     def take_stored_report(self, stored: StoredObject) -> None:
         """Take another router's report from the store."""
@@ -248,6 +245,13 @@
                 self._end(shift, ShiftState.RUNNING)
         self.pins.prune()
 
+    def _running(self, service: str, target: str) -> Shift | None:
+        """Return the roll-out of a service to a version, if it is under way."""
+        shift = self.running.get(service)
+        if shift is None or shift.order.target != target:
+            return None
+        return shift
+
     def _settled_rule(self, service: str, refused: str) -> VersionRule:
         settled = self.settled.get(service, "")
         present = self.directory.versions(service)
--- a/lacewingdock/components/shifts/shift.py
+++ b/lacewingdock/components/shifts/shift.py
@@ -1,5 +1,6 @@
 """Support for one roll-out: how far it is and what it allows."""
 
+import functools
 import hashlib
 import time
 from dataclasses import dataclass
@@ -32,6 +33,9 @@
 SETTLE_S: Final = 2 * REPEAT_S
 
 _BUCKETS: Final = 10_000
+# Draws that are remembered, for the sessions of some seconds: while a canary
+# runs they are asked for with each message to the other routers.
+DRAWS_KEPT: Final = 1024
 
 log = get_logger("shifts")
 
@@ -132,10 +136,7 @@
 
     def draws(self, name: str) -> bool:
         """Whether a session is among those that the new version gets."""
-        draw = hashlib.blake2b(
-            f"{self.order.target}/{name}".encode(), digest_size=8
-        )
-        bucket = int.from_bytes(draw.digest(), "big") % _BUCKETS
+        bucket = _bucket(self.order.target, name)
         return bucket < self.share * _BUCKETS
 
     @property
@@ -244,6 +245,12 @@
         return own + sum(int(getattr(report, name)) for report in reports)
 
 
+@functools.lru_cache(maxsize=DRAWS_KEPT)
+def _bucket(target: str, name: str) -> int:
+    draw = hashlib.blake2b(f"{target}/{name}".encode(), digest_size=8)
+    return int.from_bytes(draw.digest(), "big") % _BUCKETS
+
+
 def _now() -> float:
     """Return the time since boot, which goes on while a machine sleeps."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
