Doubt of the store ends before the router counts as undisturbed

Cause: one flag decided whether an instance may come back and whether it gets work, and it was open for 2.3 s after the store's return as this router saw it. That return came up to 2.8 s late, since calls begun in an outage wait as long as a watch does, and it was set anew by each call that failed later: a watch of 8 or 20 s that began in the outage put it off by 10 s. A single cut watch, which is allowed at any time, counted as an outage too.

Ruled out: news that came late (four routers of four held the entry for lapsed 0.7 s after), time between choice and sending (3 ms).

Change: only a call that does not wait for news speaks of the store, and doubt ends 0.3 s before the contact time has passed since the last such failure began, whenever this router saw the return. A failed watch is followed at once by a call that does not wait; others are asked if that fails too, and where an entry is missing in doubt, in place of at each return. 'watch ended late' is gone: a watch can't outlive an outage in which entries lapse, and a busy router is late by itself.

Tests: rows with one failed watch meant an outage; an outage fails the call after it as well, so they have both, and rows of one failed watch say now that a missing instance is gone. SERVED_OTHERS_S covers the way from one question to the next, as its comment claimed.

--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -24,20 +24,17 @@
     StoredObject,
 )
 
-# A watch may be deaf: its connection went silent while new ones work, or the
-# store dropped the history behind it and says so at the end only. An instance
-# is held to the bounds once it was undisturbed for a while, so a deaf watch
-# must end, and a list be read, within that while. The parts of it that a watch
-# may take, and its answer after that.
-WATCH_PART: Final = 0.7
+# What a watch's answer may take after its wait.
 WATCH_GRACE_S: Final = 0.6
+# What a call may take that does not wait for news: three times the 0.36 s of a
+# store that answers ninety times as slowly as usual. A store that comes back
+# is seen this much later at most.
+LOOK_S: Final = 1.0
 # The first pause after a failed call, and the longest. An outage ends for all
 # at once; a fleet that calls again within a fifth of a second of it stays
 # under the platform's rate of reads by the spread of the pauses.
 RETRY_S: Final = 0.1
 RETRY_LIMIT_S: Final = 0.5
-# A watch that ends this much late waited for a store that stood still.
-LATE_S: Final = 0.4
 
 log = get_logger("mirror")
 
@@ -74,11 +71,16 @@
         stale: Whether watches may be seconds behind; they cost a tenth.
         clock: The time it goes by.
         confirmed_at: When the store last said what the copy is; None before.
+        called_at: When the last call began.
+        waiting: Whether that call waits for news.
+        broken: Whether it failed.
     """
 
     __slots__ = (
         "_lock",
         "api",
+        "broken",
+        "called_at",
         "clock",
         "confirmed_at",
         "health",
@@ -92,6 +94,7 @@
         "revision",
         "stale",
         "wait_s",
+        "waiting",
     )
 
     def __init__(
@@ -117,6 +120,9 @@
         self.stale = False
         self.clock = clock
         self.confirmed_at: float | None = None
+        self.called_at = 0.0
+        self.waiting = False
+        self.broken = False
         self.objects: dict[str, StoredObject] = {}
         self.revision: int | None = None
         self.ready = threading.Event()
@@ -126,25 +132,26 @@
     def run(self, stopping: threading.Event) -> None:
         """Mirror until the daemon stops."""
         while not stopping.is_set():
-            began = self.clock.now()
-            try:
-                self._step()
-            except LacewingdockError as error:
-                # What was known stays; the next round asks again.
-                self._failed(error, began)
-                self._ask_routers()
-                pause_s = self.pause.failed()
-            except Exception:
-                # A task that died unseen would leave this router deaf to the
-                # kind for good.
-                log.exception("round failed", kind=self.kind)
-                pause_s = self.pause.failed()
-            else:
-                self.pause.succeeded()
-                pause_s = self.pause_s()
-            if pause_s:
+            if pause_s := self.round():
                 self.clock.wait(stopping, pause_s)
 
+    def round(self) -> float:
+        """Ask the store once; return the seconds until the next time."""
+        try:
+            self._ask_store()
+        except LacewingdockError as error:
+            # What was known stays; the next round asks again.
+            self._failed(error)
+        except Exception:
+            # A task that died unseen would leave this router deaf to the
+            # kind for good.
+            log.exception("round failed", kind=self.kind)
+        else:
+            self.broken = False
+            self.pause.succeeded()
+            return self.pause_s()
+        return self.pause.failed()
+
     def snapshot(self) -> Snapshot | None:
         """Return the copy as it is."""
         with self._lock:
@@ -152,22 +159,29 @@
                 return None
             return Snapshot(self.revision, dict(self.objects))
 
-    def _failed(self, error: LacewingdockError, began: float) -> None:
-        """Count a failed call; each is told, also where others' are answered.
+    def _failed(self, error: LacewingdockError) -> None:
+        """Count a failed call.
 
-        Which kind's call failed, and when it began, tells a store that does
-        not answer from a connection that went silent.
+        A failed watch is followed by a call that does not wait, at once and
+        on a new connection: it tells a connection that went silent from a
+        store that does not answer, and whether the history is still there.
+        Watching on from the old revision instead hid changes for two watches,
+        4.9 s in all.
         """
         log.info(
             "call failed",
             kind=self.kind,
-            taken_s=round(self.clock.now() - began, 3),
+            waited=self.waiting,
+            taken_s=round(self.clock.now() - self.called_at, 3),
             error=str(error),
         )
-        self.health.failed(self.kind, str(error))
+        self.broken = True
+        if not self.waiting:
+            self.health.failed(self.kind, str(error), self.called_at)
+            self._ask_routers()
 
-    def _step(self) -> None:
-        """Make one call.
+    def _ask_store(self) -> None:
+        """Make one call; two where the history is gone.
 
         Raises:
             LacewingdockError: The store gave no usable answer.
@@ -182,18 +196,17 @@
         self._list()
 
     def _watch(self, revision: int) -> None:
-        start, wait_s = self.clock.now(), self.wait_s()
+        wait_s = 0.0 if self.broken else self.wait_s()
+        self._calls(waiting=wait_s > 0.0)
         found = self.api.watch_kind(
             self.kind,
             revision,
             wait_s,
             f"watch-{self.kind}",
-            grace_s=WATCH_GRACE_S,
+            grace_s=WATCH_GRACE_S if self.waiting else LOOK_S,
             stale=self.stale,
         )
-        if self.clock.now() - start > wait_s + LATE_S:
-            self.health.failed(self.kind, "watch ended late")
-        returned = self._answered()
+        self._answered()
         with self._lock:
             for change in found.changes:
                 if change.removed:
@@ -201,28 +214,38 @@
                 else:
                     self.objects[change.object.name] = change.object
             self.revision = max(revision, found.revision)
+        doubtful = self.health.doubtful
         for change in found.changes:
-            self.listener.change(change, doubtful=self.health.doubtful)
-        if returned:
+            self.listener.change(change, doubtful=doubtful)
+        if doubtful and any(change.removed for change in found.changes):
             self._ask_routers()
 
     def _list(self) -> None:
-        found = self.api.list_kind(self.kind, f"list-{self.kind}")
-        returned = self._answered()
+        self._calls(waiting=False)
+        found = self.api.list_kind(
+            self.kind, f"list-{self.kind}", timeout_s=LOOK_S
+        )
+        self._answered()
+        missing = self.objects.keys() - found.objects.keys()
         self._take(found)
-        if returned:
+        if missing and self.health.doubtful:
             self._ask_routers()
 
-    def _answered(self) -> bool:
-        """Count an answer; return whether the store is back."""
+    def _calls(self, *, waiting: bool) -> None:
+        """Note that a call begins."""
+        self.waiting = waiting
+        self.called_at = self.clock.now()
+
+    def _answered(self) -> None:
+        """Count an answer."""
         self.confirmed_at = self.clock.now()
-        return self.health.answered(self.kind)
+        self.health.answered(self.kind)
 
     def _ask_routers(self) -> None:
         """Take another router's copy, and whether the store answers it.
 
-        Asked while the store does not answer, and once when it does again:
-        a router that was cut off from all could not ask before.
+        Asked while the store does not answer, and where an entry is missing
+        soon after: a router that was cut off from all could not ask before.
         """
         copy = self.pull(self.kind, self.revision or 0)
         if copy.sure:
--- a/lacewingdock/components/mirror/health.py
+++ b/lacewingdock/components/mirror/health.py
@@ -2,14 +2,16 @@
 
 import math
 import threading
+from collections.abc import Callable
 from typing import Final
 
 from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.helpers.log import get_logger
 
 # For how long another router's word counts that the store answers it. It is
-# asked again with each failed call, half a second apart at most.
-SERVED_OTHERS_S: Final = 1.5
+# asked again with each failed call: one second for the call, two halves for
+# two routers, and the pause.
+SERVED_OTHERS_S: Final = 2.5
 
 log = get_logger("mirror")
 
@@ -20,8 +22,10 @@
     Attributes:
         settle_s: Seconds after the store's return in which its lists may
             still lack entries.
+        doubt_s: Returns how long after the beginning of the last failed call
+            that may be doubted at most.
         away: Whether the last call failed.
-        failed_at: Monotonic time of the last failure.
+        failed_from: Monotonic time at which the last failed call began.
         returned_at: Monotonic time of the last return.
         served_others_at: Monotonic time at which another router last said
             that the store answers it.
@@ -32,18 +36,25 @@
         "_lock",
         "away",
         "clock",
-        "failed_at",
+        "doubt_s",
+        "failed_from",
         "returned_at",
         "served_others_at",
         "settle_s",
     )
 
-    def __init__(self, settle_s: float, clock: Clock = STEADY) -> None:
+    def __init__(
+        self,
+        settle_s: float,
+        doubt_s: Callable[[], float] = lambda: math.inf,
+        clock: Clock = STEADY,
+    ) -> None:
         """Start with a store that answers."""
         self.settle_s = settle_s
+        self.doubt_s = doubt_s
         self.clock = clock
         self.away = False
-        self.failed_at = 0.0
+        self.failed_from = 0.0
         self.returned_at = 0.0
         self.served_others_at = -math.inf
         self._lock = threading.Lock()
@@ -55,20 +66,39 @@
         Entries lapse while the store is away. Where it was this instance that
         was cut off while others were served, nothing lapsed, and an entry that
         is missing left.
+
+        Doubt ends before this router counts as undisturbed again: from then
+        on whatever left must get nothing. A call that failed was begun before
+        the disturbance ended, so its beginning is the moment to go by; the
+        return as this router sees it comes up to three seconds later, and
+        moves on with each call that fails late. Going by the return alone,
+        instances got work until 2.5 s after they had left, where 2 s are
+        allowed (33 of 60 simulated outages).
         """
         now = self.clock.now()
         since = now if self.away else self.returned_at
         if self.served_others_at > since - SERVED_OTHERS_S:
             return False
-        recent = now < self.returned_at + self.settle_s
-        return self.away or (recent and self.returned_at > 0)
+        if self.away or not self.returned_at:
+            return self.away
+        settled_at = self.returned_at + self.settle_s
+        return now < min(settled_at, self.failed_from + self.doubt_s())
+
+    def failed(self, kind: str, error: str, began: float) -> None:
+        """Count a failed call that did not wait for news.
 
-    def failed(self, kind: str, error: str) -> None:
-        """Count a failed call."""
+        A watch that fails says nothing of the store: it may be cut at any
+        time, and its connection may have gone silent alone.
+
+        Args:
+            kind: The kind that was asked for.
+            error: How it failed.
+            began: Monotonic time at which it began.
+        """
         with self._lock:
             lost = not self.away
             self.away = True
-            self.failed_at = self.clock.now()
+            self.failed_from = max(self.failed_from, began)
         if lost:
             log.warning("store lost", kind=kind, error=error)
 
@@ -80,6 +110,6 @@
             if returned:
                 self.returned_at = self.clock.now()
         if returned:
-            away_s = round(self.returned_at - self.failed_at, 3)
-            log.info("store back", kind=kind, since_last_failure_s=away_s)
+            since_s = round(self.returned_at - self.failed_from, 3)
+            log.info("store back", kind=kind, since_failed_call_s=since_s)
         return returned
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -47,6 +47,7 @@
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import THREAD_STACK_BYTES
 from lacewingdock.daemons.router_mirrors import (
+    LAPSED_S,
     REPORTS_PAUSE_S,
     REPORTS_READS_PART,
     Pace,
@@ -91,9 +92,6 @@
 # How often idle connections are pruned and the part of the retries is taken
 # anew, which `FleetBudget` counts in seconds.
 HOUSEKEEPING_S: Final = 1.0
-# An instance that left may get requests for two seconds, which another
-# router's word that it did must not come after.
-LAPSED_S: Final = 0.2
 # How soon a failed announcement is tried again; it is needed in outages only.
 ANNOUNCE_RETRY_S: Final = 1.0
 # How long the end of the process waits for the last log lines to be read.
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from lacewingdock.components.mirror import WATCH_PART, Copy, Mirror
+from lacewingdock.components.mirror import Copy, Mirror
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.components.mirror.listener import Listener
 from lacewingdock.components.routers import KIND_ROUTERS
@@ -20,6 +20,14 @@
 from lacewingdock.platform.object_api import ObjectApi
 from lacewingdock.world.host import Bounds
 
+# The part of the contact time that a watch may wait.
+WATCH_PART: Final = 0.7
+# How often it is looked whether doubt is over; an instance that left may get
+# work for two seconds.
+LAPSED_S: Final = 0.2
+# Doubt ends this long before the contact time does: a look, and what a busy
+# router takes for it.
+DOUBT_SPARE_S: Final = LAPSED_S + 0.1
 # Nothing is bound to a moment by these: addresses matter in outages only, and a
 # version that is found bad is told by datagrams. Watches that may be seconds
 # behind cost a tenth, which took 16 in 100 off the price of all calls (one play
@@ -73,8 +81,9 @@
         bounds: Returns what the router is held to.
         clock: The time it goes by.
     """
-    del bounds
-    return StoreHealth(LAPSE_S, clock)
+    return StoreHealth(
+        LAPSE_S, lambda: bounds().contact_s - DOUBT_SPARE_S, clock
+    )
 
 
 def build_mirrors(
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -163,7 +163,12 @@
         return _object(_decode(reply, _Object, RAN_NO))
 
     def list_kind(
-        self, kind: str, purpose: str, *, stale: bool = False
+        self,
+        kind: str,
+        purpose: str,
+        *,
+        stale: bool = False,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> Snapshot:
         """Read all objects of a kind, page by page.
 
@@ -176,6 +181,7 @@
             purpose: What the call is for, in the count of calls.
             stale: Whether an answer that is seconds old will do; it costs a
                 tenth.
+            timeout_s: Seconds that each page may take.
 
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
@@ -185,7 +191,8 @@
         while True:
             text = urllib.parse.urlencode(query)
             path = f"{_path(kind)}?{text}" if text else _path(kind)
-            page = _decode(self._call("GET", path, purpose), _Page, RAN_NO)
+            reply = self._call("GET", path, purpose, timeout_s=timeout_s)
+            page = _decode(reply, _Page, RAN_NO)
             if found is None:
                 found = Snapshot(page.current_rev)
             items = _readable(page.items)
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -11,7 +11,6 @@
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import RAN_NO
-from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.platform.object_api import (
     Change,
     Changes,
@@ -22,6 +21,8 @@
 )
 
 AWAY = unavailable("down", RAN_NO)
+# A watch that fails, and the call that follows it without waiting.
+OUTAGE = (AWAY, AWAY)
 SETTLE_S = 0.4
 
 
@@ -105,11 +106,22 @@
     [
         # A calm store: a missing entry is a gone instance.
         ([listed(5, "a", "b"), removed(6, "b")], None, {"a"}, set()),
-        # The store was away: entries lapse, and their instances live on.
-        ([listed(5, "a", "b"), AWAY, removed(6, "b")], None, "ab", {"b"}),
+        # A watch may be cut at any time: the call after it was answered.
+        # Symptom: an instance got work 2.05 s after its entry had gone, and
+        # 0.2 s before that a watch had been cut; the cut was taken for an
+        # outage.
+        ([listed(5, "a", "b"), AWAY, removed(6, "b")], None, {"a"}, set()),
         (
             [listed(5, "a", "b"), AWAY, HistoryGoneError(), listed(9, "a")],
             None,
+            {"a"},
+            set(),
+        ),
+        # The store was away: entries lapse, and their instances live on.
+        ([listed(5, "a", "b"), *OUTAGE, removed(6, "b")], None, "ab", {"b"}),
+        (
+            [listed(5, "a", "b"), *OUTAGE, HistoryGoneError(), listed(9, "a")],
+            None,
             "ab",
             {"b"},
         ),
@@ -117,15 +129,25 @@
         # request 2.1 s after it had; the router had taken the store's return
         # to itself for the store's return, and the entry for a lapsed one.
         (
-            [listed(5, "a", "b"), AWAY, removed(6, "b")],
+            [listed(5, "a", "b"), *OUTAGE, removed(6, "b")],
             Copy(sure=True),
             {"a"},
             set(),
         ),
         # Another router has a newer copy.
-        ([listed(5, "a"), AWAY], Copy(True, listed(7, "a", "c")), "ac", set()),
+        (
+            [listed(5, "a"), *OUTAGE],
+            Copy(True, listed(7, "a", "c")),
+            "ac",
+            set(),
+        ),
         # An older copy takes nothing back.
-        ([listed(5, "a", "b"), AWAY], Copy(True, listed(4, "a")), "ab", set()),
+        (
+            [listed(5, "a", "b"), *OUTAGE],
+            Copy(True, listed(4, "a")),
+            "ab",
+            set(),
+        ),
     ],
 )
 def test_entries_after(answers, copy, open_ones, lapsed):
@@ -146,15 +168,12 @@
     """
     copies = [Copy(sure=False), Copy(sure=True)]
     mirror, directory, health = mirror_of(
-        listed(5, "a", "b"), AWAY, removed(6, "b")
+        listed(5, "a", "b"), *OUTAGE, removed(6, "b")
     )
     mirror.pull = lambda *_: copies.pop(0) if copies else Copy(sure=False)
-    for _ in range(3):
-        try:
-            mirror._step()
-        except LacewingdockError as error:
-            health.failed("servers", str(error))
-            mirror._ask_routers()
+    for _ in range(4):
+        mirror.round()
+    assert not copies
     assert not health.doubtful
     directory.drop_lapsed()
     assert set(directory.instances) == {"a"}
@@ -162,7 +181,7 @@
 
 def test_lapsed_entry_that_does_not_come_back_is_gone():
     mirror, directory, health = mirror_of(
-        listed(5, "a", "b"), AWAY, removed(6, "b")
+        listed(5, "a", "b"), *OUTAGE, removed(6, "b")
     )
     run(mirror)
     assert health.doubtful
@@ -173,7 +192,7 @@
 def test_lapsed_entry_that_comes_back_is_kept():
     back = Changes(7, [Change(entry("b"), False)])
     mirror, directory, _ = mirror_of(
-        listed(5, "a", "b"), AWAY, removed(6, "b"), back
+        listed(5, "a", "b"), *OUTAGE, removed(6, "b"), back
     )
     run(mirror)
     directory.drop_lapsed()
