Ways of news are added up and fit in the bounds; settings' bounds are read

Cause: 'a deaf watch must end, and a list be read, within the contact time' was a comment. Added up, a silent connection's news took 3.06 s of 3 (0.25 pause, 2.1 watch, 0.6 grace, 0.1 pause, answer), and of the settings only the contact time was read. An outage of 2.4 to 3.4 s could hide in one watch where the contact time is 4 s, and missing entries would have counted as gone.

Change: daemons/router_timing.py computes watches from the bounds and adds up each way (table in docs/promises.md); drain_ms, config_apply_ms, revoke_ms, rollback_ms and heartbeat_ms are read; a router's start and 'check' tell of bounds that the ways don't fit in. Watches: 1.75 and 1.7 s in place of 2.1 s at a contact time of 3 s; 2.75 and 1.7 in place of 2.8 at 4 s: about a fifth more calls for entries, 0.85 to 1.0 calls a second in all at 3 s (reckoned).

test_router: its settings have a contact time of 1.5 s, of which 'check' now rightly warns; the test demands the same first line and the two warnings.

--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -65,13 +65,18 @@
     @command()
     def check(self, file: str) -> str:
         """Check a manifest, or a platform's settings file (FILE.toml)."""
+        from lacewingdock.daemons.router_timing import too_long
         from lacewingdock.platform.profile import load_profile
         from lacewingdock.world.manifest import parse_manifest
 
         if file.endswith(PROFILE_SUFFIX):
             host = load_profile(file)
             place = f"{host.instance} in {host.failure_domain}"
-            return f"{file}: settings of {place}, no faults"
+            lines = [f"{file}: settings of {place}, no faults"]
+            lines += [
+                f"bound too short: {one}" for one in too_long(host.bounds)
+            ]
+            return "\n".join(lines)
         manifest = parse_manifest(_read(file))
         return f"{file}: {len(manifest)} objects, no faults"
 
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -47,13 +47,12 @@
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import THREAD_STACK_BYTES
 from lacewingdock.daemons.router_mirrors import (
-    LAPSED_S,
-    REPORTS_PAUSE_S,
-    REPORTS_READS_PART,
     Pace,
     build_mirrors,
+    reports_pause_s,
     store_health,
 )
+from lacewingdock.daemons.router_timing import LAPSED_S, too_long
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.clock import STEADY
 from lacewingdock.helpers.ids import new_id
@@ -240,6 +239,15 @@
         _start("lapsed", self._every, LAPSED_S, self._drop_lapsed)
         _start("housekeeping", self._every, HOUSEKEEPING_S, self._keep_house)
         log.info("started", profile=self.settings.config)
+        for way in too_long(self.host.bounds):
+            log.warning(
+                "bound too short",
+                bound=way.bound,
+                bound_s=way.bound_s,
+                promise=way.promise,
+                way=way.name,
+                worst_s=round(way.worst_s, 3),
+            )
         while not self.leaving.wait(LOOK_S):
             asked = self.asked.is_set()
             self.asked.clear()
@@ -347,9 +355,9 @@
         return self.host.first_peers
 
     def _reports_pause(self) -> float:
-        """Return how long reports are gathered for one call."""
-        reads = self.host.platform_reads_per_s * REPORTS_READS_PART
-        return max(REPORTS_PAUSE_S, self.routers.count() / reads)
+        return reports_pause_s(
+            self.routers.count(), self.host.platform_reads_per_s
+        )
 
     def _announce(self) -> None:
         """Announce this router, again and again."""
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -11,6 +11,13 @@
 from lacewingdock.components.routers import KIND_ROUTERS
 from lacewingdock.components.shifts.const import KIND_REPORTS
 from lacewingdock.components.upstreams.directory import LAPSE_S
+from lacewingdock.daemons.router_timing import (
+    CHANGES_PAUSE_S,
+    REPORTS_PAUSE_S,
+    doubt_s,
+    entries_watch_s,
+    watch_s,
+)
 from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
@@ -20,14 +27,6 @@
 from lacewingdock.platform.object_api import ObjectApi
 from lacewingdock.world.host import Bounds
 
-# The part of the contact time that a watch may wait.
-WATCH_PART: Final = 0.7
-# How often it is looked whether doubt is over; an instance that left may get
-# work for two seconds.
-LAPSED_S: Final = 0.2
-# Doubt ends this long before the contact time does: a look, and what a busy
-# router takes for it.
-DOUBT_SPARE_S: Final = LAPSED_S + 0.1
 # Nothing is bound to a moment by these: addresses matter in outages only, and a
 # version that is found bad is told by datagrams. Watches that may be seconds
 # behind cost a tenth, which took 16 in 100 off the price of all calls (one play
@@ -41,15 +40,8 @@
 ORDERS_WATCH_S: Final = 2.5
 # Outside of roll-outs nothing is reported.
 REPORTS_WATCH_S: Final = 8.0
-# Changes of the configuration and of instances often come several at a time: at
-# a start, a release, a storm of changes. Gathered for this long they cost one
-# call; the bounds on both are seconds.
-CHANGES_PAUSE_S: Final = 0.25
 # After a crash every router may tell which requests it lost there.
 ROUTERS_PAUSE_S: Final = 1.0
-# Reports come from every router while a roll-out is under way; gathered for
-# this long they cost one call instead of one each.
-REPORTS_PAUSE_S: Final = 0.8
 # A large fleet gathers them longer, so that reading them takes at most this
 # part of the platform's reads: 6 s at 1,200 routers and 2,000 reads a second.
 REPORTS_READS_PART: Final = 0.1
@@ -69,10 +61,6 @@
     shifting: Callable[[], bool]
     reports_pause_s: Callable[[], float]
 
-    def watch_s(self) -> float:
-        """Return how long the platform may leave a watch without an answer."""
-        return self.bounds().contact_s * WATCH_PART
-
 
 def store_health(bounds: Callable[[], Bounds], clock: Clock) -> StoreHealth:
     """Return the health of the store, before any call.
@@ -81,9 +69,17 @@
         bounds: Returns what the router is held to.
         clock: The time it goes by.
     """
-    return StoreHealth(
-        LAPSE_S, lambda: bounds().contact_s - DOUBT_SPARE_S, clock
-    )
+    return StoreHealth(LAPSE_S, lambda: doubt_s(bounds()), clock)
+
+
+def reports_pause_s(routers: int, reads_per_s: float) -> float:
+    """Return for how long reports of a roll-out are gathered for one call.
+
+    Args:
+        routers: How many there are.
+        reads_per_s: What the platform bears of the whole fleet.
+    """
+    return max(REPORTS_PAUSE_S, routers / (reads_per_s * REPORTS_READS_PART))
 
 
 def build_mirrors(
@@ -106,18 +102,30 @@
         pace: How closely they follow.
         clock: The time they go by.
     """
+
+    def bound_watch_s() -> float:
+        return watch_s(pace.bounds())
+
     mirrors = {
         kind: Mirror(
-            kind, api, health, listener, pull, source, pace.watch_s, clock=clock
+            kind,
+            api,
+            health,
+            listener,
+            pull,
+            source,
+            bound_watch_s,
+            clock=clock,
         )
         for kind, listener in listeners.items()
     }
     for kind in STALE_KINDS:
         mirrors[kind].stale = True
+    mirrors[KIND_INSTANCES].wait_s = lambda: entries_watch_s(pace.bounds())
     mirrors[KIND_ROUTERS].wait_s = lambda: ROUTERS_WATCH_S
     mirrors[KIND_SHIFTS].wait_s = lambda: ORDERS_WATCH_S
     mirrors[KIND_REPORTS].wait_s = lambda: (
-        pace.watch_s() if pace.shifting() else REPORTS_WATCH_S
+        bound_watch_s() if pace.shifting() else REPORTS_WATCH_S
     )
     for kind in (KIND_CONFIGURATION, KIND_INSTANCES):
         mirrors[kind].pause_s = lambda: CHANGES_PAUSE_S
--- /dev/null
+++ b/lacewingdock/daemons/router_timing.py
@@ -0,0 +1,271 @@
+"""Support for how long a router's news takes, at the worst.
+
+An operator's bounds hold once a router was undisturbed for the contact time.
+So each way by which news comes must end within that time of the disturbance
+that it went round, and without one within the bound itself. The ways are added
+up here from the constants and settings that the router runs by, so that a
+constant that breaks a bound is seen when it is written.
+"""
+
+from dataclasses import dataclass
+from typing import Final
+
+from lacewingdock.components.mirror import (
+    LOOK_S,
+    RETRY_LIMIT_S,
+    RETRY_S,
+    WATCH_GRACE_S,
+)
+from lacewingdock.components.routers import ASKED, PULL_S
+from lacewingdock.components.shifts.const import (
+    FORCE_BEFORE_S,
+    REPORT_BAD_S,
+    ROUND_S,
+)
+from lacewingdock.components.upstreams.pool import CONNECT_S
+from lacewingdock.helpers.source_tables import markdown_table
+from lacewingdock.world.host import Bounds
+
+# Changes of the configuration and of instances often come several at a time: at
+# a start, a release, a storm of changes. Gathered for this long they cost one
+# call; the bounds on both are seconds.
+CHANGES_PAUSE_S: Final = 0.25
+# Reports come from every router while a roll-out is under way; gathered for
+# this long they cost one call instead of one each.
+REPORTS_PAUSE_S: Final = 0.8
+# What an answer takes that nothing disturbs: the round trip, the reading of a
+# list, and the turns of a busy router's other tasks.
+ANSWER_S: Final = 0.2
+# What is left over of the contact time where a watch is as long as it may be.
+SPARE_S: Final = 0.1
+# The shortest watch, where the contact time leaves less: a call each fifth of a
+# second is what the platform's rates bear of a few routers.
+MIN_WATCH_S: Final = 0.2
+# Sums of seconds are rounded.
+ROUNDING_S: Final = 1e-6
+# An entry runs out after three intervals of silence, so after an outage of two.
+LAPSE_INTERVALS: Final = 2
+# How often it is looked whether doubt is over.
+LAPSED_S: Final = 0.2
+# Doubt ends this long before the contact time does: a look, and what a busy
+# router takes for it.
+DOUBT_SPARE_S: Final = LAPSED_S + 0.1
+
+
+def watch_s(bounds: Bounds) -> float:
+    """Return how long a watch of a bound kind may wait, in seconds.
+
+    A watch may be deaf: its connection went silent while new ones work. It
+    must end, and a call on a new connection be answered, within the contact
+    time. With 0.7 of it, a watch that began at the end of its pause had its
+    news 3.06 s after the disturbance, where 3 s are allowed.
+    """
+    rest = CHANGES_PAUSE_S + WATCH_GRACE_S + RETRY_S + ANSWER_S + SPARE_S
+    return max(bounds.contact_s - rest, MIN_WATCH_S)
+
+
+def entries_watch_s(bounds: Bounds) -> float:
+    """Return how long a watch of instances' entries may wait, in seconds.
+
+    An outage in which entries run out must show in a call that does not wait,
+    or each missing entry is taken for an instance that left, and all requests
+    are refused until the entries are back. So a watch that began before such
+    an outage, and failed in it, ends within it.
+    """
+    shortest_outage_s = LAPSE_INTERVALS * bounds.renewal_s
+    longest_s = max(shortest_outage_s - WATCH_GRACE_S - RETRY_S, MIN_WATCH_S)
+    return min(watch_s(bounds), longest_s)
+
+
+def doubt_s(bounds: Bounds) -> float:
+    """Return how long after a failed call missing entries may be doubted."""
+    return bounds.contact_s - DOUBT_SPARE_S
+
+
+@dataclass(slots=True, frozen=True)
+class Part:
+    """What takes a part of a way's time, in seconds at the most."""
+
+    name: str
+    seconds: float
+
+
+_PAUSE: Final = Part("pause between watches", CHANGES_PAUSE_S)
+_ANSWER: Final = Part("answer", ANSWER_S)
+_HEARD: Final = (_PAUSE, _ANSWER)
+
+
+@dataclass(slots=True, frozen=True)
+class Way:
+    """One way by which news comes into force.
+
+    Attributes:
+        promise: What it is the news of.
+        name: The way.
+        parts: What it is made of, one after the other.
+        bound: Name of the setting that it is held to.
+        bound_s: Its seconds.
+    """
+
+    promise: str
+    name: str
+    parts: tuple[Part, ...]
+    bound: str
+    bound_s: float
+
+    def __str__(self) -> str:
+        """Tell which bound it may break."""
+        return (
+            f"{self.bound} {self.bound_s:g} s: {self.promise}: {self.name}"
+            f" may take {self.worst_s:.2f} s"
+        )
+
+    @property
+    def worst_s(self) -> float:
+        """The seconds that it takes at the most."""
+        return sum(part.seconds for part in self.parts)
+
+    @property
+    def margin_s(self) -> float:
+        """The seconds that are left of the bound; below 0 it may be broken."""
+        return self.bound_s - self.worst_s
+
+
+def ways_table(bounds: Bounds) -> str:
+    """Return a table of all ways, as the docs show it."""
+    rows = [
+        (
+            way.promise,
+            way.name,
+            ", ".join(f"{one.name} {one.seconds:.2f}" for one in way.parts),
+            f"{way.worst_s:.2f}",
+            f"{way.bound} {way.bound_s:.2f}",
+            f"{way.margin_s:.2f}",
+        )
+        for way in ways(bounds)
+    ]
+    heads = ("promise", "way", "parts, s", "worst, s", "bound, s", "margin, s")
+    return markdown_table(heads, rows)
+
+
+def ways(bounds: Bounds) -> list[Way]:
+    """Return the ways of all news that is bound to a moment.
+
+    Those of one promise that a disturbance makes long are held to the contact
+    time, the others to the promise's own bound. What a call waits for in vain
+    counts whole; what is answered counts `ANSWER_S`.
+    """
+    return [
+        *_ways_of_entries(bounds),
+        *_ways_of_configuration(bounds),
+        *_ways_of_roll_outs(bounds),
+    ]
+
+
+def too_long(bounds: Bounds) -> list[Way]:
+    """Return the ways that may take longer than their bound."""
+    return [way for way in ways(bounds) if way.margin_s < -ROUNDING_S]
+
+
+def _ways_of_entries(bounds: Bounds) -> list[Way]:
+    promise = "a leaving instance gets no work"
+    drain = ("drain", bounds.drain_s)
+    heard = (*_HEARD, Part("connection to the instance", CONNECT_S))
+    return [
+        Way(promise, "heard by a watch", heard, *drain),
+        Way(
+            promise,
+            "heard after others were asked for a missing entry",
+            (Part("questions to other routers", ASKED * PULL_S), *heard),
+            *drain,
+        ),
+        *_disturbed(promise, entries_watch_s(bounds), bounds),
+        Way(
+            promise,
+            "entry missing after an outage",
+            (
+                Part("doubt after the last failed call", doubt_s(bounds)),
+                Part("look whether doubt is over", LAPSED_S),
+            ),
+            "contact",
+            bounds.contact_s,
+        ),
+    ]
+
+
+def _ways_of_configuration(bounds: Bounds) -> list[Way]:
+    promise = "a configuration is in force"
+    return [
+        Way(promise, "heard by a watch", _HEARD, "apply", bounds.apply_s),
+        Way(
+            "a key that was taken away opens nothing",
+            "heard by a watch",
+            _HEARD,
+            "revoke",
+            bounds.revoke_s,
+        ),
+        *_disturbed(promise, watch_s(bounds), bounds),
+    ]
+
+
+def _ways_of_roll_outs(bounds: Bounds) -> list[Way]:
+    judged = Part("round of judging", ROUND_S)
+    written = Part("write", ANSWER_S)
+    return [
+        Way(
+            "a bad version gets nothing after fifty bad answers",
+            "reports in the store",
+            (
+                Part("pause between reports of bad answers", REPORT_BAD_S),
+                judged,
+                written,
+                Part("pause between watches of reports", REPORTS_PAUSE_S),
+                _ANSWER,
+                judged,
+                written,
+                _ANSWER,
+            ),
+            "rollback",
+            bounds.rollback_s,
+        ),
+        Way(
+            "a good version is completed by its deadline",
+            "completion is forced",
+            (judged, written),
+            "time kept before the deadline",
+            FORCE_BEFORE_S,
+        ),
+    ]
+
+
+def _disturbed(promise: str, wait_s: float, bounds: Bounds) -> list[Way]:
+    """Return the ways of news round a disturbance."""
+    contact = ("contact", bounds.contact_s)
+    wait = (_PAUSE, Part("watch", wait_s))
+    return [
+        Way(
+            promise,
+            "connection went silent",
+            (
+                *wait,
+                Part("grace of the watch", WATCH_GRACE_S),
+                Part("pause after a failure", RETRY_S),
+                _ANSWER,
+            ),
+            *contact,
+        ),
+        Way(
+            promise, "history was dropped", (*wait, _ANSWER, _ANSWER), *contact
+        ),
+        Way(
+            promise,
+            "store answers again",
+            (
+                Part("call that hangs", LOOK_S),
+                Part("questions to other routers", ASKED * PULL_S),
+                Part("longest pause after a failure", RETRY_LIMIT_S),
+                _ANSWER,
+            ),
+            *contact,
+        ),
+    ]
--- a/lacewingdock/helpers/reference.py
+++ b/lacewingdock/helpers/reference.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any, Final
 
+from lacewingdock.daemons.router_timing import ways_table
 from lacewingdock.exceptions import ANSWERS, ErrorKind
 from lacewingdock.helpers.describe import Setting, describe
 from lacewingdock.helpers.source_tables import (
@@ -23,6 +24,7 @@
     SidecarSettings,
     variable,
 )
+from lacewingdock.world.host import Bounds
 from lacewingdock.world.objects import Objective, Operation, Step
 from lacewingdock.world.world import CLASSES
 
@@ -47,6 +49,7 @@
         "logs.md": {"logs": log_table()},
         "configuration.md": settings | kinds | {"constants": constant_table()},
         "errors.md": {"errors": _errors()},
+        "promises.md": {"ways": ways_table(Bounds())},
     }
 
 
--- a/lacewingdock/helpers/source_tables.py
+++ b/lacewingdock/helpers/source_tables.py
@@ -23,6 +23,7 @@
     "components/readiness.py",
     "daemons/router.py",
     "daemons/router_mirrors.py",
+    "daemons/router_timing.py",
     "helpers/listening.py",
     "helpers/log_stream.py",
     "helpers/server_connection.py",
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -25,6 +25,8 @@
     contact_ms: _Positive = 3000.0
     drain_ms: _Positive = 2000.0
     config_apply_ms: _Positive = 2000.0
+    revoke_ms: _Positive = 5000.0
+    rollback_ms: _Positive = 5000.0
     grace_s: _Positive = 8.0
     retry_budget_ratio: Annotated[float, Meta(ge=0.0)] = 0.1
     budget_window_s: _Positive = 10.0
@@ -50,6 +52,8 @@
     port_range: Annotated[list[int], Meta(min_length=2, max_length=2)]
     listen: _Listen
     platform: _Platform
+    # How often upstream instances renew their entries.
+    heartbeat_ms: _Positive = 1200.0
     # Control addresses of some instances; they may be down by now.
     seeds: list[_Address] = []
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
@@ -131,12 +135,15 @@
             contact_s=bounds.contact_ms / 1000,
             drain_s=bounds.drain_ms / 1000,
             apply_s=bounds.config_apply_ms / 1000,
+            revoke_s=bounds.revoke_ms / 1000,
+            rollback_s=bounds.rollback_ms / 1000,
             grace_s=bounds.grace_s,
             retry_ratio=bounds.retry_budget_ratio,
             retry_window_s=bounds.budget_window_s,
             retry_extra=bounds.retry_budget_extra,
             exposure_share=bounds.exposure_share,
             session_s=bounds.session_s,
+            renewal_s=file.heartbeat_ms / 1000,
         ),
     )
 
--- a/lacewingdock/world/host.py
+++ b/lacewingdock/world/host.py
@@ -23,6 +23,10 @@
             leaves in which requests may still reach it.
         apply_s: Seconds after a configuration's acknowledgement in which an
             older one may be in force.
+        revoke_s: Seconds after which a key that was taken away must open
+            nothing.
+        rollback_s: Seconds after a version's fiftieth bad answer after which
+            it must get nothing.
         grace_s: Seconds from the order to stop to the kill.
         retry_ratio: Repeats per request of a service, over the fleet.
         retry_window_s: Span over which repeats are counted.
@@ -30,17 +34,21 @@
         exposure_share: Largest share of a service's requests that a bad
             version may get while it is rolled out.
         session_s: Longest pause between requests of a session.
+        renewal_s: Seconds in which upstream instances renew their entries.
     """
 
     contact_s: float = 3.0
     drain_s: float = 2.0
     apply_s: float = 2.0
+    revoke_s: float = 5.0
+    rollback_s: float = 5.0
     grace_s: float = 8.0
     retry_ratio: float = 0.1
     retry_window_s: float = 10.0
     retry_extra: float = 10.0
     exposure_share: float = 0.1
     session_s: float = 5.0
+    renewal_s: float = 1.2
 
 
 @dataclass(slots=True, kw_only=True)
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -296,10 +296,14 @@
     status, text = command("show", f"--router={url}", "--json")
     assert msgspec.json.decode(text)["services"][0]["requests"] == 1
     assert "lacewingdock_gateway_requests_total" in get(f"{url}/metrics")
-    assert command("check", str(router.path)) == (
-        0,
-        f"{router.path}: settings of r-1 in d1, no faults\n",
-    )
+    status, text = command("check", str(router.path))
+    first, *warnings = text.splitlines()
+    assert status == 0
+    assert first == f"{router.path}: settings of r-1 in d1, no faults"
+    # The contact time of these settings is too short for an outage's end.
+    assert len(warnings) == 2
+    for line in warnings:
+        assert line.startswith("bound too short: contact 1.5 s: ")
     router.path.write_text("ip = 3")
     assert command("check", str(router.path))[0] == 2
 
