Messages between routers are taken only from the router that they name

Cause: any sender of a datagram was believed. An unforeseen error of a listener, or in what is told, ended its task for good.

Change: a message counts if the platform's entry of the router that it names has the sender's IP number; loads are bounded; both tasks have the guard that the others have. Bytes told and datagrams refused are metrics.

A router whose entry is not known yet is not heard, a second or so after its start; what it tells is repeated. Tests: another address, no such router, odd loads, faults on both sides.

--- a/lacewingdock/components/gossip/__init__.py
+++ b/lacewingdock/components/gossip/__init__.py
@@ -24,6 +24,13 @@
 # Instances and sessions told of at most: a datagram's size.
 MAX_ROWS: Final = 96
 MAX_SESSIONS: Final = 64
+# Versions found bad at most: one a service, of far fewer services.
+MAX_BAD: Final = 64
+# Requests at an instance at most, and what they have to read, in tens of
+# tokens: twenty times the connections that an instance takes, with the longest
+# prompts. A sum over all routers stays a number that a load is compared with.
+MAX_RUNNING: Final = 10_000
+MAX_UNREAD: Final = 10**8
 
 
 class Row(msgspec.Struct, array_like=True, frozen=True):
@@ -99,12 +106,23 @@
         raise _bad(str(error)) from error
     if len(found.rows) > MAX_ROWS or len(found.sessions) > MAX_SESSIONS:
         raise _bad("too long")
-    if any(row.running < 0 or row.unread < 0 for row in found.rows):
-        raise _bad("load below nothing")
+    if len(found.bad) > MAX_BAD:
+        raise _bad("too many bad versions")
+    if not all(_is_load(row) for row in found.rows):
+        raise _bad("a load that no instance has")
     if any(one.age_s < 0 for one in found.sessions):
         raise _bad("a session that is yet to be seen")
     return found
 
 
+def not_from(router: str) -> LacewingdockError:
+    """Return the coded error of a message that its router did not send."""
+    return _bad(f"not from the address of {router!r}")
+
+
+def _is_load(row: Row) -> bool:
+    return 0 <= row.running <= MAX_RUNNING and 0 <= row.unread <= MAX_UNREAD
+
+
 def _bad(detail: str) -> LacewingdockError:
     return LacewingdockError(ErrorKind.BAD_REQUEST, f"gossip: {detail}")
--- a/lacewingdock/components/gossip/port.py
+++ b/lacewingdock/components/gossip/port.py
@@ -13,6 +13,7 @@
     Message,
     decode,
     encode,
+    not_from,
 )
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.log import get_logger
@@ -43,22 +44,27 @@
         compose: Returns what is to be told now, but for its number.
         hear: Take each message that comes.
         others: Returns the addresses of the other routers.
+        is_at: Returns whether the router of a name is at an IP number, by the
+            platform's entries.
         changed: Set when there may be news to tell.
         random: Source of draws.
         last: What was told last.
         told_at: Monotonic time of that.
         number: Messages sent so far.
         sent_bytes: Bytes that links carried of them.
+        refused: Datagrams that were not taken.
     """
 
     __slots__ = (
         "changed",
         "compose",
         "hear",
+        "is_at",
         "last",
         "number",
         "others",
         "random",
+        "refused",
         "sent_bytes",
         "sock",
         "told_at",
@@ -70,6 +76,7 @@
         compose: Callable[[int], Message],
         hear: Sequence[Callable[[Message], None]],
         others: Callable[[], list[tuple[str, int]]],
+        is_at: Callable[[str, str], bool],
         changed: threading.Event,
         source: random.Random,
     ) -> None:
@@ -81,12 +88,14 @@
         self.compose = compose
         self.hear = hear
         self.others = others
+        self.is_at = is_at
         self.changed = changed
         self.random = source
         self.last: Message | None = None
         self.told_at = 0.0
         self.number = 0
         self.sent_bytes = 0
+        self.refused = 0
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             self.sock.bind(address)
@@ -96,7 +105,6 @@
 
     def listen(self, stopping: threading.Event) -> None:
         """Take what others tell until the daemon stops."""
-        refused = 0
         while not stopping.is_set():
             try:
                 data, sender = self.sock.recvfrom(MAX_BYTES)
@@ -107,35 +115,62 @@
                 stopping.wait(TELL_EVERY_S)
                 continue
             try:
-                self._take(decode(data))
+                self._take(decode(data), sender[0])
             except LacewingdockError as error:
-                refused += 1
-                # Whoever sends these may send many: told at 1, 2, 4, 8 ...
-                if refused & (refused - 1) == 0:
-                    log.error(
-                        "message refused",
-                        sender=sender[0],
-                        refused=refused,
-                        error=str(error),
-                    )
+                self._refuse(sender[0], str(error))
+            except Exception:
+                # A task that died unseen would leave this router deaf to all
+                # others for good.
+                log.exception("message not taken", sender=sender[0])
 
     def tell(self, stopping: threading.Event) -> None:
         """Tell the others until the daemon stops."""
         while not stopping.is_set():
             self.changed.wait(REPEAT_S)
             self.changed.clear()
-            message = self.compose(self.number + 1)
-            spent = self._send(encode(message)) if self._is_news(message) else 0
+            try:
+                spent = self._tell_news()
+            except Exception:
+                # The others would reckon without this router for good.
+                log.exception("message not told")
+                spent = 0
             stopping.wait(max(TELL_EVERY_S, spent / MOST_BYTES_PER_S))
 
     def close(self) -> None:
         """Close the port."""
         self.sock.close()
 
-    def _take(self, message: Message) -> None:
+    def _tell_news(self) -> int:
+        message = self.compose(self.number + 1)
+        return self._send(encode(message)) if self._is_news(message) else 0
+
+    def _take(self, message: Message, sender: str) -> None:
+        """Hand a message on.
+
+        Whoever reaches the port could else keep work away from an instance,
+        or end a roll-out, with one datagram in another router's name.
+
+        Raises:
+            LacewingdockError: BAD_REQUEST, if it is not from the router that
+                it names.
+        """
+        if not self.is_at(message.router, sender):
+            raise not_from(message.router)
         for hear in self.hear:
             hear(message)
 
+    def _refuse(self, sender: str, error: str) -> None:
+        """Count a datagram that is not taken."""
+        self.refused += 1
+        # Whoever sends these may send many: told at 1, 2, 4, 8 ...
+        if self.refused & (self.refused - 1) == 0:
+            log.error(
+                "message refused",
+                sender=sender,
+                refused=self.refused,
+                error=error,
+            )
+
     def _is_news(self, message: Message) -> bool:
         """Whether a message tells anything new, or is to be repeated."""
         now = time.monotonic()
--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -3,7 +3,11 @@
 from collections import Counter
 from collections.abc import Callable, Iterator
 
-from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+)
 from prometheus_client.registry import Collector
 
 from lacewingdock.components.inspection.state import RouterState
@@ -46,6 +50,16 @@
             state.store_doubtful,
         )
         yield from _store(state)
+        yield _counter(
+            "told_bytes",
+            "Bytes of messages to other routers that links carried",
+            state.told_bytes,
+        )
+        yield _counter(
+            "messages_refused",
+            "Datagrams that no router known here sent",
+            state.messages_refused,
+        )
         yield from _upstreams(state)
         yield from _services(state)
         yield from _roll_outs(state)
@@ -55,6 +69,10 @@
     return GaugeMetricFamily(f"lacewingdock_router_{name}", text, value=value)
 
 
+def _counter(name: str, text: str, value: float) -> Metric:
+    return CounterMetricFamily(f"lacewingdock_router_{name}", text, value=value)
+
+
 def _gauge(name: str, text: str, labels: list[str]) -> GaugeMetricFamily:
     return GaugeMetricFamily(f"lacewingdock_router_{name}", text, labels=labels)
 
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -134,6 +134,8 @@
             is gone.
         store_returned_s: Seconds since it answered again after a failure;
             None where it always did.
+        told_bytes: Bytes of messages to other routers that links carried.
+        messages_refused: Datagrams that no router known here sent.
         copies: Copies of the platform's objects.
         services: The services.
         upstreams: The upstream instances.
@@ -152,6 +154,8 @@
     store_away: bool
     store_doubtful: bool
     store_returned_s: float | None = None
+    told_bytes: int = 0
+    messages_refused: int = 0
     copies: list[CopyState] = field(default_factory=list)
     services: list[ServiceState] = field(default_factory=list)
     upstreams: list[UpstreamState] = field(default_factory=list)
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -259,6 +259,13 @@
                 status = found
         self.heard(stored.name, status)
 
+    def is_at(self, name: str, host: str) -> bool:
+        """Whether another router is at an IP number, by its entry."""
+        entry = self.entries.get(name)
+        if entry is None or name == self.name:
+            return False
+        return entry.address.rpartition(":")[0] == host
+
     def addresses(self) -> list[str]:
         """Return the addresses of other routers, as far as they are known.
 
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -308,6 +308,7 @@
             compose,
             [self.fleet_load.hear, self.shifts.hear_message],
             self._others,
+            self.routers.is_at,
             self.gateway.chooser.changed,
             self.random,
         )
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -7,6 +7,7 @@
 from lacewingdock.components.gateway import CallersPort
 from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.components.gossip.load import FleetLoad
+from lacewingdock.components.gossip.port import GossipPort
 from lacewingdock.components.inspection.gather import (
     age_s,
     gather_copies,
@@ -37,6 +38,7 @@
     mirrors: dict[str, Mirror]
     directory: Directory
     fleet_load: FleetLoad
+    gossip: GossipPort
     shifts: Shifts
     routers: Routers
     leaving: threading.Event
@@ -61,6 +63,8 @@
         store_away=router.health.away,
         store_doubtful=router.health.doubtful,
         store_returned_s=age_s(router.health.returned_at),
+        told_bytes=router.gossip.sent_bytes,
+        messages_refused=router.gossip.refused,
         copies=gather_copies(router.mirrors.values()),
         services=gather_services(router.gateway),
         upstreams=gather_upstreams(router.directory, router.fleet_load),
--- a/tests/components/gossip/test_port.py
+++ b/tests/components/gossip/test_port.py
@@ -41,6 +41,9 @@
         Message("r", 1, 1, [Row(n, 1, 0) for n in range(97)]),
         Message("r", 1, 1, [], [KeptSession("a", "b", "c", -1)]),
         Message("r", 1, 1, [], [KeptSession("a", "b", "c", 1)] * 65),
+        Message("r", 1, 1, [Row(1, 10_001, 0)]),
+        Message("r", 1, 1, [Row(1, 1, 10**15)]),
+        Message("r", 1, 1, bad=[("svc", "v2")] * 65),
     ],
 )
 def test_what_no_router_tells_is_refused(message):
@@ -55,20 +58,53 @@
     coded(decode, data)
 
 
-def port(compose=lambda number: Message("r", 1, number), others=()):
-    """Return a port on loopback and what it heard."""
+def port(
+    compose=lambda number: Message("r", 1, number),
+    others=(),
+    at="127.0.0.1",
+):
+    """Return a port on loopback and what it heard.
+
+    Args:
+        compose: Returns what it tells.
+        others: Whom it tells.
+        at: Where the platform says that the others are.
+    """
     heard = []
     found = GossipPort(
         ("127.0.0.1", 0),
         compose,
         [heard.append],
         lambda: list(others),
+        lambda router, host: (router, host) == ("router-1", at),
         threading.Event(),
         random.Random(1),
     )
     return found, heard
 
 
+def sent_to(taker, *datagrams):
+    """Send datagrams to a port and let it take them all."""
+    address = taker.sock.getsockname()
+    stopping = threading.Event()
+    task = threading.Thread(target=taker.listen, args=(stopping,), daemon=True)
+    task.start()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        for data in datagrams:
+            sender.sendto(data, address)
+        last = Message("last", 1, 1)
+        taken, is_at = threading.Event(), taker.is_at
+        taker.is_at = lambda *who: who[0] == "last" or is_at(*who)
+        taker.hear.append(lambda one: taken.set() if one == last else None)
+        sender.sendto(encode(last), address)
+        assert taken.wait(5.0)
+        stopping.set()
+        sender.sendto(encode(last), address)
+    task.join(5.0)
+    taker.close()
+    assert not task.is_alive()
+
+
 def test_messages_pass_and_odd_datagrams_do_not_stop_them():
     """Symptom: a router hears of no load any more, until it is restarted.
 
@@ -76,24 +112,73 @@
     that takes messages ended with its error.
     """
     taker, heard = port()
-    address = taker.sock.getsockname()
-    sender, _ = port(others=[address, ("127.0.0.1", 1)])
+    sent_to(taker, b"\xff\xfe odd", encode(FULL))
+    assert heard[0] == FULL
+    assert taker.refused == 1
+
+
+@pytest.mark.parametrize(
+    ("message", "at"),
+    [
+        # Its router is elsewhere.
+        (FULL, "127.0.0.2"),
+        # There is no such router.
+        (Message("router-9", 1, 1, [Row(3, 4, 5)]), "127.0.0.1"),
+        (Message("", 1, 1), "127.0.0.1"),
+    ],
+)
+def test_only_the_router_that_a_message_names_is_heard(message, at):
+    """Symptom: an instance gets no work; a good version is rolled back.
+
+    Sequence: something that is no router sends a datagram in a router's name,
+    with a load of 10^15, a later start and a bad version. Cause: any sender
+    was believed.
+    """
+    taker, heard = port(at=at)
+    sent_to(taker, encode(message))
+    assert message not in heard
+    assert taker.refused == 1
+
+
+def test_fault_of_a_listener_does_not_end_the_hearing():
+    """Symptom: a router hears of no load any more, until it is restarted.
+
+    Cause: an error of what is told of messages ended the task that takes them.
+    """
+    taker, heard = port()
+    later = Message("router-1", 1, 3)
+
+    def fail_once(message):
+        if message == FULL:
+            raise ValueError("a fault")
+
+    taker.hear.insert(0, fail_once)
+    sent_to(taker, encode(FULL), encode(later))
+    assert heard[0] == later
+
+
+def test_fault_in_what_is_told_does_not_end_the_telling():
+    """Symptom: the others reckon without a router, until it is restarted.
+
+    Cause: an error in what it was to tell ended the task that tells.
+    """
     stopping = threading.Event()
-    task = threading.Thread(target=taker.listen, args=(stopping,), daemon=True)
+    asked = []
+
+    def compose(number):
+        asked.append(number)
+        if len(asked) > 1:
+            stopping.set()
+        raise ValueError("a fault")
+
+    found, _ = port(compose)
+    found.changed.set()
+    task = threading.Thread(target=found.tell, args=(stopping,), daemon=True)
     task.start()
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as odd:
-        odd.sendto(b"\xff\xfe odd", address)
-    sender._send(encode(FULL))
-    for _ in range(200):
-        if heard:
-            break
-        stopping.wait(0.01)
-    stopping.set()
-    sender._send(encode(FULL))
-    task.join(2.0)
-    for one in (taker, sender):
-        one.close()
-    assert heard[0] == FULL
+    task.join(5.0)
+    found.close()
+    assert not task.is_alive()
+    assert len(asked) == 2
 
 
 def test_only_news_is_told_and_repeated_while_it_holds(monkeypatch):
--- a/tests/components/inspection/test_inspection.py
+++ b/tests/components/inspection/test_inspection.py
@@ -35,6 +35,8 @@
     store_away=True,
     store_doubtful=False,
     store_returned_s=1.5,
+    told_bytes=2048,
+    messages_refused=3,
     copies=[CopyState("config", 41, 1, 0.25)],
     services=[ServiceState("svc", "v1", "", 12, 7.5, 0.1, 1.5)],
     roll_outs=[RollOutState("svc", "v2", "RAMP", 3.5, 20.0, 9, 2, True, "", 4)],
@@ -87,6 +89,8 @@
         "lacewingdock_router_store_away 1.0",
         "lacewingdock_router_store_doubtful 0.0",
         "lacewingdock_router_store_returned_seconds 1.5",
+        "lacewingdock_router_told_bytes_total 2048.0",
+        "lacewingdock_router_messages_refused_total 3.0",
         'lacewingdock_router_copy_age_seconds{kind="config"} 0.25',
         'lacewingdock_platform_calls_failed_total{purpose="list-config"} 2.0',
         'lacewingdock_router_roll_out_answers{bad="yes",service="svc",'
--- a/tests/components/routers/test_routers.py
+++ b/tests/components/routers/test_routers.py
@@ -110,6 +110,23 @@
     assert fleet.heard == [("r-2", "r-1", {})]
 
 
+@pytest.mark.parametrize(
+    ("name", "host", "known"),
+    [
+        ("r-2", "r-2", True),
+        ("r-2", "r-3", False),
+        # No router's name, and its own, which nobody else may tell by.
+        ("r-9", "r-2", False),
+        ("", "", False),
+        ("r-1", "r-1", False),
+    ],
+)
+def test_a_router_is_where_its_entry_says(name, host, known):
+    fleet = Fleet("r-1", "r-2", "r-3")
+    fleet.see("r-1")
+    assert fleet.routers["r-1"].is_at(name, host) is known
+
+
 def test_a_write_whose_answer_was_lost_is_written_over():
     fleet = Fleet("r-1")
     router = fleet.routers["r-1"]
