Mirror: taking another router's copy is guarded as the store's answers are

An unforeseen error while another router's copy was taken, after a failed call, ended the mirror's task for good: it was raised in the handler of the failure.

--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -18,6 +18,7 @@
 from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.platform.object_api import (
+    CALL_TIMEOUT_S,
     HistoryGoneError,
     ObjectApi,
     Snapshot,
@@ -138,19 +139,12 @@
     def round(self) -> float:
         """Ask the store once; return the seconds until the next time."""
         try:
-            self._ask_store()
-        except LacewingdockError as error:
-            # What was known stays; the next round asks again.
-            self._failed(error)
+            return self._round()
         except Exception:
             # A task that died unseen would leave this router deaf to the
             # kind for good.
             log.exception("round failed", kind=self.kind)
-        else:
-            self.broken = False
-            self.pause.succeeded()
-            return self.pause_s()
-        return self.pause.failed()
+            return self.pause.failed()
 
     def snapshot(self) -> Snapshot | None:
         """Return the copy as it is."""
@@ -159,6 +153,17 @@
                 return None
             return Snapshot(self.revision, dict(self.objects))
 
+    def _round(self) -> float:
+        try:
+            self._ask_store()
+        except LacewingdockError as error:
+            # What was known stays; the next round asks again.
+            self._failed(error)
+            return self.pause.failed()
+        self.broken = False
+        self.pause.succeeded()
+        return self.pause_s()
+
     def _failed(self, error: LacewingdockError) -> None:
         """Count a failed call.
 
@@ -197,7 +202,7 @@
 
     def _watch(self, revision: int) -> None:
         wait_s = 0.0 if self.broken else self.wait_s()
-        self._calls(waiting=wait_s > 0.0)
+        self._begin(waiting=wait_s > 0.0)
         found = self.api.watch_kind(
             self.kind,
             revision,
@@ -221,9 +226,12 @@
             self._ask_routers()
 
     def _list(self) -> None:
-        self._calls(waiting=False)
+        self._begin(waiting=False)
+        # A router that starts is busy with itself, and has nothing to lose by
+        # waiting for its first copy.
+        timeout_s = CALL_TIMEOUT_S if self.revision is None else LOOK_S
         found = self.api.list_kind(
-            self.kind, f"list-{self.kind}", timeout_s=LOOK_S
+            self.kind, f"list-{self.kind}", timeout_s=timeout_s
         )
         self._answered()
         missing = self.objects.keys() - found.objects.keys()
@@ -231,7 +239,7 @@
         if missing and self.health.doubtful:
             self._ask_routers()
 
-    def _calls(self, *, waiting: bool) -> None:
+    def _begin(self, *, waiting: bool) -> None:
         """Note that a call begins."""
         self.waiting = waiting
         self.called_at = self.clock.now()
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -228,6 +228,34 @@
     assert "a" in directory.instances
 
 
+def test_fault_in_taking_another_routers_copy_does_not_end_the_mirror():
+    """Symptom: a router never again hears of a change after an outage.
+
+    Sequence: the store does not answer, and another router's copy is taken;
+    what is told of it raises. Cause: only the store's answers were guarded.
+    """
+    mirror, directory, _ = mirror_of(
+        listed(5, "a"),
+        *OUTAGE,
+        listed(9, "c"),
+        copy=Copy(sure=True, snapshot=listed(7, "a", "b")),
+    )
+    replace, faults = mirror.listener.replace, [ValueError("a fault")]
+
+    def fail_once(found, *, doubtful):
+        if found.revision == 7 and faults:
+            raise faults.pop()
+        replace(found, doubtful=doubtful)
+
+    mirror.listener = type("", (), {"replace": staticmethod(fail_once)})
+    for _ in range(3):
+        mirror.round()
+    assert not faults
+    mirror.revision = None
+    mirror.round()
+    assert set(directory.instances) == {"c"}
+
+
 def test_faulty_entry_hides_no_other():
     bad = StoredObject("bad", 1, {"service": 3})
     odd = entry("odd", address="nowhere")
