Roll-outs: a router that could not report in an outage is not gone

Reports count for 5 s; after a longer outage the first router with nothing left on the old version completed a roll-out, and the old instances were stopped under other routers' requests.

Change: while the store was away lately nothing is completed before its deadline; that is 2 to 2.5 s, in which reports are back. Without the check the test's roll-out is 'completed' with a request on the old version.

--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -61,6 +61,7 @@
         refused: Versions that were rolled back, by service.
         pins: The version of each session.
         reporter: Writes this router's reports.
+        store_doubtful: Returns whether the store was away lately.
     """
 
     __slots__ = (
@@ -74,6 +75,7 @@
         "reporter",
         "running",
         "settled",
+        "store_doubtful",
     )
 
     def __init__(
@@ -110,6 +112,7 @@
                 routers() / (host.platform_writes_per_s * WRITES_PART),
             ),
         )
+        self.store_doubtful: Callable[[], bool] = lambda: False
         self._lock = threading.Lock()
 
     def version(
@@ -333,6 +336,11 @@
             return False
         if shift.due:
             return True
+        if self.store_doubtful():
+            # Nobody could report while the store was away, so a router that is
+            # silent may still have requests on the old version, which a
+            # completion stops at once. Reports are back in 2 to 2.5 s.
+            return False
         return not self._old_running(shift) and not any(
             report.old_running for report in reports
         )
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -172,6 +172,7 @@
             router, status.losses
         )
         self.mirrors = self._mirrors()
+        self.shifts.store_doubtful = lambda: self.health.doubtful
         self.gateway = self._gateway()
         self.fleet_load = FleetLoad()
         self.gateway.chooser.others = self.fleet_load.at
--- a/tests/components/shifts/test_shift.py
+++ b/tests/components/shifts/test_shift.py
@@ -272,6 +272,45 @@
     assert store.order.status["state"] == "running"
 
 
+def test_not_completed_while_reports_may_be_missing(clock, monkeypatch):
+    """Symptom: requests on the old version are cut as an outage ends.
+
+    Sequence: all requests move; the store answers nobody for longer than a
+    report counts. At its return a router with nothing left on the old version
+    sees no report that counts, and completes the roll-out, while another
+    router still has a request there. Cause: routers that could not report
+    counted as gone.
+    """
+    store = Store()
+    first, second = router(store, "r-1"), router(store, "r-2")
+    for one in (first, second):
+        good_answers(one)
+    second.directory.instances["i-0"].running = 1
+    for moment in (0.9, 0.925, 0.93):
+        clock.now = 1000 + DURATION_S * moment
+        second.round()
+        see(first, store)
+        first.round()
+    assert first.running["svc"].stage is Stage.ALL
+    since = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: since + 6.0)
+    assert not first.living_reports(first.running["svc"])
+    first.store_doubtful = lambda: True
+    first.round()
+    assert store.order.status["state"] == "running"
+    # Reports are written again, and say what runs.
+    second.round()
+    see(first, store)
+    first.store_doubtful = lambda: False
+    first.round()
+    assert store.order.status["state"] == "running"
+    # Its deadline comes whether or not the store was away.
+    first.store_doubtful = lambda: True
+    clock.now = 1000 + DURATION_S * 0.96
+    first.round()
+    assert store.order.status["state"] == "completed"
+
+
 @pytest.mark.parametrize(
     ("routers", "age_s", "lives"),
     [(2, 4.9, True), (2, 5.1, False), (1200, 30.0, True), (1200, 40.0, False)],
