--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -65,7 +65,7 @@
     @command()
     def check(self, file: str) -> str:
         """Check a manifest, or a platform's settings file (FILE.toml)."""
-        from lacewingdock.daemons.router_timing import too_long
+        from lacewingdock.daemons.router_timing import too_slow
         from lacewingdock.platform.profile import load_profile
         from lacewingdock.world.manifest import parse_manifest
 
@@ -74,7 +74,7 @@
             place = f"{host.instance} in {host.failure_domain}"
             lines = [f"{file}: settings of {place}, no faults"]
             lines += [
-                f"bound too short: {one}" for one in too_long(host.bounds)
+                f"bound too short: {one}" for one in too_slow(host.bounds)
             ]
             return "\n".join(lines)
         manifest = parse_manifest(_read(file))
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -52,7 +52,7 @@
     reports_pause_s,
     store_health,
 )
-from lacewingdock.daemons.router_timing import LAPSED_S, too_long
+from lacewingdock.daemons.router_timing import LAPSED_S, too_slow
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.clock import STEADY
 from lacewingdock.helpers.ids import new_id
@@ -240,14 +240,14 @@
         _start("lapsed", self._every, LAPSED_S, self._drop_lapsed)
         _start("housekeeping", self._every, HOUSEKEEPING_S, self._keep_house)
         log.info("started", profile=self.settings.config)
-        for way in too_long(self.host.bounds):
+        for path in too_slow(self.host.bounds):
             log.warning(
                 "bound too short",
-                bound=way.bound,
-                bound_s=way.bound_s,
-                promise=way.promise,
-                way=way.name,
-                worst_s=round(way.worst_s, 3),
+                bound=path.bound,
+                bound_s=path.bound_s,
+                promise=path.promise,
+                path=path.name,
+                worst_s=round(path.worst_s, 3),
             )
         while not self.leaving.wait(LOOK_S):
             asked = self.asked.is_set()
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -1,10 +1,10 @@
-"""Support for how long a router's news takes, at the worst.
+"""Support for the worst-case propagation delays of a router.
 
 An operator's bounds hold once a router was undisturbed for the contact time.
-So each way by which news comes must end within that time of the disturbance
-that it went round, and without one within the bound itself. The ways are added
-up here from the constants and settings that the router runs by, so that a
-constant that breaks a bound is seen when it is written.
+So each path by which a change propagates must end within that time of the
+disturbance that delays it, and without one within the bound itself. The delays
+are added up here from the constants and settings that the router runs by, so
+that a constant that breaks a bound is seen when it is written.
 """
 
 from dataclasses import dataclass
@@ -23,7 +23,6 @@
     ROUND_S,
 )
 from lacewingdock.components.upstreams.pool import CONNECT_S
-from lacewingdock.helpers.source_tables import markdown_table
 from lacewingdock.world.host import Bounds
 
 # Changes of the configuration and of instances often come several at a time: at
@@ -57,8 +56,8 @@
 
     A watch may be deaf: its connection went silent while new ones work. It
     must end, and a call on a new connection be answered, within the contact
-    time. With 0.7 of it, a watch that began at the end of its pause had its
-    news 3.06 s after the disturbance, where 3 s are allowed.
+    time. With 0.7 of it, a watch that began at the end of its pause showed a
+    change 3.06 s after the disturbance, where 3 s are allowed.
     """
     rest = CHANGES_PAUSE_S + WATCH_GRACE_S + RETRY_S + ANSWER_S + SPARE_S
     return max(bounds.contact_s - rest, MIN_WATCH_S)
@@ -83,33 +82,33 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Part:
-    """What takes a part of a way's time, in seconds at the most."""
+class Delay:
+    """A step of a path and the seconds that it takes at the most."""
 
     name: str
     seconds: float
 
 
-_PAUSE: Final = Part("pause between watches", CHANGES_PAUSE_S)
-_ANSWER: Final = Part("answer", ANSWER_S)
+_PAUSE: Final = Delay("pause between watches", CHANGES_PAUSE_S)
+_ANSWER: Final = Delay("answer", ANSWER_S)
 _HEARD: Final = (_PAUSE, _ANSWER)
 
 
 @dataclass(slots=True, frozen=True)
-class Way:
-    """One way by which news comes into force.
+class PropagationPath:
+    """One path by which a change comes into force.
 
     Attributes:
-        promise: What it is the news of.
-        name: The way.
-        parts: What it is made of, one after the other.
+        promise: What depends on the change.
+        name: The path.
+        delays: Its steps, one after the other.
         bound: Name of the setting that it is held to.
         bound_s: Its seconds.
     """
 
     promise: str
     name: str
-    parts: tuple[Part, ...]
+    delays: tuple[Delay, ...]
     bound: str
     bound_s: float
 
@@ -123,7 +122,7 @@
     @property
     def worst_s(self) -> float:
         """The seconds that it takes at the most."""
-        return sum(part.seconds for part in self.parts)
+        return sum(delay.seconds for delay in self.delays)
 
     @property
     def margin_s(self) -> float:
@@ -131,61 +130,48 @@
         return self.bound_s - self.worst_s
 
 
-def ways_table(bounds: Bounds) -> str:
-    """Return a table of all ways, as the docs show it."""
-    rows = [
-        (
-            way.promise,
-            way.name,
-            ", ".join(f"{one.name} {one.seconds:.2f}" for one in way.parts),
-            f"{way.worst_s:.2f}",
-            f"{way.bound} {way.bound_s:.2f}",
-            f"{way.margin_s:.2f}",
-        )
-        for way in ways(bounds)
-    ]
-    heads = ("promise", "way", "parts, s", "worst, s", "bound, s", "margin, s")
-    return markdown_table(heads, rows)
-
-
-def ways(bounds: Bounds) -> list[Way]:
-    """Return the ways of all news that is bound to a moment.
+def propagation_paths(bounds: Bounds) -> list[PropagationPath]:
+    """Return the paths of all changes that are bound to a moment.
 
-    Those of one promise that a disturbance makes long are held to the contact
-    time, the others to the promise's own bound. What a call waits for in vain
-    counts whole; what is answered counts `ANSWER_S`.
+    Paths that a disturbance delays are held to the contact time, the others to
+    the promise's own bound. A call that gets no answer counts with its whole
+    timeout, one that is answered with `ANSWER_S`.
     """
     return [
-        *_ways_of_entries(bounds),
-        *_ways_of_configuration(bounds),
-        *_ways_of_roll_outs(bounds),
+        *_paths_of_entries(bounds),
+        *_paths_of_configuration(bounds),
+        *_paths_of_roll_outs(bounds),
     ]
 
 
-def too_long(bounds: Bounds) -> list[Way]:
-    """Return the ways that may take longer than their bound."""
-    return [way for way in ways(bounds) if way.margin_s < -ROUNDING_S]
+def too_slow(bounds: Bounds) -> list[PropagationPath]:
+    """Return the paths that may take longer than their bound."""
+    return [
+        path
+        for path in propagation_paths(bounds)
+        if path.margin_s < -ROUNDING_S
+    ]
 
 
-def _ways_of_entries(bounds: Bounds) -> list[Way]:
+def _paths_of_entries(bounds: Bounds) -> list[PropagationPath]:
     promise = "a leaving instance gets no work"
     drain = ("drain", bounds.drain_s)
-    heard = (*_HEARD, Part("connection to the instance", CONNECT_S))
+    heard = (*_HEARD, Delay("connection to the instance", CONNECT_S))
     return [
-        Way(promise, "heard by a watch", heard, *drain),
-        Way(
+        PropagationPath(promise, "heard by a watch", heard, *drain),
+        PropagationPath(
             promise,
             "heard after others were asked for a missing entry",
-            (Part("questions to other routers", ASKED * PULL_S), *heard),
+            (Delay("questions to other routers", ASKED * PULL_S), *heard),
             *drain,
         ),
         *_disturbed(promise, entries_watch_s(bounds), bounds),
-        Way(
+        PropagationPath(
             promise,
             "entry missing after an outage",
             (
-                Part("doubt after the last failed call", doubt_s(bounds)),
-                Part("look whether doubt is over", LAPSED_S),
+                Delay("doubt after the last failed call", doubt_s(bounds)),
+                Delay("look whether doubt is over", LAPSED_S),
             ),
             "contact",
             bounds.contact_s,
@@ -193,11 +179,13 @@
     ]
 
 
-def _ways_of_configuration(bounds: Bounds) -> list[Way]:
+def _paths_of_configuration(bounds: Bounds) -> list[PropagationPath]:
     promise = "a configuration is in force"
     return [
-        Way(promise, "heard by a watch", _HEARD, "apply", bounds.apply_s),
-        Way(
+        PropagationPath(
+            promise, "heard by a watch", _HEARD, "apply", bounds.apply_s
+        ),
+        PropagationPath(
             "a key that was taken away opens nothing",
             "heard by a watch",
             _HEARD,
@@ -208,18 +196,18 @@
     ]
 
 
-def _ways_of_roll_outs(bounds: Bounds) -> list[Way]:
-    judged = Part("round of judging", ROUND_S)
-    written = Part("write", ANSWER_S)
+def _paths_of_roll_outs(bounds: Bounds) -> list[PropagationPath]:
+    judged = Delay("round of judging", ROUND_S)
+    written = Delay("write", ANSWER_S)
     return [
-        Way(
+        PropagationPath(
             "a bad version gets nothing after fifty bad answers",
             "reports in the store",
             (
-                Part("pause between reports of bad answers", REPORT_BAD_S),
+                Delay("pause between reports of bad answers", REPORT_BAD_S),
                 judged,
                 written,
-                Part("pause between watches of reports", REPORTS_PAUSE_S),
+                Delay("pause between watches of reports", REPORTS_PAUSE_S),
                 _ANSWER,
                 judged,
                 written,
@@ -228,7 +216,7 @@
             "rollback",
             bounds.rollback_s,
         ),
-        Way(
+        PropagationPath(
             "a good version is completed by its deadline",
             "completion is forced",
             (judged, written),
@@ -238,32 +226,34 @@
     ]
 
 
-def _disturbed(promise: str, wait_s: float, bounds: Bounds) -> list[Way]:
-    """Return the ways of news round a disturbance."""
+def _disturbed(
+    promise: str, wait_s: float, bounds: Bounds
+) -> list[PropagationPath]:
+    """Return the paths of a change that a disturbance delays."""
     contact = ("contact", bounds.contact_s)
-    wait = (_PAUSE, Part("watch", wait_s))
+    wait = (_PAUSE, Delay("watch", wait_s))
     return [
-        Way(
+        PropagationPath(
             promise,
             "connection went silent",
             (
                 *wait,
-                Part("grace of the watch", WATCH_GRACE_S),
-                Part("pause after a failure", RETRY_S),
+                Delay("grace of the watch", WATCH_GRACE_S),
+                Delay("pause after a failure", RETRY_S),
                 _ANSWER,
             ),
             *contact,
         ),
-        Way(
+        PropagationPath(
             promise, "history was dropped", (*wait, _ANSWER, _ANSWER), *contact
         ),
-        Way(
+        PropagationPath(
             promise,
             "store answers again",
             (
-                Part("call that hangs", LOOK_S),
-                Part("questions to other routers", ASKED * PULL_S),
-                Part("longest pause after a failure", RETRY_LIMIT_S),
+                Delay("call that hangs", LOOK_S),
+                Delay("questions to other routers", ASKED * PULL_S),
+                Delay("longest pause after a failure", RETRY_LIMIT_S),
                 _ANSWER,
             ),
             *contact,
--- a/lacewingdock/helpers/reference.py
+++ b/lacewingdock/helpers/reference.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any, Final
 
-from lacewingdock.daemons.router_timing import ways_table
+from lacewingdock.daemons.router_timing import propagation_paths
 from lacewingdock.exceptions import ANSWERS, ErrorKind
 from lacewingdock.helpers.describe import Setting, describe
 from lacewingdock.helpers.source_tables import (
@@ -49,7 +49,7 @@
         "logs.md": {"logs": log_table()},
         "configuration.md": settings | kinds | {"constants": constant_table()},
         "errors.md": {"errors": _errors()},
-        "promises.md": {"ways": ways_table(Bounds())},
+        "promises.md": {"propagation": _propagation()},
     }
 
 
@@ -100,6 +100,23 @@
     return "required" if setting.default is None else setting.default
 
 
+def _propagation() -> str:
+    return markdown_table(
+        ("promise", "path", "delays, s", "worst, s", "bound, s", "margin, s"),
+        [
+            (
+                path.promise,
+                path.name,
+                ", ".join(f"{d.name} {d.seconds:.2f}" for d in path.delays),
+                f"{path.worst_s:.2f}",
+                f"{path.bound} {path.bound_s:.2f}",
+                f"{path.margin_s:.2f}",
+            )
+            for path in propagation_paths(Bounds())
+        ],
+    )
+
+
 def _errors() -> str:
     return markdown_table(
         ("code", "status", "ran", "Retry-After", "exit status", "title"),
--- a/tests/daemons/test_router_timing.py
+++ b/tests/daemons/test_router_timing.py
@@ -1,4 +1,4 @@
-"""Tests that each way of news fits in its bound, by the code's constants."""
+"""Tests that each path of a change fits in its bound, by the constants."""
 
 import math
 from dataclasses import replace
@@ -9,13 +9,13 @@
 
 from lacewingdock.cli import Commands
 from lacewingdock.daemons import router_timing
-from lacewingdock.daemons.router_timing import too_long
+from lacewingdock.daemons.router_timing import too_slow
 from lacewingdock.world.host import Bounds
 
 # What deployments are held to: small ones, and those of 50 machines and more.
 SMALL = Bounds(contact_s=3.0, drain_s=2.0, apply_s=2.0)
 LARGE = Bounds(contact_s=4.0, drain_s=3.0, apply_s=3.0)
-# Below these the ways do not fit, and a router says so.
+# Below these the paths do not fit, and a router says so.
 LEAST = Bounds(
     contact_s=2.8, drain_s=1.9, apply_s=0.5, revoke_s=0.5, rollback_s=2.7
 )
@@ -40,8 +40,8 @@
 
 
 @pytest.mark.parametrize("bounds", [SMALL, LARGE, LEAST, Bounds()])
-def test_ways_fit_in_the_bounds(bounds):
-    assert too_long(bounds) == []
+def test_paths_fit_in_the_bounds(bounds):
+    assert too_slow(bounds) == []
 
 
 @given(
@@ -53,8 +53,8 @@
     renewal_s=st.floats(0.2, 10.0),
 )
 @settings(derandomize=True, deadline=None)
-def test_ways_fit_in_any_bounds_from_the_least_on(**fields):
-    assert too_long(Bounds(**fields)) == []
+def test_paths_fit_in_any_bounds_from_the_least_on(**fields):
+    assert too_slow(Bounds(**fields)) == []
 
 
 @pytest.mark.parametrize(
@@ -72,11 +72,11 @@
     ],
 )
 def test_bound_that_is_too_short_is_told(field, seconds, broken):
-    found = too_long(replace(Bounds(), **{field: seconds}))
-    assert {way.name for way in found} == broken
-    for way in found:
-        assert way.bound == field.removesuffix("_s")
-        assert f"{seconds:g} s" in str(way)
+    found = too_slow(replace(Bounds(), **{field: seconds}))
+    assert {path.name for path in found} == broken
+    for path in found:
+        assert path.bound == field.removesuffix("_s")
+        assert f"{seconds:g} s" in str(path)
 
 
 @pytest.mark.parametrize(
@@ -92,7 +92,7 @@
     ],
 )
 def test_constant_that_breaks_a_bound_is_seen(monkeypatch, constant, more_s):
-    """Symptom: news comes late on one way in a hundred, on no test's.
+    """Symptom: a change comes into force late, on a path that no test takes.
 
     Cause: a constant that was changed for something else.
     """
@@ -105,7 +105,7 @@
         monkeypatch.setattr(router_timing, name, replace(part, seconds=seconds))
     parts = (router_timing._PAUSE, router_timing._ANSWER)
     monkeypatch.setattr(router_timing, "_HEARD", parts)
-    assert too_long(SMALL)
+    assert too_slow(SMALL)
 
 
 @given(contact_s=st.floats(2.8, 30.0), renewal_s=st.floats(0.2, 10.0))
