Roll-outs: two instances carry a full load before all requests move

Cause: a version that fails under full load only had too few requests until its order was completed; streams last seconds, the move 1.3 s. Ruled out: waiting longer with all requests moved (the bound on exposure). Change: the bound is spent on a canary, on the whole load of two instances, then on a shorter move. The choice of the two is the same on all routers.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -230,7 +230,7 @@
         self.unread = self._to_read()
         instance = self.gateway.chooser.choose(
             self.service,
-            lambda one: shift.allows(one.entry.version),
+            lambda one: shift.admits(one.entry),
             self.unread,
             self.tried,
         )
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -138,12 +138,12 @@
         if present == {target}:
             return VersionRule(only=target)
         pinned = self.pins.version(service, call.session)
-        if pinned == target:
-            return VersionRule(only=target)
-        if pinned is not None and shift.stage is Stage.CANARY:
+        if pinned is not None and pinned != target and shift.keeps_sessions:
             return VersionRule(never=target)
-        if shift.takes(call):
-            return VersionRule(only=target)
+        if pinned == target or shift.takes(call):
+            # One that failed there may go to any that is left.
+            instances = frozenset() if again else shift.loaded
+            return VersionRule(only=target, instances=instances)
         return VersionRule(never=target)
 
     def add(self, sample: Sample, session: str) -> None:
@@ -173,7 +173,7 @@
         """
         found: list[KeptSession] = []
         for service, shift in list(self.running.items()):
-            if shift.stage is not Stage.CANARY or shift.found_bad:
+            if not shift.keeps_sessions or shift.found_bad:
                 continue
             target = shift.order.target
             found += [
@@ -238,6 +238,7 @@
         """Judge, move on, report and end what is due."""
         for shift in list(self.running.values()):
             with self._lock:
+                shift.instances = self._new_instances(shift)
                 shift.advance()
             self.reporter.write(shift, self._old_running(shift))
             if shift.found_bad:
@@ -314,6 +315,13 @@
                 del self.orders[service]
                 log.info("order removed", service=service)
 
+    def _new_instances(self, shift: Shift) -> list[str]:
+        return [
+            one.entry.id
+            for one in self.directory.of_service(shift.order.service)
+            if one.open and one.entry.version == shift.order.target
+        ]
+
     def _old_running(self, shift: Shift) -> int:
         return sum(
             one.running
--- a/lacewingdock/components/shifts/const.py
+++ b/lacewingdock/components/shifts/const.py
@@ -17,6 +17,25 @@
 # fault that shows under load only is noticed with less exposed.
 RAMP_PART: Final = 0.3
 RAMP_SHARE: Final = 0.5
+# Before all requests move, this many instances of the new version get as much
+# each as they will have afterwards. A version that failed from half of a full
+# load on was completed with two bad answers of 58 otherwise: streams last
+# seconds, so load builds up later than the move. Two, since one that fails
+# alone is a bad instance and no bad version.
+LOADED_INSTANCES: Final = 2
+# For how long, at least: streams of some seconds that begin at a steady rate
+# reach their full number in the time that one takes. Where the exposure does
+# not suffice for it, as with few instances, nothing is loaded ahead.
+LOADED_LEAST_S: Final = 3.0
+# And at most: twice the time of a long stream.
+LOADED_MOST_S: Final = 8.0
+# What is left for the move then: a part of the exposure as above, and at least
+# the time for its steps, each a round and a report late.
+LOADED_MOVE_PART: Final = 0.5
+LOADED_MOVE_S: Final = 1.2
+# Sessions stay on their version for the first half of an order's time; a bit
+# later, since routers reckon it a moment apart.
+SESSIONS_MOVE_PART: Final = 0.55
 # This long before its deadline an order is completed although requests run
 # on the old version: streams among them go on at the new one.
 FORCE_BEFORE_S: Final = 1.0
--- /dev/null
+++ b/lacewingdock/components/shifts/schedule.py
@@ -0,0 +1,58 @@
+"""Support for when a roll-out gives how much to the new version.
+
+Whatever the new version gets, from the order to its deadline, is bounded: it
+may turn bad at any moment. That bound is spent on a canary over all of its
+instances, then on the whole load of two of them, then on the move of all.
+"""
+
+from dataclasses import dataclass
+
+from lacewingdock.components.shifts.const import (
+    CANARY_PART,
+    LOADED_INSTANCES,
+    LOADED_LEAST_S,
+    LOADED_MOST_S,
+    LOADED_MOVE_PART,
+    LOADED_MOVE_S,
+    MOVE_PART,
+    SESSIONS_MOVE_PART,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class Schedule:
+    """What the new version gets, and when.
+
+    Attributes:
+        load_at_s: Seconds after the order from which a few instances get
+            all that an instance gets after the move; the same as `move_at_s`
+            where the bound does not suffice for it.
+        loaded_share: Share of the requests that goes to them then.
+        move_at_s: Seconds after the order from which all requests move.
+    """
+
+    load_at_s: float
+    loaded_share: float
+    move_at_s: float
+
+
+def schedule(
+    duration_s: float, exposure_share: float, instances: int
+) -> Schedule:
+    """Return the schedule of an order.
+
+    Args:
+        duration_s: Seconds in which it shall be done.
+        exposure_share: Share of the requests that a bad version may get.
+        instances: Instances of the new version.
+    """
+    bound_s = exposure_share * duration_s
+    plain = duration_s - MOVE_PART * bound_s
+    move_s = max(LOADED_MOVE_PART * bound_s, LOADED_MOVE_S)
+    share = LOADED_INSTANCES / max(instances, LOADED_INSTANCES)
+    loaded_s = min((MOVE_PART * bound_s - move_s) / share, LOADED_MOST_S)
+    move_at_s = duration_s - move_s
+    load_at_s = max(move_at_s - loaded_s, SESSIONS_MOVE_PART * duration_s)
+    if move_at_s - load_at_s < LOADED_LEAST_S:
+        return Schedule(plain, CANARY_PART * exposure_share, plain)
+    return Schedule(load_at_s, share, move_at_s)
--- a/lacewingdock/components/shifts/shift.py
+++ b/lacewingdock/components/shifts/shift.py
@@ -11,9 +11,9 @@
     BAD_WEALTH,
     CANARY_PART,
     FORCE_BEFORE_S,
+    LOADED_INSTANCES,
     MIN_ANSWERS,
     MIN_BAD,
-    MOVE_PART,
     RAMP_PART,
     RAMP_SHARE,
     SUSPECT_WEALTH,
@@ -24,8 +24,9 @@
     tolerated,
 )
 from lacewingdock.components.shifts.report import Report, Stage
+from lacewingdock.components.shifts.schedule import Schedule, schedule
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.world.backend import ShiftOrder
+from lacewingdock.world.backend import ShiftOrder, UpstreamEntry
 from lacewingdock.world.call import Call
 
 # A router that has just seen an order, or started, moves no session before it
@@ -47,10 +48,18 @@
     Attributes:
         only: The one version that may; empty for any.
         never: A version that may not; empty for none.
+        instances: Ids of the instances that may; empty for all.
     """
 
     only: str = ""
     never: str = ""
+    instances: frozenset[str] = frozenset()
+
+    def admits(self, entry: UpstreamEntry) -> bool:
+        """Whether an instance may run the request."""
+        if self.instances and entry.id not in self.instances:
+            return False
+        return self.allows(entry.version)
 
     def allows(self, version: str) -> bool:
         """Whether a version may run the request."""
@@ -72,18 +81,22 @@
         found_bad: Why the version counts as bad; empty while it does not.
         reports: Other routers' newest reports by object name, with the
             monotonic time at which each came.
-        canary_share: Share of the requests that the new version gets first.
-        move_at: Part of the order's time after which requests move.
+        exposure_share: Share of the requests that a bad version may get.
+        instances: Ids of the new version's instances.
+        plan: The schedule by which a few instances get a whole instance's load
+            each; None before. It stays when instances come and go, or what
+            was spent on it would be spent on the move again.
     """
 
     __slots__ = (
-        "canary_share",
         "detector",
         "evidence",
+        "exposure_share",
         "found_bad",
+        "instances",
         "known_s",
-        "move_at",
         "order",
+        "plan",
         "reports",
         "seen_at",
         "stage",
@@ -99,8 +112,9 @@
         self.detector = ChangeDetector()
         self.found_bad = ""
         self.reports: dict[str, tuple[float, Report]] = {}
-        self.canary_share = exposure_share * CANARY_PART
-        self.move_at = 1.0 - exposure_share * MOVE_PART
+        self.exposure_share = exposure_share
+        self.instances: list[str] = []
+        self.plan: Schedule | None = None
 
     @property
     def elapsed_s(self) -> float:
@@ -108,9 +122,11 @@
         return self.known_s + _now() - self.seen_at
 
     @property
-    def part(self) -> float:
-        """Part of the order's time that has passed."""
-        return self.elapsed_s / max(self.order.duration_s, 1e-3)
+    def schedule(self) -> Schedule:
+        """What the new version gets, and when."""
+        return self.plan or schedule(
+            self.order.duration_s, self.exposure_share, len(self.instances)
+        )
 
     @property
     def due(self) -> bool:
@@ -139,12 +155,37 @@
         bucket = _bucket(self.order.target, name)
         return bucket < self.share * _BUCKETS
 
+    @property
+    def loading(self) -> bool:
+        """Whether a few instances get a whole instance's load each."""
+        return self.plan is not None and self.stage is Stage.CANARY
+
+    @property
+    def keeps_sessions(self) -> bool:
+        """Whether sessions on the old version stay there."""
+        return self.stage is Stage.CANARY and not self.loading
+
+    @property
+    def loaded(self) -> frozenset[str]:
+        """The instances that get the new version's requests; empty for all.
+
+        All routers choose the same ones, or each would get a part of the load.
+        """
+        if not self.loading:
+            return frozenset()
+        ranked = sorted(
+            self.instances, key=lambda one: _bucket(self.order.target, one)
+        )
+        return frozenset(ranked[:LOADED_INSTANCES])
+
     @property
     def share(self) -> float:
         """Share of the sessions that the new version gets."""
         match self.stage:
+            case Stage.CANARY if self.loading:
+                return self.schedule.loaded_share
             case Stage.CANARY:
-                return self.canary_share
+                return self.exposure_share * CANARY_PART
             case Stage.RAMP:
                 return RAMP_SHARE
         return 1.0
@@ -185,7 +226,11 @@
             return
         self._judge()
         stage = self._due()
-        if self.found_bad or stage <= self.stage:
+        if self.found_bad:
+            return
+        if self._load_is_due():
+            self._load()
+        if stage <= self.stage:
             return
         self.stage = Stage(self.stage + 1)
         log.info(
@@ -201,10 +246,32 @@
     def _due(self) -> Stage:
         if self._sum("answers") < MIN_ANSWERS or self.suspect:
             return self.stage
-        if self.part < self.move_at:
+        move_at_s = self.schedule.move_at_s
+        if self.elapsed_s < move_at_s:
             return Stage.CANARY
-        moved = (self.part - self.move_at) / (1.0 - self.move_at)
-        return Stage.RAMP if moved < RAMP_PART else Stage.ALL
+        moved_s = self.elapsed_s - move_at_s
+        ramp_s = RAMP_PART * (self.order.duration_s - move_at_s)
+        return Stage.RAMP if moved_s < ramp_s else Stage.ALL
+
+    def _load_is_due(self) -> bool:
+        """Whether a few instances shall get a whole instance's load now."""
+        if self.plan or self.stage is not Stage.CANARY or self.suspect:
+            return False
+        if self._sum("answers") < MIN_ANSWERS:
+            return False
+        plan = self.schedule
+        return plan.load_at_s <= self.elapsed_s < plan.move_at_s
+
+    def _load(self) -> None:
+        self.plan = self.schedule
+        log.info(
+            "roll-out loads instances",
+            service=self.order.service,
+            target=self.order.target,
+            instances=sorted(self.loaded),
+            share=round(self.share, 3),
+            elapsed_s=round(self.elapsed_s, 2),
+        )
 
     def _judge(self) -> None:
         answers, bad = self._sum("answers"), self._sum("bad")
--- /dev/null
+++ b/tests/components/shifts/test_schedule.py
@@ -0,0 +1,47 @@
+"""Tests of what a roll-out gives to the new version, and when."""
+
+import pytest
+
+from lacewingdock.components.shifts.const import (
+    CANARY_PART,
+    LOADED_LEAST_S,
+    SESSIONS_MOVE_PART,
+)
+from lacewingdock.components.shifts.schedule import schedule
+
+DURATIONS_S = (2.0, 6.0, 12.0, 16.0, 20.0, 24.0, 60.0, 600.0)
+EXPOSURES = (0.01, 0.05, 0.0975, 0.15, 0.5)
+INSTANCES = (0, 1, 2, 4, 6, 9, 37, 500)
+
+
+@pytest.mark.parametrize("duration_s", DURATIONS_S)
+@pytest.mark.parametrize("exposure", EXPOSURES)
+@pytest.mark.parametrize("instances", INSTANCES)
+def test_all_of_it_is_under_the_bound(duration_s, exposure, instances):
+    """A version that turns bad at any moment had no more than it may."""
+    plan = schedule(duration_s, exposure, instances)
+    canary = plan.load_at_s * exposure * CANARY_PART
+    loaded = (plan.move_at_s - plan.load_at_s) * plan.loaded_share
+    moved = duration_s - plan.move_at_s
+    assert canary + loaded + moved <= exposure * duration_s
+    assert plan.load_at_s <= plan.move_at_s <= duration_s
+
+
+@pytest.mark.parametrize(
+    ("duration_s", "exposure", "instances", "loads"),
+    [
+        (20.0, 0.15, 9, True),
+        (24.0, 0.0975, 37, True),
+        # The exposure does not suffice for the load of two of four.
+        (20.0, 0.15, 4, False),
+        (20.0, 0.15, 0, False),
+        (4.0, 0.15, 9, False),
+    ],
+)
+def test_a_few_are_loaded_where_it_is_affordable(
+    duration_s, exposure, instances, loads
+):
+    plan = schedule(duration_s, exposure, instances)
+    loaded_s = plan.move_at_s - plan.load_at_s
+    assert loaded_s >= LOADED_LEAST_S if loads else loaded_s == 0
+    assert not loads or plan.load_at_s >= SESSIONS_MOVE_PART * duration_s
