--- a/lacewingdock/components/relay/follower.py
+++ b/lacewingdock/components/relay/follower.py
@@ -66,6 +66,7 @@
             this router watches for itself.
         clock: The time it goes by.
         news: Set when something is to be fetched.
+        asked: The watcher that was asked last.
         asked_until: Until when others count on this router to watch.
         leads: Whether it is among the watchers itself.
         answers: Answers of watchers so far.
@@ -84,6 +85,7 @@
         "_wanted",
         "_watchers",
         "answers",
+        "asked",
         "asked_until",
         "clock",
         "fetch",
@@ -114,6 +116,7 @@
         self.limit_s = limit_s
         self.clock = clock
         self.news = threading.Event()
+        self.asked = ""
         self.asked_until = NEVER
         self.leads = True
         self.answers = 0
@@ -173,6 +176,7 @@
             if chosen is None:
                 return None
             self._numbers += 1
+            self.asked = chosen
             watcher = self._watchers.setdefault(chosen, _Watcher())
             watcher.number = self._numbers
             watcher.asked_at = now
--- /dev/null
+++ b/tests/components/mirror/test_history.py
@@ -0,0 +1,108 @@
+"""Tests of handing on the changes of a copy."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lacewingdock.components.mirror.history import KEPT, ChangeHistory
+from lacewingdock.platform.object_api import Change, Changes, StoredObject
+
+
+def change(name, revision, removed=False):
+    return Change(StoredObject(name, revision), removed)
+
+
+def history():
+    """A copy of revision 10 with changes at 12, 15 and 16, and 30."""
+    found = ChangeHistory(10)
+    found.add(10, Changes(13, [change("a", 12)]))
+    found.add(13, Changes(20, []))
+    found.add(20, Changes(25, [change("b", 22), change("a", 24)]))
+    found.add(25, Changes(33, [change("c", 30, removed=True)]))
+    return found
+
+
+@pytest.mark.parametrize(
+    ("after", "names"),
+    [
+        (9, None),
+        (10, ["a", "b", "a", "c"]),
+        (12, ["b", "a", "c"]),
+        (21, ["b", "a", "c"]),
+        # In the middle of changes that came together.
+        (22, None),
+        (23, None),
+        (24, ["c"]),
+        (29, ["c"]),
+        (30, []),
+        (99, []),
+    ],
+)
+def test_changes_after_a_revision(after, names):
+    found = history().since(after)
+    if names is None:
+        assert found is None
+    else:
+        assert [one.object.name for one in found] == names
+
+
+def test_removed_object_may_bear_the_revision_of_its_last_write():
+    """Symptom: an instance that was removed is kept for good.
+
+    Sequence: its entry, last written at revision 5, is removed at 12; a
+    router whose copy is of 11 is told that the last change was at 5. Cause:
+    the revision that a removed object bears was taken for the removal's.
+    """
+    found = ChangeHistory(10)
+    found.add(10, Changes(14, [change("a", 5, removed=True)]))
+    assert found.changed == 14
+    assert [one.removed for one in found.since(10)] == [True]
+    assert found.since(11) is None
+    assert found.since(14) == []
+
+
+def test_old_changes_are_dropped():
+    found = ChangeHistory(0)
+    for revision in range(1, KEPT + 3):
+        found.add(revision - 1, Changes(revision, [change("a", revision)]))
+    assert found.since(1) is None
+    assert len(found.since(2)) == KEPT
+    assert found.changed == KEPT + 2
+
+
+@given(
+    sizes=st.lists(st.integers(1, 4), min_size=12, max_size=12),
+    gaps=st.lists(st.integers(0, 3), min_size=12, max_size=12),
+    removed=st.lists(st.booleans(), min_size=12, max_size=12),
+    after=st.integers(0, 60),
+)
+@settings(derandomize=True, deadline=None)
+def test_changes_make_the_copy_whole(sizes, gaps, removed, after):
+    """Whoever has a revision and takes the changes after it has everything."""
+    found, revision, log = ChangeHistory(0), 0, []
+    for size, gap, is_removed in zip(sizes, gaps, removed, strict=True):
+        before = revision
+        batch = []
+        for number in range(size):
+            revision += 1
+            gone = is_removed and number == size - 1
+            batch.append(change(f"n-{revision % 3}", revision, gone))
+        log += batch
+        revision += gap
+        found.add(before, Changes(revision, batch))
+    changes = found.since(after)
+    if changes is None:
+        return
+    assert _applied(log) == _applied(
+        [one for one in log if one.object.revision <= after] + changes
+    )
+
+
+def _applied(changes):
+    objects = {}
+    for one in changes:
+        if one.removed:
+            objects.pop(one.object.name, None)
+        else:
+            objects[one.object.name] = one.object.revision
+    return objects
--- /dev/null
+++ b/tests/components/relay/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of passing the news of the store on."""
--- /dev/null
+++ b/tests/components/relay/test_messages.py
@@ -0,0 +1,59 @@
+"""Tests of the messages between watchers and followers."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lacewingdock.components.relay import (
+    KindState,
+    Question,
+    Voucher,
+    decode,
+    encode,
+)
+from lacewingdock.components.relay.const import MAX_BYTES, MAX_KINDS, MAX_MS
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from tests.fuzz.common import coded, fuzzed, json_bytes
+
+STATE = KindState(7, 40, 41, 1200)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Question("r-1", 5),
+        Voucher("r-2", 5, [STATE], True, 300),
+        Voucher("r-2", 0, []),
+    ],
+)
+def test_there_and_back(message):
+    assert decode(encode(message)) == message
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Voucher("r", 1, [KindState(1, 5, 4, 0)]),
+        Voucher("r", 1, [KindState(1, -1, 4, 0)]),
+        Voucher("r", 1, [KindState(1, 3, 4, -1)]),
+        Voucher("r", 1, [KindState(1, 3, 4, MAX_MS + 1)]),
+        Voucher("r", 1, [], False, -1),
+        Voucher("r", 1, [STATE] * (MAX_KINDS + 1)),
+    ],
+)
+def test_state_that_no_copy_has_is_refused(message):
+    with pytest.raises(LacewingdockError) as caught:
+        decode(encode(message))
+    assert caught.value.kind is ErrorKind.BAD_REQUEST
+
+
+def test_all_kinds_fit_in_a_message():
+    longest = KindState(2**32 - 1, 2**40, 2**40, MAX_MS)
+    voucher = Voucher("r" * 64, 2**40, [longest] * MAX_KINDS, True, MAX_MS)
+    assert len(encode(voucher)) < MAX_BYTES
+
+
+@fuzzed
+@given(st.binary(max_size=80) | json_bytes)
+def test_any_bytes_are_a_message_or_a_coded_error(data):
+    coded(decode, data)
