--- a/lacewingdock/components/relay/follower.py
+++ b/lacewingdock/components/relay/follower.py
@@ -75,6 +75,7 @@
 
     __slots__ = (
         "_away_until",
+        "_back_at",
         "_doubt_until",
         "_heard_at",
         "_lock",
@@ -131,6 +132,7 @@
         self._sure_at: dict[str, float] = {}
         self._served_at = NEVER
         self._away_until = NEVER
+        self._back_at = NEVER
         self._doubt_until = NEVER
         self._lock = threading.Lock()
 
@@ -167,10 +169,19 @@
         is_away = now < self._away_until and now - self._served_at > SERVED_S
         return is_away or now < self._doubt_until
 
-    @property
-    def spared(self) -> bool:
-        """Whether watchers find out whether the store answers again."""
-        return not self.watches and self.clock.now() < self._away_until
+    def spared(self, called_at: float) -> bool:
+        """Whether watchers find out whether the store answers again.
+
+        Once it does for them, each router asks it once. One that it turns
+        away alone has its watchers' news meanwhile.
+
+        Args:
+            called_at: When this router asked it last.
+        """
+        now = self.clock.now()
+        if self.watches or now - self._heard_at > HEARD_S:
+            return False
+        return now < self._away_until or called_at > self._back_at
 
     def question(self) -> tuple[str, Question] | None:
         """Return whom to ask now, and what; None where this router watches."""
@@ -201,6 +212,7 @@
             asked_at, watcher.asked_at = watcher.asked_at, 0.0
             watcher.missed = 0
         self.answers += 1
+        self._heard_at = asked_at
         self._hear_doubt(voucher, asked_at)
         if not voucher.away:
             self._vouch(voucher, asked_at)
@@ -278,6 +290,8 @@
         """Take whether the store answers a watcher, by its last word."""
         if not voucher.away and not voucher.doubt_ms:
             self._sure_at[voucher.router] = asked_at
+            if asked_at < self._away_until:
+                self._back_at = self.clock.now()
             self._away_until = NEVER
             return
         self._sure_at.pop(voucher.router, None)
@@ -289,7 +303,6 @@
 
     def _vouch(self, voucher: Voucher, asked_at: float) -> None:
         """Take the ages of a watcher's copies."""
-        self._heard_at = asked_at
         for kind, state in self._states(voucher):
             as_of = asked_at - state.age_ms / 1000
             if not self.mirrors[kind].vouch(
--- a/lacewingdock/components/shifts/schedule.py
+++ b/lacewingdock/components/shifts/schedule.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Final
 
 from lacewingdock.components.shifts.const import (
     CANARY_PART,
@@ -15,9 +16,15 @@
     LOADED_PART,
     LOADED_S,
     MOVE_PART,
+    RAMP_PART,
+    RAMP_SHARE,
     SESSIONS_MOVE_PART,
 )
 
+# Part of the requests that the new version gets in the mean of the move: the
+# exposure lasts this much longer.
+_MOVING: Final = 1.0 - RAMP_PART * (1.0 - RAMP_SHARE)
+
 
 @dataclass(slots=True, frozen=True)
 class Schedule:
@@ -48,10 +55,10 @@
     """
     bound_s = exposure_share * duration_s
     to_move_s = MOVE_PART * bound_s
-    move_at_s = duration_s - to_move_s
+    move_at_s = duration_s - to_move_s / _MOVING
     share = LOADED_INSTANCES / max(instances, LOADED_INSTANCES)
     loaded_s = min(LOADED_S, LOADED_PART * to_move_s / share)
-    loaded_at_s = move_at_s + loaded_s * share
+    loaded_at_s = move_at_s + loaded_s * share / _MOVING
     load_at_s = max(loaded_at_s - loaded_s, SESSIONS_MOVE_PART * duration_s)
     too_short = loaded_at_s - load_at_s < LOADED_LEAST_S
     if too_short or duration_s - loaded_at_s < LOADED_MOVE_S:
--- a/lacewingdock/daemons/router_relay.py
+++ b/lacewingdock/daemons/router_relay.py
@@ -138,7 +138,8 @@
     def spared_s() -> float:
         if not health.away:
             return 0.0
-        probes = mirror.kind == KIND_INSTANCES and not follower.spared
+        is_spared = follower.spared(mirror.called_at)
+        probes = mirror.kind == KIND_INSTANCES and not is_spared
         due_at = mirror.called_at + outage_pause_s(bounds())
         left_s = due_at - mirror.clock.now()
         return 0.0 if probes else min(max(left_s, 0.0), BACK_LOOK_S)
--- a/tests/components/shifts/test_schedule.py
+++ b/tests/components/shifts/test_schedule.py
@@ -5,6 +5,8 @@
 from lacewingdock.components.shifts.const import (
     CANARY_PART,
     LOADED_LEAST_S,
+    RAMP_PART,
+    RAMP_SHARE,
     SESSIONS_MOVE_PART,
 )
 from lacewingdock.components.shifts.schedule import schedule
@@ -23,6 +25,7 @@
     canary = plan.load_at_s * exposure * CANARY_PART
     loaded = (plan.move_at_s - plan.load_at_s) * plan.loaded_share
     moved = duration_s - plan.move_at_s
+    moved *= RAMP_PART * RAMP_SHARE + 1.0 - RAMP_PART
     assert canary + loaded + moved <= exposure * duration_s
     assert plan.load_at_s <= plan.move_at_s <= duration_s
 
