--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -60,6 +60,21 @@
             "Datagrams that no router known here sent",
             state.messages_refused,
         )
+        yield _plain(
+            "watches_store",
+            "1 while this router watches the store itself",
+            state.watches,
+        )
+        yield _plain(
+            "listeners",
+            "Routers that take the store's news from this one",
+            state.listeners,
+        )
+        yield _counter(
+            "news_fetched",
+            "News of the store fetched from other routers",
+            state.news_fetched,
+        )
         yield from _upstreams(state)
         yield from _services(state)
         yield from _roll_outs(state)
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -136,6 +136,11 @@
             None where it always did.
         told_bytes: Bytes of messages to other routers that links carried.
         messages_refused: Datagrams that no router known here sent.
+        watches: Whether it watches the store itself, for others or for want
+            of watchers.
+        watcher: The router that it asked last for the store's news.
+        listeners: Routers that take the store's news from it.
+        news_fetched: News that it fetched from others.
         copies: Copies of the platform's objects.
         services: The services.
         upstreams: The upstream instances.
@@ -156,6 +161,10 @@
     store_returned_s: float | None = None
     told_bytes: int = 0
     messages_refused: int = 0
+    watches: bool = True
+    watcher: str = ""
+    listeners: int = 0
+    news_fetched: int = 0
     copies: list[CopyState] = field(default_factory=list)
     services: list[ServiceState] = field(default_factory=list)
     upstreams: list[UpstreamState] = field(default_factory=list)
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -19,6 +19,7 @@
 from lacewingdock.components.inspection.state import RouterState
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.health import StoreHealth
+from lacewingdock.components.relay.port import RelayPort
 from lacewingdock.components.routers import Routers
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
@@ -39,6 +40,7 @@
     directory: Directory
     fleet_load: FleetLoad
     gossip: GossipPort
+    relay: RelayPort | None
     shifts: Shifts
     routers: Routers
     leaving: threading.Event
@@ -50,7 +52,7 @@
 
 def router_state(router: Observed) -> RouterState:
     """Return what a router believes now."""
-    host, table = router.host, router.routes.table
+    host, table, relay = router.host, router.routes.table, router.relay
     return RouterState(
         instance=host.instance,
         failure_domain=host.failure_domain,
@@ -64,7 +66,12 @@
         store_doubtful=router.health.doubtful,
         store_returned_s=age_s(router.health.returned_at),
         told_bytes=router.gossip.sent_bytes,
-        messages_refused=router.gossip.refused,
+        messages_refused=router.gossip.refused
+        + (relay.refused if relay else 0),
+        watches=relay.follower.watches if relay else True,
+        watcher=relay.follower.asked if relay else "",
+        listeners=len(relay.watcher.listeners()) if relay else 0,
+        news_fetched=relay.follower.fetches if relay else 0,
         copies=gather_copies(router.mirrors.values()),
         services=gather_services(router.gateway),
         upstreams=gather_upstreams(router.directory, router.fleet_load),
