--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -123,10 +123,7 @@
     @property
     def hurried(self) -> bool:
         """Whether reports of a roll-out are waited for."""
-        return any(
-            shift.alarmed or shift.stage is not Stage.CANARY
-            for shift in list(self.running.values())
-        )
+        return any(shift.hurried for shift in list(self.running.values()))
 
     def version(
         self, service: str, call: Call, *, again: bool = False
--- a/lacewingdock/components/shifts/const.py
+++ b/lacewingdock/components/shifts/const.py
@@ -71,9 +71,9 @@
 REPORT_LATE_S: Final = 5.0
 # New bad answers are reported sooner.
 REPORT_BAD_S: Final = 0.5
-# While no answer speaks against the version, all routers together write this
-# many reports a second: at 68 routers 280 writes in an order of 24 s, not 816.
-# With the first bad answer the sums are wanted as young as above.
+# Until a bad answer comes or requests move, all routers together write this
+# many reports a second: at 68 routers 420 writes in an order of 24 s, not 816.
+# From then on the sums are wanted as young as above.
 QUIET_REPORTS_PER_S: Final = 12.0
 # Reports of all routers together take at most this part of the platform's
 # writes a second.
--- a/lacewingdock/components/shifts/reporter.py
+++ b/lacewingdock/components/shifts/reporter.py
@@ -30,7 +30,7 @@
         router: This router's name.
         incarnation: This start of it.
         pace_s: Returns the least seconds between two writes.
-        quiet_pace_s: Returns the same while nothing speaks against a version.
+        quiet_pace_s: Returns the same while no report is waited for.
         revisions: Revision of each report's object, as far as known.
         written: The last report by name.
         written_at: Monotonic time of the last write by name.
@@ -68,7 +68,7 @@
     def write(self, shift: Shift, old_running: int) -> None:
         """Write the report of a roll-out if it is due."""
         report = self.report(shift, old_running)
-        pace_s = self.pace_s() if shift.alarmed else self.quiet_pace_s()
+        pace_s = self.pace_s() if shift.hurried else self.quiet_pace_s()
         if not self._is_due(report, pace_s):
             return
         try:
--- a/lacewingdock/components/shifts/shift.py
+++ b/lacewingdock/components/shifts/shift.py
@@ -139,8 +139,15 @@
         return self.detector.wealth >= SUSPECT_WEALTH
 
     @property
-    def alarmed(self) -> bool:
-        """Whether an answer speaks against the version."""
+    def hurried(self) -> bool:
+        """Whether reports are waited for.
+
+        Bad answers are reported sooner than good ones. Where reports of the
+        good ones came late, two slow answers of 214 made a good version
+        suspect as its requests moved.
+        """
+        if self.stage is not Stage.CANARY or self.loading:
+            return True
         return self._sum("bad") > 0
 
     def takes(self, call: Call) -> bool:
