--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -104,6 +104,9 @@
     What it tells is older by two questions where the first is lost. Nothing
     where the bounds are too short for following.
     """
+    reports_s = sum(one.seconds for one in _delays_of_reports(_PASSED_ON))
+    if reports_s > bounds.rollback_s:
+        return 0.0
     limit_s = follow_limit_s(bounds) * SPREAD
     left_s = limit_s - 2 * ASK_S - ANSWER_S - SPARE_S
     return left_s if left_s >= MIN_RENEW_S else 0.0
@@ -135,6 +138,10 @@
 _PAUSE: Final = Delay("pause between watches", CHANGES_PAUSE_S)
 _ANSWER: Final = Delay("answer", ANSWER_S)
 _HEARD: Final = (_PAUSE, _ANSWER)
+_PASSED_ON: Final = (
+    Delay("question of a follower", 2 * ASK_S),
+    Delay("fetch from the watcher", PULL_S),
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -245,22 +252,7 @@
     judged = Delay("round of judging", ROUND_S)
     written = Delay("write", ANSWER_S)
     return [
-        PropagationPath(
-            "a bad version gets nothing after fifty bad answers",
-            "reports in the store",
-            (
-                Delay("pause between reports of bad answers", REPORT_BAD_S),
-                judged,
-                written,
-                Delay("pause between watches of reports", REPORTS_PAUSE_S),
-                _ANSWER,
-                judged,
-                written,
-                _ANSWER,
-            ),
-            "rollback",
-            bounds.rollback_s,
-        ),
+        *_paths_of_a_bad_version(bounds),
         PropagationPath(
             "a good version is completed by its deadline",
             "completion is forced",
@@ -271,6 +263,39 @@
     ]
 
 
+def _paths_of_a_bad_version(bounds: Bounds) -> list[PropagationPath]:
+    paths = {"reports in the store": _delays_of_reports(())}
+    if renew_s(bounds) > 0.0:
+        passed_on = _delays_of_reports(_PASSED_ON)
+        paths["reports that a watcher reads"] = passed_on
+    return [
+        PropagationPath(
+            "a bad version gets nothing after fifty bad answers",
+            name,
+            delays,
+            "rollback",
+            bounds.rollback_s,
+        )
+        for name, delays in paths.items()
+    ]
+
+
+def _delays_of_reports(passed_on: tuple[Delay, ...]) -> tuple[Delay, ...]:
+    judged = Delay("round of judging", ROUND_S)
+    written = Delay("write", ANSWER_S)
+    return (
+        Delay("pause between reports of bad answers", REPORT_BAD_S),
+        judged,
+        written,
+        Delay("pause between watches of reports", REPORTS_PAUSE_S),
+        _ANSWER,
+        *passed_on,
+        judged,
+        written,
+        _ANSWER,
+    )
+
+
 def _disturbed(
     promise: str, wait_s: float, bounds: Bounds
 ) -> list[PropagationPath]:
@@ -316,11 +341,7 @@
     """Return the paths of a change that watchers pass on, if any do."""
     if renew_s(bounds) <= 0.0:
         return []
-    told = (
-        *_HEARD,
-        Delay("question of a follower", 2 * ASK_S),
-        Delay("fetch from the watcher", PULL_S),
-    )
+    told = (*_HEARD, *_PASSED_ON)
     old = (
         Delay("age at which a follower asks the store", follow_limit_s(bounds)),
         Delay("look at the age", FOLLOW_SPARE_S),
