--- a/tests/test_bench_platform.py
+++ b/tests/test_bench_platform.py
@@ -1,11 +1,14 @@
 """Tests of the tools that account for a day on the platform's bench."""
 
+from pathlib import Path
+
 import msgspec
 import pytest
 
+from bench.platform.landing import HUNTED, HUNTED_LARGE, commands
 from bench.platform.losses import Cause, Request, cause_of, requests_of, summary
 from bench.platform.pairs import Row, table
-from bench.platform.plays import Outcome, read_report
+from bench.platform.plays import BENCH_VARIABLE, Outcome, read_report
 
 LINE = {
     "message": "request",
@@ -106,3 +109,16 @@
     lines = table([Row("day", before, after)]).splitlines()
     assert lines[2].startswith("| day | 0.600 | 0.650 | +0.050 | 0.050 |")
     assert lines[3].endswith("| 0; 1 |")
+
+
+def test_landing_scores_first_and_hunts_each_deployment(monkeypatch):
+    monkeypatch.setenv(BENCH_VARIABLE, "bench")
+    found = commands(Path("sites"), "why", 3)
+    assert [one[1] for one in found] == ["score"] * 5 + ["hunt"] * 5
+    for one in found:
+        assert one[0] == "bench"
+        assert one[2].startswith("sites/")
+        assert one[-4:] == ["--jobs", "3", "--why", "why"]
+    hunted = {one[2]: int(one[4]) for one in found[5:]}
+    assert min(hunted.values()) >= HUNTED_LARGE
+    assert hunted["sites/further/tasnifu-dar.toml"] >= HUNTED
