Placing asks instances for their load: a sidecar beside each engine

Change: before a choice three engines are asked; a sidecar beside each answers with what runs, waits and was promised. Without an answer a router goes by what it knows, as before.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -233,6 +233,7 @@
             lambda one: shift.admits(one.entry),
             self.unread,
             self.tried,
+            self.call.id,
         )
         if instance is None:
             raise self._no_answer(f"no instance of the service, {shift}")
--- /dev/null
+++ b/lacewingdock/components/probes/gauge.py
@@ -0,0 +1,93 @@
+"""Support for knowing what an engine has to do at this moment."""
+
+import threading
+from dataclasses import dataclass
+
+from lacewingdock.components.probes import Load, Promise
+from lacewingdock.components.probes.const import (
+    MAX_PROMISES,
+    MAX_UNREAD,
+    PROMISE_S,
+    REPORT_LATE_S,
+)
+from lacewingdock.helpers.clock import STEADY, Clock
+from lacewingdock.world.engine_load import EngineLoad
+
+
+@dataclass(slots=True)
+class _Expected:
+    """A request that was promised.
+
+    Attributes:
+        unread: What it has still to read.
+        until: When it is forgotten unless it comes.
+        came: Whether the engine reported it.
+    """
+
+    unread: float
+    until: float
+    came: bool = False
+
+
+class EngineGauge:
+    """An engine's load: its last report, and what was promised since.
+
+    Attributes:
+        clock: The time it goes by.
+        report: The last report; None where it can't be read.
+        read_at: When that was asked for.
+    """
+
+    __slots__ = ("_expected", "_lock", "clock", "read_at", "report")
+
+    def __init__(self, clock: Clock = STEADY) -> None:
+        """Start without a report."""
+        self.clock = clock
+        self.report: EngineLoad | None = None
+        self.read_at = 0.0
+        self._expected: dict[str, _Expected] = {}
+        self._lock = threading.Lock()
+
+    def load(self, number: int) -> Load | None:
+        """Return the answer to a question; None where nothing is known."""
+        now = self.clock.now()
+        with self._lock:
+            if self.report is None or now - self.read_at > REPORT_LATE_S:
+                return None
+            known = list(self._expected.values())
+            coming = sum(not one.came and one.until >= now for one in known)
+            unread = sum(
+                one.unread for one in known if one.came or one.until >= now
+            )
+            running = self.report.running + self.report.waiting + coming
+        return Load(number, running, min(unread, MAX_UNREAD))
+
+    def promise(self, promise: Promise) -> None:
+        """Expect a request; it counts until it comes, or for a moment."""
+        until = self.clock.now() + PROMISE_S
+        with self._lock:
+            if len(self._expected) < MAX_PROMISES:
+                self._expected[promise.request] = _Expected(
+                    promise.unread, until
+                )
+
+    def take(self, report: EngineLoad | None, asked_at: float) -> None:
+        """Take a report, or that there is none.
+
+        Args:
+            report: The report.
+            asked_at: When it was asked for.
+        """
+        now = self.clock.now()
+        with self._lock:
+            self.report, self.read_at = report, asked_at
+            if report is None:
+                self._expected.clear()
+                return
+            for request, one in list(self._expected.items()):
+                events = report.events.get(request)
+                if events is not None:
+                    one.came = True
+                    one.unread = 0.0 if events else one.unread
+                elif one.came or one.until < now:
+                    del self._expected[request]
--- a/lacewingdock/components/relay/port.py
+++ b/lacewingdock/components/relay/port.py
@@ -1,7 +1,5 @@
 """Support for sending and taking the messages of watchers and followers."""
 
-import contextlib
-import socket
 import threading
 from collections.abc import Callable
 
@@ -15,13 +13,9 @@
 from lacewingdock.components.relay.const import ASK_S, MAX_BYTES
 from lacewingdock.components.relay.follower import Follower
 from lacewingdock.components.relay.watcher import Watcher
-from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.clock import STEADY
+from lacewingdock.helpers.datagrams import DatagramPort
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.helpers.sockets import listen_error
-
-# What a task waits after a failed receive, so that it does not spin.
-RETRY_S = 0.1
 
 log = get_logger("relay")
 
@@ -30,24 +24,15 @@
     """Asks, answers and tells by datagrams.
 
     Attributes:
-        sock: The socket.
+        datagrams: The port.
+        peer_port: The others' port, the same on all instances.
         follower: What this router takes from others.
         watcher: What it tells others.
         host_of: Returns the IP number of a router by the platform's entries;
             None where there is none of that name.
-        refused: Datagrams that were not taken.
-        sent: Messages sent.
     """
 
-    __slots__ = (
-        "follower",
-        "host_of",
-        "port",
-        "refused",
-        "sent",
-        "sock",
-        "watcher",
-    )
+    __slots__ = ("datagrams", "follower", "host_of", "peer_port", "watcher")
 
     def __init__(
         self,
@@ -61,38 +46,15 @@
         Raises:
             LacewingdockError: PORT_TAKEN or BAD_SETTING.
         """
+        self.datagrams = DatagramPort("relay", address, MAX_BYTES)
+        self.peer_port = address[1]
         self.follower = follower
         self.watcher = watcher
         self.host_of = host_of
-        self.port = address[1]
-        self.refused = 0
-        self.sent = 0
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            self.sock.bind(address)
-        except OSError as error:
-            self.sock.close()
-            raise listen_error(f"{address[0]}:{address[1]}", error) from error
 
     def listen(self, stopping: threading.Event) -> None:
         """Take messages until the daemon stops."""
-        while not stopping.is_set():
-            try:
-                data, sender = self.sock.recvfrom(MAX_BYTES)
-            except OSError as error:
-                if stopping.is_set() or self.sock.fileno() < 0:
-                    return
-                log.error("message not received", error=repr(error))
-                stopping.wait(RETRY_S)
-                continue
-            try:
-                self._take(decode(data), sender[0])
-            except LacewingdockError as error:
-                self._refuse(sender[0], str(error))
-            except Exception:
-                # A task that died unseen would leave this router without its
-                # watchers, and those that ask it without theirs.
-                log.exception("message not taken", sender=sender[0])
+        self.datagrams.listen(self._take, stopping)
 
     def ask(self, stopping: threading.Event) -> None:
         """Ask and fetch until the daemon stops."""
@@ -106,6 +68,7 @@
                     due = clock.now() + ASK_S
                     self._ask()
             except Exception:
+                # A task that died unseen would leave this router to the store.
                 log.exception("not asked")
                 due = clock.now() + ASK_S
 
@@ -120,7 +83,7 @@
 
     def close(self) -> None:
         """Close the port."""
-        self.sock.close()
+        self.datagrams.close()
 
     def _ask(self) -> None:
         found = self.follower.question()
@@ -128,7 +91,7 @@
             router, question = found
             self._send(router, encode(question))
 
-    def _take(self, message: Question | Voucher, sender: str) -> None:
+    def _take(self, data: bytes, sender: tuple[str, int]) -> None:
         """Take a message from the router that it names.
 
         Whoever reaches the port could else keep a router from news.
@@ -136,7 +99,8 @@
         Raises:
             LacewingdockError: BAD_REQUEST, if it is from somebody else.
         """
-        if self.host_of(message.router) != sender:
+        message = decode(data)
+        if self.host_of(message.router) != sender[0]:
             raise not_from(message.router)
         match message:
             case Question(router, number):
@@ -148,21 +112,5 @@
 
     def _send(self, router: str, data: bytes) -> None:
         host = self.host_of(router)
-        if host is None:
-            return
-        # One that does not go out is as good as lost, which may happen.
-        with contextlib.suppress(OSError):
-            self.sock.sendto(data, socket.MSG_DONTWAIT, (host, self.port))
-            self.sent += 1
-
-    def _refuse(self, sender: str, error: str) -> None:
-        """Count a datagram that is not taken."""
-        self.refused += 1
-        # Whoever sends these may send many: told at 1, 2, 4, 8 ...
-        if self.refused & (self.refused - 1) == 0:
-            log.error(
-                "message refused",
-                sender=sender,
-                refused=self.refused,
-                error=error,
-            )
+        if host is not None:
+            self.datagrams.send(data, (host, self.peer_port))
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -37,8 +37,12 @@
     StoredObject,
 )
 from lacewingdock.world.route import CallerLimits
+from lacewingdock.world.router_entry import (
+    KIND_ROUTERS,
+    RouterEntry,
+    host_of,
+)
 
-KIND_ROUTERS: Final = "lacewingdock-routers"
 # How long a copy is waited for: a round trip and the copy's size; a router
 # that is gone does not answer at all.
 PULL_S: Final = 0.5
@@ -60,21 +64,6 @@
 log = get_logger("routers")
 
 
-@dataclass(slots=True)
-class RouterEntry:
-    """Where a router is reached.
-
-    Attributes:
-        address: Its port for other routers, as IP:PORT.
-        incarnation: Its start.
-        seen_at: Unix time, in seconds, at which it last announced itself.
-    """
-
-    address: str
-    incarnation: str
-    seen_at: int = 0
-
-
 @dataclass(slots=True)
 class RouterStatus:
     """What a router tells all others through the store.
@@ -410,8 +399,3 @@
     if found is not None and found.revision > after:
         copy.snapshot = found
     return copy
-
-
-def host_of(address: str) -> str:
-    """Return the IP number of an address IP:PORT."""
-    return address.rpartition(":")[0]
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -3,10 +3,13 @@
 import random
 import threading
 import time
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Final
 
 from lacewingdock.components.gossip.load import NOTHING, Work
+from lacewingdock.components.probes import Load
+from lacewingdock.components.probes.const import ASKED, FULL_WEIGHT
+from lacewingdock.components.probes.prober import Prober
 from lacewingdock.components.upstreams.directory import (
     FAILURES_TO_PASS_OVER,
     TRIAL_AFTER_S,
@@ -23,6 +26,8 @@
 # What 1,000 tokens that the largest model still has to read cost, in requests
 # that run: reading delays all that run there, at once.
 UNREAD_WEIGHT: Final = 1.0
+# With fewer instances there is nothing to choose.
+MIN_CHOICE: Final = 2
 
 
 class Chooser:
@@ -34,6 +39,7 @@
         random: Source of draws between equals.
         others: Returns what other routers have at an instance, by its mark.
         changed: Set when what this router has at an instance changes.
+        prober: Asks instances for their load; None where none can be.
     """
 
     __slots__ = (
@@ -41,6 +47,7 @@
         "directory",
         "failure_domain",
         "others",
+        "prober",
         "random",
     )
 
@@ -53,6 +60,7 @@
         self.random = source
         self.others: Callable[[int], Work] = lambda _: NOTHING
         self.changed = threading.Event()
+        self.prober: Prober | None = None
 
     def choose(
         self,
@@ -60,6 +68,7 @@
         allowed: Callable[[Instance], bool],
         unread: float,
         tried: Collection[str] = (),
+        request: str = "",
     ) -> Instance | None:
         """Return an instance and count the request in, or None.
 
@@ -69,6 +78,7 @@
             unread: What it has to read there, in `UNREAD_WEIGHT`'s unit.
             tried: Instances that the request was at, by their starts; one of
                 them is taken only where there is no other.
+            request: Its id, by which an instance reports that it came.
         """
         now = time.monotonic()
         found = [
@@ -81,14 +91,20 @@
         ] or found
         if not fresh:
             return None
+        told = self._ask(self._fit(fresh, now), unread, now)
         # A trial in progress must not be joined by others.
         with self.directory.lock:
-            chosen = self._least(self._fit(fresh, now), now)
+            if told:
+                chosen = min(told, key=lambda one: self._told(one, told, now))
+            else:
+                chosen = self._least(self._fit(fresh, now), now)
             chosen.running += 1
             chosen.unread += unread
             if chosen.recent_failures(now) >= FAILURES_TO_PASS_OVER:
                 chosen.trial_at = now + TRIAL_AFTER_S
         self.changed.set()
+        if told and self.prober is not None:
+            self.prober.promise(chosen.entry.host, request, unread)
         return chosen
 
     def has_other(self, service: str, tried: Collection[str]) -> bool:
@@ -126,11 +142,50 @@
             key=lambda one: (self._load(one, now), self.random.random()),
         )
 
+    def _ask(
+        self, fit: Sequence[Instance], unread: float, now: float
+    ) -> dict[Instance, Load]:
+        """Ask a few instances for their load; return what they answered.
+
+        They are drawn from the better half by what is known here, so that
+        those known to be full are not asked.
+        """
+        if self.prober is None or not unread or len(fit) < MIN_CHOICE:
+            return {}
+        known = sorted(
+            fit, key=lambda one: (self._load(one, now), self.random.random())
+        )
+        better = known[: max(len(known) // 2, ASKED)]
+        asked = self.random.sample(better, min(ASKED, len(better)))
+        loads = self.prober.ask([one.entry.host for one in asked])
+        return {
+            one: loads[one.entry.host]
+            for one in asked
+            if one.entry.host in loads
+        }
+
+    def _told(
+        self, one: Instance, told: Mapping[Instance, Load], now: float
+    ) -> tuple[float, float]:
+        """Return what an instance has to do by its own word, and a draw.
+
+        It can't be less than what this router itself has there.
+        """
+        running = max(told[one].running, one.running)
+        load = running + UNREAD_WEIGHT * told[one].unread
+        load += FULL_WEIGHT * max(running + 1 - one.entry.slots, 0)
+        return load + self._against(one, now), self.random.random()
+
     def _load(self, one: Instance, now: float) -> float:
         """Return what runs on an instance, and what speaks against it."""
         others = self.others(one.mark)
         load: float = one.running + others.running
         load += UNREAD_WEIGHT * (one.unread + others.unread)
+        return load + self._against(one, now)
+
+    def _against(self, one: Instance, now: float) -> float:
+        """Return what speaks against an instance beside its load."""
+        against = FAILURE_WEIGHT * one.recent_failures(now)
         if one.entry.failure_domain != self.failure_domain:
-            load += DISTANCE_WEIGHT
-        return load + FAILURE_WEIGHT * one.recent_failures(now)
+            against += DISTANCE_WEIGHT
+        return against
--- /dev/null
+++ b/lacewingdock/daemons/load_sidecar.py
@@ -0,0 +1,135 @@
+"""Support for a sidecar that knows nothing but its engine's load.
+
+On a platform whose upstreams take calls directly no sidecar stands in the way
+of a request, so this one has one component of the sidecar's. It holds nothing
+that must last, and nothing waits for it.
+"""
+
+import os
+import signal
+import sys
+import threading
+import time
+from typing import Final
+
+from lacewingdock.components.probes.const import (
+    KNOWN_EVERY_S,
+    READ_EVERY_S,
+    REPORT_LATE_S,
+    TELL_EVERY_S,
+)
+from lacewingdock.components.probes.gauge import EngineGauge
+from lacewingdock.components.probes.port import GaugePort
+from lacewingdock.components.probes.routers import KnownRouters
+from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.log import get_logger, start_logging
+from lacewingdock.helpers.log_stream import LogStream
+from lacewingdock.helpers.process import exit_now
+from lacewingdock.platform.engine_report import ReportReader
+from lacewingdock.platform.object_api import ObjectApi
+from lacewingdock.platform.profile import parse_sidecar_profile, read_text
+from lacewingdock.world.host import SidecarProfile
+
+# The variable that holds the path of the settings file.
+CONFIG_VARIABLE: Final = "LACEWINGDOCK_CONFIG"
+
+log = get_logger("sidecar")
+
+
+class LoadSidecar:
+    """One sidecar process.
+
+    Attributes:
+        profile: What the platform says of this instance.
+        gauge: What is known of the engine.
+        reader: Reads the engine's report.
+        routers: Who may ask.
+        port: Where they do.
+        stopping: Set when the process shall end.
+    """
+
+    __slots__ = ("gauge", "port", "profile", "reader", "routers", "stopping")
+
+    def __init__(self, profile: SidecarProfile) -> None:
+        """Bind the port.
+
+        Raises:
+            LacewingdockError: PORT_TAKEN or BAD_SETTING.
+        """
+        self.profile = profile
+        self.gauge = EngineGauge()
+        self.reader = ReportReader(*profile.engine, REPORT_LATE_S)
+        self.routers = KnownRouters(ObjectApi(profile.platform))
+        self.port = GaugePort(
+            (profile.address, profile.port), self.gauge, self.routers.is_one
+        )
+        self.stopping = threading.Event()
+
+    def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.stopping.set())
+        for task in (self.port.listen, self._read, self._know):
+            threading.Thread(
+                target=task, args=(self.stopping,), daemon=True
+            ).start()
+        host, port = self.profile.engine
+        log.info("started", engine=f"{host}:{port}", port=self.profile.port)
+        while not self.stopping.wait(TELL_EVERY_S):
+            self._tell("so far")
+        self._tell("stopped")
+
+    def _tell(self, message: str) -> None:
+        log.info(
+            message,
+            answered=self.port.datagrams.sent,
+            promised=self.port.promised,
+            refused=self.port.datagrams.refused,
+        )
+
+    def _read(self, stopping: threading.Event) -> None:
+        """Read the engine's report, again and again."""
+        is_known = True
+        while not stopping.wait(READ_EVERY_S):
+            asked_at = time.monotonic()
+            try:
+                report = self.reader.read()
+            except LacewingdockError as error:
+                self.gauge.take(None, asked_at)
+                if is_known:
+                    log.info("engine lost", error=str(error))
+                is_known = False
+                continue
+            self.gauge.take(report, asked_at)
+            if not is_known:
+                log.info("engine back", running=report.running)
+            is_known = True
+
+    def _know(self, stopping: threading.Event) -> None:
+        """Keep the routers known."""
+        while not stopping.is_set():
+            self.routers.refresh()
+            stopping.wait(KNOWN_EVERY_S)
+
+
+def main() -> None:
+    """Run a sidecar by the environment's settings file."""
+    path = os.environ.get(CONFIG_VARIABLE, "")
+    stream = LogStream(sys.stdout.fileno())
+    try:
+        profile = parse_sidecar_profile(read_text(path), path)
+        start_logging(
+            "info",
+            stream,
+            instance=profile.instance,
+            failure_domain=profile.failure_domain,
+        )
+        LoadSidecar(profile).run()
+    except LacewingdockError as error:
+        print(f"lacewingdock: {error}", file=sys.stderr)
+        exit_now(error.answer.exit_status)
+    exit_now(0)
+
+
+if __name__ == "__main__":
+    main()
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -25,15 +25,13 @@
 from lacewingdock.components.inspection import InspectionPort
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.listener import EachObject, Listener
+from lacewingdock.components.probes.prober import Prober
 from lacewingdock.components.readiness import ReadinessPort
 from lacewingdock.components.relay.port import RelayPort
 from lacewingdock.components.routers import (
     ANNOUNCE_EVERY_S,
-    KIND_ROUTERS,
     CopiesPort,
-    RouterEntry,
     Routers,
-    host_of,
 )
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
@@ -72,6 +70,11 @@
 from lacewingdock.platform.profile import parse_profile, read_text
 from lacewingdock.settings import RouterSettings, load_settings
 from lacewingdock.world.host import Bounds
+from lacewingdock.world.router_entry import (
+    KIND_ROUTERS,
+    RouterEntry,
+    host_of,
+)
 
 if TYPE_CHECKING:
     from lacewingdock.components.inspection.state import RouterState
@@ -183,6 +186,7 @@
         self.gateway.chooser.others = self.fleet_load.at
         self.gossip = self._gossip_port()
         self.relay = self._relay_port()
+        self.gateway.chooser.prober = self._prober()
         self.gateway.essentials += [
             self.mirrors[kind].ready for kind in ESSENTIAL_KINDS
         ]
@@ -243,6 +247,8 @@
         if self.relay is not None:
             _start("relay-in", self.relay.listen, self.stopping)
             _start("relay-out", self.relay.ask, self.stopping)
+        if self.gateway.chooser.prober is not None:
+            _start("probes", self.gateway.chooser.prober.listen, self.stopping)
         _start("announce", self._announce)
         _start("shifts", self._every, ROUND_S, self.shifts.round)
         _start("suspects", self._every, TELL_EVERY_S, self.suspects.round)
@@ -343,6 +349,11 @@
             mirror.on_news = port.tell
         return port
 
+    def _prober(self) -> Prober | None:
+        if not self.host.probe_port:
+            return None
+        return Prober(self.host.address, self.host.probe_port, self.random)
+
     def _others(self) -> list[tuple[str, int]]:
         """Return where the other routers take messages."""
         return [
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -8,7 +8,6 @@
 from lacewingdock.components.mirror import Copy, Mirror
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.components.mirror.listener import Listener
-from lacewingdock.components.routers import KIND_ROUTERS
 from lacewingdock.components.shifts.const import KIND_REPORTS
 from lacewingdock.components.upstreams.directory import LAPSE_S
 from lacewingdock.daemons.router_timing import (
@@ -26,6 +25,7 @@
 )
 from lacewingdock.platform.object_api import ObjectApi
 from lacewingdock.world.host import Bounds
+from lacewingdock.world.router_entry import KIND_ROUTERS
 
 # Nothing is bound to a moment by these: addresses matter in outages only, and a
 # version that is found bad is told by datagrams. Watches that may be seconds
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -67,7 +67,7 @@
         store_returned_s=age_s(router.health.returned_at),
         told_bytes=router.gossip.sent_bytes,
         messages_refused=router.gossip.refused
-        + (relay.refused if relay else 0),
+        + (relay.datagrams.refused if relay else 0),
         watches=relay.follower.watches if relay else True,
         watcher=relay.follower.asked if relay else "",
         listeners=len(relay.watcher.listeners()) if relay else 0,
--- /dev/null
+++ b/lacewingdock/helpers/datagrams.py
@@ -0,0 +1,100 @@
+"""Support for a port that takes and sends datagrams."""
+
+import contextlib
+import socket
+import threading
+from collections.abc import Callable
+from typing import Final
+
+from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.sockets import listen_error
+
+# What a task waits after a failed receive, so that it does not spin.
+RETRY_S: Final = 0.1
+
+log = get_logger("datagrams")
+
+
+class DatagramPort:
+    """A UDP port.
+
+    Attributes:
+        name: What it is for, in the log.
+        sock: The socket.
+        most_bytes: Longest datagram that is read.
+        sent: Datagrams sent.
+        refused: Datagrams that were not taken.
+    """
+
+    __slots__ = ("most_bytes", "name", "refused", "sent", "sock")
+
+    def __init__(
+        self, name: str, address: tuple[str, int], most_bytes: int
+    ) -> None:
+        """Bind the port; 0 takes any that is free.
+
+        Raises:
+            LacewingdockError: PORT_TAKEN or BAD_SETTING.
+        """
+        self.name = name
+        self.most_bytes = most_bytes
+        self.sent = 0
+        self.refused = 0
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            self.sock.bind(address)
+        except OSError as error:
+            self.sock.close()
+            raise listen_error(f"{address[0]}:{address[1]}", error) from error
+
+    def listen(
+        self,
+        take: Callable[[bytes, tuple[str, int]], None],
+        stopping: threading.Event,
+    ) -> None:
+        """Hand datagrams on until the daemon stops.
+
+        Args:
+            take: Takes a datagram and its sender; a coded error refuses it.
+            stopping: Set when the daemon stops.
+        """
+        while not stopping.is_set():
+            try:
+                data, sender = self.sock.recvfrom(self.most_bytes)
+            except OSError as error:
+                if stopping.is_set() or self.sock.fileno() < 0:
+                    return
+                log.error("not received", port=self.name, error=repr(error))
+                stopping.wait(RETRY_S)
+                continue
+            try:
+                take(data, sender)
+            except LacewingdockError as error:
+                self._refuse(sender[0], str(error))
+            except Exception:
+                # A task that died unseen would leave this daemon deaf to all
+                # others for good.
+                log.exception("not taken", port=self.name, sender=sender[0])
+
+    def send(self, data: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram; one that does not go out is as good as lost."""
+        with contextlib.suppress(OSError):
+            self.sock.sendto(data, socket.MSG_DONTWAIT, address)
+            self.sent += 1
+
+    def close(self) -> None:
+        """Close the port."""
+        self.sock.close()
+
+    def _refuse(self, sender: str, error: str) -> None:
+        self.refused += 1
+        # Whoever sends these may send many: told at 1, 2, 4, 8 ...
+        if self.refused & (self.refused - 1) == 0:
+            log.error(
+                "datagram refused",
+                port=self.name,
+                sender=sender,
+                refused=self.refused,
+                error=error,
+            )
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -2,17 +2,18 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.address import split_address
-from lacewingdock.world.host import Bounds, HostProfile
+from lacewingdock.world.host import Bounds, HostProfile, SidecarProfile
 
 _Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}\Z")]
 _Positive = Annotated[float, Meta(gt=0.0)]
+F = TypeVar("F")
 
 
 class _Listen(msgspec.Struct):
@@ -86,6 +87,16 @@
         ) from error
 
 
+class _SidecarFile(msgspec.Struct):
+    node_name: Annotated[str, Meta(min_length=1)]
+    ip: Annotated[str, Meta(pattern=r"^[0-9.]+\Z")]
+    zone: Annotated[str, Meta(min_length=1)]
+    port_range: Annotated[list[int], Meta(min_length=2, max_length=2)]
+    # Where the engine on this instance takes calls.
+    app: _Address
+    platform: _Platform
+
+
 def parse_profile(text: str, path: str) -> HostProfile:
     """Check the text of a settings file.
 
@@ -96,13 +107,7 @@
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
     """
-    try:
-        found = tomllib.loads(text)
-    except ValueError as error:
-        raise LacewingdockError(
-            ErrorKind.BAD_SETTING, f"{path}: {error}"
-        ) from error
-    return read_profile(found, path)
+    return read_profile(_parse(text, path), path)
 
 
 def read_profile(found: dict[str, Any], path: str) -> HostProfile:
@@ -111,12 +116,7 @@
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
     """
-    try:
-        file = msgspec.convert(found, _File, strict=False)
-    except msgspec.ValidationError as error:
-        raise LacewingdockError(
-            ErrorKind.BAD_SETTING, f"{path}: {error}{_value_at(found, error)}"
-        ) from error
+    file = _convert(found, _File, path)
     bounds = file.bounds
     return HostProfile(
         instance=file.node_name,
@@ -126,7 +126,8 @@
         ready_address=split_address(file.listen.ready),
         peer_address=_peer_address(file),
         gossip_port=file.port_range[0],
-        relay_port=_relay_port(file),
+        relay_port=_relay_port(file.port_range),
+        probe_port=_probe_port(file.port_range),
         first_peers=tuple(file.seeds),
         platform=f"http://{file.platform.address}",
         platform_writes_per_s=file.platform.writes_per_s,
@@ -149,12 +150,60 @@
     )
 
 
-def _relay_port(file: _File) -> int:
+def parse_sidecar_profile(text: str, path: str) -> SidecarProfile:
+    """Check the settings of an instance beside an engine.
+
+    Raises:
+        LacewingdockError: BAD_SETTING, naming key and value.
+    """
+    found = _parse(text, path)
+    file = _convert(found, _SidecarFile, path)
+    port = _probe_port(file.port_range)
+    if not port:
+        raise LacewingdockError(
+            ErrorKind.BAD_SETTING,
+            f"{path}: port_range has no third port, {file.port_range}",
+        )
+    return SidecarProfile(
+        instance=file.node_name,
+        failure_domain=file.zone,
+        address=file.ip,
+        engine=split_address(file.app),
+        port=port,
+        platform=f"http://{file.platform.address}",
+    )
+
+
+def _parse(text: str, path: str) -> dict[str, Any]:
+    try:
+        return tomllib.loads(text)
+    except ValueError as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_SETTING, f"{path}: {error}"
+        ) from error
+
+
+def _convert(found: dict[str, Any], cls: type[F], path: str) -> F:
+    try:
+        return msgspec.convert(found, cls, strict=False)
+    except msgspec.ValidationError as error:
+        raise LacewingdockError(
+            ErrorKind.BAD_SETTING, f"{path}: {error}{_value_at(found, error)}"
+        ) from error
+
+
+def _relay_port(ports: list[int]) -> int:
     """Return the second port of the range; 0 where it has only one."""
-    first, last = file.port_range
+    first, last = ports
     return first + 1 if first < last else 0
 
 
+def _probe_port(ports: list[int]) -> int:
+    """Return the third port of the range; 0 where it has fewer."""
+    first, last = ports
+    return first + 2 if first + 1 < last else 0
+
+
 def _peer_address(file: _File) -> tuple[str, int]:
     """Return where other routers call: the control address if there is one."""
     if file.listen.control:
--- a/lacewingdock/world/host.py
+++ b/lacewingdock/world/host.py
@@ -66,6 +66,8 @@
             instances.
         relay_port: Where routers ask each other for the store's news; the same
             on all instances, 0 where there is no port for it.
+        probe_port: Where sidecars take questions about their engines' load; the
+            same on all instances, 0 where there is no port for it.
         first_peers: Addresses of other routers, known before the store
             answers; they may be out of date.
         platform: URL of the platform's object API.
@@ -83,6 +85,7 @@
     peer_address: tuple[str, int]
     gossip_port: int = 0
     relay_port: int = 0
+    probe_port: int = 0
     first_peers: tuple[str, ...] = ()
     platform: str
     platform_writes_per_s: float = 100.0
@@ -108,3 +111,24 @@
         for name in taken:
             setattr(self, name, getattr(found, name))
         return taken, sorted(changed - CHANGEABLE)
+
+
+@dataclass(slots=True, kw_only=True)
+class SidecarProfile:
+    """What the platform says of the instance that a sidecar runs on.
+
+    Attributes:
+        instance: Name of this instance.
+        failure_domain: Where it stands.
+        address: IP number it is reached at.
+        engine: Where the engine on it takes calls.
+        port: Where routers ask for the engine's load.
+        platform: URL of the platform's object API.
+    """
+
+    instance: str
+    failure_domain: str
+    address: str
+    engine: tuple[str, int]
+    port: int
+    platform: str
--- a/tests/components/relay/test_port.py
+++ b/tests/components/relay/test_port.py
@@ -88,7 +88,7 @@
         self.other.bind(("127.0.0.1", 0))
         self.other.settimeout(WAIT_S)
         # The port is the same on all instances; here both are on one.
-        self.port.port = self.other.getsockname()[1]
+        self.port.peer_port = self.other.getsockname()[1]
         self.stopping = threading.Event()
         self.start(self.port.listen)
 
@@ -100,7 +100,7 @@
 
     def send(self, data):
         """Send a datagram as another router."""
-        self.other.sendto(data, self.port.sock.getsockname())
+        self.other.sendto(data, self.port.datagrams.sock.getsockname())
 
     def receive(self):
         """Return the next message to another router."""
@@ -174,7 +174,7 @@
 def test_what_no_router_sent_is_refused(site, data):
     """Symptom: a router is kept from news by whoever reaches its port."""
     site.send(data)
-    wait(lambda: site.port.refused == 1)
+    wait(lambda: site.port.datagrams.refused == 1)
     assert site.fetched == []
     assert not site.watcher.listeners()
 
--- a/tests/components/routers/test_routers.py
+++ b/tests/components/routers/test_routers.py
@@ -7,8 +7,6 @@
 
 from lacewingdock.components.routers import (
     GONE_AFTER_S,
-    KIND_ROUTERS,
-    RouterEntry,
     Routers,
 )
 from lacewingdock.components.shifts.const import KIND_REPORTS
@@ -19,6 +17,7 @@
     ABSENT,
     StoredObject,
 )
+from lacewingdock.world.router_entry import KIND_ROUTERS, RouterEntry
 
 
 class Store:
--- a/tests/daemons/relay_fleet.py
+++ b/tests/daemons/relay_fleet.py
@@ -9,7 +9,6 @@
 from lacewingdock.components.relay.const import ASK_S
 from lacewingdock.components.routers import (
     ASKED,
-    KIND_ROUTERS,
     PULL_S,
     copy_for,
     newest_of,
@@ -30,6 +29,7 @@
     KIND_INSTANCES,
     KIND_SHIFTS,
 )
+from lacewingdock.world.router_entry import KIND_ROUTERS
 from tests.components.mirror.simulated_store import SimulatedStore, Troubles
 from tests.virtual_time import VirtualTime
 
--- a/tests/daemons/test_router_mirrors.py
+++ b/tests/daemons/test_router_mirrors.py
@@ -14,7 +14,7 @@
 
 from lacewingdock.components.mirror import Copy
 from lacewingdock.components.mirror.listener import EachObject
-from lacewingdock.components.routers import ASKED, KIND_ROUTERS, PULL_S
+from lacewingdock.components.routers import ASKED, PULL_S
 from lacewingdock.components.shifts.const import KIND_REPORTS
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
@@ -31,6 +31,7 @@
     KIND_SHIFTS,
 )
 from lacewingdock.world.host import Bounds
+from lacewingdock.world.router_entry import KIND_ROUTERS
 from tests.components.mirror.simulated_store import (
     Outage,
     SimulatedStore,
