--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -75,6 +75,16 @@
             "News of the store fetched from other routers",
             state.news_fetched,
         )
+        yield _counter(
+            "probes_asked",
+            "Questions to instances for their load",
+            state.probes_asked,
+        )
+        yield _counter(
+            "probes_answered",
+            "Answers of instances on their load that came in time",
+            state.probes_answered,
+        )
         yield from _upstreams(state)
         yield from _services(state)
         yield from _roll_outs(state)
--- a/lacewingdock/components/probes/__init__.py
+++ b/lacewingdock/components/probes/__init__.py
@@ -38,11 +38,13 @@
         running: Requests that run, wait there or are about to come.
         unread: What those whose answers have not begun have to read, in
             thousands of tokens of the largest model.
+        lost: Whether the sidecar can't read its instance's report.
     """
 
     number: int
     running: int
     unread: float
+    lost: bool = False
 
 
 class Promise(msgspec.Struct, array_like=True, frozen=True, tag=3):
--- a/lacewingdock/components/probes/gauge.py
+++ b/lacewingdock/components/probes/gauge.py
@@ -48,12 +48,12 @@
         self._expected: dict[str, _Expected] = {}
         self._lock = threading.Lock()
 
-    def load(self, number: int) -> Load | None:
-        """Return the answer to a question; None where nothing is known."""
+    def load(self, number: int) -> Load:
+        """Return the answer to a question."""
         now = self.clock.now()
         with self._lock:
             if self.report is None or now - self.read_at > REPORT_LATE_S:
-                return None
+                return Load(number, 0, 0.0, lost=True)
             known = list(self._expected.values())
             coming = sum(not one.came and one.until >= now for one in known)
             unread = sum(
--- a/lacewingdock/components/probes/port.py
+++ b/lacewingdock/components/probes/port.py
@@ -65,10 +65,8 @@
             raise bad_message("not from a router")
         match message:
             case Question(number):
-                load = self.gauge.load(number)
-                # Silence has the router go by what it sees itself.
-                if load is not None:
-                    self.datagrams.send(encode(load), sender)
+                answer = encode(self.gauge.load(number))
+                self.datagrams.send(answer, sender)
             case Promise():
                 self.gauge.promise(message)
                 self.promised += 1
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -91,19 +91,20 @@
         ] or found
         if not fresh:
             return None
-        told = self._ask(self._fit(fresh, now), unread, now)
+        fit = self._fit(fresh, now)
+        asked = self._asked(fit, unread, now)
+        loads = self._ask(asked)
         # A trial in progress must not be joined by others.
         with self.directory.lock:
-            if told:
-                chosen = min(told, key=lambda one: self._told(one, told, now))
-            else:
+            chosen = self._of_asked(asked, loads, now)
+            if chosen is None:
                 chosen = self._least(self._fit(fresh, now), now)
             chosen.running += 1
             chosen.unread += unread
             if chosen.recent_failures(now) >= FAILURES_TO_PASS_OVER:
                 chosen.trial_at = now + TRIAL_AFTER_S
         self.changed.set()
-        if told and self.prober is not None:
+        if chosen in loads and self.prober is not None:
             self.prober.promise(chosen.entry.host, request, unread)
         return chosen
 
@@ -142,21 +143,26 @@
             key=lambda one: (self._load(one, now), self.random.random()),
         )
 
-    def _ask(
+    def _asked(
         self, fit: Sequence[Instance], unread: float, now: float
-    ) -> dict[Instance, Load]:
-        """Ask a few instances for their load; return what they answered.
+    ) -> list[Instance]:
+        """Return the instances that are asked for their load.
 
         They are drawn from the better half by what is known here, so that
         those known to be full are not asked.
         """
         if self.prober is None or not unread or len(fit) < MIN_CHOICE:
-            return {}
+            return []
         known = sorted(
             fit, key=lambda one: (self._load(one, now), self.random.random())
         )
         better = known[: max(len(known) // 2, ASKED)]
-        asked = self.random.sample(better, min(ASKED, len(better)))
+        return self.random.sample(better, min(ASKED, len(better)))
+
+    def _ask(self, asked: Sequence[Instance]) -> dict[Instance, Load]:
+        """Return what instances say of their load, of those that answer."""
+        if self.prober is None or not asked:
+            return {}
         loads = self.prober.ask([one.entry.host for one in asked])
         return {
             one: loads[one.entry.host]
@@ -164,6 +170,26 @@
             if one.entry.host in loads
         }
 
+    def _of_asked(
+        self,
+        asked: Sequence[Instance],
+        loads: Mapping[Instance, Load],
+        now: float,
+    ) -> Instance | None:
+        """Return the best of the asked; None where none knows its load.
+
+        Those that are silent get their share by what is known here. Without
+        it all requests went to the others: where half of the sidecars were
+        away, eight in ten requests met a full engine.
+        """
+        told = [one for one in asked if one in loads and not loads[one].lost]
+        silent = [one for one in asked if one not in loads]
+        if not told:
+            return None
+        if self.random.random() * len(asked) < len(silent):
+            return self._least(silent, now)
+        return min(told, key=lambda one: self._told(one, loads, now))
+
     def _told(
         self, one: Instance, told: Mapping[Instance, Load], now: float
     ) -> tuple[float, float]:
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -53,6 +53,7 @@
 def router_state(router: Observed) -> RouterState:
     """Return what a router believes now."""
     host, table, relay = router.host, router.routes.table, router.relay
+    prober = router.gateway.chooser.prober
     return RouterState(
         instance=host.instance,
         failure_domain=host.failure_domain,
@@ -72,6 +73,8 @@
         watcher=relay.follower.asked if relay else "",
         listeners=len(relay.watcher.listeners()) if relay else 0,
         news_fetched=relay.follower.fetches if relay else 0,
+        probes_asked=prober.asked if prober else 0,
+        probes_answered=prober.answered if prober else 0,
         copies=gather_copies(router.mirrors.values()),
         services=gather_services(router.gateway),
         upstreams=gather_upstreams(router.directory, router.fleet_load),
--- /dev/null
+++ b/tests/components/probes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of asking instances for their load."""
--- /dev/null
+++ b/tests/components/probes/test_gauge.py
@@ -0,0 +1,83 @@
+"""Tests of knowing what an engine has to do at this moment."""
+
+import pytest
+
+from lacewingdock.components.probes import Promise
+from lacewingdock.components.probes.const import (
+    MAX_PROMISES,
+    PROMISE_S,
+    REPORT_LATE_S,
+)
+from lacewingdock.components.probes.gauge import EngineGauge
+from lacewingdock.world.engine_load import EngineLoad
+from tests.virtual_time import VirtualTime
+
+
+@pytest.fixture
+def time():
+    return VirtualTime()
+
+
+def gauge(time, running=3, waiting=1, events=None):
+    found = EngineGauge(time)
+    found.take(EngineLoad(running, waiting, events or {}), time.now())
+    return found
+
+
+def figures(found):
+    load = found.load(7)
+    assert load.number == 7
+    return None if load.lost else (load.running, load.unread)
+
+
+def test_what_is_promised_counts_until_it_comes(time):
+    """Symptom: 68 routers choose the same idle engine.
+
+    Sequence: each asks, and hears that nothing runs there; the first one's
+    request has not come yet. Cause: what was decided was not counted.
+    """
+    found = gauge(time)
+    assert figures(found) == (4, 0.0)
+    found.promise(Promise("a", 2.5))
+    found.promise(Promise("b", 1.0))
+    assert figures(found) == (6, 3.5)
+    # One came and is read; the other one's answer began.
+    found.take(EngineLoad(5, 1, {"a": 0, "b": 3}), time.now())
+    assert figures(found) == (6, 2.5)
+    found.take(EngineLoad(4, 1, {"b": 9}), time.now())
+    assert figures(found) == (5, 0.0)
+
+
+def test_promise_that_is_not_taken_up_lapses(time):
+    found = gauge(time)
+    found.promise(Promise("a", 2.5))
+    time.time += PROMISE_S + 0.01
+    found.take(EngineLoad(3, 1), time.now())
+    assert figures(found) == (4, 0.0)
+
+
+@pytest.mark.parametrize("late_s", [REPORT_LATE_S + 0.01, 60.0])
+def test_engine_whose_report_is_old_is_lost(time, late_s):
+    """Symptom: requests go to an engine that is dark.
+
+    Sequence: it answers nobody; its sidecar goes on telling the last report.
+    """
+    found = gauge(time)
+    time.time += late_s
+    assert figures(found) is None
+
+
+def test_engine_that_started_again_owes_nothing(time):
+    found = gauge(time)
+    found.promise(Promise("a", 2.5))
+    found.take(None, time.now())
+    assert figures(found) is None
+    found.take(EngineLoad(0, 0), time.now())
+    assert figures(found) == (0, 0.0)
+
+
+def test_promises_are_bounded(time):
+    found = gauge(time, 0, 0)
+    for number in range(MAX_PROMISES + 50):
+        found.promise(Promise(f"r-{number}", 0.0))
+    assert figures(found) == (MAX_PROMISES, 0.0)
