--- a/lacewingdock/cli.py
+++ b/lacewingdock/cli.py
@@ -67,15 +67,18 @@
         """Check a manifest, or a platform's settings file (FILE.toml)."""
         from lacewingdock.daemons.router_timing import too_slow
         from lacewingdock.platform.profile import load_profile
+        from lacewingdock.world.host import HostProfile
         from lacewingdock.world.manifest import parse_manifest
 
         if file.endswith(PROFILE_SUFFIX):
-            host = load_profile(file)
-            place = f"{host.instance} in {host.failure_domain}"
+            profile = load_profile(file)
+            place = f"{profile.instance} in {profile.failure_domain}"
             lines = [f"{file}: settings of {place}, no faults"]
-            lines += [
-                f"bound too short: {one}" for one in too_slow(host.bounds)
-            ]
+            if isinstance(profile, HostProfile):
+                lines += [
+                    f"bound too short: {one}"
+                    for one in too_slow(profile.bounds)
+                ]
             return "\n".join(lines)
         manifest = parse_manifest(_read(file))
         return f"{file}: {len(manifest)} objects, no faults"
--- a/lacewingdock/daemons/load_sidecar.py
+++ b/lacewingdock/daemons/load_sidecar.py
@@ -23,7 +23,7 @@
 from lacewingdock.components.probes.routers import KnownRouters
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.log import get_logger, start_logging
-from lacewingdock.helpers.log_stream import LogStream
+from lacewingdock.helpers.log_stream import DRAIN_S, LogStream
 from lacewingdock.helpers.process import exit_now
 from lacewingdock.platform.engine_report import ReportReader
 from lacewingdock.platform.object_api import ObjectApi
@@ -125,6 +125,7 @@
             failure_domain=profile.failure_domain,
         )
         LoadSidecar(profile).run()
+        stream.drain(DRAIN_S)
     except LacewingdockError as error:
         print(f"lacewingdock: {error}", file=sys.stderr)
         exit_now(error.answer.exit_status)
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -58,7 +58,7 @@
 from lacewingdock.helpers.clock import STEADY
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger, start_logging
-from lacewingdock.helpers.log_stream import LogStream
+from lacewingdock.helpers.log_stream import DRAIN_S, LogStream
 from lacewingdock.helpers.process import exit_now
 from lacewingdock.helpers.sockets import Listener as PortListener
 from lacewingdock.platform.documents import (
@@ -99,8 +99,6 @@
 HOUSEKEEPING_S: Final = 1.0
 # How soon a failed announcement is tried again; it is needed in outages only.
 ANNOUNCE_RETRY_S: Final = 1.0
-# How long the end of the process waits for the last log lines to be read.
-DRAIN_LOG_S: Final = 0.3
 
 log = get_logger("router")
 
@@ -477,7 +475,7 @@
     left = RouterDaemon(
         HostWatch(settings.config, text, host), settings, sock
     ).run()
-    stream.drain(DRAIN_LOG_S)
+    stream.drain(DRAIN_S)
     return left
 
 
--- a/lacewingdock/helpers/log_stream.py
+++ b/lacewingdock/helpers/log_stream.py
@@ -19,6 +19,8 @@
 # Lines are gathered this long and written together: one write and one thread
 # switch for many.
 GATHER_S: Final = 0.05
+# How long the end of a process waits for its last lines to be read.
+DRAIN_S: Final = 0.3
 
 
 class LogStream:
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -61,16 +61,16 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-def load_profile(path: str) -> HostProfile:
-    """Read and check a settings file.
-
-    Args:
-        path: Where it lies.
+def load_profile(path: str) -> HostProfile | SidecarProfile:
+    """Read and check a settings file, of a router or of a sidecar.
 
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
     """
-    return parse_profile(read_text(path), path)
+    text = read_text(path)
+    if "app" in _parse(text, path):
+        return parse_sidecar_profile(text, path)
+    return parse_profile(text, path)
 
 
 def read_text(path: str) -> str:
