--- a/lacewingdock/daemons/load_sidecar.py
+++ b/lacewingdock/daemons/load_sidecar.py
@@ -10,8 +10,10 @@
 import sys
 import threading
 import time
+from dataclasses import fields
 from typing import Final
 
+from lacewingdock.components.host_watch import LOOK_S
 from lacewingdock.components.probes.const import (
     KNOWN_EVERY_S,
     READ_EVERY_S,
@@ -45,12 +47,23 @@
         reader: Reads the engine's report.
         routers: Who may ask.
         port: Where they do.
+        path: Where the settings file lies.
+        asked: Set when an operator asks for it to be read.
         stopping: Set when the process shall end.
     """
 
-    __slots__ = ("gauge", "port", "profile", "reader", "routers", "stopping")
-
-    def __init__(self, profile: SidecarProfile) -> None:
+    __slots__ = (
+        "asked",
+        "gauge",
+        "path",
+        "port",
+        "profile",
+        "reader",
+        "routers",
+        "stopping",
+    )
+
+    def __init__(self, profile: SidecarProfile, path: str) -> None:
         """Bind the port.
 
         Raises:
@@ -63,13 +76,17 @@
         self.port = GaugePort(
             (profile.address, profile.port), self.gauge, self.routers.is_one
         )
+        self.path = path
+        self.asked = threading.Event()
         self.stopping = threading.Event()
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.stopping.set())
-        for task in (self.port.listen, self._read, self._know):
+        signal.signal(signal.SIGHUP, lambda *_: self.asked.set())
+        tasks = (self.port.listen, self._read, self._know, self._settings)
+        for task in tasks:
             threading.Thread(
                 target=task, args=(self.stopping,), daemon=True
             ).start()
@@ -105,6 +122,31 @@
                 log.info("engine back", running=report.running)
             is_known = True
 
+    def _settings(self, stopping: threading.Event) -> None:
+        """Say what a changed settings file asks for, at an operator's word.
+
+        What a sidecar takes from it says which engine is its own and where it
+        listens; only a restart changes that.
+        """
+        while not stopping.wait(LOOK_S):
+            if not self.asked.is_set():
+                continue
+            self.asked.clear()
+            try:
+                found = parse_sidecar_profile(read_text(self.path), self.path)
+            except LacewingdockError as error:
+                log.error("settings not read again", error=str(error))
+                continue
+            log.info("settings read again", need_restart=self._changed(found))
+
+    def _changed(self, found: SidecarProfile) -> list[str]:
+        """Return the names of the settings that differ."""
+        return [
+            one.name
+            for one in fields(found)
+            if getattr(found, one.name) != getattr(self.profile, one.name)
+        ]
+
     def _know(self, stopping: threading.Event) -> None:
         """Keep the routers known."""
         while not stopping.is_set():
@@ -124,7 +166,7 @@
             instance=profile.instance,
             failure_domain=profile.failure_domain,
         )
-        LoadSidecar(profile).run()
+        LoadSidecar(profile, path).run()
         stream.drain(DRAIN_S)
     except LacewingdockError as error:
         print(f"lacewingdock: {error}", file=sys.stderr)
--- a/tests/daemons/test_load_sidecar.py
+++ b/tests/daemons/test_load_sidecar.py
@@ -96,7 +96,7 @@
     ).start()
     found = type("Site", (), {})()
     found.engine, found.popen, found.prober = engine, popen, prober
-    found.log = log_path
+    found.log, found.path = log_path, path
     yield found
     stopping.set()
     engine.shutdown()
@@ -128,6 +128,25 @@
         assert f'"message":"{message}"' in lines
 
 
+def test_changed_settings_do_not_end_a_sidecar(site):
+    """Symptom: sidecars end by themselves, twelve of twelve.
+
+    Sequence: the settings files change, and the platform says so by SIGHUP.
+    Cause: the signal was not taken, and ends a process by default.
+    """
+    wait(lambda: ask(site) is not None)
+    os.kill(site.popen.pid, signal.SIGHUP)
+    wait(lambda: '"settings read again"' in site.log.read_text())
+    site.path.write_text(site.path.read_text().replace("side-1", "side-9"))
+    os.kill(site.popen.pid, signal.SIGHUP)
+    wait(lambda: '"need_restart":["instance"]' in site.log.read_text())
+    site.path.write_text("nonsense")
+    os.kill(site.popen.pid, signal.SIGHUP)
+    wait(lambda: '"settings not read again"' in site.log.read_text())
+    assert site.popen.poll() is None
+    assert ask(site) is not None
+
+
 def test_sidecar_that_is_gone_is_left_alone(site):
     """Symptom: a router waits before each choice for a sidecar that died."""
     wait(lambda: ask(site) is not None)
