A router that follows closes its connection to the store

Cause: a kept connection that went silent while nobody used it hung the call of a follower whose watchers were gone: work for an instance 10 ms after its bound (property test, seed 94; kept as a test). Change: the connection is closed where a copy is left to others.

--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -269,7 +269,7 @@
 
     def _round(self) -> float:
         if rest_s := self.kept_s():
-            self.following = True
+            self._follow()
             return rest_s
         if rest_s := self.spared_s():
             return rest_s
@@ -284,6 +284,16 @@
         self.pause.succeeded()
         return self.pause_s()
 
+    def _follow(self) -> None:
+        """Leave the copy to others' word.
+
+        The connection goes: it may go silent while nobody uses it, and the
+        call that asks since their word is too old would hang on it.
+        """
+        if not self.following:
+            self.api.drop_connection(self.kind)
+        self.following = True
+
     def _failed(self, error: LacewingdockError) -> None:
         """Count a failed call.
 
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -414,6 +414,14 @@
             curl.setopt(pycurl.ACCEPT_ENCODING, "")
         return curl
 
+    def drop_connection(self, kind: str) -> None:
+        """Close the connection of the task that calls, which asks for a kind.
+
+        Its next call opens another.
+        """
+        log.debug("connection dropped", kind=kind)
+        self._drop_handle()
+
     def _drop_handle(self) -> None:
         curl = getattr(self._local, "curl", None)
         self._local.curl = None
--- a/tests/components/mirror/simulated_store.py
+++ b/tests/components/mirror/simulated_store.py
@@ -158,6 +158,10 @@
         ]
         return Changes(max(self._revision(now), revision), changes)
 
+    def drop_connection(self, kind):
+        """Close a kind's connection."""
+        self._opened.pop(kind, None)
+
     def at(self, at, kind):
         """Return a kind's objects at a moment."""
         found = Snapshot(self._revision(at))
--- a/tests/daemons/test_router_relay.py
+++ b/tests/daemons/test_router_relay.py
@@ -303,6 +303,37 @@
     )
 
 
+def test_connection_that_went_silent_before_a_router_followed():
+    """Symptom: work for an instance 10 ms after its bound.
+
+    Sequence: all open connections go silent; a watcher opens another, and the
+    others go by its word; it freezes 2 s later, an instance leaves. A follower
+    asks the store in time, on its own connection of before, which is silent
+    still: the call hangs for a second.
+
+    Cause: a connection was kept that nobody used.
+    """
+    check(
+        [(12.69, "b", None)],
+        troubles=Troubles(
+            silenced=[10.71],
+            forgotten=[15.77],
+            slow=[(6.92, 8.02, 0.33334669232614117)],
+        ),
+        own={"r-6": Troubles([Outage(14.4, 14.75, True, for_all=False)])},
+        net=NetTroubles(
+            {
+                "r-7": [(16.0, 18.91472898882546)],
+                "r-6": [(13.11, 16.15768409422769), (13.48, 14.58)],
+                "r-2": [(8.95, 13.233793854576323)],
+            },
+            loss=0.1,
+        ),
+        bounds=MIDDLE,
+        seed=94,
+    )
+
+
 @pytest.mark.parametrize("silent", [True, False])
 @pytest.mark.parametrize("length_s", [2.6, 3.2, 4.5, 9.0])
 @pytest.mark.parametrize("seed", range(3))
