--- a/lacewingdock/components/relay/follower.py
+++ b/lacewingdock/components/relay/follower.py
@@ -69,7 +69,6 @@
         asked: The watcher that was asked last.
         asked_until: Until when others count on this router to watch.
         leads: Whether it is among the watchers itself.
-        answers: Answers of watchers so far.
         fetches: News fetched so far.
     """
 
@@ -88,7 +87,6 @@
         "_sure_at",
         "_wanted",
         "_watchers",
-        "answers",
         "asked",
         "asked_until",
         "clock",
@@ -123,7 +121,6 @@
         self.asked = ""
         self.asked_until = NEVER
         self.leads = True
-        self.answers = 0
         self.fetches = 0
         # Routers whose copies grow too old at the same moment ask the store
         # one after the other.
@@ -233,7 +230,6 @@
                 return
             asked_at, watcher.asked_at = watcher.asked_at, 0.0
             watcher.missed = 0
-        self.answers += 1
         self._heard_at = asked_at
         self._hear_doubt(voucher, asked_at)
         if not voucher.away:
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -18,16 +18,12 @@
 from lacewingdock.components.gateway import CallersPort
 from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.components.gateway.metrics import GatewayMetrics
-from lacewingdock.components.gossip import Message
-from lacewingdock.components.gossip.load import FleetLoad, hear_life, rows_of
-from lacewingdock.components.gossip.port import GossipPort
+from lacewingdock.components.gossip.load import FleetLoad
 from lacewingdock.components.host_watch import LOOK_S, HostWatch
 from lacewingdock.components.inspection import InspectionPort
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.listener import EachObject, Listener
-from lacewingdock.components.probes.prober import Prober
 from lacewingdock.components.readiness import ReadinessPort
-from lacewingdock.components.relay.port import RelayPort
 from lacewingdock.components.routers import (
     ANNOUNCE_EVERY_S,
     CopiesPort,
@@ -52,7 +48,12 @@
     reports_pause_s,
     store_health,
 )
-from lacewingdock.daemons.router_relay import build_relay, is_worthwhile
+from lacewingdock.daemons.router_ports import (
+    build_gossip,
+    build_prober,
+    build_relay_port,
+)
+from lacewingdock.daemons.router_relay import is_worthwhile
 from lacewingdock.daemons.router_timing import LAPSED_S, too_slow
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.clock import STEADY
@@ -70,11 +71,7 @@
 from lacewingdock.platform.profile import parse_profile, read_text
 from lacewingdock.settings import RouterSettings, load_settings
 from lacewingdock.world.host import Bounds
-from lacewingdock.world.router_entry import (
-    KIND_ROUTERS,
-    RouterEntry,
-    host_of,
-)
+from lacewingdock.world.router_entry import KIND_ROUTERS, RouterEntry
 
 if TYPE_CHECKING:
     from lacewingdock.components.inspection.state import RouterState
@@ -182,9 +179,19 @@
         self.gateway = self._gateway()
         self.fleet_load = FleetLoad()
         self.gateway.chooser.others = self.fleet_load.at
-        self.gossip = self._gossip_port()
-        self.relay = self._relay_port()
-        self.gateway.chooser.prober = self._prober()
+        self.gossip = build_gossip(
+            host,
+            self.directory,
+            self.fleet_load,
+            self.shifts,
+            self.routers,
+            self.gateway.chooser.changed,
+            self.random,
+        )
+        self.relay = build_relay_port(
+            host, self.mirrors, self.health, self.routers, self.random
+        )
+        self.gateway.chooser.prober = build_prober(host, self.random)
         self.gateway.essentials += [
             self.mirrors[kind].ready for kind in ESSENTIAL_KINDS
         ]
@@ -301,64 +308,6 @@
             self.random,
         )
 
-    def _gossip_port(self) -> GossipPort:
-        # Of two starts of this router the later one must be told by it; a
-        # clock that was set back costs what others heard a second to forget.
-        start = time.time_ns() // 1_000_000
-
-        def compose(number: int) -> Message:
-            self.fleet_load.forget()
-            return Message(
-                self.host.instance,
-                start,
-                number,
-                rows_of(self.directory),
-                self.shifts.sessions_to_keep(),
-                self.shifts.found_bad(),
-            )
-
-        return GossipPort(
-            (self.host.address, self.host.gossip_port),
-            compose,
-            [
-                self.fleet_load.hear,
-                self.shifts.hear_message,
-                lambda message: hear_life(self.directory, message),
-            ],
-            self._others,
-            self.routers.is_at,
-            self.gateway.chooser.changed,
-            self.random,
-        )
-
-    def _relay_port(self) -> RelayPort | None:
-        if not self.host.relay_port:
-            return None
-        relay = build_relay(
-            self.mirrors, self.health, self.routers, self._bounds, self.random
-        )
-        port = RelayPort(
-            (self.host.address, self.host.relay_port),
-            relay.follower,
-            relay.watcher,
-            self.routers.host_of,
-        )
-        for mirror in self.mirrors.values():
-            mirror.on_news = port.tell
-        return port
-
-    def _prober(self) -> Prober | None:
-        if not self.host.probe_port:
-            return None
-        return Prober(self.host.address, self.host.probe_port, self.random)
-
-    def _others(self) -> list[tuple[str, int]]:
-        """Return where the other routers take messages."""
-        return [
-            (host_of(address), self.host.gossip_port)
-            for address in self.routers.addresses()
-        ]
-
     def _retry_terms(self) -> RetryTerms:
         """Return what this router may make of the fleet's retries."""
         bounds = self.host.bounds
--- /dev/null
+++ b/lacewingdock/daemons/router_ports.py
@@ -0,0 +1,126 @@
+"""Support for the ports on which a router's messages come and go."""
+
+import random
+import threading
+import time
+from collections.abc import Mapping
+
+from lacewingdock.components.gossip import Message
+from lacewingdock.components.gossip.load import FleetLoad, hear_life, rows_of
+from lacewingdock.components.gossip.port import GossipPort
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror.health import StoreHealth
+from lacewingdock.components.probes.prober import Prober
+from lacewingdock.components.relay.port import RelayPort
+from lacewingdock.components.routers import Routers
+from lacewingdock.components.shifts import Shifts
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.daemons.router_relay import build_relay
+from lacewingdock.world.host import HostProfile
+from lacewingdock.world.router_entry import host_of
+
+
+def build_gossip(
+    host: HostProfile,
+    directory: Directory,
+    fleet_load: FleetLoad,
+    shifts: Shifts,
+    routers: Routers,
+    changed: threading.Event,
+    source: random.Random,
+) -> GossipPort:
+    """Return the port on which routers tell each other of their work.
+
+    Args:
+        host: What the platform says of this instance.
+        directory: The upstream instances.
+        fleet_load: What the other routers have running.
+        shifts: Roll-outs.
+        routers: The other routers.
+        changed: Set when what this router has at an instance changes.
+        source: Source of draws.
+
+    Raises:
+        LacewingdockError: PORT_TAKEN or BAD_SETTING.
+    """
+    # Of two starts of this router the later one must be told by it; a clock
+    # that was set back costs what others heard a second to forget.
+    start = time.time_ns() // 1_000_000
+
+    def compose(number: int) -> Message:
+        fleet_load.forget()
+        return Message(
+            host.instance,
+            start,
+            number,
+            rows_of(directory),
+            shifts.sessions_to_keep(),
+            shifts.found_bad(),
+        )
+
+    def others() -> list[tuple[str, int]]:
+        return [
+            (host_of(address), host.gossip_port)
+            for address in routers.addresses()
+        ]
+
+    return GossipPort(
+        (host.address, host.gossip_port),
+        compose,
+        [
+            fleet_load.hear,
+            shifts.hear_message,
+            lambda message: hear_life(directory, message),
+        ],
+        others,
+        routers.is_at,
+        changed,
+        source,
+    )
+
+
+def build_relay_port(
+    host: HostProfile,
+    mirrors: Mapping[str, Mirror],
+    health: StoreHealth,
+    routers: Routers,
+    source: random.Random,
+) -> RelayPort | None:
+    """Return the port on which routers pass the store's news on.
+
+    Args:
+        host: What the platform says of this instance.
+        mirrors: The mirrors by kind, which go by it from then on.
+        health: What their calls show of the store.
+        routers: The other routers.
+        source: Source of draws.
+
+    Returns:
+        The port; None where the platform gives none for it.
+
+    Raises:
+        LacewingdockError: PORT_TAKEN or BAD_SETTING.
+    """
+    if not host.relay_port:
+        return None
+    relay = build_relay(mirrors, health, routers, lambda: host.bounds, source)
+    port = RelayPort(
+        (host.address, host.relay_port),
+        relay.follower,
+        relay.watcher,
+        routers.host_of,
+    )
+    for mirror in mirrors.values():
+        mirror.on_news = port.tell
+    return port
+
+
+def build_prober(host: HostProfile, source: random.Random) -> Prober | None:
+    """Return what asks sidecars; None where the platform gives no port.
+
+    Raises:
+        LacewingdockError: PORT_TAKEN or BAD_SETTING.
+    """
+    if not host.probe_port:
+        return None
+    return Prober(host.address, host.probe_port, source)
