One way to decode a datagram and to refuse it

It stood in gossip, relay and probes. Errors of probes now begin with the port's name, probes, as the log does.

--- a/lacewingdock/components/gossip/__init__.py
+++ b/lacewingdock/components/gossip/__init__.py
@@ -14,8 +14,10 @@
 
 import msgspec
 
-from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.datagrams import bad_message, decode_message
 
+# What its port is for, in errors and in the log.
+NAME: Final = "gossip"
 # What a router told counts for this long: a few messages may be lost, and one
 # that is gone must not be reckoned with. While it has something to tell, a
 # router repeats it every third of it.
@@ -93,6 +95,9 @@
         return rows, self.sessions, self.bad
 
 
+_DECODER: Final = msgspec.msgpack.Decoder(Message)
+
+
 def encode(message: Message) -> bytes:
     """Return a message as a datagram."""
     return msgspec.msgpack.encode(message)
@@ -104,29 +109,17 @@
     Raises:
         LacewingdockError: BAD_REQUEST.
     """
-    try:
-        found = msgspec.msgpack.decode(data, type=Message)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
-        raise _bad(str(error)) from error
+    found = decode_message(_DECODER, NAME, data)
     if len(found.rows) > MAX_ROWS or len(found.sessions) > MAX_SESSIONS:
-        raise _bad("too long")
+        raise bad_message(NAME, "too long")
     if len(found.bad) > MAX_BAD:
-        raise _bad("too many bad versions")
+        raise bad_message(NAME, "too many bad versions")
     if not all(_is_load(row) for row in found.rows):
-        raise _bad("a load that no instance has")
+        raise bad_message(NAME, "a load that no instance has")
     if any(one.age_s < 0 for one in found.sessions):
-        raise _bad("a session that is yet to be seen")
+        raise bad_message(NAME, "a session that is yet to be seen")
     return found
 
 
-def not_from(router: str) -> LacewingdockError:
-    """Return the coded error of a message that its router did not send."""
-    return _bad(f"not from the address of {router!r}")
-
-
 def _is_load(row: Row) -> bool:
     return 0 <= row.running <= MAX_RUNNING and 0 <= row.unread <= MAX_UNREAD
-
-
-def _bad(detail: str) -> LacewingdockError:
-    return LacewingdockError(ErrorKind.BAD_REQUEST, f"gossip: {detail}")
--- a/lacewingdock/components/gossip/port.py
+++ b/lacewingdock/components/gossip/port.py
@@ -7,13 +7,13 @@
 from typing import Final
 
 from lacewingdock.components.gossip import (
+    NAME,
     REPEAT_S,
     Message,
     decode,
     encode,
-    not_from,
 )
-from lacewingdock.helpers.datagrams import DatagramPort
+from lacewingdock.helpers.datagrams import DatagramPort, not_from
 from lacewingdock.helpers.log import get_logger
 
 # The shortest time between two messages. A prompt of the mean size is read in
@@ -90,7 +90,7 @@
         self.told_at = 0.0
         self.number = 0
         self.sent_bytes = 0
-        self.datagrams = DatagramPort("gossip", address, MAX_BYTES)
+        self.datagrams = DatagramPort(NAME, address, MAX_BYTES)
 
     def listen(self, stopping: threading.Event) -> None:
         """Take what others tell until the daemon stops."""
@@ -129,7 +129,7 @@
         """
         message = decode(data)
         if not self.is_at(message.router, sender[0]):
-            raise not_from(message.router)
+            raise not_from(NAME, message.router)
         for hear in self.hear:
             hear(message)
 
--- a/lacewingdock/components/probes/__init__.py
+++ b/lacewingdock/components/probes/__init__.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from lacewingdock.components.probes.const import MAX_UNREAD
-from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.components.probes.const import MAX_UNREAD, NAME
+from lacewingdock.helpers.datagrams import bad_message, decode_message
 
 
 class Question(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -61,7 +61,7 @@
 
 Message = Question | Load | Promise
 
-_DECODER = msgspec.msgpack.Decoder(Message)
+_DECODER: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
 
 
 def encode(message: Message) -> bytes:
@@ -75,21 +75,13 @@
     Raises:
         LacewingdockError: BAD_REQUEST.
     """
-    try:
-        found: Message = _DECODER.decode(data)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
-        raise bad_message(str(error)) from error
+    found = decode_message(_DECODER, NAME, data)
     if isinstance(found, Load) and found.running < 0:
-        raise bad_message("a load that no instance has")
+        raise bad_message(NAME, "a load that no instance has")
     if not isinstance(found, Question) and not _is_work(found.unread):
-        raise bad_message("work that no request is")
+        raise bad_message(NAME, "work that no request is")
     return found
 
 
-def bad_message(detail: str) -> LacewingdockError:
-    """Return the coded error of a message that is not taken."""
-    return LacewingdockError(ErrorKind.BAD_REQUEST, f"probe: {detail}")
-
-
 def _is_work(unread: float) -> bool:
     return math.isfinite(unread) and 0.0 <= unread <= MAX_UNREAD
--- a/lacewingdock/components/probes/const.py
+++ b/lacewingdock/components/probes/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+# What the ports are for, in errors and in the log.
+NAME: Final = "probes"
 # Instances asked before each choice. Two fresh answers take nearly all of the
 # difference between a draw and the best; the third is for one that is silent.
 ASKED: Final = 3
--- a/lacewingdock/components/probes/port.py
+++ b/lacewingdock/components/probes/port.py
@@ -6,13 +6,12 @@
 from lacewingdock.components.probes import (
     Promise,
     Question,
-    bad_message,
     decode,
     encode,
 )
-from lacewingdock.components.probes.const import MAX_BYTES
+from lacewingdock.components.probes.const import MAX_BYTES, NAME
 from lacewingdock.components.probes.gauge import EngineGauge
-from lacewingdock.helpers.datagrams import DatagramPort
+from lacewingdock.helpers.datagrams import DatagramPort, bad_message
 
 
 class GaugePort:
@@ -39,7 +38,7 @@
         Raises:
             LacewingdockError: PORT_TAKEN or BAD_SETTING.
         """
-        self.datagrams = DatagramPort("probes", address, MAX_BYTES)
+        self.datagrams = DatagramPort(NAME, address, MAX_BYTES)
         self.gauge = gauge
         self.is_router = is_router
         self.promised = 0
@@ -62,7 +61,7 @@
         """
         message = decode(data)
         if not self.is_router(sender[0]):
-            raise bad_message("not from a router")
+            raise bad_message(NAME, "not from a router")
         match message:
             case Question(number):
                 answer = encode(self.gauge.load(number))
@@ -71,4 +70,4 @@
                 self.gauge.promise(message)
                 self.promised += 1
             case _:
-                raise bad_message("an answer nobody asked for")
+                raise bad_message(NAME, "an answer nobody asked for")
--- a/lacewingdock/components/probes/prober.py
+++ b/lacewingdock/components/probes/prober.py
@@ -9,18 +9,18 @@
     Load,
     Promise,
     Question,
-    bad_message,
     decode,
     encode,
 )
 from lacewingdock.components.probes.const import (
     MAX_BYTES,
+    NAME,
     SILENT_MOST_S,
     SILENT_S,
     WAIT_S,
 )
 from lacewingdock.helpers.clock import STEADY, Clock
-from lacewingdock.helpers.datagrams import DatagramPort
+from lacewingdock.helpers.datagrams import DatagramPort, bad_message
 
 
 @dataclass(slots=True)
@@ -92,7 +92,7 @@
         Raises:
             LacewingdockError: PORT_TAKEN or BAD_SETTING.
         """
-        self.datagrams = DatagramPort("probes", (address, 0), MAX_BYTES)
+        self.datagrams = DatagramPort(NAME, (address, 0), MAX_BYTES)
         self.port = port
         self.clock = clock
         self.asked = 0
@@ -143,7 +143,7 @@
         """
         found = decode(data)
         if not isinstance(found, Load):
-            raise bad_message("no answer")
+            raise bad_message(NAME, "no answer")
         host = sender[0]
         with self._lock:
             asked = self._waiting.get(found.number)
--- a/lacewingdock/components/relay/__init__.py
+++ b/lacewingdock/components/relay/__init__.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from lacewingdock.components.relay.const import MAX_KINDS, MAX_MS
-from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.components.relay.const import MAX_KINDS, MAX_MS, NAME
+from lacewingdock.helpers.datagrams import bad_message, decode_message
 
 
 class Question(msgspec.Struct, array_like=True, frozen=True, tag=1):
@@ -65,7 +65,9 @@
     doubt_ms: int = 0
 
 
-_DECODER = msgspec.msgpack.Decoder(Question | Voucher)
+_DECODER: msgspec.msgpack.Decoder[Question | Voucher] = msgspec.msgpack.Decoder(
+    Question | Voucher
+)
 
 
 def mark_of(kind: str) -> int:
@@ -84,20 +86,12 @@
     Raises:
         LacewingdockError: BAD_REQUEST.
     """
-    try:
-        found: Question | Voucher = _DECODER.decode(data)
-    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
-        raise _bad(str(error)) from error
+    found = decode_message(_DECODER, NAME, data)
     if isinstance(found, Voucher) and not _is_sound(found):
-        raise _bad("a state that no copy has")
+        raise bad_message(NAME, "a state that no copy has")
     return found
 
 
-def not_from(router: str) -> LacewingdockError:
-    """Return the coded error of a message that its router did not send."""
-    return _bad(f"not from the address of {router!r}")
-
-
 def _is_sound(voucher: Voucher) -> bool:
     if len(voucher.kinds) > MAX_KINDS or not 0 <= voucher.doubt_ms <= MAX_MS:
         return False
@@ -105,7 +99,3 @@
         0 <= one.age_ms <= MAX_MS and 0 <= one.changed <= one.revision
         for one in voucher.kinds
     )
-
-
-def _bad(detail: str) -> LacewingdockError:
-    return LacewingdockError(ErrorKind.BAD_REQUEST, f"relay: {detail}")
--- a/lacewingdock/components/relay/const.py
+++ b/lacewingdock/components/relay/const.py
@@ -2,6 +2,8 @@
 
 from typing import Final
 
+# What the port is for, in errors and in the log.
+NAME: Final = "relay"
 # Watchers that each router listens to: one that dies, freezes or is cut off
 # costs calls of nobody else while the other one answers.
 WATCHERS: Final = 2
--- a/lacewingdock/components/relay/port.py
+++ b/lacewingdock/components/relay/port.py
@@ -8,13 +8,12 @@
     Voucher,
     decode,
     encode,
-    not_from,
 )
-from lacewingdock.components.relay.const import ASK_S, MAX_BYTES
+from lacewingdock.components.relay.const import ASK_S, MAX_BYTES, NAME
 from lacewingdock.components.relay.follower import Follower
 from lacewingdock.components.relay.watcher import Watcher
 from lacewingdock.helpers.clock import STEADY
-from lacewingdock.helpers.datagrams import DatagramPort
+from lacewingdock.helpers.datagrams import DatagramPort, not_from
 from lacewingdock.helpers.log import get_logger
 
 log = get_logger("relay")
@@ -46,7 +45,7 @@
         Raises:
             LacewingdockError: PORT_TAKEN or BAD_SETTING.
         """
-        self.datagrams = DatagramPort("relay", address, MAX_BYTES)
+        self.datagrams = DatagramPort(NAME, address, MAX_BYTES)
         self.peer_port = address[1]
         self.follower = follower
         self.watcher = watcher
@@ -101,7 +100,7 @@
         """
         message = decode(data)
         if self.host_of(message.router) != sender[0]:
-            raise not_from(message.router)
+            raise not_from(NAME, message.router)
         match message:
             case Question(router, number):
                 self.follower.heard_of()
--- a/lacewingdock/helpers/datagrams.py
+++ b/lacewingdock/helpers/datagrams.py
@@ -4,18 +4,51 @@
 import socket
 import threading
 from collections.abc import Callable
-from typing import Final
+from typing import Final, TypeVar
 
-from lacewingdock.exceptions import LacewingdockError
+import msgspec
+
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.sockets import listen_error
 
 # What a task waits after a failed receive, so that it does not spin.
 RETRY_S: Final = 0.1
 
+M = TypeVar("M")
+
 log = get_logger("datagrams")
 
 
+def decode_message(
+    decoder: "msgspec.msgpack.Decoder[M]", name: str, data: bytes
+) -> M:
+    """Decode a datagram.
+
+    Args:
+        decoder: Decodes what comes on a port.
+        name: What the port is for.
+        data: The datagram.
+
+    Raises:
+        LacewingdockError: BAD_REQUEST.
+    """
+    try:
+        return decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as error:
+        raise bad_message(name, str(error)) from error
+
+
+def bad_message(name: str, detail: str) -> LacewingdockError:
+    """Return the coded error of a message that is not taken."""
+    return LacewingdockError(ErrorKind.BAD_REQUEST, f"{name}: {detail}")
+
+
+def not_from(name: str, sender: str) -> LacewingdockError:
+    """Return the coded error of a message that its sender did not send."""
+    return bad_message(name, f"not from the address of {sender!r}")
+
+
 class DatagramPort:
     """A UDP port.
 
