--- /dev/null
+++ b/tests/daemons/observed_router.py
@@ -0,0 +1,70 @@
+"""What a router in virtual time knows, and what it knew at each moment."""
+
+from lacewingdock.components.mirror.listener import EachObject
+from lacewingdock.components.shifts.const import KIND_REPORTS
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.sync import InstanceListener
+from lacewingdock.daemons.router import LAPSED_S
+from lacewingdock.daemons.router_mirrors import store_health
+from lacewingdock.platform.documents import (
+    KIND_CONFIGURATION,
+    KIND_INSTANCES,
+    KIND_SHIFTS,
+)
+from lacewingdock.world.router_entry import KIND_ROUTERS
+
+
+class ObservedRouter:
+    """A router's parts that its mirrors tell, and a look at them.
+
+    Attributes:
+        time: Its virtual time.
+        look_s: Seconds between two looks.
+        directory: The instances.
+        version: The configuration's version in force.
+        seen: (time, ids that work would go to, version in force).
+        health: What is known of the store.
+    """
+
+    def __init__(self, time, bounds, look_s):
+        self.time = time
+        self.look_s = look_s
+        self.directory = Directory()
+        self.version = 0
+        self.seen = []
+        self.health = store_health(lambda: bounds, time)
+
+    def listeners(self):
+        """Return what is told of each kind."""
+        nothing = EachObject(lambda _: None)
+        return {
+            KIND_CONFIGURATION: EachObject(self._configure),
+            KIND_INSTANCES: InstanceListener(self.directory),
+            KIND_SHIFTS: nothing,
+            KIND_REPORTS: nothing,
+            KIND_ROUTERS: nothing,
+        }
+
+    def observe(self):
+        """Start the tasks that look."""
+        self.time.start(self._drop_lapsed)
+        self.time.start(self._look)
+
+    def _configure(self, stored):
+        self.version = max(self.version, stored.spec["version"])
+
+    def _drop_lapsed(self):
+        while True:
+            self.time.sleep(LAPSED_S)
+            if not self.health.doubtful:
+                self.directory.drop_lapsed()
+
+    def _look(self):
+        while True:
+            self.time.sleep(self.look_s)
+            found = {
+                name
+                for name, one in self.directory.instances.items()
+                if one.open
+            }
+            self.seen.append((self.time.now(), found, self.version))
--- a/tests/daemons/relay_fleet.py
+++ b/tests/daemons/relay_fleet.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 
 from lacewingdock.components.mirror import Copy
-from lacewingdock.components.mirror.listener import EachObject
 from lacewingdock.components.relay import Question, decode, encode
 from lacewingdock.components.relay.const import ASK_S
 from lacewingdock.components.routers import (
@@ -14,24 +13,14 @@
     copy_for,
     newest_of,
 )
-from lacewingdock.components.shifts.const import KIND_REPORTS
-from lacewingdock.components.upstreams.directory import Directory
-from lacewingdock.components.upstreams.sync import InstanceListener
-from lacewingdock.daemons.router import LAPSED_S
 from lacewingdock.daemons.router_mirrors import (
     REPORTS_PAUSE_S,
     Pace,
     build_mirrors,
-    store_health,
 )
 from lacewingdock.daemons.router_relay import build_relay
-from lacewingdock.platform.documents import (
-    KIND_CONFIGURATION,
-    KIND_INSTANCES,
-    KIND_SHIFTS,
-)
-from lacewingdock.world.router_entry import KIND_ROUTERS
 from tests.components.mirror.simulated_store import SimulatedStore, Troubles
+from tests.daemons.observed_router import ObservedRouter
 from tests.virtual_time import VirtualTime
 
 # A datagram's way, and a busy router's turn.
@@ -125,34 +114,19 @@
         ]
 
 
-class FleetRouter:
-    """One router.
-
-    Attributes:
-        seen: (time, ids that work would go to, version in force).
-    """
+class FleetRouter(ObservedRouter):
+    """One router of a fleet."""
 
     def __init__(self, fleet, name, names, written, troubles, bounds):
+        super().__init__(fleet.time, bounds, LOOK_S)
         self.fleet = fleet
         self.name = name
-        self.time = fleet.time
         self.troubles = troubles
         self.store = SimulatedStore(self.time, written, troubles)
-        self.directory = Directory()
-        self.version = 0
-        self.seen = []
         self.entries = dict.fromkeys(names)
         self.draw = random.Random(name)
-        self.health = store_health(lambda: bounds, self.time)
-        nothing = EachObject(lambda _: None)
         self.mirrors = build_mirrors(
-            {
-                KIND_CONFIGURATION: EachObject(self._configure),
-                KIND_INSTANCES: InstanceListener(self.directory),
-                KIND_SHIFTS: nothing,
-                KIND_REPORTS: nothing,
-                KIND_ROUTERS: nothing,
-            },
+            self.listeners(),
             self.store,
             self.health,
             self._pull,
@@ -194,8 +168,7 @@
         for mirror in self.mirrors.values():
             self.time.start(mirror.run, stopping)
         self.time.start(self._relay)
-        self.time.start(self._drop_lapsed)
-        self.time.start(self._look)
+        self.observe()
 
     def take(self, message):
         """Take a message, as `RelayPort` does."""
@@ -240,25 +213,6 @@
             )
         return newest_of(found, revision)
 
-    def _configure(self, stored):
-        self.version = max(self.version, stored.spec["version"])
-
-    def _drop_lapsed(self):
-        while True:
-            self.time.sleep(LAPSED_S)
-            if not self.health.doubtful:
-                self.directory.drop_lapsed()
-
-    def _look(self):
-        while True:
-            self.time.sleep(LOOK_S)
-            found = {
-                name
-                for name, one in self.directory.instances.items()
-                if one.open
-            }
-            self.seen.append((self.time.now(), found, self.version))
-
 
 def joined(one, other):
     """Return the troubles of the store with those of one router."""
--- a/tests/daemons/test_router_mirrors.py
+++ b/tests/daemons/test_router_mirrors.py
@@ -13,31 +13,24 @@
 from hypothesis import strategies as st
 
 from lacewingdock.components.mirror import Copy
-from lacewingdock.components.mirror.listener import EachObject
 from lacewingdock.components.routers import ASKED, PULL_S
-from lacewingdock.components.shifts.const import KIND_REPORTS
-from lacewingdock.components.upstreams.directory import Directory
-from lacewingdock.components.upstreams.sync import InstanceListener
-from lacewingdock.daemons.router import LAPSED_S
 from lacewingdock.daemons.router_mirrors import (
     REPORTS_PAUSE_S,
     Pace,
     build_mirrors,
-    store_health,
 )
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
     KIND_INSTANCES,
-    KIND_SHIFTS,
 )
 from lacewingdock.world.host import Bounds
-from lacewingdock.world.router_entry import KIND_ROUTERS
 from tests.components.mirror.simulated_store import (
     Outage,
     SimulatedStore,
     Troubles,
     Written,
 )
+from tests.daemons.observed_router import ObservedRouter
 from tests.virtual_time import VirtualTime
 
 BOUNDS = Bounds(contact_s=3.0, drain_s=2.0, apply_s=2.0)
@@ -92,30 +85,15 @@
         return Copy(sure=True, snapshot=found if newer else None)
 
 
-class Router:
-    """What a router knows, and what it knew at each moment.
-
-    Attributes:
-        seen: (time, ids that work would go to, version in force).
-    """
+class Router(ObservedRouter):
+    """One router, with the others as it finds them."""
 
     def __init__(self, written, troubles, bounds, silent, seed):
-        self.time = VirtualTime()
+        super().__init__(VirtualTime(), bounds, LOOK_S)
         self.store = SimulatedStore(self.time, written, troubles)
-        self.directory = Directory()
-        self.version = 0
-        self.seen = []
-        self.health = store_health(lambda: bounds, self.time)
         others = Others(self.time, self.store, troubles, silent)
-        nothing = EachObject(lambda _: None)
         self.mirrors = build_mirrors(
-            {
-                KIND_CONFIGURATION: EachObject(self._configure),
-                KIND_INSTANCES: InstanceListener(self.directory),
-                KIND_SHIFTS: nothing,
-                KIND_REPORTS: nothing,
-                KIND_ROUTERS: nothing,
-            },
+            self.listeners(),
             self.store,
             self.health,
             others.pull,
@@ -129,30 +107,10 @@
         stopping = threading.Event()
         for mirror in self.mirrors.values():
             self.time.start(mirror.run, stopping)
-        self.time.start(self._drop_lapsed)
-        self.time.start(self._look)
+        self.observe()
         self.time.run(until)
         return self.seen
 
-    def _configure(self, stored):
-        self.version = max(self.version, stored.spec["version"])
-
-    def _drop_lapsed(self):
-        while True:
-            self.time.sleep(LAPSED_S)
-            if not self.health.doubtful:
-                self.directory.drop_lapsed()
-
-    def _look(self):
-        while True:
-            self.time.sleep(LOOK_S)
-            found = {
-                name
-                for name, one in self.directory.instances.items()
-                if one.open
-            }
-            self.seen.append((self.time.now(), found, self.version))
-
 
 def undisturbed(spans, at, contact_s):
     """Whether none of some spans reaches into the time before a moment."""
