--- a/bench/platform/plays.py
+++ b/bench/platform/plays.py
@@ -11,7 +11,7 @@
 import msgspec
 
 # The bench's program, which lies outside the repository.
-BENCH_VARIABLE = "LACEWINGDOCK_FLEETBENCH"
+BENCH_VARIABLE = "FLEETBENCH_PROGRAM"
 
 
 @dataclass(slots=True, frozen=True)
