Relay: a watcher's word from before another began to doubt no longer counts

Change: a word that the store answers counts only if it is newer than the beginning of another watcher's doubt; news from a doubting watcher count as doubt. Ruled out: plain 'latest word wins': a single watcher that is cut off alone would make its followers doubt every other 0.4 s.

--- a/lacewingdock/components/relay/follower.py
+++ b/lacewingdock/components/relay/follower.py
@@ -76,6 +76,7 @@
         "_away_until",
         "_back_at",
         "_doubt_until",
+        "_doubted_at",
         "_from_store",
         "_heard_at",
         "_lock",
@@ -137,6 +138,7 @@
         self._away_until = NEVER
         self._back_at = NEVER
         self._doubt_until = NEVER
+        self._doubted_at = NEVER
         self._lock = threading.Lock()
 
     def kept_s(self, kind: str) -> float:
@@ -183,7 +185,10 @@
         one, or this router's own calls, show that it answers.
         """
         now = self.clock.now()
-        if any(now - at <= HEARD_S for at in list(self._sure_at.values())):
+        # A word from before the doubt began may come from a watcher that has
+        # not noticed the outage yet.
+        sure_from = max(now - HEARD_S, self._doubted_at)
+        if any(at >= sure_from for at in list(self._sure_at.values())):
             return False
         is_away = now < self._away_until and now - self._served_at > SERVED_S
         return is_away or now < self._doubt_until
@@ -263,8 +268,8 @@
             # The next answer has it fetched again, or the copy grows too old.
             return
         if not copy.sure:
-            self._sure_at.pop(router, None)
-            self._away_until = asked_at + AWAY_S
+            self._doubt(router, asked_at)
+            self._doubt_until = max(self._doubt_until, asked_at + AWAY_S)
         if copy.too_long:
             self._from_store[kind] = after
             return
@@ -323,13 +328,18 @@
                 self._back_at = self.clock.now()
             self._away_until = NEVER
             return
-        self._sure_at.pop(voucher.router, None)
+        self._doubt(voucher.router, asked_at)
         if voucher.away:
             self._away_until = asked_at + AWAY_S
         else:
             doubt_s = voucher.doubt_ms / 1000
             self._doubt_until = max(self._doubt_until, asked_at + doubt_s)
 
+    def _doubt(self, router: str, at: float) -> None:
+        """Note that a watcher doubts, and when it began to."""
+        if self._sure_at.pop(router, None) is not None:
+            self._doubted_at = at
+
     def _vouch(self, voucher: Voucher, asked_at: float) -> None:
         """Take the ages of a watcher's copies."""
         for kind, state in self._states(voucher):
