--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -12,7 +12,7 @@
     TimedOut,
     UpstreamConnection,
 )
-from lacewingdock.components.upstreams.directory import Instance
+from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.components.upstreams.pool import ConnectionPool
 from lacewingdock.exceptions import UpstreamLost
 from lacewingdock.helpers.server_connection import ServerConnection
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -32,7 +32,7 @@
 )
 from lacewingdock.components.shifts import Sample
 from lacewingdock.components.upstreams.connection import CallerLeft
-from lacewingdock.components.upstreams.directory import Instance
+from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.server_connection import CallerGone, ServerConnection
--- a/lacewingdock/components/gateway/metrics.py
+++ b/lacewingdock/components/gateway/metrics.py
@@ -13,7 +13,7 @@
 from typing import Final, NamedTuple
 
 from lacewingdock.components.gateway.outcome import Outcome
-from lacewingdock.components.upstreams.directory import InstanceState
+from lacewingdock.components.upstreams.instance import InstanceState
 from lacewingdock.world.route import Repeat
 
 # From a round trip to the longest timeout of a route.
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -23,7 +23,8 @@
     TELL_AFTER_S,
     TRIAL_S,
 )
-from lacewingdock.components.upstreams.directory import Directory, Instance
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.helpers.digest import digest
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.call import Call
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -10,10 +10,10 @@
 from lacewingdock.components.probes import Load
 from lacewingdock.components.probes.const import ASKED, FULL_WEIGHT
 from lacewingdock.components.probes.prober import Prober
-from lacewingdock.components.upstreams.directory import (
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.instance import (
     FAILURES_TO_PASS_OVER,
     TRIAL_AFTER_S,
-    Directory,
     Instance,
 )
 
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -36,10 +36,8 @@
 from lacewingdock.components.suspects.const import REACH_S, TELL_EVERY_S
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.connection import takes_connections
-from lacewingdock.components.upstreams.directory import (
-    Directory,
-    Instance,
-)
+from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import THREAD_STACK_BYTES
 from lacewingdock.daemons.router_mirrors import (
--- a/tests/components/inspection/test_inspection.py
+++ b/tests/components/inspection/test_inspection.py
@@ -17,7 +17,7 @@
     ServiceState,
     UpstreamState,
 )
-from lacewingdock.components.upstreams.directory import InstanceState
+from lacewingdock.components.upstreams.instance import InstanceState
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.http_client import get
 from lacewingdock.platform.object_api import ObjectApi
--- a/tests/components/upstreams/test_asked_choice.py
+++ b/tests/components/upstreams/test_asked_choice.py
@@ -10,7 +10,7 @@
 import pytest
 
 from lacewingdock.components.probes import Load
-from lacewingdock.components.upstreams import choice, directory
+from lacewingdock.components.upstreams import choice, instance
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
@@ -64,7 +64,7 @@
     draw = random.Random(3)
     clock = type("Clock", (), {"monotonic": lambda: engines.now})
     monkeypatch.setattr(choice, "time", clock)
-    monkeypatch.setattr(directory, "time", clock)
+    monkeypatch.setattr(instance, "time", clock)
     routers = []
     for number in range(ROUTERS):
         known = Directory()
@@ -77,16 +77,16 @@
     for number in range(count):
         engines.now = number / REQUESTS_PER_S
         while ends and ends[0][0] <= engines.now:
-            _, _, router, instance = heapq.heappop(ends)
-            engines.running[instance.entry.host] -= 1
-            router.done(instance)
+            _, _, router, chosen = heapq.heappop(ends)
+            engines.running[chosen.entry.host] -= 1
+            router.done(chosen)
         router = draw.choice(routers)
-        instance = router.choose("svc", lambda _: True, 1.0, (), f"c-{number}")
-        router.began(instance, 1.0)
-        full += engines.running[instance.entry.host] >= PLACES
-        engines.running[instance.entry.host] += 1
+        chosen = router.choose("svc", lambda _: True, 1.0, (), f"c-{number}")
+        router.began(chosen, 1.0)
+        full += engines.running[chosen.entry.host] >= PLACES
+        engines.running[chosen.entry.host] += 1
         length_s = draw.uniform(0.5, 1.5) * STREAM_S
-        heapq.heappush(ends, (engines.now + length_s, number, router, instance))
+        heapq.heappush(ends, (engines.now + length_s, number, router, chosen))
     return full / count
 
 
--- a/tests/components/upstreams/test_choice.py
+++ b/tests/components/upstreams/test_choice.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from lacewingdock.components.upstreams import choice, directory
+from lacewingdock.components.upstreams import choice, instance
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
@@ -18,7 +18,7 @@
 
     def __init__(self, monkeypatch):
         self.now = 100.0
-        for module in (choice, directory):
+        for module in (choice, instance):
             monkeypatch.setattr(module.time, "monotonic", lambda: self.now)
 
 
@@ -66,7 +66,7 @@
     for _ in range(3):
         bad.failed(1.0)
     assert choose(found, 10) == {"y": 10}
-    clock.now += directory.TRIAL_AFTER_S
+    clock.now += instance.TRIAL_AFTER_S
     found.directory.instances["y"].running = 50
     assert choose(found, 3) == {"x": 1, "y": 2}
 
