--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -48,10 +48,13 @@
     Attributes:
         detail: Why.
         reached: Whether it reached an upstream, which refused it.
+        replaced_by: Id of another instance, which answered at the address;
+            empty where none did.
     """
 
     detail: str
     reached: bool
+    replaced_by: str = ""
 
 
 @dataclass(slots=True)
@@ -242,7 +245,7 @@
         self.began()
         if head.not_run:
             connection.read_whole(self.patience.end, MAX_BODY_BYTES)
-            return NotRun("refused", reached=True), head
+            return self._not_run(head), head
         if head.success and (not head.sealed or head.encoded):
             return Broken("answer is not the upstream's own"), None
         fresh = head.success and not self.progress.started
@@ -253,6 +256,12 @@
         body = connection.read_whole(self.patience.end, MAX_BODY_BYTES)
         return Whole(head, body), head
 
+    def _not_run(self, head: AnswerHead) -> NotRun:
+        """Return the result of a request that the upstream did not run."""
+        if head.instance and head.instance != self.instance.entry.id:
+            return NotRun("replaced", reached=True, replaced_by=head.instance)
+        return NotRun("refused", reached=True)
+
     def _relay(
         self, connection: UpstreamConnection, head: AnswerHead
     ) -> tuple[Result, AnswerHead | None]:
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -338,6 +338,11 @@
                 self.unreached += 1
                 instance.took_no_connection()
                 return
+            case NotRun(replaced_by=other) if other:
+                # It says nothing of the request, which may go to as many
+                # instances as before.
+                self.gateway.chooser.replaced(instance, other)
+                return
             case NotRun():
                 instance.failed(0.5)
             case Broken():
@@ -383,6 +388,9 @@
             return False
         if isinstance(result, NotRun) and not result.reached:
             return self.unreached < MAX_UNREACHED
+        if isinstance(result, NotRun) and result.replaced_by:
+            # Each one is found once, so there is an end.
+            return self.gateway.budget(self.service).take()
         if self.route.repeat is Repeat.ONCE and not isinstance(result, NotRun):
             return False
         if len(self.tried) >= self.route.max_attempts:
--- a/lacewingdock/components/gossip/__init__.py
+++ b/lacewingdock/components/gossip/__init__.py
@@ -28,6 +28,9 @@
 MAX_SESSIONS: Final = 64
 # Versions found bad at most: one a service, of far fewer services.
 MAX_BAD: Final = 64
+# Instances told of at most that were replaced: all of a fleet that lost power
+# are told of in several messages.
+MAX_REPLACED: Final = 128
 # Requests at an instance at most, and what they have to read, in tens of
 # tokens: twenty times the connections that an instance takes, with the longest
 # prompts. A sum over all routers stays a number that a load is compared with.
@@ -79,6 +82,8 @@
         rows: What it has at the instances.
         sessions: Sessions that stay on an old version.
         bad: Versions that it found bad, as (service, version).
+        replaced: Digests of instances' starts at whose addresses others
+            answered.
     """
 
     router: str
@@ -87,12 +92,13 @@
     rows: list[Row] = []
     sessions: list[KeptSession] = []
     bad: list[tuple[str, str]] = []
+    replaced: list[int] = []
 
     @property
-    def content(self) -> tuple[list[Any], list[KeptSession], list[Any]]:
+    def content(self) -> tuple[list[Any], ...]:
         """What it says, apart from who says it and when."""
         rows = [(row.mark, row.running, row.unread) for row in self.rows]
-        return rows, self.sessions, self.bad
+        return rows, self.sessions, self.bad, self.replaced
 
 
 _DECODER: Final = msgspec.msgpack.Decoder(Message)
@@ -114,6 +120,8 @@
         raise bad_message(NAME, "too long")
     if len(found.bad) > MAX_BAD:
         raise bad_message(NAME, "too many bad versions")
+    if len(found.replaced) > MAX_REPLACED:
+        raise bad_message(NAME, "too many replaced instances")
     if not all(_is_load(row) for row in found.rows):
         raise bad_message(NAME, "a load that no instance has")
     if any(one.age_s < 0 for one in found.sessions):
--- a/lacewingdock/components/gossip/port.py
+++ b/lacewingdock/components/gossip/port.py
@@ -30,6 +30,8 @@
 # A datagram's headers, which links carry too.
 HEADER_BYTES: Final = 28
 
+NOTHING_TOLD: Final = Message("", 0, 0).content
+
 log = get_logger("gossip")
 
 
@@ -136,7 +138,7 @@
     def _is_news(self, message: Message) -> bool:
         """Whether a message tells anything new, or is to be repeated."""
         now = time.monotonic()
-        told = self.last.content if self.last else ([], [], [])
+        told = self.last.content if self.last else NOTHING_TOLD
         is_due = now - self.told_at >= REPEAT_S and any(told)
         if message.content == told and not is_due:
             return False
--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -75,6 +75,16 @@
             "News of the store fetched from other routers",
             state.news_fetched,
         )
+        yield _counter(
+            "replaced_seen",
+            "Instances at whose addresses others answered a request",
+            state.replaced_seen,
+        )
+        yield _counter(
+            "replaced_told",
+            "Such instances that other routers told of",
+            state.replaced_told,
+        )
         yield _counter(
             "probes_asked",
             "Questions to instances for their load",
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -141,6 +141,8 @@
         watcher: The router that it asked last for the store's news.
         listeners: Routers that take the store's news from it.
         news_fetched: News that it fetched from others.
+        replaced_seen: Instances at whose addresses others answered it.
+        replaced_told: Such instances that other routers told of.
         probes_asked: Questions to instances for their load.
         probes_answered: Answers to them that came in time.
         copies: Copies of the platform's objects.
@@ -167,6 +169,8 @@
     watcher: str = ""
     listeners: int = 0
     news_fetched: int = 0
+    replaced_seen: int = 0
+    replaced_told: int = 0
     probes_asked: int = 0
     probes_answered: int = 0
     copies: list[CopyState] = field(default_factory=list)
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -115,6 +115,11 @@
             for one in self.directory.of_service(service)
         )
 
+    def replaced(self, instance: Instance, answered_by: str) -> None:
+        """Take out an instance at whose address another one answered."""
+        self.directory.answered_by_other(instance, answered_by)
+        self.changed.set()
+
     def began(self, instance: Instance, unread: float) -> None:
         """Count a request's prompt as read: its answer began, or it ended."""
         with self.directory.lock:
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -1,9 +1,11 @@
 """Support for knowing the upstream instances."""
 
 import threading
+import time
+from collections.abc import Iterable
 from typing import Final
 
-from lacewingdock.components.upstreams.instance import Instance
+from lacewingdock.components.upstreams.instance import Instance, mark_of
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.backend import UpstreamEntry
 
@@ -13,6 +15,10 @@
 # Starts that are remembered at least, also of instances that left: a late write
 # of an earlier start must not bring it back. More than restart within minutes.
 MIN_BIRTHS: Final = 256
+# Starts that are remembered as replaced, and for how long others are told of
+# them: until their entries run out, after three heartbeats, there is a word.
+MAX_REPLACED: Final = 4096
+TELL_REPLACED_S: Final = 3.0
 
 log = get_logger("upstreams")
 
@@ -24,15 +30,31 @@
         instances: The instances by id.
         births: When the newest start known of each id was, in Unix
             milliseconds, those that left lately too.
+        replaced: When starts were found to be replaced, at whose addresses
+            other instances answer, by start and address.
+        replaced_seen: How many of them a request met.
+        replaced_told: How many another router told of.
         lock: Held while requests are counted in or out.
     """
 
-    __slots__ = ("_by_mark", "_by_service", "births", "instances", "lock")
+    __slots__ = (
+        "_by_mark",
+        "_by_service",
+        "births",
+        "instances",
+        "lock",
+        "replaced",
+        "replaced_seen",
+        "replaced_told",
+    )
 
     def __init__(self) -> None:
         """Start empty."""
         self.instances: dict[str, Instance] = {}
         self.births: dict[str, int] = {}
+        self.replaced: dict[tuple[str, tuple[str, int]], float] = {}
+        self.replaced_seen = 0
+        self.replaced_told = 0
         self.lock = threading.Lock()
         self._by_service: dict[str, list[Instance]] = {}
         self._by_mark: dict[int, Instance] = {}
@@ -96,6 +118,8 @@
                 # An instance that says when it started says it always.
                 self.remove(entry.id, doubtful=False)
             return
+        if (entry.incarnation, entry.address) in self.replaced:
+            return
         self._note_birth(entry)
         if known is None or known.entry.born != entry.born:
             if known is not None:
@@ -107,6 +131,7 @@
         else:
             known.entry = entry
             known.lapsed = False
+            self._index()
         log.info(
             "upstream",
             upstream=entry.id,
@@ -138,6 +163,60 @@
             if known.lapsed:
                 self.remove(name, doubtful=False)
 
+    def answered_by_other(self, instance: Instance, answered_by: str) -> None:
+        """Take out a start at whose address another instance answered.
+
+        Engines that lost power start again at their addresses under new ids,
+        and the entries of their earlier starts stay for some heartbeats. Who
+        goes by these is turned away by each of them, again and again.
+
+        Args:
+            instance: The start that was asked for.
+            answered_by: Id of the instance that answered.
+        """
+        if self._replace(instance):
+            self.replaced_seen += 1
+            log.info(
+                "upstream replaced",
+                upstream=instance.entry.id,
+                answered_by=answered_by,
+            )
+
+    def replaced_by_other(self, marks: Iterable[int], router: str) -> None:
+        """Take out starts that another router found to be replaced."""
+        for mark in marks:
+            found = self._by_mark.get(mark)
+            if found is not None and self._replace(found):
+                self.replaced_told += 1
+                log.info(
+                    "upstream replaced", upstream=found.entry.id, told_by=router
+                )
+
+    def replaced_lately(self) -> list[int]:
+        """Return the marks of starts that were found to be replaced."""
+        since = time.monotonic() - TELL_REPLACED_S
+        return [
+            mark_of(start)
+            for (start, _), at in list(self.replaced.items())
+            if at > since
+        ]
+
+    def _replace(self, instance: Instance) -> bool:
+        """Take a start out for good; return whether it was there."""
+        entry = instance.entry
+        key = (entry.incarnation, entry.address)
+        with self.lock:
+            if key in self.replaced:
+                return False
+            self.replaced[key] = time.monotonic()
+            if len(self.replaced) > MAX_REPLACED:
+                del self.replaced[next(iter(self.replaced))]
+        instance.gone = True
+        if self.instances.get(entry.id) is instance:
+            del self.instances[entry.id]
+        self._index()
+        return True
+
     def _note_birth(self, entry: UpstreamEntry) -> None:
         if not entry.born:
             return
@@ -148,7 +227,29 @@
 
     def _index(self) -> None:
         index: dict[str, list[Instance]] = {}
-        for instance in self.instances.values():
-            index.setdefault(instance.entry.service, []).append(instance)
+        # By service too: an entry that no instance wrote may name any address.
+        latest: dict[tuple[str, str, int], UpstreamEntry] = {}
+        instances = list(self.instances.values())
+        for instance in instances:
+            entry = instance.entry
+            index.setdefault(entry.service, []).append(instance)
+            place = (entry.service, *entry.address)
+            if _is_later(entry, latest.setdefault(place, entry)):
+                latest[place] = entry
+        for instance in instances:
+            entry = instance.entry
+            newest = latest[entry.service, *entry.address]
+            instance.superseded = _is_later(newest, entry)
         self._by_service = index
-        self._by_mark = {one.mark: one for one in self.instances.values()}
+        self._by_mark = {one.mark: one for one in instances}
+
+
+def _is_later(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
+    """Whether an entry is of a later start than another at its address.
+
+    Where they say when they started, that decides; else which entry was first
+    written later.
+    """
+    if entry.born and other.born:
+        return entry.born > other.born
+    return entry.created > other.created
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -25,6 +25,7 @@
         SOUND: Nothing.
         PASSED_OVER: It failed lately.
         LAPSED: Its entry is missing since an outage of the store.
+        SUPERSEDED: A later entry names the same address.
         LEAVING: The platform says that it leaves.
         GONE: It left.
     """
@@ -32,10 +33,16 @@
     SOUND = "sound"
     PASSED_OVER = "passed_over"
     LAPSED = "lapsed"
+    SUPERSEDED = "superseded"
     LEAVING = "leaving"
     GONE = "gone"
 
 
+def mark_of(incarnation: str) -> int:
+    """Return the digest by which routers name a start to each other."""
+    return zlib.crc32(incarnation.encode())
+
+
 class Instance:
     """An upstream instance and what this router saw of it.
 
@@ -53,6 +60,7 @@
         failed_at: Monotonic time up to which `failures` is reckoned.
         trial_at: Monotonic time from which one request may try it again.
         lapsed: Whether its entry is missing since an outage of the store.
+        superseded: Whether a later entry names the same address.
         gone: Whether it left.
     """
 
@@ -67,6 +75,7 @@
         "others_heard_at",
         "reached_at",
         "running",
+        "superseded",
         "trial_at",
         "unreached_at",
         "unread",
@@ -75,7 +84,7 @@
     def __init__(self, entry: UpstreamEntry) -> None:
         """Take an entry; nothing is known against it."""
         self.entry = entry
-        self.mark = zlib.crc32(entry.incarnation.encode())
+        self.mark = mark_of(entry.incarnation)
         self.running = 0
         self.unread = 0.0
         self.failures = 0.0
@@ -86,12 +95,13 @@
         self.reached_at = 0.0
         self.unreached_at = 0.0
         self.lapsed = False
+        self.superseded = False
         self.gone = False
 
     @property
     def open(self) -> bool:
         """Whether it takes new requests, as the platform says."""
-        return not self.entry.leaving and not self.gone
+        return not (self.entry.leaving or self.superseded or self.gone)
 
     @property
     def alive_at(self) -> float:
@@ -109,6 +119,8 @@
             return InstanceState.GONE
         if self.entry.leaving:
             return InstanceState.LEAVING
+        if self.superseded:
+            return InstanceState.SUPERSEDED
         if self.lapsed:
             return InstanceState.LAPSED
         if self.recent_failures(now) >= FAILURES_TO_PASS_OVER:
--- a/lacewingdock/daemons/router_ports.py
+++ b/lacewingdock/daemons/router_ports.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Mapping
 
-from lacewingdock.components.gossip import Message
+from lacewingdock.components.gossip import MAX_REPLACED, Message
 from lacewingdock.components.gossip.load import FleetLoad, hear_life, rows_of
 from lacewingdock.components.gossip.port import GossipPort
 from lacewingdock.components.mirror import Mirror
@@ -56,6 +56,7 @@
             rows_of(directory),
             shifts.sessions_to_keep(),
             shifts.found_bad(),
+            directory.replaced_lately()[-MAX_REPLACED:],
         )
 
     def others() -> list[tuple[str, int]]:
@@ -71,6 +72,9 @@
             fleet_load.hear,
             shifts.hear_message,
             lambda message: hear_life(directory, message),
+            lambda message: directory.replaced_by_other(
+                message.replaced, message.router
+            ),
         ],
         others,
         routers.is_at,
--- a/lacewingdock/platform/documents.py
+++ b/lacewingdock/platform/documents.py
@@ -167,6 +167,7 @@
         slots=max(found.slots, 1),
         leaving=found.state == _DRAINING,
         born=found.born,
+        created=stored.created,
     )
 
 
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -53,12 +53,14 @@
         revision: Revision of its last change, growing over all objects.
         spec: What was asked for, as decoded JSON.
         status: What its keeper reports of it, as decoded JSON.
+        created: Revision of its first write; 0 where not said.
     """
 
     name: str
     revision: int
     spec: Any = None
     status: Any = None
+    created: int = 0
 
 
 @dataclass(slots=True)
@@ -101,6 +103,7 @@
 class _Metadata(msgspec.Struct):
     name: str
     revision: int
+    created: int = 0
 
 
 class _Object(msgspec.Struct):
@@ -441,8 +444,13 @@
 
 
 def _object(found: _Object) -> StoredObject:
+    metadata = found.metadata
     return StoredObject(
-        found.metadata.name, found.metadata.revision, found.spec, found.status
+        metadata.name,
+        metadata.revision,
+        found.spec,
+        found.status,
+        metadata.created,
     )
 
 
--- a/lacewingdock/platform/wire.py
+++ b/lacewingdock/platform/wire.py
@@ -16,6 +16,8 @@
 PARTS: Final = b"prompt-prefix"
 SESSION: Final = b"session"
 INSTANCE: Final = b"expect-instance"
+# Id of the instance that answers.
+ANSWERED_BY: Final = b"instance-id"
 WORKSPACE: Final = b"tenant"
 PRIORITY: Final = b"request-priority"
 NOT_RUN: Final = b"not-executed"
@@ -139,6 +141,7 @@
         call=_text(first.get(CALL_ID, b"")),
         # An instance that the call was not meant for never runs it.
         not_run=NOT_RUN in first or status == _MISDIRECTED,
+        instance=_text(first.get(ANSWERED_BY, b"")),
         sealed=SEAL in first,
         encoded=encoding not in (b"", b"identity"),
         confidence=_number(first.get(CONFIDENCE)),
--- a/lacewingdock/world/backend.py
+++ b/lacewingdock/world/backend.py
@@ -18,6 +18,8 @@
         slots: Requests it runs at once.
         leaving: Whether it takes no new work.
         born: Unix time of its start, in milliseconds; 0 where not said.
+        created: Revision at which the entry was first written; 0 where not
+            said.
     """
 
     id: str
@@ -29,6 +31,7 @@
     slots: int
     leaving: bool = False
     born: int = 0
+    created: int = 0
 
     @property
     def incarnation(self) -> str:
@@ -39,6 +42,11 @@
         """
         return f"{self.id}@{self.born}" if self.born else self.id
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """IP number and port."""
+        return self.host, self.port
+
 
 class ShiftState(StrEnum):
     """What became of an order to move a service to a version."""
--- a/lacewingdock/world/call.py
+++ b/lacewingdock/world/call.py
@@ -79,6 +79,8 @@
         headers: Headers that are passed on to the caller.
         call: Id of the call it belongs to; empty where not said.
         not_run: Whether the upstream says that it did not run the call.
+        instance: Id of the upstream instance that answers; empty where not
+            said.
         sealed: Whether it bears the upstream's signature.
         encoded: Whether the body is not the upstream's own bytes.
         confidence: The model's opinion of its answer, 0 to 100; or None.
@@ -91,6 +93,7 @@
     headers: Headers
     call: str = ""
     not_run: bool = False
+    instance: str = ""
     sealed: bool = False
     encoded: bool = False
     confidence: float | None = None
--- a/tests/components/gossip/test_port.py
+++ b/tests/components/gossip/test_port.py
@@ -26,6 +26,7 @@
     [Row(3, 4, 5)],
     [KeptSession("svc", "s", "v1", 2)],
     [("svc", "v2")],
+    [17],
 )
 
 
@@ -44,6 +45,7 @@
         Message("r", 1, 1, [Row(1, 10_001, 0)]),
         Message("r", 1, 1, [Row(1, 1, 10**15)]),
         Message("r", 1, 1, bad=[("svc", "v2")] * 65),
+        Message("r", 1, 1, replaced=[1] * 129),
     ],
 )
 def test_what_no_router_tells_is_refused(message):
