Cordons: nothing new goes to a failure domain that an operator cordoned

Change: one more mirrored kind, where the settings have a bound for it; an instance in a cordoned domain is not open, which every choice, version and canary goes by. Its delays stand in the sums of router_timing; lists replace what is known, so a missed removal ends with the next list. Ruled out: checks at each place that chooses (seven of them); telling by datagram (nobody's word but the platform's counts).

--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -95,6 +95,7 @@
             "Answers of instances on their load that came in time",
             state.probes_answered,
         )
+        yield from _cordons(state)
         yield from _upstreams(state)
         yield from _services(state)
         yield from _roll_outs(state)
@@ -130,6 +131,17 @@
         )
 
 
+def _cordons(state: RouterState) -> Iterator[Metric]:
+    cordons = _gauge(
+        "cordoned",
+        "1 for a failure domain whose instances get nothing new",
+        ["failure_domain"],
+    )
+    for domain in state.cordoned:
+        cordons.add_metric([domain], 1)
+    yield cordons
+
+
 def _upstreams(state: RouterState) -> Iterator[Metric]:
     counts = Counter((one.service, one.state) for one in state.upstreams)
     instances = _gauge("upstreams", "Upstream instances", ["service", "state"])
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -141,6 +141,7 @@
         watcher: The router that it asked last for the store's news.
         listeners: Routers that take the store's news from it.
         news_fetched: News that it fetched from others.
+        cordoned: The failure domains whose instances get nothing new.
         replaced_seen: Instances at whose addresses others answered it.
         replaced_told: Such instances that other routers told of.
         probes_asked: Questions to instances for their load.
@@ -169,6 +170,7 @@
     watcher: str = ""
     listeners: int = 0
     news_fetched: int = 0
+    cordoned: list[str] = field(default_factory=list)
     replaced_seen: int = 0
     replaced_told: int = 0
     probes_asked: int = 0
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -30,6 +30,7 @@
         instances: The instances by id.
         births: When the newest start known of each id was, in Unix
             milliseconds, those that left lately too.
+        cordoned: The failure domains whose instances get nothing new.
         replaced: When starts were found to be replaced, at whose addresses
             other instances answer, by start and address.
         replaced_seen: How many of them a request met.
@@ -40,7 +41,9 @@
     __slots__ = (
         "_by_mark",
         "_by_service",
+        "_changing",
         "births",
+        "cordoned",
         "instances",
         "lock",
         "replaced",
@@ -52,10 +55,14 @@
         """Start empty."""
         self.instances: dict[str, Instance] = {}
         self.births: dict[str, int] = {}
+        self.cordoned: frozenset[str] = frozenset()
         self.replaced: dict[tuple[str, tuple[str, int]], float] = {}
         self.replaced_seen = 0
         self.replaced_told = 0
         self.lock = threading.Lock()
+        # Held while the list changes: tasks of several mirrors and of requests
+        # change it, and an instance must not miss a cordon.
+        self._changing = threading.RLock()
         self._by_service: dict[str, list[Instance]] = {}
         self._by_mark: dict[int, Instance] = {}
 
@@ -110,6 +117,10 @@
         that start does not speak against this one. What an earlier start wrote
         last may be seen after the entry of the later one; it says nothing.
         """
+        with self._changing:
+            self._take(entry)
+
+    def _take(self, entry: UpstreamEntry) -> None:
         known = self.instances.get(entry.id)
         newest = self.births.get(entry.id, 0)
         if entry.born < newest:
@@ -145,6 +156,10 @@
 
     def remove(self, name: str, *, doubtful: bool) -> None:
         """Take out an instance, or mark it as lapsed after an outage."""
+        with self._changing:
+            self._remove(name, doubtful=doubtful)
+
+    def _remove(self, name: str, *, doubtful: bool) -> None:
         known = self.instances.get(name)
         if known is None or (doubtful and known.lapsed):
             return
@@ -163,6 +178,12 @@
             if known.lapsed:
                 self.remove(name, doubtful=False)
 
+    def cordon(self, domains: frozenset[str]) -> None:
+        """Take which failure domains are cordoned; all others are not."""
+        with self._changing:
+            self.cordoned = domains
+            self._index()
+
     def answered_by_other(self, instance: Instance, answered_by: str) -> None:
         """Take out a start at whose address another instance answered.
 
@@ -205,16 +226,16 @@
         """Take a start out for good; return whether it was there."""
         entry = instance.entry
         key = (entry.incarnation, entry.address)
-        with self.lock:
+        with self._changing:
             if key in self.replaced:
                 return False
             self.replaced[key] = time.monotonic()
             if len(self.replaced) > MAX_REPLACED:
                 del self.replaced[next(iter(self.replaced))]
-        instance.gone = True
-        if self.instances.get(entry.id) is instance:
-            del self.instances[entry.id]
-        self._index()
+            instance.gone = True
+            if self.instances.get(entry.id) is instance:
+                del self.instances[entry.id]
+            self._index()
         return True
 
     def _note_birth(self, entry: UpstreamEntry) -> None:
@@ -240,6 +261,7 @@
             entry = instance.entry
             newest = latest[entry.service, *entry.address]
             instance.superseded = _is_later(newest, entry)
+            instance.cordoned = entry.failure_domain in self.cordoned
         self._by_service = index
         self._by_mark = {one.mark: one for one in instances}
 
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -26,6 +26,7 @@
         PASSED_OVER: It failed lately.
         LAPSED: Its entry is missing since an outage of the store.
         SUPERSEDED: A later entry names the same address.
+        CORDONED: An operator cordoned its failure domain.
         LEAVING: The platform says that it leaves.
         GONE: It left.
     """
@@ -34,6 +35,7 @@
     PASSED_OVER = "passed_over"
     LAPSED = "lapsed"
     SUPERSEDED = "superseded"
+    CORDONED = "cordoned"
     LEAVING = "leaving"
     GONE = "gone"
 
@@ -61,10 +63,12 @@
         trial_at: Monotonic time from which one request may try it again.
         lapsed: Whether its entry is missing since an outage of the store.
         superseded: Whether a later entry names the same address.
+        cordoned: Whether an operator cordoned its failure domain.
         gone: Whether it left.
     """
 
     __slots__ = (
+        "cordoned",
         "entry",
         "failed_at",
         "failures",
@@ -96,12 +100,15 @@
         self.unreached_at = 0.0
         self.lapsed = False
         self.superseded = False
+        self.cordoned = False
         self.gone = False
 
     @property
     def open(self) -> bool:
         """Whether it takes new requests, as the platform says."""
-        return not (self.entry.leaving or self.superseded or self.gone)
+        return not (
+            self.entry.leaving or self.superseded or self.cordoned or self.gone
+        )
 
     @property
     def alive_at(self) -> float:
@@ -119,6 +126,8 @@
             return InstanceState.GONE
         if self.entry.leaving:
             return InstanceState.LEAVING
+        if self.cordoned:
+            return InstanceState.CORDONED
         if self.superseded:
             return InstanceState.SUPERSEDED
         if self.lapsed:
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from lacewingdock.components.admission.fleet_budget import RetryTerms
+from lacewingdock.components.cordons import CordonListener
 from lacewingdock.components.gateway import CallersPort
 from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.components.gateway.metrics import GatewayMetrics
@@ -62,6 +63,7 @@
 from lacewingdock.helpers.sockets import Listener as PortListener
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
+    KIND_CORDONS,
     KIND_INSTANCES,
     KIND_SHIFTS,
 )
@@ -75,7 +77,12 @@
     from lacewingdock.components.inspection.state import RouterState
 
 # Without a copy of these no request can be routed.
-ESSENTIAL_KINDS: Final = (KIND_CONFIGURATION, KIND_INSTANCES, KIND_SHIFTS)
+ESSENTIAL_KINDS: Final = (
+    KIND_CONFIGURATION,
+    KIND_INSTANCES,
+    KIND_SHIFTS,
+    KIND_CORDONS,
+)
 # Of the retries that the fleet may make, each router takes its part as if
 # there were at least this many: it may not know all others yet.
 MIN_ROUTERS: Final = 6
@@ -190,9 +197,7 @@
             host, self.mirrors, self.health, self.routers, self.random
         )
         self.gateway.chooser.prober = build_prober(host, self.random)
-        self.gateway.essentials += [
-            self.mirrors[kind].ready for kind in ESSENTIAL_KINDS
-        ]
+        self.gateway.essentials += [one.ready for one in self._essential()]
         self.callers = CallersPort(
             self.gateway,
             host.callers_address,
@@ -227,9 +232,9 @@
 
     def missing(self) -> str:
         """Return what is missing to serve; empty if nothing."""
-        for kind in ESSENTIAL_KINDS:
-            if not self.mirrors[kind].ready.is_set():
-                return f"no copy of {kind}"
+        for mirror in self._essential():
+            if not mirror.ready.is_set():
+                return f"no copy of {mirror.kind}"
         return "" if self.routes.table else "no configuration"
 
     def run(self) -> int:
@@ -286,6 +291,14 @@
         log.info("stopped", requests_left=left)
         return left
 
+    def _essential(self) -> list[Mirror]:
+        """Return the mirrors without whose copies nothing can be routed."""
+        return [
+            self.mirrors[kind]
+            for kind in ESSENTIAL_KINDS
+            if kind in self.mirrors
+        ]
+
     def _inspection(self) -> InspectionPort | None:
         if not self.settings.metrics_port:
             return None
@@ -322,6 +335,8 @@
             KIND_REPORTS: EachObject(self.shifts.take_stored_report),
             KIND_ROUTERS: EachObject(self.routers.take, self.routers.drop),
         }
+        if self.host.bounds.cordon_s:
+            listeners[KIND_CORDONS] = CordonListener(self.directory)
         return build_mirrors(
             listeners,
             self.api,
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -20,6 +20,7 @@
 from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
+    KIND_CORDONS,
     KIND_INSTANCES,
     KIND_SHIFTS,
 )
@@ -133,7 +134,9 @@
     mirrors[KIND_REPORTS].wait_s = lambda: (
         bound_watch_s() if pace.shifting() else REPORTS_WATCH_S
     )
-    for kind in (KIND_CONFIGURATION, KIND_INSTANCES):
+    for kind in {KIND_CONFIGURATION, KIND_INSTANCES, KIND_CORDONS} & set(
+        mirrors
+    ):
         mirrors[kind].pause_s = lambda: CHANGES_PAUSE_S
     mirrors[KIND_ROUTERS].pause_s = lambda: ROUTERS_PAUSE_S
     mirrors[KIND_REPORTS].pause_s = pace.reports_pause_s
--- a/lacewingdock/daemons/router_relay.py
+++ b/lacewingdock/daemons/router_relay.py
@@ -24,13 +24,19 @@
 from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
+    KIND_CORDONS,
     KIND_INSTANCES,
     KIND_SHIFTS,
 )
 from lacewingdock.world.host import Bounds
 
 # Kinds on which a bound hangs, and orders, which start late if seen late.
-BOUND_KINDS: Final = (KIND_CONFIGURATION, KIND_INSTANCES, KIND_SHIFTS)
+BOUND_KINDS: Final = (
+    KIND_CONFIGURATION,
+    KIND_INSTANCES,
+    KIND_SHIFTS,
+    KIND_CORDONS,
+)
 # How old a copy of another kind may grow by the watchers' word: longer than
 # any watch of such a kind waits.
 LOOSE_LIMIT_S: Final = 30.0
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -73,6 +73,7 @@
         watcher=relay.follower.asked if relay else "",
         listeners=len(relay.watcher.listeners()) if relay else 0,
         news_fetched=relay.follower.fetches if relay else 0,
+        cordoned=sorted(router.directory.cordoned),
         replaced_seen=router.directory.replaced_seen,
         replaced_told=router.directory.replaced_told,
         probes_asked=prober.asked if prober else 0,
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -94,6 +94,8 @@
     that went silent, and be asked again within the contact time.
     """
     bound_s = min(bounds.drain_s - CONNECT_S, bounds.apply_s, bounds.revoke_s)
+    if bounds.cordon_s:
+        bound_s = min(bound_s, bounds.cordon_s - CONNECT_S)
     silent_s = LOOK_S + RETRY_S + ANSWER_S + FOLLOW_SPARE_S
     return min(bound_s - ANSWER_S - FOLLOW_SPARE_S, bounds.contact_s - silent_s)
 
@@ -189,6 +191,7 @@
     """
     return [
         *_paths_of_entries(bounds),
+        *_paths_of_cordons(bounds),
         *_paths_of_configuration(bounds),
         *_paths_of_roll_outs(bounds),
     ]
@@ -230,6 +233,21 @@
     ]
 
 
+def _paths_of_cordons(bounds: Bounds) -> list[PropagationPath]:
+    """Return the paths of a cordon; none where none is ever set."""
+    if not bounds.cordon_s:
+        return []
+    promise = "a cordoned failure domain gets no work"
+    cordon = ("cordon", bounds.cordon_s)
+    connection = Delay("connection to the instance", CONNECT_S)
+    heard = (*_HEARD, connection)
+    return [
+        PropagationPath(promise, "heard by a watch", heard, *cordon),
+        *_disturbed(promise, watch_s(bounds), bounds),
+        *_followed(promise, (connection,), cordon, bounds),
+    ]
+
+
 def _paths_of_configuration(bounds: Bounds) -> list[PropagationPath]:
     promise = "a configuration is in force"
     return [
--- a/lacewingdock/platform/documents.py
+++ b/lacewingdock/platform/documents.py
@@ -22,6 +22,8 @@
 KIND_CONFIGURATION: Final = "config"
 KIND_INSTANCES: Final = "servers"
 KIND_SHIFTS: Final = "rollouts"
+# Named like the failure domain whose instances shall get nothing.
+KIND_CORDONS: Final = "evacuations"
 CONFIGURATION_NAME: Final = "main"
 
 MAX_PORT: Final = 65535
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -34,6 +34,8 @@
     retry_budget_extra: Annotated[float, Meta(ge=0.0)] = 10.0
     exposure_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.1
     session_s: Annotated[float, Meta(ge=0.0)] = 0.0
+    # Time to stop sending to a failure domain; missing where none is emptied.
+    evacuate_ms: Annotated[float, Meta(ge=0.0)] = 0.0
 
 
 class _Platform(msgspec.Struct):
@@ -145,6 +147,7 @@
             retry_extra=bounds.retry_budget_extra,
             exposure_share=bounds.exposure_share,
             session_s=bounds.session_s,
+            cordon_s=bounds.evacuate_ms / 1000,
             renewal_s=file.heartbeat_ms / 1000,
         ),
     )
--- a/lacewingdock/world/host.py
+++ b/lacewingdock/world/host.py
@@ -34,6 +34,8 @@
         exposure_share: Largest share of a service's requests that a bad
             version may get while it is rolled out.
         session_s: Longest pause between requests of a session.
+        cordon_s: Seconds after a failure domain was cordoned after which its
+            instances must get nothing new; 0 where none ever is.
         renewal_s: Seconds in which upstream instances renew their entries.
     """
 
@@ -48,6 +50,7 @@
     retry_extra: float = 10.0
     exposure_share: float = 0.1
     session_s: float = 5.0
+    cordon_s: float = 0.0
     renewal_s: float = 1.2
 
 
--- /dev/null
+++ b/tests/components/cordons/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of cordoned failure domains."""
--- a/tests/daemons/observed_router.py
+++ b/tests/daemons/observed_router.py
@@ -1,5 +1,6 @@
 """What a router in virtual time knows, and what it knew at each moment."""
 
+from lacewingdock.components.cordons import CordonListener
 from lacewingdock.components.mirror.listener import EachObject
 from lacewingdock.components.shifts.const import KIND_REPORTS
 from lacewingdock.components.upstreams.directory import Directory
@@ -8,6 +9,7 @@
 from lacewingdock.daemons.router_mirrors import store_health
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
+    KIND_CORDONS,
     KIND_INSTANCES,
     KIND_SHIFTS,
 )
@@ -19,6 +21,7 @@
 
     Attributes:
         time: Its virtual time.
+        bounds: What it is held to.
         look_s: Seconds between two looks.
         directory: The instances.
         version: The configuration's version in force.
@@ -28,6 +31,7 @@
 
     def __init__(self, time, bounds, look_s):
         self.time = time
+        self.bounds = bounds
         self.look_s = look_s
         self.directory = Directory()
         self.version = 0
@@ -37,13 +41,16 @@
     def listeners(self):
         """Return what is told of each kind."""
         nothing = EachObject(lambda _: None)
-        return {
+        found = {
             KIND_CONFIGURATION: EachObject(self._configure),
             KIND_INSTANCES: InstanceListener(self.directory),
             KIND_SHIFTS: nothing,
             KIND_REPORTS: nothing,
             KIND_ROUTERS: nothing,
         }
+        if self.bounds.cordon_s:
+            found[KIND_CORDONS] = CordonListener(self.directory)
+        return found
 
     def observe(self):
         """Start the tasks that look."""
--- a/tests/daemons/test_router_timing.py
+++ b/tests/daemons/test_router_timing.py
@@ -39,7 +39,10 @@
     return st.floats(least, 30.0)
 
 
-@pytest.mark.parametrize("bounds", [SMALL, LARGE, LEAST, Bounds()])
+CORDONS = replace(LARGE, cordon_s=5.0)
+
+
+@pytest.mark.parametrize("bounds", [SMALL, LARGE, LEAST, Bounds(), CORDONS])
 def test_paths_fit_in_the_bounds(bounds):
     assert too_slow(bounds) == []
 
@@ -50,6 +53,7 @@
     apply_s=over(LEAST.apply_s),
     revoke_s=over(LEAST.revoke_s),
     rollback_s=over(LEAST.rollback_s),
+    cordon_s=st.just(0.0) | over(LEAST.contact_s),
     renewal_s=st.floats(0.2, 10.0),
 )
 @settings(derandomize=True, deadline=None)
@@ -69,6 +73,7 @@
         ("apply_s", 0.4, {"heard by a watch"}),
         ("revoke_s", 0.4, {"heard by a watch"}),
         ("rollback_s", 1.0, {"reports in the store"}),
+        ("cordon_s", 0.6, {"heard by a watch"}),
     ],
 )
 def test_bound_that_is_too_short_is_told(field, seconds, broken):
