Gateway: placing and the line of an attempt in modules of their own

No change of behaviour, but that a request waits for turns at cold instances up to one moment, also where the instance of its first turn leaves meanwhile.

--- /dev/null
+++ b/lacewingdock/components/gateway/attempt_log.py
@@ -0,0 +1,46 @@
+"""Support for telling of an attempt in the log."""
+
+import time
+
+from lacewingdock.components.gateway.attempt import Result
+from lacewingdock.components.upstreams.choice import Chooser
+from lacewingdock.components.upstreams.instance import Instance
+from lacewingdock.helpers.log import get_logger
+from lacewingdock.world.call import Call
+
+log = get_logger("gateway")
+
+
+def log_attempt(
+    chooser: Chooser,
+    call: Call,
+    model: str,
+    instance: Instance,
+    result: Result,
+    seconds: float,
+) -> None:
+    """Tell of an attempt, and of what the choice of its instance rested on.
+
+    The figures are as of now: this router's own, and what the others told in
+    the last second. What the platform says of the instance is in the line of
+    its entry.
+    """
+    entry, now = instance.entry, time.monotonic()
+    others = chooser.others(instance.mark)
+    log.info(
+        "attempt",
+        request=call.id,
+        upstream=entry.id,
+        version=entry.version,
+        model=model,
+        running=instance.running,
+        unread=round(instance.unread, 2),
+        others_running=others.running,
+        others_unread=round(others.unread, 2),
+        failures=round(instance.recent_failures(now), 2),
+        cold=instance.is_cold(now),
+        heard_s=round(now - instance.heard_at, 3),
+        result=type(result).__name__,
+        detail=getattr(result, "detail", ""),
+        seconds=round(seconds, 4),
+    )
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -1,7 +1,6 @@
 """Support for one request of a caller, from its route to its answer."""
 
 import time
-from collections.abc import Callable
 from typing import Final
 
 from lacewingdock.components.gateway.attempt import (
@@ -16,6 +15,7 @@
     Whole,
     is_failure,
 )
+from lacewingdock.components.gateway.attempt_log import log_attempt
 from lacewingdock.components.gateway.cascade import Cascade
 from lacewingdock.components.gateway.gateway import Gateway, answer_error
 from lacewingdock.components.gateway.outcome import (
@@ -31,6 +31,7 @@
     patience_for,
     patience_of_last,
 )
+from lacewingdock.components.gateway.placing import NoPlace, Seeker, place
 from lacewingdock.components.shifts import Sample
 from lacewingdock.components.slow_start.const import WAIT_PART
 from lacewingdock.components.upstreams.connection import CallerLeft
@@ -220,7 +221,18 @@
                 self.cascade.ask_larger(instance.entry.id, result, left_s)
                 continue
             if is_failure(result) and self._may_repeat(result):
-                self._log_repeat(instance, result)
+                log.info(
+                    "another attempt",
+                    request=self.call.id,
+                    upstream=instance.entry.id,
+                    result=type(result).__name__,
+                    retries_left=round(
+                        self.gateway.budget(self.service).saved, 1
+                    ),
+                    after_event=self.progress.last_event,
+                    attempts=len(self.tried),
+                    left_s=round(self.end - time.monotonic(), 3),
+                )
                 continue
             if isinstance(result, Whole) and not self.progress.started:
                 head = result.head
@@ -229,61 +241,37 @@
             return self._give_up(result)
 
     def _choose(self) -> Instance:
+        """Return the instance of the next attempt.
+
+        Raises:
+            LacewingdockError: There is none.
+        """
         shift = self.gateway.shifts.version(
             self.service, self.call, again=self.may_have_run
         )
-
-        def allowed(one: Instance) -> bool:
-            return shift.admits(one.entry)
-
         self.unread = self._to_read()
-        instance = self.gateway.chooser.choose(
+        seeker = Seeker(
             self.service,
-            allowed,
+            shift,
             self.unread,
             self.tried,
             self.call.id,
+            self._turn_by(),
         )
-        while instance is None:
-            instance = self._await_turn(allowed)
-        return instance
-
-    def _await_turn(
-        self, allowed: Callable[[Instance], bool]
-    ) -> Instance | None:
-        """Wait for a turn at a cold instance.
-
-        More urgent requests wait longer, so where turns are short the others
-        are refused first. The turn is booked, so that no two wait for the same.
+        found = place(self.gateway.chooser, seeker)
+        if isinstance(found, NoPlace):
+            raise self._no_answer(f"no instance, {shift}", found.after_s)
+        return found
 
-        Returns:
-            The instance; None where it left meanwhile.
+    def _turn_by(self) -> float:
+        """Return until when a turn at a cold instance is waited for.
 
-        Raises:
-            LacewingdockError: There is no turn in time.
+        More urgent requests wait longer, so where turns are few the others
+        are refused first.
         """
-        chooser = self.gateway.chooser
-        part = 1.0 - self._priority() / (LAST_PRIORITY + 1)
-        wait_s = min(
-            self.route.goal_s * WAIT_PART * part,
-            self.end - time.monotonic() - MIN_LEFT_S,
-        )
-        turn = chooser.reserve(self.service, allowed, self.unread, wait_s)
-        if turn is None:
-            after_s = chooser.next_turn_s(self.service, allowed)
-            raise self._no_answer("no instance takes it", after_s)
-        log.info(
-            "waits for a cold instance",
-            request=self.call.id,
-            upstream=turn.instance.entry.id,
-            wait_s=round(turn.at - time.monotonic(), 3),
-        )
-        time.sleep(max(turn.at - time.monotonic(), 0.0))
-        if turn.instance.open:
-            return turn.instance
-        chooser.began(turn.instance, self.unread)
-        chooser.done(turn.instance)
-        return None
+        part = WAIT_PART * (1.0 - self._priority() / (LAST_PRIORITY + 1))
+        goal_by = time.monotonic() + self.route.goal_s * part
+        return min(goal_by, self.end - MIN_LEFT_S)
 
     def _no_answer(
         self, detail: str, after_s: float | None = None
@@ -352,7 +340,14 @@
         self.gateway.metrics.attempted(state, type(result).__name__)
         self._note_pace(attempt, result, events)
         self._learn(instance, result, start, events)
-        self._log_attempt(instance, result, time.monotonic() - start)
+        log_attempt(
+            self.gateway.chooser,
+            self.call,
+            self.cascade.model,
+            instance,
+            result,
+            time.monotonic() - start,
+        )
         return result
 
     def _priority(self) -> int:
@@ -489,46 +484,6 @@
             return left()
         return refused(error)
 
-    def _log_attempt(
-        self, instance: Instance, result: Result, seconds: float
-    ) -> None:
-        """Tell of an attempt, and of what the choice of its instance rested on.
-
-        The figures are as of now: this router's own, and what the others told
-        in the last second. What the platform says of the instance is in the
-        line of its entry.
-        """
-        entry, now = instance.entry, time.monotonic()
-        others = self.gateway.chooser.others(instance.mark)
-        log.info(
-            "attempt",
-            request=self.call.id,
-            upstream=entry.id,
-            version=entry.version,
-            model=self.cascade.model,
-            running=instance.running,
-            unread=round(instance.unread, 2),
-            others_running=others.running,
-            others_unread=round(others.unread, 2),
-            failures=round(instance.recent_failures(now), 2),
-            heard_s=round(now - instance.heard_at, 3),
-            result=type(result).__name__,
-            detail=getattr(result, "detail", ""),
-            seconds=round(seconds, 4),
-        )
-
-    def _log_repeat(self, instance: Instance, result: Result) -> None:
-        log.info(
-            "another attempt",
-            request=self.call.id,
-            upstream=instance.entry.id,
-            result=type(result).__name__,
-            retries_left=round(self.gateway.budget(self.service).saved, 1),
-            after_event=self.progress.last_event,
-            attempts=len(self.tried),
-            left_s=round(self.end - time.monotonic(), 3),
-        )
-
     def _finished(self, outcome: Outcome) -> None:
         seconds = time.monotonic() - self.started
         # One that was refused early has no route, or no cascade.
--- /dev/null
+++ b/lacewingdock/components/gateway/placing.py
@@ -0,0 +1,85 @@
+"""Support for finding the instance that an attempt goes to."""
+
+import time
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from lacewingdock.components.shifts import VersionRule
+from lacewingdock.components.upstreams.choice import Chooser
+from lacewingdock.components.upstreams.instance import Instance
+from lacewingdock.helpers.log import get_logger
+
+log = get_logger("gateway")
+
+
+@dataclass(slots=True, frozen=True)
+class Seeker:
+    """A request that is to be placed.
+
+    Attributes:
+        service: The service that it goes to.
+        rule: The versions and instances that may run it.
+        unread: What it has to read, as `Chooser.choose` takes it.
+        tried: The instances that it was at, by their starts.
+        request: Its id.
+        turn_by: Monotonic time up to which it waits for its turn at a cold
+            instance, where there is no other.
+    """
+
+    service: str
+    rule: VersionRule
+    unread: float
+    tried: Collection[str]
+    request: str
+    turn_by: float
+
+    def allows(self, instance: Instance) -> bool:
+        """Whether an instance may run it."""
+        return self.rule.admits(instance.entry)
+
+
+@dataclass(slots=True, frozen=True)
+class NoPlace:
+    """No instance takes a request now.
+
+    Attributes:
+        after_s: Seconds after which one may; None where that is not known.
+    """
+
+    after_s: float | None
+
+
+def place(chooser: Chooser, seeker: Seeker) -> Instance | NoPlace:
+    """Return the instance that a request goes to, counted in there.
+
+    Where all that may run it are cold, it waits for its turn.
+    """
+    while True:
+        chosen = chooser.choose(
+            seeker.service,
+            seeker.allows,
+            seeker.unread,
+            seeker.tried,
+            seeker.request,
+        )
+        if chosen is not None:
+            return chosen
+        turn = chooser.reserve(
+            seeker.service, seeker.allows, seeker.unread, seeker.turn_by
+        )
+        if turn is None:
+            after_s = chooser.next_turn_s(seeker.service, seeker.allows)
+            return NoPlace(after_s)
+        wait_s = max(turn.at - time.monotonic(), 0.0)
+        log.info(
+            "waits for a cold instance",
+            request=seeker.request,
+            upstream=turn.instance.entry.id,
+            wait_s=round(wait_s, 3),
+        )
+        time.sleep(wait_s)
+        if turn.instance.open:
+            return turn.instance
+        # It left or was cordoned meanwhile.
+        chooser.began(turn.instance, seeker.unread)
+        chooser.done(turn.instance)
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -127,7 +127,7 @@
         service: str,
         allowed: Callable[[Instance], bool],
         unread: float,
-        within_s: float,
+        by: float,
     ) -> Turn | None:
         """Return the next turn at a cold instance and count the request in.
 
@@ -137,7 +137,7 @@
             service: The service.
             allowed: Whether an instance may run the request.
             unread: As `choose`.
-            within_s: Seconds in which the turn must come.
+            by: Monotonic time by which the turn must come.
 
         Returns:
             The turn; None where there is none in time.
@@ -145,7 +145,7 @@
         with self.directory.lock:
             now = time.monotonic()
             turns = self._turns(service, allowed, now)
-            if not turns or turns[0].at > now + within_s:
+            if not turns or turns[0].at > by:
                 return None
             self._count_in(turns[0].instance, unread, turns[0].at)
         self.changed.set()
--- a/tests/components/slow_start/test_slow_start.py
+++ b/tests/components/slow_start/test_slow_start.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+import time
 from dataclasses import replace
 
 import pytest
@@ -211,7 +212,8 @@
         return found.entry.id if found else None
 
     def reserve(self, within_s):
-        return self.chooser.reserve("svc", lambda _: True, 1.0, within_s)
+        by = time.monotonic() + within_s
+        return self.chooser.reserve("svc", lambda _: True, 1.0, by)
 
 
 def test_cold_instances_get_their_turns_and_no_more():
