Slow start: a share for every router where the bound leaves one request each

Change: requests spaced by a second and their longest way count once a second, so 28 routers may share 32; larger fleets rank 21 routers an instance.

--- a/lacewingdock/components/slow_start/__init__.py
+++ b/lacewingdock/components/slow_start/__init__.py
@@ -5,11 +5,12 @@
 all routers together. An idle instance is what each router likes best: without
 a bound, all of a fleet choose it in the same moment.
 
-No router asks another. Of each cold instance a few routers have a share, by a
-ranking on which all agree that know the same routers, and each spaces its
-requests out. The sum stays below the bound in any second, also where routers
-differ by half in whom they know, are cut off, or have all started again. All
-other routers leave the instance to them until it is warm.
+No router asks another. Each spaces its requests to a cold instance out, so
+that the sum stays below the bound in any second, also where routers are cut
+off or have all started again. Where that would leave a router less than one in
+a second, some of them have a share of each instance, by a ranking on which all
+agree that know the same routers, with room for those that do not; the others
+leave the instance to them until it is warm.
 """
 
 import heapq
@@ -20,10 +21,12 @@
 from typing import Final
 
 from lacewingdock.components.slow_start.const import (
-    MIN_PACE_PER_S,
+    ENTRY_LATE_S,
+    NEWCOMERS,
     PACE_PART,
-    SENDS_BESIDE,
+    SECOND_S,
     VIEWS,
+    WAY_S,
 )
 from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.world.host import Bounds
@@ -49,20 +52,23 @@
 def shares(per_s: float, most_in_a_second: float, routers: int) -> Shares:
     """Return how the requests to a cold instance are shared.
 
-    In a second a router with a share sends one request for each gap and up to
-    `SENDS_BESIDE` more: one at both ends of the second, and one that was late
-    on its way.
+    Requests of one router that are sent a gap apart may arrive closer by what
+    the way takes. So in any second there arrive as many of one router as gaps
+    fit into a second and that way.
 
     Args:
         per_s: Requests a second that it bears.
         most_in_a_second: Requests that may reach it in any second.
         routers: How many routers there are.
     """
-    most = most_in_a_second / VIEWS
-    pace = min(PACE_PART * per_s, max(most - SENDS_BESIDE, MIN_PACE_PER_S))
-    sharing = math.floor((most - pace) / SENDS_BESIDE)
-    sharing = min(max(sharing, 1), max(routers, 1))
-    return Shares(sharing, sharing / pace)
+    routers = max(routers, 1)
+    sharing = routers
+    if routers * NEWCOMERS > most_in_a_second:
+        sharing = max(math.floor(most_in_a_second / VIEWS), 1)
+    senders = min(routers * NEWCOMERS, sharing * VIEWS)
+    each = max(math.floor(most_in_a_second / senders), 1)
+    gap_s = max((SECOND_S + WAY_S) / each, sharing / (PACE_PART * per_s))
+    return Shares(sharing, gap_s)
 
 
 class SlowStart:
@@ -75,6 +81,7 @@
             share of anything.
         limits: Returns what a service's instances bear; None if not known.
         bounds: Returns what the router is held to.
+        started: Monotonic time of this router's start.
     """
 
     __slots__ = (
@@ -86,6 +93,7 @@
         "limits",
         "name",
         "names",
+        "started",
     )
 
     def __init__(
@@ -95,8 +103,10 @@
         known: Callable[[], bool],
         limits: Callable[[str], ServiceLimits | None],
         bounds: Callable[[], Bounds],
+        started: float,
     ) -> None:
         """Take the parts; nothing is cold before an entry says so."""
+        self.started = started
         self.name = name
         self.names = names
         self.known = known
@@ -116,29 +126,49 @@
         Returns:
             A monotonic time; infinity where it has no share.
         """
-        shares = self._shares(instance)
-        if shares is None:
+        limits = self._limits(instance)
+        if limits is None:
             return now
+        shares = self._shares(limits)
         if not self._is_sharer(instance, shares.routers):
             return math.inf
-        return max(self._next_at.get(instance.entry.incarnation, now), now)
+        due = self._next_at.get(instance.entry.incarnation)
+        if due is None:
+            due = self._first_due(instance, limits)
+        return max(due, now)
+
+    def _first_due(self, instance: Instance, limits: ServiceLimits) -> float:
+        """Return when the first request since this router's start may be sent.
+
+        An earlier start of this router may have sent to an instance that was
+        there before: all routers that start again at once would else double
+        what arrives in that second.
+        """
+        born = instance.cold_until - limits.cold_start_s
+        if born >= self.started + ENTRY_LATE_S:
+            return self.started
+        return self.started + SECOND_S + WAY_S
 
     def sends(self, instance: Instance, at: float) -> None:
         """Count a request that goes to an instance at a moment."""
         if not instance.is_cold(at):
             return
-        shares = self._shares(instance)
-        if shares is None:
+        limits = self._limits(instance)
+        if limits is None:
             return
         if len(self._next_at) > MAX_REMEMBERED:
             self._next_at = {k: t for k, t in self._next_at.items() if t > at}
-        self._next_at[instance.entry.incarnation] = at + shares.gap_s
+        self._next_at[instance.entry.incarnation] = (
+            at + self._shares(limits).gap_s
+        )
 
-    def _shares(self, instance: Instance) -> Shares | None:
-        """Return how requests are shared; None where there is no bound."""
+    def _limits(self, instance: Instance) -> ServiceLimits | None:
+        """Return what a cold instance bears; None where there is no bound."""
         limits = self.limits(instance.entry.service)
-        if limits is None or not limits.cold_per_s:
-            return None
+        return limits if limits and limits.cold_per_s else None
+
+    def _shares(self, limits: ServiceLimits) -> Shares:
+        """Return how the requests to a cold instance are shared."""
         per_s, bounds = limits.cold_per_s, self.bounds()
         most = per_s * bounds.cold_overage + bounds.cold_extra
         return shares(per_s, most, len(self.names()) + 1)
--- a/lacewingdock/components/slow_start/const.py
+++ b/lacewingdock/components/slow_start/const.py
@@ -5,13 +5,19 @@
 # Routers with a share of one instance, in times those that one view of the
 # fleet gives: some know routers that others do not know yet, or no more.
 VIEWS: Final = 1.5
-# Part of what a cold instance bears that is sent to it. The rest is for those
-# that take it for warm still.
-PACE_PART: Final = 0.6
-# Requests of one router in a second beyond those that its pace gives.
-SENDS_BESIDE: Final = 2.0
-# The slowest pace: an instance that gets nothing shows nothing.
-MIN_PACE_PER_S: Final = 0.2
+# Routers, in times those that one knows of, where each has a share: some that
+# have just been added are not known yet.
+NEWCOMERS: Final = 1.1
+# Part of what a cold instance bears that is sent to it over many seconds.
+PACE_PART: Final = 0.9
+# Span over which requests are counted.
+SECOND_S: Final = 1.0
+# Longest way of a request to the instance: a new connection, and its body.
+WAY_S: Final = 0.45
+# By how much an instance seems to start later than it does, beyond what an
+# earlier start of this router would have needed to hear of it: its entry is
+# some time on its way.
+ENTRY_LATE_S: Final = 0.6
 # What a cold instance's slowness costs in choosing, in requests that run.
 COLD_WEIGHT: Final = 2.0
 # Part of a request's goal for which it waits for its turn at cold instances
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -316,6 +316,7 @@
             self.mirrors[KIND_ROUTERS].ready.is_set,
             self.routes.limits,
             self._bounds,
+            self.started,
         )
         self.directory.cold_start_s = self.routes.cold_start_s
         return Gateway(
