--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -53,7 +53,8 @@
         revision: Revision of its last change, growing over all objects.
         spec: What was asked for, as decoded JSON.
         status: What its keeper reports of it, as decoded JSON.
-        created: Revision of its first write; 0 where not said.
+        created: When it was first written, in the store's own count; 0 where
+            not said.
     """
 
     name: str
--- a/lacewingdock/world/backend.py
+++ b/lacewingdock/world/backend.py
@@ -19,8 +19,8 @@
         leaving: Whether it takes no new work.
         born: Unix time of its start, in milliseconds; 0 where not said.
         cold_left_s: Seconds for which it stays cold, when that was written.
-        created: Revision at which the entry was first written; 0 where not
-            said.
+        created: When the entry was first written, in the store's own count; 0
+            where not said.
     """
 
     id: str
