Slow start: routers take their first turns one after the other

Change: the first turn at an instance that turned cold, or that a router meets at its start, comes after a part of the gap that is drawn by the names, so the fleet's requests are spread from the first moment and a restart of all adds what was sent before, not twice the bound.

--- a/lacewingdock/components/slow_start/__init__.py
+++ b/lacewingdock/components/slow_start/__init__.py
@@ -21,7 +21,6 @@
 from typing import Final
 
 from lacewingdock.components.slow_start.const import (
-    ENTRY_LATE_S,
     NEWCOMERS,
     PACE_PART,
     SECOND_S,
@@ -132,22 +131,20 @@
         shares = self._shares(limits)
         if not self._is_sharer(instance, shares.routers):
             return math.inf
-        due = self._next_at.get(instance.entry.incarnation)
-        if due is None:
-            due = self._first_due(instance, limits)
-        return max(due, now)
+        first = self._first_due(instance, shares.gap_s)
+        next_at = self._next_at.get(instance.entry.incarnation, first)
+        return max(first, next_at, now)
 
-    def _first_due(self, instance: Instance, limits: ServiceLimits) -> float:
-        """Return when the first request since this router's start may be sent.
+    def _first_due(self, instance: Instance, gap_s: float) -> float:
+        """Return when the first request may be sent to an instance.
 
-        An earlier start of this router may have sent to an instance that was
-        there before: all routers that start again at once would else double
-        what arrives in that second.
+        Routers take their first turns one after the other. All at once, with
+        what was sent before all of them started again, would be twice what may
+        arrive in a second.
         """
-        born = instance.cold_until - limits.cold_start_s
-        if born >= self.started + ENTRY_LATE_S:
-            return self.started
-        return self.started + SECOND_S + WAY_S
+        digest = zlib.crc32(f"{self.name} {instance.mark}".encode())
+        phase = digest / 2**32
+        return max(instance.cold_from, self.started) + phase * gap_s
 
     def sends(self, instance: Instance, at: float) -> None:
         """Count a request that goes to an instance at a moment."""
--- a/lacewingdock/components/slow_start/const.py
+++ b/lacewingdock/components/slow_start/const.py
@@ -14,10 +14,6 @@
 SECOND_S: Final = 1.0
 # Longest way of a request to the instance: a new connection, and its body.
 WAY_S: Final = 0.45
-# By how much an instance seems to start later than it does, beyond what an
-# earlier start of this router would have needed to hear of it: its entry is
-# some time on its way.
-ENTRY_LATE_S: Final = 0.6
 # What a cold instance's slowness costs in choosing, in requests that run.
 COLD_WEIGHT: Final = 2.0
 # Part of a request's goal for which it waits for its turn at cold instances
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -157,9 +157,7 @@
             known.entry = entry
             known.lapsed = False
             self._index()
-        self.instances[entry.id].cold_until = (
-            time.monotonic() + entry.cold_left_s
-        )
+        self.instances[entry.id].is_cold_for(entry.cold_left_s)
         log.info(
             "upstream",
             upstream=entry.id,
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -63,6 +63,7 @@
         unreached_at: Monotonic time at which it last took no connection.
         failed_at: Monotonic time up to which `failures` is reckoned.
         trial_at: Monotonic time from which one request may try it again.
+        cold_from: Monotonic time from which it was cold, as seen here.
         cold_until: Monotonic time up to which it is cold, or may be.
         lapsed: Whether its entry is missing since an outage of the store.
         superseded: Whether a later entry names the same address.
@@ -71,6 +72,7 @@
     """
 
     __slots__ = (
+        "cold_from",
         "cold_until",
         "cordoned",
         "entry",
@@ -102,6 +104,7 @@
         self.others_heard_at = 0.0
         self.reached_at = 0.0
         self.unreached_at = 0.0
+        self.cold_from = 0.0
         self.cold_until = 0.0
         self.lapsed = False
         self.superseded = False
@@ -149,7 +152,15 @@
 
     def may_be_cold(self, for_s: float) -> None:
         """Reckon with its being cold from now on."""
-        self.cold_until = max(self.cold_until, time.monotonic() + for_s)
+        left_s = self.cold_until - time.monotonic()
+        self.is_cold_for(max(left_s, for_s))
+
+    def is_cold_for(self, left_s: float) -> None:
+        """Take for how many seconds it stays cold; 0 or less if it is warm."""
+        now = time.monotonic()
+        if left_s > 0.0 and not self.is_cold(now):
+            self.cold_from = now
+        self.cold_until = now + left_s
 
     def recent_failures(self, now: float) -> float:
         """Return the failures, older ones counting less."""
