--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -267,8 +267,11 @@
         """Return until when a turn at a cold instance is waited for.
 
         More urgent requests wait longer, so where turns are few the others
-        are refused first.
+        are refused first. One that may have run can't be refused any more, so
+        it waits for as long as it can be answered.
         """
+        if self.may_have_run:
+            return self.end - MIN_LEFT_S
         part = WAIT_PART * (1.0 - self._priority() / (LAST_PRIORITY + 1))
         goal_by = time.monotonic() + self.route.goal_s * part
         return min(goal_by, self.end - MIN_LEFT_S)
--- a/tests/components/gateway/test_cold_instances.py
+++ b/tests/components/gateway/test_cold_instances.py
@@ -6,16 +6,23 @@
 
 from lacewingdock.components.slow_start import SlowStart
 from lacewingdock.world.host import Bounds
-from lacewingdock.world.route import ServiceLimits
-from tests.components.gateway.fakes import Stage, Upstream, route
+from lacewingdock.world.route import Repeat, ServiceLimits
+from tests.components.gateway.fakes import Stage, Upstream, answer, route
 
 # Three requests a second: a turn each 0.37 s.
 COLD = ServiceLimits("svc", cold_start_s=3.0, cold_per_s=3.0)
 
 
-def stage_of(upstream, *, cold_s, has_share=True, goal_s=2.0, priority=0):
+STREAM = {
+    "repeat": Repeat.RESUMABLE,
+    "streaming": True,
+    "models": ("small", "large"),
+}
+
+
+def stage_of(upstream, *, cold_s, has_share=True, goal_s=2.0, **changes):
     """Return a gateway whose one instance is cold."""
-    found = Stage([route(goal_s=goal_s, priority=priority)], [upstream])
+    found = Stage([route(goal_s=goal_s, **changes)], [upstream])
     found.gateway.chooser.slow_start = SlowStart(
         "me",
         lambda: (),
@@ -120,3 +127,24 @@
         assert stage.directory.instances["i-1"].is_cold(time.monotonic())
     finally:
         stage.close()
+
+
+def test_request_that_may_have_run_waits_for_as_long_as_it_can():
+    """Symptom: requests fail though turns would have come in time.
+
+    Sequence: a smaller model is unsure; the larger one is to be asked while
+    all instances are cold. Cause: it waited for a part of its goal only, and
+    what was sent once can't be refused truly.
+    """
+    upstream = Upstream(
+        answer(extra=b"Confidence: 5\r\nContent-Type: text/event-stream\r\n"),
+        answer(b"id: 1\ndata: x\n\n"),
+    )
+    stage = stage_of(upstream, cold_s=9.0, goal_s=0.1, **STREAM)
+    try:
+        status, _, _ = stage.call(extra="Model: *\r\n")
+        assert status == 200
+        assert len(upstream.requests) == 2
+    finally:
+        stage.close()
+        upstream.close()
