Roll-outs: an order that may have gone unseen counts as that much older

Change: a mirror tells for how long changes may have gone unseen where no watch waited for them; an order taken so counts as that old, up to 3.5 s. A router that was cut off longer goes by the others'. Also: an instance that was never cold has no time until which it was (test_under_load saw it as cold once its clock was set back).

--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -106,6 +106,8 @@
         clock: The time it goes by.
         as_of: Moment of this router's clock for which the copy is known to be
             complete.
+        unseen_s: Seconds for which the last changes may have gone unseen, where
+            no watch waited for them; 0 where one did, or at a start.
         following: Whether other routers kept the copy young until now.
         called_at: When the last call began.
         waiting: Whether that call waits for news.
@@ -136,6 +138,7 @@
         "revision",
         "spared_s",
         "stale",
+        "unseen_s",
         "wait_s",
         "waiting",
     )
@@ -168,6 +171,7 @@
         self.stale = False
         self.clock = clock
         self.as_of = -math.inf
+        self.unseen_s = 0.0
         self.following = False
         self.called_at = 0.0
         self.waiting = False
@@ -395,6 +399,7 @@
                         self.objects[change.object.name] = change.object
                 self.revision = max(self.revision, found.revision)
             self.history.add(after, found)
+            self._note_unseen(waited=self.waiting)
             self.as_of = max(self.as_of, as_of)
             for change in found.changes:
                 self.listener.change(change, doubtful=doubtful)
@@ -402,6 +407,12 @@
             self.on_news()
         return True
 
+    def _note_unseen(self, *, waited: bool) -> None:
+        """Note how long ago what is taken now may have been written."""
+        unseen_s = self.clock.now() - self.as_of
+        is_known = unseen_s < math.inf and not waited
+        self.unseen_s = unseen_s if is_known else 0.0
+
     def _list(self) -> None:
         self._begin(waiting=False)
         # A router that starts is busy with itself, and has nothing to lose by
@@ -459,6 +470,7 @@
                 self.objects = dict(found.objects)
                 self.revision = found.revision
             self.history = ChangeHistory(found.revision)
+            self._note_unseen(waited=False)
             self.as_of = max(self.as_of, as_of)
             doubtful = self.health.doubtful or not sure
             self.listener.replace(found, doubtful=doubtful)
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -21,6 +21,7 @@
     REPORT_LATE_S,
     REPORT_S,
     REPORTS_LOST,
+    UNSEEN_MOST_S,
     WRITES_PART,
 )
 from lacewingdock.components.shifts.evidence import Sample
@@ -63,6 +64,8 @@
         refused: Versions that were rolled back, by service.
         pins: The version of each session.
         reporter: Writes this router's reports.
+        unseen_s: Returns for how long an order that is taken now may have gone
+            unseen, in seconds.
         store_doubtful: Returns whether the store was away lately.
     """
 
@@ -78,6 +81,7 @@
         "running",
         "settled",
         "store_doubtful",
+        "unseen_s",
     )
 
     def __init__(
@@ -118,6 +122,7 @@
             ),
         )
         self.store_doubtful: Callable[[], bool] = lambda: False
+        self.unseen_s: Callable[[], float] = lambda: 0.0
         self._lock = threading.Lock()
 
     @property
@@ -326,7 +331,17 @@
                     return
                 share = self.host.bounds.exposure_share
                 self.refused.pop(service, None)
-                self.running[service] = Shift(order, share)
+                self.running[service] = Shift(order, share, self._age_s())
+
+    def _age_s(self) -> float:
+        """Return for how long an order that was just seen counts as placed.
+
+        Where the store had dropped its history, orders were seen 1.1 s late,
+        and good versions completed that much after their time. Too long costs
+        a part of the canary's time, and exposes no more.
+        """
+        unseen_s = self.unseen_s()
+        return unseen_s if unseen_s <= UNSEEN_MOST_S else 0.0
 
     def drop(self, stored: StoredObject) -> None:
         """Take an order that was removed: it is over."""
--- a/lacewingdock/components/shifts/const.py
+++ b/lacewingdock/components/shifts/const.py
@@ -93,3 +93,7 @@
 # The largest share of bad answers that the old version excuses: beyond, the
 # new one could fail almost always and still look no worse.
 MOST_TOLERATED: Final = 0.3
+# Longest time for which an order counts as gone unseen: a watch that went deaf
+# and a list. A router that was cut off for longer does not know its age; the
+# others' reports tell it.
+UNSEEN_MOST_S: Final = 3.5
--- a/lacewingdock/components/shifts/shift.py
+++ b/lacewingdock/components/shifts/shift.py
@@ -74,7 +74,8 @@
     Attributes:
         order: The order.
         seen_at: Boot time at which it was seen here.
-        known_s: Seconds since the order at that moment, by others' reports.
+        known_s: Seconds since the order at that moment, by others' reports or
+            by how long it may have gone unseen.
         stage: How far requests are moved.
         evidence: What this router saw of the new version.
         detector: Tells when the sum over all routers speaks against it.
@@ -102,11 +103,13 @@
         "stage",
     )
 
-    def __init__(self, order: ShiftOrder, exposure_share: float) -> None:
-        """Take an order that was just seen."""
+    def __init__(
+        self, order: ShiftOrder, exposure_share: float, age_s: float = 0.0
+    ) -> None:
+        """Take an order that was just seen, and how old it may be."""
         self.order = order
         self.seen_at = _now()
-        self.known_s = 0.0
+        self.known_s = age_s
         self.stage = Stage.CANARY
         self.evidence = Evidence()
         self.detector = ChangeDetector()
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -157,8 +157,11 @@
 
     def is_cold_for(self, left_s: float) -> None:
         """Take for how many seconds it stays cold; 0 or less if it is warm."""
+        if left_s <= 0.0:
+            self.cold_until = 0.0
+            return
         now = time.monotonic()
-        if left_s > 0.0 and not self.is_cold(now):
+        if not self.is_cold(now):
             self.cold_from = now
         self.cold_until = now + left_s
 
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -181,6 +181,7 @@
             router, status.losses
         )
         self.mirrors = self._mirrors()
+        self.shifts.unseen_s = lambda: self.mirrors[KIND_SHIFTS].unseen_s
         self.shifts.store_doubtful = lambda: self.health.doubtful
         self.gateway = self._gateway()
         self.fleet_load = FleetLoad()
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+import time
 
 import pytest
 
@@ -298,3 +299,26 @@
         found.change(Change(entry("a"), True), doubtful=doubtful)
     assert taken == ["a", "b", "c"] * 2
     assert dropped == ["a"] * 2
+
+
+@pytest.mark.parametrize(
+    ("answers", "low_s", "high_s"),
+    [
+        # A first list says nothing of when things were written.
+        ([listed(1, "a")], 0.0, 0.0),
+        # A watch that waited tells at once.
+        ([listed(1, "a"), removed(2, "a")], 0.0, 0.0),
+        # A list after the history was dropped may show what is older.
+        ([listed(1, "a"), HistoryGoneError(), listed(3, "b")], 0.04, 2.0),
+    ],
+)
+def test_how_long_changes_may_have_gone_unseen(answers, low_s, high_s):
+    """Symptom: an order that is seen late ends late.
+
+    Cause: nothing told how long ago it may have been placed.
+    """
+    mirror, *_ = mirror_of(*answers)
+    for _ in answers[:2]:
+        mirror.round()
+        time.sleep(0.05)
+    assert low_s <= mirror.unseen_s <= high_s
--- a/tests/components/shifts/test_shift.py
+++ b/tests/components/shifts/test_shift.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lacewingdock.components.shifts.const import FORCE_BEFORE_S
 from lacewingdock.components.shifts.report import Report, Stage
 from lacewingdock.components.shifts.shift import Shift
 from lacewingdock.world.backend import ShiftState
@@ -411,3 +412,24 @@
     clock.now = 1000 + DURATION_S * 0.95
     first.round()
     assert store.order.status["state"] == "completed"
+
+
+@pytest.mark.parametrize(
+    ("unseen_s", "age_s"),
+    [(0.0, 0.0), (1.1, 1.1), (3.0, 3.0), (9.0, 0.0)],
+)
+def test_order_that_was_seen_late_is_done_in_time(clock, unseen_s, age_s):
+    """Symptom: a good version is completed 0.1 s after its time.
+
+    Sequence: the order is placed while the store has dropped its history; a
+    list shows it 1.1 s later. Cause: its time was counted from then on.
+    """
+    store = Store()
+    shifts = router(store)
+    shifts.drop(store.order)
+    shifts.unseen_s = lambda: unseen_s
+    shifts.take(store.order)
+    shift = shifts.running["svc"]
+    assert shift.elapsed_s == pytest.approx(age_s)
+    clock.now += DURATION_S - FORCE_BEFORE_S - age_s
+    assert shift.due
