Cordons: watched as seldom as their own bound allows

Change: its watches and copies may be as old as the cordon's bound leaves, which is longer than those of entries and configurations; the sums of delays say so.

--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -13,6 +13,7 @@
 from lacewingdock.daemons.router_timing import (
     CHANGES_PAUSE_S,
     REPORTS_PAUSE_S,
+    cordons_watch_s,
     doubt_s,
     entries_watch_s,
     watch_s,
@@ -134,6 +135,8 @@
     mirrors[KIND_REPORTS].wait_s = lambda: (
         bound_watch_s() if pace.shifting() else REPORTS_WATCH_S
     )
+    if KIND_CORDONS in mirrors:
+        mirrors[KIND_CORDONS].wait_s = lambda: cordons_watch_s(pace.bounds())
     for kind in {KIND_CONFIGURATION, KIND_INSTANCES, KIND_CORDONS} & set(
         mirrors
     ):
--- a/lacewingdock/daemons/router_relay.py
+++ b/lacewingdock/daemons/router_relay.py
@@ -1,5 +1,6 @@
 """Support for setting up how routers pass the store's news on."""
 
+import functools
 import math
 import random
 from collections.abc import Callable, Mapping
@@ -17,6 +18,7 @@
     BACK_LOOK_S,
     CHANGES_PAUSE_S,
     entries_watch_s,
+    follow_cordons_s,
     follow_limit_s,
     outage_pause_s,
     renew_s,
@@ -80,12 +82,16 @@
     def limit_s(kind: str) -> float:
         if not is_used():
             return 0.0
+        if kind == KIND_CORDONS:
+            return follow_cordons_s(bounds())
         if kind in BOUND_KINDS:
             return follow_limit_s(bounds())
         return LOOSE_LIMIT_S
 
-    def most_age_s() -> float:
-        return renew_s(bounds()) if is_used() and follower.watches else math.inf
+    def most_age_s(kind: str) -> float:
+        if not is_used() or not follower.watches:
+            return math.inf
+        return renew_s(bounds(), limit_s(kind))
 
     follower = Follower(
         routers.name,
@@ -100,7 +106,7 @@
         mirror.kept_s = _kept_s(follower, health, kind)
         mirror.spared_s = _spared_s(follower, health, mirror, bounds)
         if kind in BOUND_KINDS:
-            mirror.renew_s = most_age_s
+            mirror.renew_s = functools.partial(most_age_s, kind)
     health.others_doubt = lambda: follower.doubtful
     health.on_answer = follower.store_answered
     return Relay(follower, Watcher(routers.name, mirrors, health, clock))
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -68,8 +68,26 @@
     time. With 0.7 of it, a watch that began at the end of its pause showed a
     change 3.06 s after the disturbance, where 3 s are allowed.
     """
+    return _longest_watch_s(bounds.contact_s)
+
+
+def cordons_watch_s(bounds: Bounds) -> float:
+    """Return how long a watch of cordons may wait, in seconds.
+
+    A cordon that a disturbance hid was set after it began, so its own bound
+    holds where that is the longer one. Fewer calls a watcher are the gain.
+    """
+    return _longest_watch_s(_cordon_known_s(bounds))
+
+
+def _longest_watch_s(within_s: float) -> float:
     rest = CHANGES_PAUSE_S + WATCH_GRACE_S + RETRY_S + ANSWER_S + SPARE_S
-    return max(bounds.contact_s - rest, MIN_WATCH_S)
+    return max(within_s - rest, MIN_WATCH_S)
+
+
+def _cordon_known_s(bounds: Bounds) -> float:
+    """Return the seconds in which a cordon must be known, if disturbed."""
+    return max(bounds.contact_s, bounds.cordon_s)
 
 
 def entries_watch_s(bounds: Bounds) -> float:
@@ -94,23 +112,37 @@
     that went silent, and be asked again within the contact time.
     """
     bound_s = min(bounds.drain_s - CONNECT_S, bounds.apply_s, bounds.revoke_s)
-    if bounds.cordon_s:
-        bound_s = min(bound_s, bounds.cordon_s - CONNECT_S)
+    return _follow_limit_s(bound_s, bounds.contact_s)
+
+
+def follow_cordons_s(bounds: Bounds) -> float:
+    """Return how old a copy of cordons may grow so, in seconds."""
+    bound_s = bounds.cordon_s - CONNECT_S
+    return _follow_limit_s(bound_s, _cordon_known_s(bounds))
+
+
+def _follow_limit_s(bound_s: float, disturbed_s: float) -> float:
     silent_s = LOOK_S + RETRY_S + ANSWER_S + FOLLOW_SPARE_S
-    return min(bound_s - ANSWER_S - FOLLOW_SPARE_S, bounds.contact_s - silent_s)
+    return min(bound_s - ANSWER_S - FOLLOW_SPARE_S, disturbed_s - silent_s)
 
 
-def renew_s(bounds: Bounds) -> float:
+def renew_s(bounds: Bounds, limit_s: float | None = None) -> float:
     """Return how old a watcher's copy may grow by its own calls, in seconds.
 
     What it tells is older by two questions where the first is lost. Nothing
     where the bounds are too short for following.
+
+    Args:
+        bounds: What the router is held to.
+        limit_s: How old a follower's copy may grow; by default that of the
+            kinds with the shortest bounds.
     """
     reports_s = sum(one.seconds for one in _delays_of_reports(_PASSED_ON))
     if reports_s > bounds.rollback_s:
         return 0.0
-    limit_s = follow_limit_s(bounds) * SPREAD
-    left_s = limit_s - 2 * ASK_S - ANSWER_S - SPARE_S
+    if limit_s is None:
+        limit_s = follow_limit_s(bounds)
+    left_s = limit_s * SPREAD - 2 * ASK_S - ANSWER_S - SPARE_S
     return left_s if left_s >= MIN_RENEW_S else 0.0
 
 
@@ -241,10 +273,18 @@
     cordon = ("cordon", bounds.cordon_s)
     connection = Delay("connection to the instance", CONNECT_S)
     heard = (*_HEARD, connection)
+    disturbed = ("cordon", _cordon_known_s(bounds))
     return [
         PropagationPath(promise, "heard by a watch", heard, *cordon),
-        *_disturbed(promise, watch_s(bounds), bounds),
-        *_followed(promise, (connection,), cordon, bounds),
+        *_disturbed(promise, cordons_watch_s(bounds), bounds, disturbed),
+        *_followed(
+            promise,
+            (connection,),
+            cordon,
+            bounds,
+            follow_cordons_s(bounds),
+            disturbed,
+        ),
     ]
 
 
@@ -315,10 +355,13 @@
 
 
 def _disturbed(
-    promise: str, wait_s: float, bounds: Bounds
+    promise: str,
+    wait_s: float,
+    bounds: Bounds,
+    within: tuple[str, float] | None = None,
 ) -> list[PropagationPath]:
     """Return the paths of a change that a disturbance delays."""
-    contact = ("contact", bounds.contact_s)
+    contact = within or ("contact", bounds.contact_s)
     wait = (_PAUSE, Delay("watch", wait_s))
     return [
         PropagationPath(
@@ -355,20 +398,24 @@
     then: tuple[Delay, ...],
     bound: tuple[str, float],
     bounds: Bounds,
+    limit_s: float | None = None,
+    within: tuple[str, float] | None = None,
 ) -> list[PropagationPath]:
     """Return the paths of a change that watchers pass on, if any do."""
     if renew_s(bounds) <= 0.0:
         return []
+    if limit_s is None:
+        limit_s = follow_limit_s(bounds)
     told = (*_HEARD, *_PASSED_ON)
     old = (
-        Delay("age at which a follower asks the store", follow_limit_s(bounds)),
+        Delay("age at which a follower asks the store", limit_s),
         Delay("look at the age", FOLLOW_SPARE_S),
     )
     again = (
         Delay("call that hangs", LOOK_S),
         Delay("pause after a failure", RETRY_S),
     )
-    contact = ("contact", bounds.contact_s)
+    contact = within or ("contact", bounds.contact_s)
     return [
         PropagationPath(promise, "told by a watcher", told + then, *bound),
         PropagationPath(
