--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -151,6 +151,12 @@
         self.changed.set()
         return turns[0]
 
+    def is_cold(self, service: str) -> bool:
+        """Whether a service has open instances, and all of them are cold."""
+        now = time.monotonic()
+        found = self._open(service, lambda _: True)
+        return bool(found) and all(one.is_cold(now) for one in found)
+
     def next_turn_s(
         self, service: str, allowed: Callable[[Instance], bool]
     ) -> float | None:
--- a/tests/components/gateway/test_cold_instances.py
+++ b/tests/components/gateway/test_cold_instances.py
@@ -13,6 +13,7 @@
 COLD = ServiceLimits("svc", cold_start_s=3.0, cold_per_s=3.0)
 
 
+EVENTS = b"Content-Type: text/event-stream\r\n"
 STREAM = {
     "repeat": Repeat.RESUMABLE,
     "streaming": True,
@@ -132,15 +133,18 @@
 def test_request_that_may_have_run_waits_for_as_long_as_it_can():
     """Symptom: requests fail though turns would have come in time.
 
-    Sequence: a smaller model is unsure; the larger one is to be asked while
-    all instances are cold. Cause: it waited for a part of its goal only, and
+    Sequence: a smaller model is unsure, and all instances turn cold before
+    the larger one is asked. Cause: it waited for a part of its goal only, and
     what was sent once can't be refused truly.
     """
-    upstream = Upstream(
-        answer(extra=b"Confidence: 5\r\nContent-Type: text/event-stream\r\n"),
-        answer(b"id: 1\ndata: x\n\n"),
-    )
-    stage = stage_of(upstream, cold_s=9.0, goal_s=0.1, **STREAM)
+    unsure = answer(extra=b"Confidence: 5\r\n" + EVENTS)
+
+    def turn_cold(*args):
+        stage.directory.instances["i-1"].is_cold_for(9.0)
+        unsure(*args)
+
+    upstream = Upstream(turn_cold, answer(b"id: 1\ndata: x\n\n", EVENTS))
+    stage = stage_of(upstream, cold_s=0.0, goal_s=0.1, **STREAM)
     try:
         status, _, _ = stage.call(extra="Model: *\r\n")
         assert status == 200
@@ -148,3 +152,19 @@
     finally:
         stage.close()
         upstream.close()
+
+
+@pytest.mark.parametrize(("cold_s", "model"), [(0.0, "small"), (9.0, "large")])
+def test_cold_instances_are_asked_for_the_largest_model_at_once(cold_s, model):
+    """Symptom: half of the turns at cold instances give no answer.
+
+    Cause: a smaller model was asked first, which takes a turn of its own.
+    """
+    upstream = Upstream(answer(b"id: 1\ndata: x\n\n", EVENTS))
+    stage = stage_of(upstream, cold_s=cold_s, **STREAM)
+    try:
+        assert stage.call(extra="Model: *\r\n")[0] == 200
+        assert f"model: {model}" in upstream.requests[0]
+    finally:
+        stage.close()
+        upstream.close()
