--- a/bench/platform/landing.py
+++ b/bench/platform/landing.py
@@ -1,4 +1,4 @@
-"""Plays what is played ahead of each landing: scores, and hunts.
+"""Plays what is played ahead of each landing: scores, hunts and sweeps.
 
 The list of deployments stands here alone. A new one joins it once its gate is
 passed, and takes the place of the oldest.
@@ -34,6 +34,7 @@
 
 
 DEPLOYMENTS: Final = (
+    Deployment("shifted/carpato-slots-now-grown.toml"),
     Deployment("large/carpato-slots-large.toml", HUNTED_LARGE),
     Deployment("further/tasnifu-dar.toml"),
     Deployment("further-grown/tasnifu-dar-grown.toml", HUNTED_LARGE),
@@ -42,8 +43,17 @@
 )
 
 
+# A deployment of each kind, played at 30, 100 and 300 routers.
+SWEPT: Final = (
+    "shifted/carpato-slots-now-grown.toml",
+    "further/tasnifu-dar.toml",
+    "sites/teltlys-fleet.toml",
+    "large/carpato-slots-large.toml",
+)
+
+
 def commands(sites: Path, why: str, jobs: int) -> list[list[str]]:
-    """Return the bench's commands, the scores first.
+    """Return the bench's commands: scores, hunts, sweeps.
 
     Args:
         sites: Folder of the deployments.
@@ -59,11 +69,12 @@
         [program, "hunt", str(sites / one.file), "--days", str(one.days), *also]
         for one in DEPLOYMENTS
     ]
-    return scores + hunts
+    sweeps = [[program, "sweep", str(sites / one), *also] for one in SWEPT]
+    return scores + hunts + sweeps
 
 
 def run(sites: str, why: str, jobs: int = 4) -> None:
-    """Play everything, one command after the other; about an hour and a half.
+    """Play everything, one command after the other; some three hours.
 
     Args:
         sites: Folder of the deployments.
--- a/tests/test_bench_platform.py
+++ b/tests/test_bench_platform.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 
-from bench.platform.landing import HUNTED, HUNTED_LARGE, commands
+from bench.platform.landing import HUNTED, HUNTED_LARGE, SWEPT, commands
 from bench.platform.losses import Cause, Request, cause_of, requests_of, summary
 from bench.platform.pairs import Row, table
 from bench.platform.plays import BENCH_VARIABLE, Outcome, read_report
@@ -114,11 +114,12 @@
 def test_landing_scores_first_and_hunts_each_deployment(monkeypatch):
     monkeypatch.setenv(BENCH_VARIABLE, "bench")
     found = commands(Path("sites"), "why", 3)
-    assert [one[1] for one in found] == ["score"] * 5 + ["hunt"] * 5
+    verbs = ["score"] * 6 + ["hunt"] * 6 + ["sweep"] * len(SWEPT)
+    assert [one[1] for one in found] == verbs
     for one in found:
         assert one[0] == "bench"
         assert one[2].startswith("sites/")
         assert one[-4:] == ["--jobs", "3", "--why", "why"]
-    hunted = {one[2]: int(one[4]) for one in found[5:]}
+    hunted = {one[2]: int(one[4]) for one in found[6:12]}
     assert min(hunted.values()) >= HUNTED_LARGE
     assert hunted["sites/further/tasnifu-dar.toml"] >= HUNTED
