--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -32,6 +32,7 @@
     patience_of_last,
 )
 from lacewingdock.components.gateway.placing import NoPlace, Seeker, place
+from lacewingdock.components.gateway.request_log import finished
 from lacewingdock.components.shifts import Sample
 from lacewingdock.components.slow_start.const import WAIT_PART
 from lacewingdock.components.upstreams.connection import CallerLeft
@@ -148,7 +149,7 @@
             outcome = self._refuse(
                 LacewingdockError(ErrorKind.INTERNAL, repr(error))
             )
-        self._finished(outcome)
+        finished(self, outcome)
 
     def _admit(self) -> None:
         """Find route, workspace and time.
@@ -272,7 +273,7 @@
         """
         if self.may_have_run:
             return self.end - MIN_LEFT_S
-        part = WAIT_PART * (1.0 - self._priority() / (LAST_PRIORITY + 1))
+        part = WAIT_PART * (1.0 - self.priority() / (LAST_PRIORITY + 1))
         goal_by = time.monotonic() + self.route.goal_s * part
         return min(goal_by, self.end - MIN_LEFT_S)
 
@@ -331,7 +332,7 @@
             left_s=max(self.end - start, 0.001),
             model=self.cascade.model,
             last_event=self.progress.last_event,
-            priority=self._priority(),
+            priority=self.priority(),
         )
         events = self.progress.events
         try:
@@ -353,7 +354,7 @@
         )
         return result
 
-    def _priority(self) -> int:
+    def priority(self) -> int:
         """Return the request's rank; its workspace's goes first."""
         rank = self.route.priority
         if self.caller is not None and self.caller.priority is not None:
@@ -486,40 +487,3 @@
         except CallerGone:
             return left()
         return refused(error)
-
-    def _finished(self, outcome: Outcome) -> None:
-        seconds = time.monotonic() - self.started
-        # One that was refused early has no route, or no cascade.
-        route = getattr(self, "route", None)
-        cascade = getattr(self, "cascade", None)
-        self.gateway.metrics.finished(
-            self.service,
-            route.repeat if route else None,
-            self._priority() if route else None,
-            outcome,
-            seconds,
-        )
-        log.info(
-            "request",
-            request=self.call.id,
-            session=self.call.session,
-            route=route.name if route else None,
-            workspace=self.caller.workspace if self.caller else None,
-            service=self.service,
-            model=cascade.model if cascade else "",
-            configuration=self.table.version if route else None,
-            instances=self.tried,
-            unreached=self.unreached,
-            events=self.progress.events,
-            goal_s=route.goal_s if route else None,
-            first_s=self._first_s(),
-            pause_s=round(self.progress.longest_pause_s, 4),
-            outcome=str(outcome),
-            seconds=round(seconds, 4),
-        )
-
-    def _first_s(self) -> float | None:
-        """Return after how many seconds a stream began; None if it did not."""
-        if not self.progress.started:
-            return None
-        return round(self.progress.first_at - self.started, 4)
--- /dev/null
+++ b/lacewingdock/components/gateway/request_log.py
@@ -0,0 +1,52 @@
+"""Support for counting and telling of a request at its end."""
+
+import time
+from typing import TYPE_CHECKING
+
+from lacewingdock.components.gateway.outcome import Outcome
+from lacewingdock.helpers.log import get_logger
+
+if TYPE_CHECKING:
+    from lacewingdock.components.gateway.exchange import Exchange
+
+log = get_logger("gateway")
+
+
+def finished(exchange: "Exchange", outcome: Outcome) -> None:
+    """Count and tell of a request that got its final answer."""
+    seconds = time.monotonic() - exchange.started
+    # One that was refused early has no route, or no cascade.
+    route = getattr(exchange, "route", None)
+    cascade = getattr(exchange, "cascade", None)
+    exchange.gateway.metrics.finished(
+        exchange.service,
+        route.repeat if route else None,
+        exchange.priority() if route else None,
+        outcome,
+        seconds,
+    )
+    log.info(
+        "request",
+        request=exchange.call.id,
+        session=exchange.call.session,
+        route=route.name if route else None,
+        workspace=exchange.caller.workspace if exchange.caller else None,
+        service=exchange.service,
+        model=cascade.model if cascade else "",
+        configuration=exchange.table.version if route else None,
+        instances=exchange.tried,
+        unreached=exchange.unreached,
+        events=exchange.progress.events,
+        goal_s=route.goal_s if route else None,
+        first_s=_first_s(exchange),
+        pause_s=round(exchange.progress.longest_pause_s, 4),
+        outcome=str(outcome),
+        seconds=round(seconds, 4),
+    )
+
+
+def _first_s(exchange: "Exchange") -> float | None:
+    """Return after how many seconds a stream began; None if it did not."""
+    if not exchange.progress.started:
+        return None
+    return round(exchange.progress.first_at - exchange.started, 4)
