--- a/tests/components/cordons/test_cordons.py
+++ b/tests/components/cordons/test_cordons.py
@@ -8,24 +8,14 @@
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.platform.object_api import Change, Snapshot, StoredObject
-from lacewingdock.world.backend import UpstreamEntry
+from tests.components.upstreams import entries
 
 EVERYTHING = {"a-1", "a-2", "b-1", "c-1"}
 
 
 def entry(name, **changes):
     """Return the entry of an instance; its name begins with its domain's."""
-    fields = {
-        "id": name,
-        "service": "svc",
-        "host": "10.0.0.1",
-        "port": 80,
-        "failure_domain": name[0],
-        "version": "v1",
-        "slots": 4,
-        **changes,
-    }
-    return UpstreamEntry(**fields)
+    return entries.entry(name, **{"failure_domain": name[0], **changes})
 
 
 def directory():
--- a/tests/components/slow_start/test_slow_start.py
+++ b/tests/components/slow_start/test_slow_start.py
@@ -14,9 +14,9 @@
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.instance import Instance
-from lacewingdock.world.backend import UpstreamEntry
 from lacewingdock.world.host import Bounds
 from lacewingdock.world.route import ServiceLimits
+from tests.components.upstreams.entries import entry
 
 PER_S = 18.0
 BOUNDS = Bounds(cold_overage=1.5, cold_extra=5.0)
@@ -27,21 +27,6 @@
 WAY_S = 0.4
 
 
-def entry(name, **changes):
-    """Return the entry of an instance."""
-    fields = {
-        "id": name,
-        "service": "svc",
-        "host": "10.0.0.1",
-        "port": 80,
-        "failure_domain": "a",
-        "version": "v1",
-        "slots": 4,
-        **changes,
-    }
-    return UpstreamEntry(**fields)
-
-
 def cold(name, since=0.0):
     """Return an instance that became cold at a moment, for a long time."""
     found = Instance(entry(name))
--- a/tests/components/upstreams/test_replaced.py
+++ b/tests/components/upstreams/test_replaced.py
@@ -10,24 +10,14 @@
     Directory,
 )
 from lacewingdock.components.upstreams.instance import mark_of
-from lacewingdock.world.backend import UpstreamEntry
+from tests.components.upstreams import entries
 
 PLACE = ("10.0.0.1", 80)
 
 
 def entry(name, place=PLACE, **changes):
-    """Return the entry of an instance."""
-    fields = {
-        "id": name,
-        "service": "svc",
-        "host": place[0],
-        "port": place[1],
-        "failure_domain": "a",
-        "version": "v1",
-        "slots": 4,
-        **changes,
-    }
-    return UpstreamEntry(**fields)
+    """Return the entry of an instance at an address."""
+    return entries.entry(name, host=place[0], port=place[1], **changes)
 
 
 def open_ids(directory):
