--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -308,6 +308,7 @@
             target=order.target,
             state=order.state,
             duration_s=order.duration_s,
+            unseen_s=round(self.unseen_s(), 2),
             revision=order.revision,
         )
         self._apply(order)
