--- a/lacewingdock/components/cascades/const.py
+++ b/lacewingdock/components/cascades/const.py
@@ -31,7 +31,7 @@
 MAX_CLASSES: Final = 256
 # Part of requests that take every step to learn.
 EXPLORE: Final = 0.02
-# Standard error of the expected quality over a window, as measured.
+# Standard error of the expected quality over a window.
 ESTIMATE_ERROR: Final = 0.018
 # How fast, and how far, the ratings of given answers correct the estimates.
 SHORTFALL_RATE: Final = 0.002
--- a/lacewingdock/components/gateway/cascade.py
+++ b/lacewingdock/components/gateway/cascade.py
@@ -121,8 +121,7 @@
         """Return the smallest model where a larger one may be asked after.
 
         That takes two attempts, and one more that may fail. Where all
-        instances are cold each attempt takes a turn, and turns are few: four
-        in ten went to answers that were dropped as unsure.
+        instances are cold each attempt takes a turn, and turns are few.
         """
         models = self.route.models
         may_ask_on = (
--- a/lacewingdock/components/gateway/metrics.py
+++ b/lacewingdock/components/gateway/metrics.py
@@ -1,9 +1,8 @@
 """Support for counting direct calls.
 
-The counts are plain, and turned into metrics when they are asked for. To load
-the metrics library takes 36 to 86 ms of processor time (least and median of 8
-starts), in which a restarted router answers nobody; it counts a request in 18
-us, this in 5 to 7 (20,000 requests).
+The counts are plain, and turned into metrics when they are asked for: loading
+the metrics library takes time in which a restarted router answers nobody, and
+it counts a request several times as slowly.
 """
 
 import threading
--- a/lacewingdock/components/gateway/sizing.py
+++ b/lacewingdock/components/gateway/sizing.py
@@ -6,17 +6,13 @@
 
 from lacewingdock.components.gateway.slowdown import Slowdown
 
-# A smaller model's answer is taken from this confidence on. Measured with each
-# of three sizes at a third of 1,650 requests: confidence is 50 where a request
-# is just not too hard for the model, it grows by about 15 for each tenth of
-# the requests that are easier, and scatters by about 11 around that. So an
-# answer at 62 is too small for its request in about 14 of 100 cases, which
-# loses as much as the largest model's use costs for the other 86.
+# A smaller model's answer is taken from this confidence on: there the chance
+# that the model is too small for the request loses as much as the largest
+# model's use costs.
 CONFIDENCE_ENOUGH: Final = 62.0
 # Where the largest model's answers begin later than this part of their goal,
-# less confidence is enough, and from the second part on any: an answer of the
-# right size that is late is worth less than a smaller one in time, and each
-# larger one delays the others.
+# less confidence is enough, and from the second part on any: late answers are
+# worth less than smaller ones in time, and larger models delay all others.
 RELAXED_BELOW: Final = 0.25
 ANY_FROM: Final = 0.8
 # The same where streams go on so many times slower than at rest.
--- a/lacewingdock/components/gateway/slowdown.py
+++ b/lacewingdock/components/gateway/slowdown.py
@@ -9,14 +9,14 @@
 # that wait, so pauses grow with what is to be read, at once and by ten times:
 # before answers begin late, which those that wait do not show yet.
 
-# Weight of a pause in the mean. Counted by events and not by time, the mean
-# follows a crowd within a second, of which a router of six sees 20 events.
+# Weight of a pause in the mean: counted by events and not by time, the mean
+# follows a crowd within a second.
 WEIGHT: Final = 0.04
 # Time in which the mean loses half of what is above rest while nothing comes.
 HALF_LIFE_S: Final = 0.7
 # The pause at rest is the quantile of streams' mean pauses of which this part
-# is shorter, moved by this step of its logarithm with each stream: a crowd of
-# ten seconds raises it by a quarter.
+# is shorter, moved by this step of its logarithm with each stream, so that a
+# crowd hardly raises it.
 REST_QUANTILE: Final = 0.1
 REST_STEP: Final = 0.05
 # Streams that must have ended before a slowdown is told.
--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -304,8 +304,7 @@
         A failed watch is followed by a call that does not wait, at once and
         on a new connection: it tells a connection that went silent from a
         store that does not answer, and whether the history is still there.
-        Watching on from the old revision instead hid changes for two watches,
-        4.9 s in all.
+        Watching on from the old revision instead hides changes for two watches.
         """
         log.info(
             "call failed",
--- a/lacewingdock/components/mirror/health.py
+++ b/lacewingdock/components/mirror/health.py
@@ -81,9 +81,8 @@
         on whatever left must get nothing. A call that failed was begun before
         the disturbance ended, so its beginning is the moment to go by; the
         return as this router sees it comes up to three seconds later, and
-        moves on with each call that fails late. Going by the return alone,
-        instances got work until 2.5 s after they had left, where 2 s are
-        allowed (33 of 60 simulated outages).
+        moves on with each call that fails late: going by it alone, instances
+        would get work after the bound.
         """
         now = self.clock.now()
         since = now if self.away else self.returned_at
--- a/lacewingdock/components/probes/const.py
+++ b/lacewingdock/components/probes/const.py
@@ -7,9 +7,8 @@
 # Instances asked before each choice. Two fresh answers take nearly all of the
 # difference between a draw and the best; the third is for one that is silent.
 ASKED: Final = 3
-# How long the answers are waited for: the longest way between failure domains
-# and back is 3 ms, answered ones took 2.3 ms in the mean. A request waits
-# hundreds of milliseconds for its first event.
+# How long the answers are waited for: twice the way between failure domains and
+# back. A request waits hundreds of milliseconds for its first event.
 WAIT_S: Final = 0.006
 # An instance whose sidecar did not answer is not asked for this long, twice as
 # long after each further time, up to the second figure: where no sidecars run
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -49,9 +49,8 @@
 # Routers asked in one round: the second is for the case that the first is
 # gone or as cut off as the one that asks.
 ASKED: Final = 2
-# Longest news that are passed on to followers: 64 of them fetch at once, which
-# takes 0.8 s of a link of 20 Mbit/s. A configuration of 1,800 routes, passed on
-# to 24, was in force six seconds late on some of them.
+# Longest news that are passed on to followers: all of a group fetch at once,
+# and what fills a watcher's link comes into force seconds late on some.
 MAX_NEWS_BYTES: Final = 32 * 1024
 # Longest copy that is read: 6,500 upstream entries of 1 KB, and as much again.
 MAX_COPY_BYTES: Final = 16 * 1024 * 1024
--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -337,9 +337,9 @@
     def _age_s(self) -> float:
         """Return for how long an order that was just seen counts as placed.
 
-        Where the store had dropped its history, orders were seen 1.1 s late,
-        and good versions completed that much after their time. Too long costs
-        a part of the canary's time, and exposes no more.
+        An order that a list shows may have been placed a while before; counted
+        from then on, a good version would be completed after its time. Too
+        long an age costs a part of the canary's time, and exposes no more.
         """
         unseen_s = self.unseen_s()
         return unseen_s if unseen_s <= UNSEEN_MOST_S else 0.0
@@ -390,7 +390,7 @@
         if self.store_doubtful():
             # Nobody could report while the store was away, so a router that is
             # silent may still have requests on the old version, which a
-            # completion stops at once. Reports are back in 2 to 2.5 s.
+            # completion stops at once.
             return False
         return not self._old_running(shift) and not any(
             report.old_running for report in self.living_reports(shift)
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -293,8 +293,8 @@
         """Return the best of the asked; None where none knows its load.
 
         Those that are silent get their share by what is known here. Without
-        it all requests went to the others: where half of the sidecars were
-        away, eight in ten requests met a full engine.
+        it all requests go to the others, which are full where half of the
+        sidecars are away.
         """
         told = [one for one in asked if one in loads and not loads[one].lost]
         silent = [one for one in asked if one not in loads]
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -122,9 +122,9 @@
     def alive_at(self) -> float:
         """Monotonic time at which it last showed life to any router.
 
-        One of 68 routers has no other stream at most instances. By what it
-        heard itself it took 1 in 10 requests that waited in an instance's
-        queue for lost, and had their prompts read once more elsewhere.
+        In a large fleet a router has no other stream at most instances. By
+        what it heard itself it would take requests that wait in an instance's
+        queue for lost, and have their prompts read once more elsewhere.
         """
         return max(self.heard_at, self.others_heard_at)
 
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -455,8 +455,8 @@
 def main(sock: socket.socket | None = None) -> None:
     """Run a router by the environment's settings, without the command line.
 
-    Loading the command line takes 31 to 41 ms more of processor time, in which
-    a restarted router answers nobody (least and median of 8 starts).
+    Loading the command line takes processor time in which a restarted router
+    answers nobody.
 
     Args:
         sock: The callers' port where it is open already.
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -31,14 +31,12 @@
 
 # Nothing is bound to a moment by these: addresses matter in outages only, and a
 # version that is found bad is told by datagrams. Watches that may be seconds
-# behind cost a tenth, which took 16 in 100 off the price of all calls (one play
-# with the same calls), and do not count towards the platform's rate of reads.
+# behind cost a tenth and do not count towards the platform's rate of reads.
 STALE_KINDS: Final = (KIND_ROUTERS, KIND_REPORTS)
 # Routers come and go rarely, and their addresses matter only in an outage.
 ROUTERS_WATCH_S: Final = 20.0
-# An order that is seen late starts late, and may end after its time: a watch
-# that went deaf while the store dropped its history hid one for 3.3 s, where
-# watches waited 8 s.
+# An order that is seen late starts late, and may end after its time; a watch
+# that went deaf hides it until it ends.
 ORDERS_WATCH_S: Final = 2.5
 # Outside of roll-outs nothing is reported.
 REPORTS_WATCH_S: Final = 8.0
--- a/lacewingdock/daemons/router_relay.py
+++ b/lacewingdock/daemons/router_relay.py
@@ -144,8 +144,8 @@
 ) -> Callable[[], float]:
     """Return how long a kind need not be asked for in an outage.
 
-    With each of 68 routers asking for each of five kinds two to four times a
-    second, an outage of eight seconds cost 7,000 calls, which were refused.
+    With each router asking for each kind several times a second, an outage
+    costs thousands of calls, which are refused.
     """
 
     def spared_s() -> float:
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -65,8 +65,7 @@
 
     A watch may be deaf: its connection went silent while new ones work. It
     must end, and a call on a new connection be answered, within the contact
-    time. With 0.7 of it, a watch that began at the end of its pause showed a
-    change 3.06 s after the disturbance, where 3 s are allowed.
+    time.
     """
     return _longest_watch_s(bounds.contact_s)
 
--- a/lacewingdock/daemons/start_router.py
+++ b/lacewingdock/daemons/start_router.py
@@ -2,10 +2,9 @@
 
     LACEWINGDOCK_CONFIG=boot.toml python3 -m lacewingdock.daemons.start_router
 
-Loading a router takes 0.25 s of processor time or more. Callers that connect
-meanwhile are refused, and those whose streams were cut come again within that
-time and give up: after all routers were killed at once, 194 requests failed.
-With the port open first they wait to be accepted, and 90 fail (one play each).
+Loading a router takes a good part of a second on a slow instance. Callers that
+connect meanwhile would be refused, and those whose streams were cut come again
+within that time and give up. With the port open first they wait to be accepted.
 """
 
 import os
