--- a/lacewingdock/components/gateway/sizing.py
+++ b/lacewingdock/components/gateway/sizing.py
@@ -1,10 +1,10 @@
 """Support for choosing how sure a smaller model must be of its answer."""
 
 import threading
-import time
 from typing import Final
 
 from lacewingdock.components.gateway.slowdown import Slowdown
+from lacewingdock.helpers.clock import STEADY, Clock
 
 # A smaller model's answer is taken from this confidence on: there the chance
 # that the model is too small for the request loses as much as the largest
@@ -37,18 +37,20 @@
     """How late a service's answers begin, as a part of their goal.
 
     Attributes:
+        clock: The time it goes by.
         mean: Running mean of the parts.
         at: Monotonic time of the last answer.
         slowdown: How much slower than at rest its streams go on.
     """
 
-    __slots__ = ("_lock", "at", "mean", "slowdown")
+    __slots__ = ("_lock", "at", "clock", "mean", "slowdown")
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock = STEADY) -> None:
         """Start without pressure."""
+        self.clock = clock
         self.mean = 0.0
-        self.slowdown = Slowdown()
-        self.at = time.monotonic()
+        self.slowdown = Slowdown(clock)
+        self.at = self.clock.now()
         self._lock = threading.Lock()
 
     def add(self, part: float) -> None:
@@ -57,11 +59,11 @@
             before = self.now()
             part = min(part, MOST)
             self.mean = before + NEW_WEIGHT * (part - before)
-            self.at = time.monotonic()
+            self.at = self.clock.now()
 
     def now(self) -> float:
         """Return the mean, fading while no answer comes."""
-        age_s = time.monotonic() - self.at
+        age_s = self.clock.now() - self.at
         return float(self.mean * 0.5 ** (age_s / HALF_LIFE_S))
 
     def enough(self, gap_s: float = 0.0) -> float:
--- a/lacewingdock/components/gateway/slowdown.py
+++ b/lacewingdock/components/gateway/slowdown.py
@@ -1,9 +1,10 @@
 """Support for how much slower than at rest a service's streams go on."""
 
 import threading
-import time
 from typing import Final
 
+from lacewingdock.helpers.clock import STEADY, Clock
+
 # The pause between two events of a stream is the time of some steps of its
 # engine, whichever model answers. Each step also reads a chunk of the prompts
 # that wait, so pauses grow with what is to be read, at once and by ten times:
@@ -27,27 +28,29 @@
     """How much slower than at rest a service's streams go on.
 
     Attributes:
+        clock: The time it goes by.
         rest_s: Seconds between two events at rest; 0 while unknown.
         mean_s: Mean seconds between two events lately.
         streams: Streams that ended.
         at: Monotonic time of the last event.
     """
 
-    __slots__ = ("_lock", "at", "mean_s", "rest_s", "streams")
+    __slots__ = ("_lock", "at", "clock", "mean_s", "rest_s", "streams")
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock = STEADY) -> None:
         """Start at rest."""
+        self.clock = clock
         self.rest_s = 0.0
         self.mean_s = 0.0
         self.streams = 0
-        self.at = time.monotonic()
+        self.at = self.clock.now()
         self._lock = threading.Lock()
 
     def paused(self, seconds: float) -> None:
         """Take the pause between two events of a stream."""
         with self._lock:
             self.mean_s += WEIGHT * (seconds - self.mean_s)
-            self.at = time.monotonic()
+            self.at = self.clock.now()
 
     def ended(self, mean_s: float) -> None:
         """Take the mean pause of a stream that ended."""
@@ -71,6 +74,6 @@
     def pause_s(self) -> float:
         """Return the mean pause lately, in seconds; fading while none ends."""
         with self._lock:
-            idle_s = time.monotonic() - self.at - self.mean_s
+            idle_s = self.clock.now() - self.at - self.mean_s
             fading = 0.5 ** (max(idle_s, 0.0) / HALF_LIFE_S)
             return float(self.mean_s * fading)
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -3,7 +3,6 @@
 import math
 import random
 import threading
-import time
 from collections.abc import Callable, Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -101,7 +100,7 @@
                 them is taken only where there is no other.
             request: Its id, by which an instance reports that it came.
         """
-        now = time.monotonic()
+        now = self.directory.clock.now()
         found = self._admitted(self._open(service, allowed), now)
         fresh = _untried(found, tried)
         if not fresh:
@@ -143,7 +142,7 @@
             The turn; None where there is none in time.
         """
         with self.directory.lock:
-            now = time.monotonic()
+            now = self.directory.clock.now()
             turns = self._turns(service, allowed, now)
             if not turns or turns[0].at > by:
                 return None
@@ -153,7 +152,7 @@
 
     def is_cold(self, service: str) -> bool:
         """Whether a service has open instances, and all of them are cold."""
-        now = time.monotonic()
+        now = self.directory.clock.now()
         found = self._open(service, lambda _: True)
         return bool(found) and all(one.is_cold(now) for one in found)
 
@@ -166,7 +165,7 @@
             Seconds; until one is warm, where this router has no turn at any.
             None where none is cold.
         """
-        now = time.monotonic()
+        now = self.directory.clock.now()
         cold = self._cold(service, allowed, now)
         times = [turn.at for turn in self._turns(service, allowed, now)]
         times += [one.cold_until for one in cold]
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -1,11 +1,11 @@
 """Support for knowing the upstream instances."""
 
 import threading
-import time
 from collections.abc import Callable, Iterable
 from typing import Final
 
 from lacewingdock.components.upstreams.instance import Instance, mark_of
+from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.backend import UpstreamEntry
 
@@ -27,6 +27,7 @@
     """The upstream instances by id; safe to use from any task.
 
     Attributes:
+        clock: The time it goes by.
         instances: The instances by id.
         births: When the newest start known of each id was, in Unix
             milliseconds, those that left lately too.
@@ -44,6 +45,7 @@
         "_by_service",
         "_changing",
         "births",
+        "clock",
         "cold_start_s",
         "cordoned",
         "instances",
@@ -53,8 +55,9 @@
         "replaced_told",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock = STEADY) -> None:
         """Start empty."""
+        self.clock = clock
         self.instances: dict[str, Instance] = {}
         self.births: dict[str, int] = {}
         self.cordoned: frozenset[str] = frozenset()
@@ -99,7 +102,7 @@
 
     def warm(self, service: str, version: str) -> set[str]:
         """Return the ids of a version's open instances that are not cold."""
-        now = time.monotonic()
+        now = self.clock.now()
         return {
             one.entry.id
             for one in self.of_service(service)
@@ -149,7 +152,7 @@
         if known is None or known.entry.born != entry.born:
             if known is not None:
                 known.gone = True
-            self.instances[entry.id] = Instance(entry)
+            self.instances[entry.id] = Instance(entry, self.clock)
             self._index()
         elif known.entry == entry and not known.lapsed:
             return
@@ -240,7 +243,7 @@
 
     def replaced_lately(self) -> list[int]:
         """Return the marks of starts that were found to be replaced."""
-        since = time.monotonic() - TELL_REPLACED_S
+        since = self.clock.now() - TELL_REPLACED_S
         return [
             mark_of(start)
             for (start, _), at in list(self.replaced.items())
@@ -254,7 +257,7 @@
         with self._changing:
             if key in self.replaced:
                 return False
-            self.replaced[key] = time.monotonic()
+            self.replaced[key] = self.clock.now()
             if len(self.replaced) > MAX_REPLACED:
                 del self.replaced[next(iter(self.replaced))]
             instance.gone = True
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -1,10 +1,10 @@
 """Support for one upstream instance and how it fares."""
 
-import time
 import zlib
 from enum import StrEnum
 from typing import Final
 
+from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.world.backend import UpstreamEntry
 
 # Failures are forgotten by half in this time: an upstream that crashed is back
@@ -51,6 +51,7 @@
     """An upstream instance and what this router saw of it.
 
     Attributes:
+        clock: The time it goes by.
         entry: What the platform says of it.
         mark: Digest of its start, by which routers name it to each other.
         running: Requests of this router that are at it now.
@@ -72,6 +73,7 @@
     """
 
     __slots__ = (
+        "clock",
         "cold_from",
         "cold_until",
         "cordoned",
@@ -91,14 +93,15 @@
         "unread",
     )
 
-    def __init__(self, entry: UpstreamEntry) -> None:
+    def __init__(self, entry: UpstreamEntry, clock: Clock = STEADY) -> None:
         """Take an entry; nothing is known against it."""
+        self.clock = clock
         self.entry = entry
         self.mark = mark_of(entry.incarnation)
         self.running = 0
         self.unread = 0.0
         self.failures = 0.0
-        self.failed_at = time.monotonic()
+        self.failed_at = self.clock.now()
         self.trial_at = 0.0
         self.heard_at = 0.0
         self.others_heard_at = 0.0
@@ -152,7 +155,7 @@
 
     def may_be_cold(self, for_s: float) -> None:
         """Reckon with its being cold from now on."""
-        left_s = self.cold_until - time.monotonic()
+        left_s = self.cold_until - self.clock.now()
         self.is_cold_for(max(left_s, for_s))
 
     def is_cold_for(self, left_s: float) -> None:
@@ -160,7 +163,7 @@
         if left_s <= 0.0:
             self.cold_until = 0.0
             return
-        now = time.monotonic()
+        now = self.clock.now()
         if not self.is_cold(now):
             self.cold_from = now
         self.cold_until = now + left_s
@@ -172,18 +175,18 @@
 
     def failed(self, weight: float) -> None:
         """Count a failure."""
-        now = time.monotonic()
+        now = self.clock.now()
         self.failures = self.recent_failures(now) + weight
         self.failed_at = now
         self.trial_at = now + TRIAL_AFTER_S
 
     def took_no_connection(self) -> None:
         """Count a connection that it did not take."""
-        self.unreached_at = time.monotonic()
+        self.unreached_at = self.clock.now()
         self.failed(1.0)
 
     def succeeded(self) -> None:
         """Count a good answer: it takes the last failure back."""
-        now = time.monotonic()
+        now = self.clock.now()
         self.failures = max(self.recent_failures(now) - 1.0, 0.0)
         self.failed_at = now
--- a/tests/components/upstreams/test_asked_choice.py
+++ b/tests/components/upstreams/test_asked_choice.py
@@ -6,11 +6,11 @@
 
 import heapq
 import random
+import time
 
 import pytest
 
 from lacewingdock.components.probes import Load
-from lacewingdock.components.upstreams import choice, instance
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
@@ -62,9 +62,7 @@
 def queued(monkeypatch, engines, asks=True):
     """Return the part of the requests that met a full engine."""
     draw = random.Random(3)
-    clock = type("Clock", (), {"monotonic": lambda: engines.now})
-    monkeypatch.setattr(choice, "time", clock)
-    monkeypatch.setattr(instance, "time", clock)
+    monkeypatch.setattr(time, "monotonic", lambda: engines.now)
     routers = []
     for number in range(ROUTERS):
         known = Directory()
--- a/tests/components/upstreams/test_choice.py
+++ b/tests/components/upstreams/test_choice.py
@@ -1,11 +1,12 @@
 """Tests of choosing an upstream instance."""
 
 import random
+import time
 from collections import Counter
 
 import pytest
 
-from lacewingdock.components.upstreams import choice, instance
+from lacewingdock.components.upstreams import instance
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
@@ -18,8 +19,7 @@
 
     def __init__(self, monkeypatch):
         self.now = 100.0
-        for module in (choice, instance):
-            monkeypatch.setattr(module.time, "monotonic", lambda: self.now)
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
 
 
 @pytest.fixture
