--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -1,19 +1,18 @@
 """Support for the settings file that the platform writes for a process."""
 
-import tomllib
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.address import split_address
+from lacewingdock.helpers.toml_file import convert_toml, parse_toml
 from lacewingdock.world.host import Bounds, HostProfile, SidecarProfile
 
 _Address = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}\Z")]
 _Positive = Annotated[float, Meta(gt=0.0)]
-F = TypeVar("F")
 
 
 class _Listen(msgspec.Struct):
@@ -77,7 +76,7 @@
         LacewingdockError: BAD_SETTING, naming key and value.
     """
     text = read_text(path)
-    if "app" in _parse(text, path):
+    if "app" in parse_toml(text, path):
         return parse_sidecar_profile(text, path)
     return parse_profile(text, path)
 
@@ -111,7 +110,7 @@
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
     """
-    return read_profile(_parse(text, path), path)
+    return read_profile(parse_toml(text, path), path)
 
 
 def read_profile(found: dict[str, Any], path: str) -> HostProfile:
@@ -120,7 +119,7 @@
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
     """
-    file = _convert(found, _File, path)
+    file = convert_toml(found, _File, path)
     bounds = file.bounds
     return HostProfile(
         instance=file.node_name,
@@ -163,8 +162,8 @@
     Raises:
         LacewingdockError: BAD_SETTING, naming key and value.
     """
-    found = _parse(text, path)
-    file = _convert(found, _SidecarFile, path)
+    found = parse_toml(text, path)
+    file = convert_toml(found, _SidecarFile, path)
     port = _probe_port(file.port_range)
     if not port:
         raise LacewingdockError(
@@ -181,24 +180,6 @@
     )
 
 
-def _parse(text: str, path: str) -> dict[str, Any]:
-    try:
-        return tomllib.loads(text)
-    except ValueError as error:
-        raise LacewingdockError(
-            ErrorKind.BAD_SETTING, f"{path}: {error}"
-        ) from error
-
-
-def _convert(found: dict[str, Any], cls: type[F], path: str) -> F:
-    try:
-        return msgspec.convert(found, cls, strict=False)
-    except msgspec.ValidationError as error:
-        raise LacewingdockError(
-            ErrorKind.BAD_SETTING, f"{path}: {error}{_value_at(found, error)}"
-        ) from error
-
-
 def _relay_port(ports: list[int]) -> int:
     """Return the second port of the range; 0 where it has only one."""
     first, last = ports
@@ -216,12 +197,3 @@
     if file.listen.control:
         return split_address(file.listen.control)
     return file.ip, file.port_range[0]
-
-
-def _value_at(found: dict[str, Any], error: Exception) -> str:
-    """Return the value that an error's path names, as text."""
-    _, _, path = str(error).rpartition("`$.")
-    value: Any = found
-    for key in path.rstrip("`").split("."):
-        value = value.get(key) if isinstance(value, dict) else None
-    return "" if value is None else f", not {value!r}"
