Slow start: a share is found without ranking all routers

Cause, found in reading: for each cold instance and request all names of routers were gathered, and ranked once an instance: 3,000 cold instances before 300 routers are 900,000 digests at the first request after a loss of power, half a second of processor time. Change: routers stand on a ring of digests, looked at four times a second; a place is found by bisection. A router's next turn is a minimum, not a sort.

--- a/lacewingdock/components/slow_start/__init__.py
+++ b/lacewingdock/components/slow_start/__init__.py
@@ -8,12 +8,14 @@
 No router asks another. Each spaces its requests to a cold instance out, so
 that the sum stays below the bound in any second, also where routers are cut
 off or have all started again. Where that would leave a router less than one in
-a second, some of them have a share of each instance, by a ranking on which all
-agree that know the same routers, with room for those that do not; the others
-leave the instance to them until it is warm.
+a second, some of them have a share of each instance, on which all agree that
+know the same routers, with room for those that do not; the others leave the
+instance to them until it is warm.
 """
 
-import heapq
+import bisect
+import functools
+import hashlib
 import math
 import zlib
 from collections.abc import Callable, Collection
@@ -31,8 +33,11 @@
 from lacewingdock.world.host import Bounds
 from lacewingdock.world.route import ServiceLimits
 
-# Instances whose shares are remembered; forgotten all at once.
+# Instances whose next turns are remembered before those that have passed are
+# forgotten.
 MAX_REMEMBERED: Final = 16_384
+# How often it is looked which routers there are.
+RING_S: Final = 0.25
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,6 +53,7 @@
     gap_s: float
 
 
+@functools.lru_cache
 def shares(per_s: float, most_in_a_second: float, routers: int) -> Shares:
     """Return how the requests to a cold instance are shared.
 
@@ -84,9 +90,9 @@
     """
 
     __slots__ = (
-        "_has_share",
-        "_names",
         "_next_at",
+        "_ring",
+        "_ring_until",
         "bounds",
         "known",
         "limits",
@@ -111,8 +117,8 @@
         self.known = known
         self.limits = limits
         self.bounds = bounds
-        self._names: frozenset[str] = frozenset()
-        self._has_share: dict[tuple[int, int], bool] = {}
+        self._ring = Ring((name,))
+        self._ring_until = 0.0
         self._next_at: dict[str, float] = {}
 
     def admits(self, instance: Instance, now: float) -> bool:
@@ -129,7 +135,7 @@
         if limits is None:
             return now
         shares = self._shares(limits)
-        if not self._is_sharer(instance, shares.routers):
+        if not self._is_sharer(instance, shares.routers, now):
             return math.inf
         first = self._first_due(instance, shares.gap_s)
         next_at = self._next_at.get(instance.entry.incarnation, first)
@@ -170,31 +176,49 @@
         most = per_s * bounds.cold_overage + bounds.cold_extra
         return shares(per_s, most, len(self.names()) + 1)
 
-    def _is_sharer(self, instance: Instance, sharing: int) -> bool:
+    def _is_sharer(self, instance: Instance, sharing: int, now: float) -> bool:
         """Whether this router is among those that have a share."""
         if not self.known():
             return False
-        names = frozenset(self.names()) | {self.name}
-        if names != self._names or len(self._has_share) > MAX_REMEMBERED:
-            self._names, self._has_share = names, {}
-        key = (instance.mark, sharing)
-        found = self._has_share.get(key)
-        if found is None:
-            found = self.name in sharers(names, instance.mark, sharing)
-            self._has_share[key] = found
-        return found
+        if now >= self._ring_until:
+            self._ring = Ring(frozenset(self.names()) | {self.name})
+            self._ring_until = now + RING_S
+        return self._ring.is_near(self.name, instance.mark, sharing)
 
 
-def sharers(names: Collection[str], mark: int, sharing: int) -> list[str]:
-    """Return the routers that have a share of a cold instance.
+class Ring:
+    """Routers on a ring by their digests (consistent hashing).
 
-    A router that comes or goes changes few of them (rendezvous hashing).
+    Those that follow an instance's place have a share of it. Two rings that
+    differ in some routers differ by about as many of them, and a place is
+    found without a look at all routers: after a loss of power all instances
+    are cold.
 
-    Args:
-        names: The routers.
-        mark: Digest of the instance's start.
-        sharing: How many have a share.
+    Attributes:
+        places: The routers' places, in order.
+        index: Where each router stands among them.
     """
-    return heapq.nsmallest(
-        sharing, names, key=lambda name: zlib.crc32(f"{mark}/{name}".encode())
-    )
+
+    __slots__ = ("index", "places")
+
+    def __init__(self, names: Collection[str]) -> None:
+        """Place the routers."""
+        ranked = sorted((_digest(name), name) for name in names)
+        self.places = [place for place, _ in ranked]
+        self.index = {name: at for at, (_, name) in enumerate(ranked)}
+
+    def is_near(self, name: str, mark: int, count: int) -> bool:
+        """Whether a router is among so many that follow a place.
+
+        Args:
+            name: The router.
+            mark: The place: digest of an instance's start.
+            count: How many.
+        """
+        first = bisect.bisect_left(self.places, mark)
+        return (self.index[name] - first) % len(self.places) < count
+
+
+def _digest(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big")
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -143,18 +143,23 @@
         """
         with self.directory.lock:
             now = self.directory.clock.now()
-            turns = self._turns(service, allowed, now)
-            if not turns or turns[0].at > by:
+            turn = self._next_turn(service, allowed, now)
+            if turn is None or turn.at > by:
                 return None
-            self._count_in(turns[0].instance, unread, turns[0].at)
+            self._count_in(turn.instance, unread, turn.at)
         self.changed.set()
-        return turns[0]
+        return turn
 
     def is_cold(self, service: str) -> bool:
         """Whether a service has open instances, and all of them are cold."""
         now = self.directory.clock.now()
-        found = self._open(service, lambda _: True)
-        return bool(found) and all(one.is_cold(now) for one in found)
+        is_open = False
+        for one in self.directory.of_service(service):
+            if one.open:
+                is_open = True
+                if not one.is_cold(now):
+                    return False
+        return is_open
 
     def next_turn_s(
         self, service: str, allowed: Callable[[Instance], bool]
@@ -167,9 +172,11 @@
         """
         now = self.directory.clock.now()
         cold = self._cold(service, allowed, now)
-        times = [turn.at for turn in self._turns(service, allowed, now)]
-        times += [one.cold_until for one in cold]
-        return min(times) - now if times else None
+        if not cold:
+            return None
+        turn = self._next_turn(service, allowed, now)
+        warm_at = min(one.cold_until for one in cold)
+        return min(warm_at, turn.at if turn else math.inf) - now
 
     def has_other(self, service: str, tried: Collection[str]) -> bool:
         """Whether a service has an open instance beside those tried."""
@@ -216,20 +223,19 @@
     ) -> list[Instance]:
         return [one for one in self._open(service, allowed) if one.is_cold(now)]
 
-    def _turns(
+    def _next_turn(
         self, service: str, allowed: Callable[[Instance], bool], now: float
-    ) -> list[Turn]:
-        """Return this router's next turns at cold instances, in order."""
+    ) -> Turn | None:
+        """Return this router's next turn at a cold instance, if any."""
         slow_start = self.slow_start
         if slow_start is None:
-            return []
-        turns = [
-            Turn(one, slow_start.due_at(one, now))
+            return None
+        turns = (
+            (slow_start.due_at(one, now), self.random.random(), one)
             for one in self._cold(service, allowed, now)
-        ]
-        self.random.shuffle(turns)
-        turns.sort(key=lambda turn: turn.at)
-        return [turn for turn in turns if turn.at < math.inf]
+        )
+        at, _, chosen = min(turns, default=(math.inf, 0.0, None))
+        return None if chosen is None or at == math.inf else Turn(chosen, at)
 
     def _count_in(self, chosen: Instance, unread: float, at: float) -> None:
         """Count a request in that goes to an instance at a moment."""
