Entries keep an instance cold for a minute at most; found starts are told without a look at all

Found in reading: an entry of another writer could hold an instance cold for good; each message between routers went through all starts that were ever found replaced.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -58,6 +58,8 @@
 # How soon a refused caller may come back. Callers wait at most a third of the
 # time they have left.
 RETRY_AFTER_S: Final = 0.25
+# Callers that are told when there is room come back within so many times that.
+SPREAD_AFTER: Final = 1.5
 # Waits of callers that do not say how long; beyond any route's timeout.
 DEFAULT_PATIENCE_S: Final = 60.0
 
@@ -290,13 +292,11 @@
             after_s: Seconds after which there may be one, if that is known.
         """
         if not self.may_have_run:
-            wait_s = max(after_s or 0.0, RETRY_AFTER_S)
-            # Those that are refused together shall not come back together.
-            spread = (
-                1.0
-                if after_s is None
-                else self.gateway.random.uniform(1.0, 1.5)
-            )
+            wait_s, spread = RETRY_AFTER_S, 1.0
+            if after_s is not None:
+                wait_s = max(after_s, RETRY_AFTER_S)
+                # Who is refused together shall not come back together.
+                spread = self.gateway.random.uniform(1.0, SPREAD_AFTER)
             return LacewingdockError(
                 ErrorKind.NO_UPSTREAM, detail, retry_after_s=wait_s * spread
             )
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -244,11 +244,14 @@
     def replaced_lately(self) -> list[int]:
         """Return the marks of starts that were found to be replaced."""
         since = self.clock.now() - TELL_REPLACED_S
-        return [
-            mark_of(start)
-            for (start, _), at in list(self.replaced.items())
-            if at > since
-        ]
+        found = []
+        with self._changing:
+            # The latest stand at the end.
+            for (start, _), at in reversed(self.replaced.items()):
+                if at <= since:
+                    break
+                found.append(mark_of(start))
+        return found
 
     def _replace(self, instance: Instance) -> bool:
         """Take a start out for good; return whether it was there."""
--- a/lacewingdock/daemons/router_ports.py
+++ b/lacewingdock/daemons/router_ports.py
@@ -56,7 +56,7 @@
             rows_of(directory),
             shifts.sessions_to_keep(),
             shifts.found_bad(),
-            directory.replaced_lately()[-MAX_REPLACED:],
+            directory.replaced_lately()[:MAX_REPLACED],
         )
 
     def others() -> list[tuple[str, int]]:
--- a/lacewingdock/platform/documents.py
+++ b/lacewingdock/platform/documents.py
@@ -27,6 +27,8 @@
 CONFIGURATION_NAME: Final = "main"
 
 MAX_PORT: Final = 65535
+# Longest time for which an entry may keep an instance from its full load.
+MAX_COLD_S: Final = 60.0
 
 _IDEMPOTENT: Final = "idempotent"
 _STREAMING: Final = "streaming"
@@ -172,7 +174,7 @@
         slots=max(found.slots, 1),
         leaving=found.state == _DRAINING,
         born=found.born,
-        cold_left_s=max(found.cold_left_ms, 0.0) / 1000,
+        cold_left_s=min(max(found.cold_left_ms / 1000, 0.0), MAX_COLD_S),
         created=stored.created,
     )
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -8,6 +8,7 @@
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.documents import (
+    MAX_COLD_S,
     read_configuration,
     read_instance,
     read_shift,
@@ -126,25 +127,50 @@
     assert read_configuration(StoredObject("main", 1, spec)).callers is None
 
 
+SERVER = {
+    "service": "svc",
+    "address": "10.0.0.9:80",
+    "zone": "hall",
+    "version": "v1",
+    "slots": 48,
+    "state": "ready",
+    "sequence": 4,
+    "cold_left_ms": 0,
+}
+
+
 @pytest.mark.parametrize(
     ("state", "leaving"), [("ready", False), ("draining", True)]
 )
 def test_instance(state, leaving):
-    spec = {
-        "service": "svc",
-        "address": "10.0.0.9:80",
-        "zone": "hall",
-        "version": "v1",
-        "slots": 48,
-        "state": state,
-        "sequence": 4,
-        "cold_left_ms": 0,
-    }
-    found = read_instance(StoredObject("i-1", 2, spec))
+    found = read_instance(StoredObject("i-1", 2, {**SERVER, "state": state}))
     assert (found.id, found.host, found.port) == ("i-1", "10.0.0.9", 80)
     assert (found.failure_domain, found.leaving) == ("hall", leaving)
 
 
+@pytest.mark.parametrize(
+    ("left_ms", "left_s"),
+    [(0, 0.0), (2500, 2.5), (-7, 0.0), (1e300, MAX_COLD_S)],
+)
+def test_cold_instance(left_ms, left_s):
+    spec = {**SERVER, "cold_left_ms": left_ms}
+    found = read_instance(StoredObject("i-1", 9, spec, created=4))
+    assert (found.cold_left_s, found.created) == (left_s, 4)
+
+
+def test_what_a_cold_instance_bears():
+    services = [
+        {"name": "svc", "cold_start_s": 3.0, "cold_per_s": 18.0},
+        {"name": "odd", "cold_start_s": -1, "cold_per_s": -1},
+        {"name": "old"},
+    ]
+    found = table(services=services).services
+    bears = {
+        name: (one.cold_start_s, one.cold_per_s) for name, one in found.items()
+    }
+    assert bears == {"svc": (3.0, 18.0), "odd": (0.0, 0.0), "old": (0.0, 0.0)}
+
+
 @pytest.mark.parametrize(
     ("status", "state"),
     [
