--- a/lacewingdock/components/slow_start/__init__.py
+++ b/lacewingdock/components/slow_start/__init__.py
@@ -181,7 +181,9 @@
         if not self.known():
             return False
         if now >= self._ring_until:
-            self._ring = Ring(frozenset(self.names()) | {self.name})
+            names = frozenset(self.names()) | {self.name}
+            if names != self._ring.index.keys():
+                self._ring = Ring(names)
             self._ring_until = now + RING_S
         return self._ring.is_near(self.name, instance.mark, sharing)
 
