--- a/lacewingdock/lab/router.py
+++ b/lacewingdock/lab/router.py
@@ -1,11 +1,10 @@
 """A router of the laboratory: the product's decisions, a model's network."""
 
 import random
-import threading
 from collections.abc import Callable, Generator
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import Any, Final, Protocol, cast
+from typing import Any, Final, cast
 
 import simpy
 
@@ -15,13 +14,20 @@
 )
 from lacewingdock.components.gateway.attempt import Broken, Result, Unsure
 from lacewingdock.components.gateway.cascade import Cascade
+from lacewingdock.components.gateway.exchange import (
+    LAST_PRIORITY,
+    MAX_UNREACHED,
+    MIN_LEFT_S,
+    RETRY_AFTER_S,
+    SPREAD_AFTER,
+    WORK_UNIT,
+)
 from lacewingdock.components.gateway.placing import (
     NoPlace,
     Seeker,
     find_place,
 )
 from lacewingdock.components.gateway.sizing import Pressure
-from lacewingdock.components.probes import Load
 from lacewingdock.components.probes.prober import Prober
 from lacewingdock.components.shifts import VersionRule
 from lacewingdock.components.slow_start import SlowStart
@@ -29,6 +35,7 @@
 from lacewingdock.components.upstreams.choice import Chooser, Turn
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.instance import Instance
+from lacewingdock.components.upstreams.pool import CONNECT_S
 from lacewingdock.lab.deployment import (
     Bounds,
     Deployment,
@@ -36,7 +43,14 @@
     Traffic,
 )
 from lacewingdock.lab.engine import Engine, Run
-from lacewingdock.lab.policy import Choice, FirstModel, Policy
+from lacewingdock.lab.policy import Choice, FirstModel
+from lacewingdock.lab.world import (
+    Answer,
+    AskedLoads,
+    Request,
+    SimulatedClock,
+    World,
+)
 from lacewingdock.world import host
 from lacewingdock.world.call import AnswerHead, Call
 from lacewingdock.world.route import Repeat, Route, ServiceLimits, Target
@@ -47,125 +61,12 @@
 CONFIDENCE_AT_LIMIT: Final = 50.0
 CONFIDENCE_SLOPE: Final = 150.0
 CONFIDENCE_SCATTER: Final = 11.0
-# Attempts that reach no engine, at most.
-MAX_UNREACHED: Final = 4
-# Time that a connection that nobody takes costs.
-CONNECT_S: Final = 0.4
-# Least time that another attempt needs.
-MIN_LEFT_S: Final = 0.03
-# When a refused caller may come back, where nothing else is known.
-RETRY_AFTER_S: Final = 0.25
-# Tokens in the unit of unread work.
-WORK_UNIT: Final = 1000.0
 # Tokens that are read cost this part of those that are made.
 READ_PRICE_PART: Final = 0.25
 
 Serving = Generator[simpy.Event, Any, "Answer"]
 
 
-class SimulatedClock:
-    """The simulation's time, as the product's classes take it."""
-
-    __slots__ = ("env",)
-
-    def __init__(self, env: simpy.Environment) -> None:
-        """Take the simulation."""
-        self.env = env
-
-    def now(self) -> float:
-        """Return the time, in seconds."""
-        return float(self.env.now)
-
-    def wait(self, event: threading.Event, seconds: float) -> bool:
-        """Refuse: nothing in a simulation may block."""
-        raise NotImplementedError
-
-
-@dataclass(slots=True)
-class Request:
-    """A request as its caller sends it.
-
-    Attributes:
-        call: Its id.
-        traffic: Its route.
-        subject: Shared part of its prompt.
-        tokens_in: Tokens of the prompt that are its own.
-        tokens_out: Tokens of the answer.
-        hardness: Part of the requests that are easier.
-        end: When its caller gives it up.
-    """
-
-    call: str
-    traffic: Traffic
-    subject: str
-    tokens_in: int
-    tokens_out: int
-    hardness: float
-    end: float
-
-
-@dataclass(slots=True)
-class Answer:
-    """What a caller gets.
-
-    Attributes:
-        whole: Whether it is the whole answer.
-        first_at: When its first event came; 0 without.
-        longest_gap_s: Longest pause between two.
-        too_hard: Whether the request was too hard for a model that made it.
-        after_s: When a refused caller may come back; None where it was sent.
-        price: Price of all answers, dropped ones too.
-    """
-
-    whole: bool = False
-    first_at: float = 0.0
-    longest_gap_s: float = 0.0
-    too_hard: bool = False
-    after_s: float | None = None
-    price: float = 0.0
-
-
-class World(Protocol):
-    """What a router reaches."""
-
-    env: simpy.Environment
-    deployment: Deployment
-    policy: Policy
-    turned_away: int
-
-    def engine_at(self, host: str) -> Engine | None:
-        """Return the engine that lives at an address, if any."""
-
-    def load_at(self, host: str) -> Load | None:
-        """Return what a sidecar says; None where it does not answer."""
-
-    def promised(self, host: str, count: int) -> None:
-        """Count requests that are on their way to an address."""
-
-    def way_s(self, domain: str, other: str) -> float:
-        """Return the delay between two failure domains, one way."""
-
-
-class AskedLoads:
-    """Stands in for `Prober`: sidecars answer at once."""
-
-    __slots__ = ("world",)
-
-    def __init__(self, world: World) -> None:
-        """Take whom to ask."""
-        self.world = world
-
-    def ask(self, hosts: list[str]) -> dict[str, Load]:
-        """Return the loads of those that answer."""
-        loads = {one: self.world.load_at(one) for one in hosts}
-        return {one: load for one, load in loads.items() if load is not None}
-
-    def promise(self, host: str, request: str, unread: float) -> None:
-        """Tell of a request that is about to come."""
-        del request, unread
-        self.world.promised(host, 1)
-
-
 class End(Enum):
     """How an attempt ended.
 
@@ -336,7 +237,7 @@
         """Return the engine of the next attempt; None where there is none."""
         env, traffic = self.world.env, request.traffic
         unread = self._unread(request, cascade)
-        part = WAIT_PART * (1.0 - traffic.priority / 10)
+        part = WAIT_PART * (1.0 - traffic.priority / (LAST_PRIORITY + 1))
         by = request.end - MIN_LEFT_S
         if not progress.sent:
             by = min(by, env.now + traffic.goal_s * part)
@@ -348,7 +249,7 @@
             if isinstance(found, NoPlace):
                 if not progress.sent:
                     after_s = max(found.after_s or 0.0, RETRY_AFTER_S)
-                    spread = self.draw.uniform(1.0, 1.5)
+                    spread = self.draw.uniform(1.0, SPREAD_AFTER)
                     progress.answer.after_s = after_s * spread
                 return None
             if isinstance(found, Instance):
--- a/lacewingdock/lab/simulation.py
+++ b/lacewingdock/lab/simulation.py
@@ -21,12 +21,8 @@
 from lacewingdock.lab.engine import Engine
 from lacewingdock.lab.policy import Choice, Policy
 from lacewingdock.lab.results import Day, Outcome, Row
-from lacewingdock.lab.router import (
-    SERVICE,
-    Answer,
-    Request,
-    SimulatedRouter,
-)
+from lacewingdock.lab.router import SERVICE, SimulatedRouter
+from lacewingdock.lab.world import Answer, Request
 from lacewingdock.world.backend import UpstreamEntry
 
 # How old what routers tell each other of their work is, in the mean.
