After a last reading: one look for cold instances at a refusal, no field that nobody reads

A refused request gathered the service's cold instances twice; a local name hid the function that it came from; the laboratory's engine held its address unread. No change of behaviour.

--- a/lacewingdock/components/slow_start/__init__.py
+++ b/lacewingdock/components/slow_start/__init__.py
@@ -134,10 +134,10 @@
         limits = self._limits(instance)
         if limits is None:
             return now
-        shares = self._shares(limits)
-        if not self._is_sharer(instance, shares.routers, now):
+        found = self._shares(limits)
+        if not self._is_sharer(instance, found.routers, now):
             return math.inf
-        first = self._first_due(instance, shares.gap_s)
+        first = self._first_due(instance, found.gap_s)
         next_at = self._next_at.get(instance.entry.incarnation, first)
         return max(first, next_at, now)
 
--- a/lacewingdock/components/upstreams/choice.py
+++ b/lacewingdock/components/upstreams/choice.py
@@ -143,7 +143,7 @@
         """
         with self.directory.lock:
             now = self.directory.clock.now()
-            turn = self._next_turn(service, allowed, now)
+            turn = self._next_turn(self._cold(service, allowed, now), now)
             if turn is None or turn.at > by:
                 return None
             self._count_in(turn.instance, unread, turn.at)
@@ -174,7 +174,7 @@
         cold = self._cold(service, allowed, now)
         if not cold:
             return None
-        turn = self._next_turn(service, allowed, now)
+        turn = self._next_turn(cold, now)
         warm_at = min(one.cold_until for one in cold)
         return min(warm_at, turn.at if turn else math.inf) - now
 
@@ -223,16 +223,14 @@
     ) -> list[Instance]:
         return [one for one in self._open(service, allowed) if one.is_cold(now)]
 
-    def _next_turn(
-        self, service: str, allowed: Callable[[Instance], bool], now: float
-    ) -> Turn | None:
-        """Return this router's next turn at a cold instance, if any."""
+    def _next_turn(self, cold: list[Instance], now: float) -> Turn | None:
+        """Return this router's next turn at one of cold instances, if any."""
         slow_start = self.slow_start
         if slow_start is None:
             return None
         turns = (
             (slow_start.due_at(one, now), self.random.random(), one)
-            for one in self._cold(service, allowed, now)
+            for one in cold
         )
         at, _, chosen = min(turns, default=(math.inf, 0.0, None))
         return None if chosen is None or at == math.inf else Turn(chosen, at)
--- a/lacewingdock/lab/engine.py
+++ b/lacewingdock/lab/engine.py
@@ -85,7 +85,6 @@
         env: The simulation.
         spec: What engines are like.
         name: Its id.
-        host: Where it stands.
         cold_until: Time up to which it is cold.
         alive: Whether it runs.
         running: Requests that run.
@@ -100,7 +99,6 @@
         "cold",
         "cold_until",
         "env",
-        "host",
         "name",
         "running",
         "spec",
@@ -112,14 +110,12 @@
         env: simpy.Environment,
         spec: Engines,
         name: str,
-        host: str,
         cold_until: float,
     ) -> None:
         """Start it."""
         self.env = env
         self.spec = spec
         self.name = name
-        self.host = host
         self.cold_until = cold_until
         self.alive = True
         self.running: list[Run] = []
--- a/lacewingdock/lab/simulation.py
+++ b/lacewingdock/lab/simulation.py
@@ -133,7 +133,7 @@
         spec, now = self.deployment.engines, self.env.now
         name = f"{host}.{next(self._numbers)}"
         cold_until = now + spec.cold_s if cold else 0.0
-        self.engines[host] = Engine(self.env, spec, name, host, cold_until)
+        self.engines[host] = Engine(self.env, spec, name, cold_until)
         self.env.process(self._list(host, name, cold_until, listed_after_s))
 
     def _list(
--- a/tests/lab/test_engine.py
+++ b/tests/lab/test_engine.py
@@ -24,7 +24,7 @@
         **changes,
     }
     env = simpy.Environment()
-    return env, Engine(env, Engines(**fields), "e", "h", 0.0)
+    return env, Engine(env, Engines(**fields), "e", 0.0)
 
 
 def run(env, call="c", *, own=1000, left=20, shared=0, priority=1):
