--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -464,6 +464,12 @@
         """
         with self._taking:
             if self.revision is not None and found.revision < self.revision:
+                log.info(
+                    "older copy passed over",
+                    kind=self.kind,
+                    revision=found.revision,
+                    known=self.revision,
+                )
                 return
             with self._lock:
                 self.objects = dict(found.objects)
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -20,6 +20,7 @@
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.platform.budget import CallBudget
+from lacewingdock.platform.eras import ERA_HEADER, StoreEras
 
 CALL_TIMEOUT_S: Final = 2.0
 CONNECT_TIMEOUT_MS: Final = 1000
@@ -141,9 +142,10 @@
         calls: Calls made so far, by purpose; a waiting watch is one.
         failures: Those of them without a usable answer, by purpose.
         budget: Bounds the calls.
+        eras: The eras of the store's history.
     """
 
-    __slots__ = ("_local", "budget", "calls", "failures", "url")
+    __slots__ = ("_local", "budget", "calls", "eras", "failures", "url")
 
     def __init__(self, url: str) -> None:
         """Take the platform's URL."""
@@ -151,6 +153,7 @@
         self.calls: dict[str, int] = {}
         self.failures: dict[str, int] = {}
         self.budget = CallBudget()
+        self.eras = StoreEras()
         self._local = threading.local()
 
     def read(self, kind: str, name: str, purpose: str) -> StoredObject | None:
@@ -377,10 +380,18 @@
             received.write(data)
             return None if received.tell() <= MAX_ANSWER_BYTES else _ABORT
 
+        eras: list[str] = []
+
+        def note(line: bytes) -> None:
+            name, _, value = line.partition(b":")
+            if name.strip().lower() == ERA_HEADER.encode():
+                eras.append(value.decode("latin-1").strip())
+
         curl.setopt(pycurl.URL, self.url + path)
         curl.setopt(pycurl.HTTPHEADER, headers)
         curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
         curl.setopt(pycurl.WRITEFUNCTION, take)
+        curl.setopt(pycurl.HEADERFUNCTION, note)
         if body is None:
             curl.setopt(pycurl.HTTPGET, 1)
         else:
@@ -394,6 +405,7 @@
             self._count_failure(purpose)
             raise unavailable(f"{method} {path}: {error}", ran) from error
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        self.eras.take(eras)
         if status == HTTPStatus.OK or status in also:
             return Reply(status, received.getvalue())
         self._count_failure(purpose)
