--- a/standins/http.py
+++ b/standins/http.py
@@ -34,12 +34,14 @@
     Attributes:
         rules: Where each path leads.
         handlers: What answers, by endpoint.
+        headers: Returns what each answer bears.
     """
 
-    __slots__ = ("handlers", "rules")
+    __slots__ = ("handlers", "headers", "rules")
 
-    def __init__(self) -> None:
+    def __init__(self, headers: Callable[[], dict[str, str]] = dict) -> None:
         """Start without routes."""
+        self.headers = headers
         self.rules = Map()
         self.handlers: dict[str, Handler] = {}
 
@@ -59,6 +61,7 @@
             response: Any = self.handlers[endpoint](request, **parts)
         except HTTPException as error:
             response = error.get_response()
+        response.headers.extend(self.headers())
         return response(environ, start_response)
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -2,7 +2,8 @@
 
 The instance list is a kind of objects like any other, shown with a lag. It
 keeps objects in memory with one growing revision, counts every call by
-purpose (a waiting watch is one call) and can be told to fail.
+purpose (a waiting watch is one call) and can be told to fail, or to come back
+from an older copy of itself.
 """
 
 import dataclasses
@@ -82,7 +83,10 @@
     Attributes:
         objects: Objects by kind and name.
         log: Every change in order, by which watches go on.
+        base: The objects as they were before the first change of the log.
         revision: The last revision given.
+        era: Grows by one each time that it comes back from a copy.
+        shown: The instance list that the launcher gave last.
         forgotten: The revision up to which history was dropped.
         changed: Notified on each write.
         faults: How it misbehaves.
@@ -91,21 +95,27 @@
     """
 
     __slots__ = (
+        "base",
         "calls",
         "changed",
+        "era",
         "faults",
         "forgotten",
         "lag_s",
         "log",
         "objects",
         "revision",
+        "shown",
     )
 
     def __init__(self, lag_s: float) -> None:
         """Start empty."""
         self.objects: dict[str, dict[str, Stored]] = {}
         self.log: list[Stored] = []
+        self.base: dict[str, dict[str, Stored]] = {}
         self.revision = 0
+        self.era = 1
+        self.shown: list[Any] = []
         self.forgotten = 0
         self.changed = threading.Condition()
         self.faults = Faults()
@@ -154,14 +164,17 @@
         wait_s = int(request.args.get("wait_ms", 0)) / 1000
         end = time.monotonic() + min(wait_s, MAX_WAIT_S)
         with self.changed:
-            if after < self.forgotten:
+            if not self.forgotten <= after <= self.revision:
                 return json_response({"error": "history is gone"}, 410)
+            era = self.era
             found = self._after(kind, after)
             while not found and not self.faults.down:
                 left = end - time.monotonic()
                 if left <= 0:
                     break
                 self.changed.wait(left)
+                if era != self.era:
+                    raise ServiceUnavailable("back from a copy")
                 found = self._after(kind, after)
             if self.faults.down:
                 raise ServiceUnavailable("down")
@@ -251,6 +264,7 @@
             gone = self.log[: -MAX_HISTORY // 2]
             self.log = self.log[len(gone) :]
             self.forgotten = gone[-1].removed_at or gone[-1].revision
+            _replay(self.base, gone)
         self.changed.notify_all()
 
     def _answer(self, request: Request, stored: Stored) -> Response:
@@ -273,6 +287,7 @@
     def set_instances(self, request: Request) -> Response:
         """Take a new state of the instance list (from the launcher)."""
         state = msgspec.json.decode(request.get_data())
+        self.shown = state
         if self.lag_s:
             timer = threading.Timer(self.lag_s, self._show_instances, [state])
             timer.daemon = True
@@ -307,14 +322,49 @@
         """Drop the history: watches from before have to list again."""
         with self.changed:
             self.forgotten = self.revision
+            _replay(self.base, self.log)
             self.log = []
         return json_response({})
 
+    def restore(self, request: Request) -> Response:
+        """Come back from a copy that lacks the last changes.
+
+        The launcher's instance list is written again; what else was lost is
+        for its writers to write.
+        """
+        lost = msgspec.json.decode(request.get_data())["lost"]
+        with self.changed:
+            self.log = self.log[: max(len(self.log) - lost, 0)]
+            objects: dict[str, dict[str, Stored]] = {
+                kind: dict(found) for kind, found in self.base.items()
+            }
+            _replay(objects, self.log)
+            self.objects = objects
+            last = self.log[-1] if self.log else None
+            self.revision = self.forgotten
+            if last is not None:
+                self.revision = last.removed_at or last.revision
+            self.era += 1
+            self.changed.notify_all()
+        if self.shown:
+            self._show_instances(self.shown)
+        return json_response({})
+
     def show_calls(self, request: Request) -> Response:
         """Answer with the calls counted so far."""
         return json_response(self.calls)
 
 
+def _replay(objects: dict[str, dict[str, Stored]], log: list[Stored]) -> None:
+    """Apply changes to the objects as they were before them."""
+    for stored in log:
+        kind = objects.setdefault(stored.kind, {})
+        if stored.removed_at:
+            kind.pop(stored.name, None)
+        else:
+            kind[stored.name] = stored
+
+
 def _compressed(request: Request, response: Response) -> Response:
     if "gzip" in request.accept_encodings:
         response.set_data(gzip.compress(response.get_data(), 1))
@@ -325,7 +375,7 @@
 def main(port: int, lag_s: float = 0.0) -> None:
     """Serve the platform's stand-in on loopback."""
     platform = Platform(lag_s)
-    app = App()
+    app = App(lambda: {"Store-Era": str(platform.era)})
     kind, name = "/objects/<kind>", "/objects/<kind>/<path:name>"
     app.route("GET", kind, platform.find)
     app.route("POST", kind, platform.create)
@@ -335,6 +385,7 @@
     app.route("DELETE", name, platform.remove)
     app.route("POST", "/instances", platform.set_instances)
     app.route("POST", "/forget", platform.forget)
+    app.route("POST", "/restore", platform.restore)
     app.route("POST", "/faults", platform.set_faults)
     app.route("GET", "/calls", platform.show_calls)
     serve(app, port)
--- /dev/null
+++ b/tests/daemons/router_site.py
@@ -0,0 +1,181 @@
+"""A router as a process, before the platform's stand-in."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+from bench.http import call
+from lacewingdock.platform.object_api import ObjectApi
+from tests.components.gateway.fakes import Upstream, read_answer, request
+from tests.waiting import wait
+
+ROOT = Path(__file__).parents[2]
+
+PROFILE = """
+node_name = "{name}"
+ip = "127.0.0.1"
+zone = "d1"
+port_range = [{peer}, {peer}]
+seeds = ["127.0.0.1:{other}"]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+control = "127.0.0.1:{peer}"
+[platform]
+address = "127.0.0.1:{platform}"
+[bounds]
+grace_s = 5
+contact_ms = 1500
+"""
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def start(*arguments, env=None, log=subprocess.DEVNULL):
+    return subprocess.Popen(
+        [sys.executable, "-m", *arguments],
+        cwd=ROOT,
+        stdout=log,
+        stderr=log,
+        env={**os.environ, **(env or {})},
+        process_group=0,
+    )
+
+
+class Router:
+    """One router process and its ports."""
+
+    def __init__(self, tmp_path, platform, name="r-1", other=1):
+        self.front, self.ready, self.peer, self.metrics = (
+            free_port() for _ in range(4)
+        )
+        self.path = tmp_path / f"{name}.toml"
+        self.path.write_text(
+            PROFILE.format(
+                name=name,
+                peer=self.peer,
+                front=self.front,
+                ready=self.ready,
+                platform=platform,
+                other=other,
+            )
+        )
+        self.log = tmp_path / f"{name}.log"
+        self.popen = None
+
+    def start(self):
+        env = {
+            "LACEWINGDOCK_CONFIG": str(self.path),
+            "LACEWINGDOCK_METRICS_PORT": str(self.metrics),
+        }
+        with self.log.open("ab") as log:
+            self.popen = start("lacewingdock", "router", env=env, log=log)
+
+    def is_ready(self):
+        try:
+            url = f"http://127.0.0.1:{self.ready}/ready"
+            return call("GET", url).status == 200
+        except Exception:
+            return False
+
+    def connect(self):
+        sock = socket.create_connection(("127.0.0.1", self.front), 5)
+        sock.settimeout(10)
+        return sock
+
+    def call(self, sock=None, **fields):
+        sock = sock or self.connect()
+        sock.sendall(request(deadline_ms=8000, **fields))
+        return read_answer(sock)
+
+    def stop(self):
+        if self.popen and self.popen.poll() is None:
+            os.kill(self.popen.pid, signal.SIGKILL)
+            self.popen.wait()
+
+
+def configuration(version, **routes):
+    """Return a configuration with a route by prefix to a service each."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": name,
+                "host": "h.example",
+                "path_prefix": f"/{name}/",
+                "kind": kind,
+                "resumable": True,
+                "timeout_ms": 8000,
+                "goal_ms": 2000,
+                "gap_target_ms": 600,
+                "service": "svc",
+                "max_attempts": 2,
+            }
+            for name, kind in routes.items()
+        ],
+        "tenants": [{"name": "w-1", "api_keys": ["key-1"]}],
+    }
+
+
+def server(port):
+    """Return an instance's entry, as the platform's store has it."""
+    return {
+        "service": "svc",
+        "address": f"127.0.0.1:{port}",
+        "zone": "d1",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "sequence": 1,
+        "cold_left_ms": 0,
+    }
+
+
+class Site:
+    """A platform, an upstream and two routers that are not started.
+
+    Attributes:
+        url: Where the platform answers.
+        api: A client of it.
+        upstream: The upstream.
+        first: A router.
+        second: Another one, which knows the first.
+        revision: Revision of the configuration.
+    """
+
+    def __init__(self, tmp_path):
+        port = free_port()
+        self.platform = start("standins.platform", f"--port={port}")
+        self.url = f"http://127.0.0.1:{port}"
+        self.api = ObjectApi(self.url)
+        wait(lambda: _answers(self.api))
+        self.upstream = Upstream()
+        spec = configuration(3, r="idempotent", s="streaming")
+        _, stored = self.api.write("config", "main", spec, 0, "test")
+        self.revision = stored.revision
+        entry = server(self.upstream.port)
+        self.api.write("servers", "i-1", entry, 0, "test")
+        self.first = Router(tmp_path, port)
+        self.second = Router(tmp_path, port, "r-2", self.first.peer)
+
+    def close(self):
+        for router in (self.first, self.second):
+            router.stop()
+        self.platform.kill()
+        self.platform.wait()
+        self.upstream.close()
+
+
+def _answers(api):
+    try:
+        api.list_kind("config", "test")
+    except Exception:
+        return False
+    return True
