Leases: a number that the store lost is not given to another holder

After the store's return from a copy a candidate counted on from the copy's fencing number, and could be given one that a holder of before had had. It counts on from the highest it ever saw. The test failed before. Who saw none of the lost holders still can't know: promises.md says so.

--- a/lacewingdock/components/leases/lease.py
+++ b/lacewingdock/components/leases/lease.py
@@ -150,7 +150,11 @@
             return
         if stored.revision > self.revision:
             self.seen_at = time.monotonic()
-        self.revision, self.record = stored.revision, record
+        # A store that is back from a copy has lost the last holders; a number
+        # that one of them had must not be given to another.
+        fencing = max(record.fencing, self.record.fencing)
+        self.revision = stored.revision
+        self.record = replace(record, fencing=fencing)
         self.held = (
             bool(record.incarnation)
             and record.incarnation == self.me.incarnation
--- a/tests/components/leases/test_lease.py
+++ b/tests/components/leases/test_lease.py
@@ -16,6 +16,8 @@
 from lacewingdock.components.leases.lease import Lease, LeaseRecord
 from lacewingdock.const import COLLECTION_LEASES
 from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.platform.history import revision_of
+from lacewingdock.platform.store import Stored
 from lacewingdock.world.objects import Instance
 from tests.fakes import FakeStore
 
@@ -171,3 +173,25 @@
 def test_leases_are_spread_over_entries():
     firsts = [rank_candidates(f"l{i}", entries(60), "")[0] for i in range(60)]
     assert max(firsts.count(name) for name in set(firsts)) <= 6
+
+
+def test_number_of_a_holder_that_the_store_lost_is_not_given_again():
+    """Symptom: two holders give orders with one fencing number.
+
+    Sequence: a holder takes the lease; the store comes back from a copy of
+    before, and another process, which saw that holder, takes it. Cause: the
+    number was counted on from the copy's.
+    """
+    store = FakeStore()
+    first, second = (
+        Lease("rollouts", store, LeaseRecord(holder=name, incarnation=name))
+        for name in ("e0", "e1")
+    )
+    first.read()
+    first.take()
+    second.read()
+    lost = second.fencing
+    copy = Stored("rollouts", revision_of(1, 1), {"fencing": lost - 1})
+    store.get = lambda *_: copy
+    second.read()
+    assert second.fencing == lost
