Roll-outs: ends and orders that the store lost stand

After the store's return from a copy a version that had been rolled back got requests again, a completed order was begun anew, the order before the last one was taken for the newest, and an older report held an order up.

--- a/lacewingdock/components/shifts/__init__.py
+++ b/lacewingdock/components/shifts/__init__.py
@@ -7,7 +7,9 @@
 """
 
 import threading
+import zlib
 from collections.abc import Callable
+from dataclasses import replace
 
 import msgspec
 
@@ -28,6 +30,7 @@
 from lacewingdock.components.shifts.pins import SessionPins
 from lacewingdock.components.shifts.report import Report, Stage, read_report
 from lacewingdock.components.shifts.reporter import Reporter
+from lacewingdock.components.shifts.returned import ReturnedOrders
 from lacewingdock.components.shifts.shift import Shift, VersionRule
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.exceptions import LacewingdockError
@@ -38,7 +41,7 @@
     read_shift,
     shift_status,
 )
-from lacewingdock.platform.history import shown
+from lacewingdock.platform.history import era_of, shown
 from lacewingdock.platform.object_api import ObjectApi
 from lacewingdock.platform.objects import StoredObject
 from lacewingdock.world.backend import ShiftOrder, ShiftState
@@ -58,6 +61,7 @@
         api: The platform's store.
         directory: The upstream instances.
         orders: The newest order of each service.
+        returned: Orders of a store that is back from a copy.
         running: Roll-outs under way, by service.
         settled: The version of each service outside of roll-outs.
         refused: Versions that were rolled back, by service.
@@ -79,6 +83,7 @@
         "pins",
         "refused",
         "reporter",
+        "returned",
         "running",
         "settled",
         "store_doubtful",
@@ -106,6 +111,7 @@
         self.api = api
         self.directory = directory
         self.orders: dict[str, ShiftOrder] = {}
+        self.returned = ReturnedOrders()
         self.running: dict[str, Shift] = {}
         self.settled: dict[str, str] = {}
         self.refused: dict[str, str] = {}
@@ -276,6 +282,7 @@
                 self._end(shift, ShiftState.COMPLETED)
             elif shift.order.state is ShiftState.ORDERED:
                 self._end(shift, ShiftState.RUNNING)
+        self._settle()
         self.pins.prune()
 
     def _running(self, service: str, target: str) -> Shift | None:
@@ -304,6 +311,23 @@
         known = self.orders.get(order.service)
         if known is not None and known.revision >= order.revision:
             return
+        if known is not None and self._may_be_lost_state(known, order):
+            if known.target != order.target:
+                self._defer(order)
+                return
+            if known.state.ended and not order.state.ended:
+                self._restore_end(known, order)
+                return
+        self._begin(order)
+
+    def _begin(self, order: ShiftOrder, waited_s: float = 0.0) -> None:
+        """Go by an order.
+
+        Args:
+            order: The order.
+            waited_s: Seconds since it was seen.
+        """
+        self.returned.forget(order.service)
         self.orders[order.service] = order
         log.info(
             "order",
@@ -311,12 +335,50 @@
             target=order.target,
             state=order.state,
             duration_s=order.duration_s,
-            unseen_s=round(self.unseen_s(), 2),
+            unseen_s=round(self.unseen_s() + waited_s, 2),
+            revision=shown(order.revision),
+        )
+        self._apply(order, waited_s)
+
+    def _may_be_lost_state(self, known: ShiftOrder, order: ShiftOrder) -> bool:
+        """Whether the store may show an order as it was before what is known.
+
+        It is back from a copy, and the operator's later orders and the ends
+        that routers wrote are written again.
+        """
+        is_of_copy = era_of(order.revision) != era_of(known.revision)
+        return is_of_copy and self.store_doubtful()
+
+    def _defer(self, order: ShiftOrder) -> None:
+        """Leave an order until the store has all orders again."""
+        self.returned.defer(order)
+        log.info(
+            "order deferred",
+            service=order.service,
+            target=order.target,
             revision=shown(order.revision),
         )
-        self._apply(order)
 
-    def _apply(self, order: ShiftOrder) -> None:
+    def _settle(self) -> None:
+        """Go by what a store that is back from a copy shows by now."""
+        if self.returned.deferred and not self.store_doubtful():
+            for waited_s, order in self.returned.settled():
+                self._begin(order, waited_s)
+        for service in self.returned.due():
+            order = self.orders[service]
+            self._write_status(order, order.state)
+
+    def _restore_end(self, known: ShiftOrder, order: ShiftOrder) -> None:
+        """Write again how an order ended, which the store lost.
+
+        Begun anew, a version that was rolled back would get requests again.
+        """
+        self.orders[order.service] = replace(order, state=known.state)
+        # Spread over the fleet: once one has written it, the others see it.
+        spread = zlib.crc32(self.reporter.router.encode()) / 2**32
+        self.returned.write_end(order.service, spread * self.reporter.pace_s())
+
+    def _apply(self, order: ShiftOrder, waited_s: float) -> None:
         service = order.service
         match order.state:
             case ShiftState.COMPLETED:
@@ -335,7 +397,8 @@
                     return
                 share = self.host.bounds.exposure_share
                 self.refused.pop(service, None)
-                self.running[service] = Shift(order, share, self._age_s())
+                age_s = self._age_s() + waited_s
+                self.running[service] = Shift(order, share, age_s)
 
     def _age_s(self) -> float:
         """Return for how long an order that was just seen counts as placed.
@@ -353,6 +416,7 @@
             if order.name == stored.name:
                 self.running.pop(service, None)
                 del self.orders[service]
+                self.returned.forget(service)
                 log.info("order removed", service=service)
 
     def _new_instances(self, shift: Shift) -> list[str]:
@@ -401,7 +465,10 @@
 
     def _end(self, shift: Shift, state: ShiftState) -> None:
         """Write what became of an order; a lost race is read back."""
-        order = shift.order
+        self._write_status(shift.order, state)
+
+    def _write_status(self, order: ShiftOrder, state: ShiftState) -> None:
+        """Write what became of an order; a lost race is read back."""
         status = shift_status(order, state)
         try:
             written, found = self.api.write_status(
--- a/lacewingdock/components/shifts/shift.py
+++ b/lacewingdock/components/shifts/shift.py
@@ -206,7 +206,15 @@
         return 1.0
 
     def take_report(self, report: Report) -> None:
-        """Take another router's report."""
+        """Take another router's report.
+
+        The store's copy may show an older one; as that of a router that is
+        behind it would hold the order up.
+        """
+        _, known = self.reports.get(report.name, (0.0, report))
+        is_same_start = known.incarnation == report.incarnation
+        if is_same_start and report.elapsed_s < known.elapsed_s:
+            return
         self.reports[report.name] = (time.monotonic(), report)
         ahead = report.elapsed_s - self.elapsed_s
         if ahead > 0:
