Instances that left do not come back with the store's copy

After the store's return from a copy an instance that had left stood there as ready, and got requests until its entry ran out. The first writing of a start stays what it was: it tells which of two entries at an address is the later one.

--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -1,7 +1,9 @@
 """Support for knowing the upstream instances."""
 
+import math
 import threading
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Final
 
 from lacewingdock.components.upstreams.instance import Instance, mark_of
@@ -17,6 +19,8 @@
 # Starts that are remembered at least, also of instances that left: a late write
 # of an earlier start must not bring it back. More than restart within minutes.
 MIN_BIRTHS: Final = 256
+# Starts that left and are remembered with what they reported last.
+MAX_LEFT: Final = 4096
 # Starts that are remembered as replaced, and for how long others are told of
 # them: until their entries run out, after three heartbeats, there is a word.
 MAX_REPLACED: Final = 4096
@@ -35,6 +39,9 @@
             milliseconds, those that left lately too.
         cordoned: The failure domains whose instances get nothing new.
         cold_start_s: Returns for how long a service's instances are cold.
+        left: The last report of starts that left, by start.
+        held: Entries of the store's copy that tell less than is known, by id.
+        held_until: Monotonic time up to which such entries are held back.
         signals: What instances say of themselves.
         replaced: When starts were found to be replaced, at whose addresses
             other instances answer, by start and address.
@@ -51,7 +58,10 @@
         "clock",
         "cold_start_s",
         "cordoned",
+        "held",
+        "held_until",
         "instances",
+        "left",
         "lock",
         "replaced",
         "replaced_seen",
@@ -67,6 +77,9 @@
         self.cordoned: frozenset[str] = frozenset()
         self.cold_start_s: Callable[[str], float] = lambda _: 0.0
         self.signals = SignalMemory(clock)
+        self.left: dict[str, int] = {}
+        self.held: dict[str, UpstreamEntry] = {}
+        self.held_until = -math.inf
         self.replaced: dict[tuple[str, tuple[str, int]], float] = {}
         self.replaced_seen = 0
         self.replaced_told = 0
@@ -132,7 +145,8 @@
         """
         for entry in entries.values():
             self.take(entry)
-        for name in self.instances.keys() - entries.keys():
+        known = self.instances.keys() | self.held.keys()
+        for name in known - entries.keys():
             self.remove(name, doubtful=doubtful)
 
     def take(self, entry: UpstreamEntry) -> None:
@@ -157,6 +171,10 @@
             return
         if (entry.incarnation, entry.address) in self.replaced:
             return
+        if self._is_outdated(entry, known):
+            self._hold(entry, known)
+            return
+        self.held.pop(entry.id, None)
         self._note_birth(entry)
         if known is None or known.entry.born != entry.born:
             if known is not None:
@@ -164,10 +182,11 @@
             signals = self.signals.of(entry.incarnation)
             self.instances[entry.id] = Instance(entry, self.clock, signals)
             self._index()
-        elif known.entry == entry and not known.lapsed:
+        elif _is_same(known.entry, entry) and not known.lapsed:
             return
         else:
-            known.entry = entry
+            # Its first writing stays so, whatever became of the entry since.
+            known.entry = replace(entry, created=known.entry.created)
             known.lapsed = False
             self._index()
         self.instances[entry.id].is_cold_for(entry.cold_left_s)
@@ -188,7 +207,49 @@
         with self._changing:
             self._remove(name, doubtful=doubtful)
 
+    def _is_outdated(
+        self, entry: UpstreamEntry, known: Instance | None
+    ) -> bool:
+        """Whether an entry is one of the store's copy, and older than known."""
+        if self.clock.now() >= self.held_until:
+            return False
+        if known is None or known.entry.incarnation != entry.incarnation:
+            return entry.sequence <= self.left.get(entry.incarnation, -1)
+        if known.leaving and not entry.leaving:
+            return True
+        return entry.sequence < known.entry.sequence
+
+    def _hold(self, entry: UpstreamEntry, known: Instance | None) -> None:
+        if known is not None:
+            known.lapsed = False
+        if self.held.get(entry.id) != entry:
+            log.info("older entry held", upstream=entry.id)
+        self.held[entry.id] = entry
+
+    def restored(self, hold_s: float) -> None:
+        """Reckon with entries of a store that is back from a copy.
+
+        An instance that left since is listed there as it was: it would get
+        requests until its entry runs out. One that lives writes again.
+
+        Args:
+            hold_s: For how long older entries are held back, in seconds: until
+                those that nobody writes again have run out.
+        """
+        with self._changing:
+            self.held_until = self.clock.now() + hold_s
+
+    def take_held(self) -> None:
+        """Take the entries that were held back and are still there."""
+        with self._changing:
+            if not self.held or self.clock.now() < self.held_until:
+                return
+            held, self.held = self.held, {}
+            for entry in held.values():
+                self._take(entry)
+
     def _remove(self, name: str, *, doubtful: bool) -> None:
+        self.held.pop(name, None)
         known = self.instances.get(name)
         if known is None or (doubtful and known.lapsed):
             return
@@ -198,6 +259,8 @@
             return
         known.gone = True
         del self.instances[name]
+        last = known.entry
+        remember(self.left, last.incarnation, last.sequence, MAX_LEFT)
         self._index()
         log.info("upstream gone", upstream=name, lapsed=known.lapsed)
 
@@ -303,6 +366,11 @@
         self._by_mark = {one.mark: one for one in instances}
 
 
+def _is_same(known: UpstreamEntry, entry: UpstreamEntry) -> bool:
+    """Whether an entry says what is known, whenever it was written first."""
+    return replace(entry, created=known.created) == known
+
+
 def _is_later(entry: UpstreamEntry, other: UpstreamEntry) -> bool:
     """Whether an entry is of a later start than another at its address.
 
--- a/lacewingdock/platform/documents.py
+++ b/lacewingdock/platform/documents.py
@@ -112,7 +112,6 @@
     version: str
     slots: int
     state: Literal["ready", "draining"]
-    # Not used, but an entry without it is not an instance's own.
     sequence: int
     cold_left_ms: float
     # Unix milliseconds of the instance's start.
@@ -219,6 +218,7 @@
         born=found.born,
         cold_left_s=min(max(found.cold_left_ms / 1000, 0.0), MAX_COLD_S),
         created=stored.created,
+        sequence=found.sequence,
     )
 
 
--- a/lacewingdock/world/backend.py
+++ b/lacewingdock/world/backend.py
@@ -1,6 +1,6 @@
 """Support for what the platform says of upstream instances and roll-outs."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
 
@@ -19,8 +19,8 @@
         leaving: Whether it takes no new work.
         born: Unix time of its start, in milliseconds; 0 where not said.
         cold_left_s: Seconds for which it stays cold, when that was written.
-        created: When the entry was first written, in the store's own count; 0
-            where not said.
+        created: Revision of the entry's first writing; 0 where not said.
+        sequence: The instance's own count of its reports.
     """
 
     id: str
@@ -34,6 +34,8 @@
     born: int = 0
     cold_left_s: float = 0.0
     created: int = 0
+    # An entry that differs in this alone says nothing new.
+    sequence: int = field(default=0, compare=False)
 
     @property
     def incarnation(self) -> str:
