Entries that the store's copy lacks are kept while they may come back

Where the store was away too shortly to be noticed, what the first list of its copy lacked was taken for gone at once: instances that live got nothing for up to two seconds. A router that takes another's copy of a later era learns the era with it.

--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -271,6 +271,9 @@
         if copy.age_s is None:
             return
         as_of = asked_at - copy.age_s
+        told = copy.changes or copy.snapshot
+        if told is not None:
+            self.api.eras.heard(era_of(told.revision))
         doubtful = self.health.doubtful or not copy.sure
         if copy.changes is not None:
             self._take_changes(after, copy.changes, as_of, doubtful=doubtful)
@@ -464,6 +467,7 @@
         found = copy.snapshot
         if found is None:
             return
+        self.api.eras.heard(era_of(found.revision))
         log.info(
             "taken from a router",
             kind=self.kind,
--- a/lacewingdock/components/mirror/health.py
+++ b/lacewingdock/components/mirror/health.py
@@ -24,6 +24,11 @@
             still lack entries.
         doubt_s: Returns how long after the beginning of the last failed call
             that may be doubted at most.
+        restored_s: Returns how long after the last answer before the store's
+            return from a copy that may be doubted at most.
+        answered_at: Monotonic time of the last answer.
+        restored_until: Monotonic time up to which lists may lack entries that
+            the store lost, and its copy may show older ones.
         away: Whether the last call failed.
         failed_from: Monotonic time at which the last failed call began.
         returned_at: Monotonic time of the last return.
@@ -38,6 +43,7 @@
 
     __slots__ = (
         "_lock",
+        "answered_at",
         "away",
         "clock",
         "doubt_s",
@@ -45,6 +51,8 @@
         "lost_at",
         "on_answer",
         "others_doubt",
+        "restored_s",
+        "restored_until",
         "returned_at",
         "served_others_at",
         "settle_s",
@@ -55,10 +63,14 @@
         settle_s: float,
         doubt_s: Callable[[], float] = lambda: math.inf,
         clock: Clock = STEADY,
+        restored_s: Callable[[], float] = lambda: math.inf,
     ) -> None:
         """Start with a store that answers."""
         self.settle_s = settle_s
         self.doubt_s = doubt_s
+        self.restored_s = restored_s
+        self.answered_at = 0.0
+        self.restored_until = -math.inf
         self.clock = clock
         self.away = False
         self.failed_from = 0.0
@@ -85,6 +97,8 @@
         would get work after the bound.
         """
         now = self.clock.now()
+        if now < self.restored_until:
+            return True
         since = now if self.away else self.returned_at
         # What was answered before the first call failed says nothing: others
         # may not have called since.
@@ -95,10 +109,13 @@
     @property
     def doubt_left_s(self) -> float:
         """Seconds for which this router's own calls give reason to doubt."""
-        if self.away or not self.returned_at:
-            return math.inf if self.away else 0.0
-        settled_at = self.returned_at + self.settle_s
-        over_at = min(settled_at, self.failed_from + self.doubt_s())
+        if self.away:
+            return math.inf
+        over_at = self.restored_until
+        if self.returned_at:
+            settled_at = self.returned_at + self.settle_s
+            left_at = min(settled_at, self.failed_from + self.doubt_s())
+            over_at = max(over_at, left_at)
         return max(over_at - self.clock.now(), 0.0)
 
     def failed(self, kind: str, error: str, began: float) -> None:
@@ -126,10 +143,23 @@
         with self._lock:
             self.served_others_at = max(self.served_others_at, at)
 
+    def restored(self) -> None:
+        """Reckon with a store that is back from a copy.
+
+        Its writers write again what it lost, within the same time as entries
+        that lapsed in an outage; a short one need not have shown otherwise.
+        """
+        with self._lock:
+            settled_at = self.clock.now() + self.settle_s
+            self.restored_until = min(
+                settled_at, self.answered_at + self.restored_s()
+            )
+
     def answered(self, kind: str) -> None:
         """Count a call that was answered."""
         self.on_answer()
         with self._lock:
+            self.answered_at = self.clock.now()
             returned = self.away
             self.away = False
             if returned:
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -16,6 +16,7 @@
     cordons_watch_s,
     doubt_s,
     entries_watch_s,
+    restored_doubt_s,
     watch_s,
 )
 from lacewingdock.helpers.clock import STEADY, Clock
@@ -69,7 +70,12 @@
         bounds: Returns what the router is held to.
         clock: The time it goes by.
     """
-    return StoreHealth(LAPSE_S, lambda: doubt_s(bounds()), clock)
+    return StoreHealth(
+        LAPSE_S,
+        lambda: doubt_s(bounds()),
+        clock,
+        lambda: restored_doubt_s(bounds()),
+    )
 
 
 def reports_pause_s(
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -160,6 +160,17 @@
     return bounds.contact_s - DOUBT_SPARE_S
 
 
+def restored_doubt_s(bounds: Bounds) -> float:
+    """Return how long missing entries may be doubted after a return.
+
+    Counted from the last answer before the store came back from a copy, which
+    is the earliest moment at which that can have been. An entry that goes once
+    the contact time is over must be left within the time for that.
+    """
+    rest_s = CHANGES_PAUSE_S + ANSWER_S + DOUBT_SPARE_S
+    return bounds.contact_s + bounds.drain_s - rest_s
+
+
 @dataclass(slots=True, frozen=True)
 class Delay:
     """A step of a path and the seconds that it takes at the most."""
--- a/lacewingdock/platform/eras.py
+++ b/lacewingdock/platform/eras.py
@@ -59,6 +59,18 @@
         self.on_return: list[Callable[[], None]] = []
         self._lock = threading.Lock()
 
+    def heard(self, era: int) -> None:
+        """Take the era of another router's copy, which may be ahead.
+
+        This router's own answers take it back if the store never had it.
+        """
+        with self._lock:
+            before = self.era
+            if era <= before:
+                return
+            self._enter(era)
+        self._tell(era, before)
+
     def take(
         self, values: Sequence[str], began: float, *, stale: bool = False
     ) -> int:
@@ -99,16 +111,22 @@
                     ErrorKind.PLATFORM_UNAVAILABLE,
                     f"an answer of era {named}, the store is in {before}",
                 )
-            self.era = named
-            self.since = self.clock.now()
-            self.returns += bool(before)
+            self._enter(named)
+        self._tell(named, before)
+        return named
+
+    def _enter(self, era: int) -> None:
+        self.returns += bool(self.era)
+        self.era = era
+        self.since = self.clock.now()
+
+    def _tell(self, era: int, before: int) -> None:
         if not before:
-            log.info("store era", era=named)
-            return named
-        log.warning("store back from a copy", era=named, before=before)
+            log.info("store era", era=era)
+            return
+        log.warning("store back from a copy", era=era, before=before)
         for told in self.on_return:
             told()
-        return named
 
 
 def read_era(values: Sequence[str]) -> int | None:
--- a/tests/components/mirror/simulated_store.py
+++ b/tests/components/mirror/simulated_store.py
@@ -5,9 +5,12 @@
 """
 
 import math
-from dataclasses import dataclass, field
+import random
+from dataclasses import dataclass, field, replace
 
 from lacewingdock.const import RAN_NO
+from lacewingdock.platform.eras import StoreEras
+from lacewingdock.platform.history import count_of, era_of, revision_of
 from lacewingdock.platform.object_api import (
     CALL_TIMEOUT_S,
     HistoryGoneError,
@@ -22,6 +25,8 @@
 
 # A call's way there and back.
 TRIP_S = 0.006
+# Within how long after the store's return its writers write again what it lost.
+AGAIN_S = 1.9
 
 
 @dataclass
@@ -41,6 +46,24 @@
     for_all: bool = True
 
 
+@dataclass
+class Return(Outage):
+    """A span in which the store is away, and comes back from a copy.
+
+    Attributes:
+        lost_s: How old the copy is when the store goes away.
+        dead: Names of what nobody writes again.
+    """
+
+    lost_s: float = 0.0
+    dead: frozenset = frozenset()
+
+    @property
+    def copied_at(self):
+        """The moment of the copy."""
+        return self.start - self.lost_s
+
+
 @dataclass
 class Troubles:
     """What disturbs the store or the way to it.
@@ -112,51 +135,49 @@
         self.time = time
         self.troubles = troubles
         self.calls = []
-        self._log = []
+        self.eras = StoreEras(time)
         self._opened = {}
-        known = {}
-        ordered = sorted(written, key=lambda one: one.at)
-        for revision, one in enumerate(ordered, start=2):
-            removed = one.spec is None
-            if removed and (one.kind, one.name) not in known:
-                continue
-            spec = known.get((one.kind, one.name)) if removed else one.spec
-            known[one.kind, one.name] = spec
-            if removed:
-                del known[one.kind, one.name]
-            change = Change(StoredObject(one.name, revision, spec), removed)
-            self._log.append((one.at, revision, one.kind, change))
+        returns = [one for one in troubles.outages if isinstance(one, Return)]
+        self._histories = histories(written, returns)
 
     def list_kind(
         self, kind, purpose, *, stale=False, timeout_s=CALL_TIMEOUT_S
     ):
         """Answer a list."""
         del stale
+        began = self.time.now()
         self._reach(kind, purpose, timeout_s)
-        self._answer(kind, timeout_s, self.time.now())
+        self._answer(kind, timeout_s, began)
+        self._take_era(began, began)
         return self.at(self.time.now(), kind)
 
     def watch_kind(
         self, kind, revision, wait_s, purpose, grace_s=2.0, *, stale=False
     ):
         """Answer a watch."""
-        del stale
+        if era_of(revision) != self.eras.era:
+            raise HistoryGoneError
         began, timeout_s = self.time.now(), wait_s + grace_s
         self._reach(kind, purpose, timeout_s)
-        news = [at for at, r, k, _ in self._log if k == kind and r > revision]
+        history = self._history(began)
+        # The store knows the count alone.
+        revision = revision_of(history.era, count_of(revision))
+        log = [one for one in history.log if one[2] == kind]
+        news = [at for at, r, *_ in log if r > revision]
         ready = max(min(news, default=math.inf), began)
         gone = self._forgot(revision, began, ready)
+        gone |= revision > self._revision(began)
         end = began + wait_s
         ready = end if gone else min(ready, end)
         self._cut(kind, began, ready)
         self._answer(kind, timeout_s, began, ready)
-        if gone:
+        known = self.eras.era
+        self._take_era(began, ready, stale=stale)
+        if gone or history.era != known:
             raise HistoryGoneError
         now = max(ready, began)
         changes = [
-            change
-            for at, r, k, change in self._log
-            if k == kind and r > revision and at <= now
+            change for at, r, _, change in log if r > revision and at <= now
         ]
         return Changes(max(self._revision(now), revision), changes)
 
@@ -167,7 +188,7 @@
     def at(self, at, kind):
         """Return a kind's objects at a moment."""
         found = Snapshot(self._revision(at))
-        for when, _, of, change in self._log:
+        for when, _, of, change in self._history(at).log:
             if of != kind or when > at:
                 continue
             if change.removed:
@@ -176,8 +197,18 @@
                 found.objects[change.object.name] = change.object
         return found
 
+    def _history(self, at):
+        """Return the history that the store has at a moment."""
+        return [one for one in self._histories if one.start <= at][-1]
+
+    def _take_era(self, began, at, *, stale=False):
+        era = self._history(at).era
+        self.eras.take([str(era)], began, stale=stale)
+
     def _revision(self, at):
-        return max((r for when, r, _, _ in self._log if when <= at), default=1)
+        history = self._history(at)
+        found = [r for when, r, *_ in history.log if when <= at]
+        return max(found, default=revision_of(history.era, 1))
 
     def _forgot(self, revision, began, ready):
         """Whether the history after a revision goes before there is news."""
@@ -224,3 +255,112 @@
         self._opened.pop(kind, None)
         self.time.sleep(after_s)
         raise unavailable("no answer", RAN_NO)
+
+
+@dataclass
+class History:
+    """What the store counts from one return to the next.
+
+    Attributes:
+        start: When it begins.
+        era: Its number.
+        log: Changes as (time, revision, kind, change).
+    """
+
+    start: float
+    era: int
+    log: list
+
+    def add(self, one):
+        """Add a change."""
+        known = self.objects()
+        removed = one.spec is None
+        if removed and (one.kind, one.name) not in known:
+            return
+        last = self.log[-1][1] if self.log else revision_of(self.era, 1)
+        spec = known.get((one.kind, one.name)) if removed else one.spec
+        change = Change(StoredObject(one.name, last + 1, spec), removed)
+        self.log.append((one.at, last + 1, one.kind, change))
+
+    def objects(self):
+        """Return what there is, by kind and name."""
+        found = {}
+        for _, _, kind, change in self.log:
+            key = kind, change.object.name
+            if change.removed:
+                found.pop(key)
+            else:
+                found[key] = change.object.spec
+        return found
+
+
+def histories(written, returns):
+    """Return the store's histories, one for each copy that it ran on.
+
+    Args:
+        written: What is written, as its writers mean it.
+        returns: When the store comes back from a copy.
+    """
+    found = [History(-math.inf, 1, [])]
+    rest = sorted(written, key=lambda one: one.at)
+    for one in sorted(returns, key=lambda one: one.end):
+        history = found[-1]
+        while rest and rest[0].at < one.start:
+            history.add(rest.pop(0))
+        # Nobody writes while it is away.
+        waiting = [write for write in rest if write.at < one.end]
+        for write in waiting:
+            rest.remove(write)
+            rest.append(replace(write, at=one.end + 0.01))
+        rest += written_again(history, one, rest)
+        rest.sort(key=lambda write: write.at)
+        found.append(copied(history, one))
+    for write in rest:
+        found[-1].add(write)
+    return found
+
+
+def copied(history, one):
+    """Return the history of a store that is back from a copy."""
+    era = history.era + 1
+    log = [
+        (
+            at,
+            revision_of(era, count_of(r)),
+            kind,
+            replace(
+                change,
+                object=replace(
+                    change.object, revision=revision_of(era, count_of(r))
+                ),
+            ),
+        )
+        for at, r, kind, change in history.log
+        if at <= one.copied_at
+    ]
+    return History(one.end, era, log)
+
+
+def written_again(history, one, rest):
+    """Return what operators and instances write again after a return.
+
+    Each writes the last of what it wrote since the copy, unless it writes
+    something else before.
+    """
+    lost = {
+        (kind, change.object.name): change
+        for at, _, kind, change in history.log
+        if at > one.copied_at
+    }
+    found = []
+    for (kind, name), change in lost.items():
+        draw = random.Random(f"{kind}/{name}/{one.end}")
+        at = one.end + draw.uniform(0.05, AGAIN_S)
+        is_newer = any(
+            (write.kind, write.name) == (kind, name) and write.at <= at
+            for write in rest
+        )
+        if not is_newer and name not in one.dead:
+            spec = None if change.removed else change.object.spec
+            found.append(Written(at, kind, name, spec))
+    return found
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -12,6 +12,7 @@
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import RAN_NO
+from lacewingdock.platform.eras import StoreEras
 from lacewingdock.platform.object_api import HistoryGoneError, unavailable
 from lacewingdock.platform.objects import (
     Change,
@@ -57,6 +58,7 @@
 
     def __init__(self, *answers):
         self.answers = list(answers)
+        self.eras = StoreEras()
 
     def _next(self):
         found = self.answers.pop(0) if self.answers else AWAY
--- a/tests/components/mirror/test_store_return.py
+++ b/tests/components/mirror/test_store_return.py
@@ -8,6 +8,7 @@
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.components.mirror.history import ChangeHistory, differences
 from lacewingdock.components.mirror.listener import EachObject
+from lacewingdock.platform.eras import StoreEras
 from lacewingdock.platform.history import revision_of
 from lacewingdock.platform.object_api import HistoryGoneError
 from lacewingdock.platform.objects import (
@@ -37,6 +38,7 @@
     def __init__(self, clock, snapshot):
         self.clock = clock
         self.snapshot = snapshot
+        self.eras = StoreEras(clock)
         self.late = lambda: None
 
     def list_kind(self, *_, **__):
