Routers write again what the store lost of theirs

A router's entry that the store's copy lacked was not written again for up to ten minutes, nor which requests were lost at instances. Who is not listed yet still counts in shares of limits and retries: a missing entry is no removal. Announcing moved to a module of its own; what a return brings about stands in router_return.

--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -8,6 +8,7 @@
 import math
 import random
 import socket
+import threading
 import time
 import urllib.parse
 from collections.abc import Callable, Iterable, Mapping
@@ -93,11 +94,13 @@
         revisions: Revisions of the other routers' objects, by name.
         heard: Takes what another router tells all, by its name.
         revision: Revision of this router's object, as far as it knows.
+        due: Set when this router is to announce itself again.
         random: Source of draws.
     """
 
     __slots__ = (
         "api",
+        "due",
         "entries",
         "entry",
         "first_peers",
@@ -125,6 +128,7 @@
         self.first_peers = first_peers
         self.random = source
         self.revision = ABSENT
+        self.due = threading.Event()
         self.revisions: dict[str, int] = {}
         self.tell: Callable[[], bytes] = lambda: b""
         self.heard: Callable[[str, RouterStatus], None] = lambda *_: None
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -190,6 +190,10 @@
         if self._is_news(newest) and self.publish(newest):
             self.told = newest
 
+    def tell_again(self) -> None:
+        """Tell the others all that counts, since the store may have lost it."""
+        self.told = {}
+
     def _is_news(self, losses: Losses) -> bool:
         """Whether losses hold more than what was told.
 
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -26,11 +26,7 @@
 from lacewingdock.components.mirror.listener import EachObject, Listener
 from lacewingdock.components.pacing import Pacer
 from lacewingdock.components.readiness import ReadinessPort
-from lacewingdock.components.routers import (
-    ANNOUNCE_EVERY_S,
-    CopiesPort,
-    Routers,
-)
+from lacewingdock.components.routers import CopiesPort, Routers
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
 from lacewingdock.components.shifts.const import KIND_REPORTS, ROUND_S
@@ -42,6 +38,7 @@
 from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import THREAD_STACK_BYTES
+from lacewingdock.daemons.router_announce import Announcer
 from lacewingdock.daemons.router_mirrors import (
     Pace,
     build_mirrors,
@@ -54,6 +51,7 @@
     build_relay_port,
 )
 from lacewingdock.daemons.router_relay import is_worthwhile
+from lacewingdock.daemons.router_return import on_return
 from lacewingdock.daemons.router_timing import LAPSED_S, too_slow
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.clock import STEADY
@@ -100,8 +98,6 @@
 # How often idle connections are pruned and the part of the retries is taken
 # anew, which `FleetBudget` counts in seconds.
 HOUSEKEEPING_S: Final = 1.0
-# How soon a failed announcement is tried again; it is needed in outages only.
-ANNOUNCE_RETRY_S: Final = 1.0
 
 log = get_logger("router")
 
@@ -120,6 +116,7 @@
         mirrors: Copies of the platform's objects by kind.
         routes: The routing table.
         directory: The upstream instances.
+        cordons: The failure domains that get nothing new.
         shifts: Roll-outs.
         suspects: Requests that were lost at instances.
         routers: The other routers.
@@ -181,6 +178,15 @@
             router, status.losses
         )
         self.mirrors = self._mirrors()
+        self.api.eras.on_return.append(
+            on_return(
+                self.health,
+                self.directory,
+                self.routers,
+                self.suspects,
+                self._bounds,
+            )
+        )
         self.shifts.unseen_s = lambda: self.mirrors[KIND_SHIFTS].unseen_s
         self.shifts.store_doubtful = lambda: self.health.doubtful
         self.gateway = self._gateway()
@@ -259,7 +265,14 @@
             _start("relay-out", self.relay.ask, self.stopping)
         if self.gateway.chooser.prober is not None:
             _start("probes", self.gateway.chooser.prober.listen, self.stopping)
-        _start("announce", self._announce)
+        announcer = Announcer(
+            lambda: self.host,
+            self.routers,
+            self.shifts,
+            self.mirrors,
+            self.random,
+        )
+        _start("announce", announcer.run, self.stopping)
         _start("shifts", self._every, ROUND_S, self.shifts.round)
         _start("suspects", self._every, TELL_EVERY_S, self.suspects.round)
         _start("lapsed", self._every, LAPSED_S, self._drop_lapsed)
@@ -347,8 +360,9 @@
             KIND_REPORTS: EachObject(self.shifts.take_stored_report),
             KIND_ROUTERS: EachObject(self.routers.take, self.routers.drop),
         }
+        self.cordons = CordonListener(self.directory)
         if self.host.bounds.cordon_s:
-            listeners[KIND_CORDONS] = CordonListener(self.directory)
+            listeners[KIND_CORDONS] = self.cordons
         return build_mirrors(
             listeners,
             self.api,
@@ -377,36 +391,15 @@
             followed=is_worthwhile(routers, self.host.bounds),
         )
 
-    def _announce(self) -> None:
-        """Announce this router, again and again."""
-        wait_s = 0.0
-        while not self.stopping.wait(wait_s):
-            if not self.routers.announce():
-                wait_s = ANNOUNCE_RETRY_S
-                continue
-            self._remove_gone()
-            # Spread, so that not all remove what is gone at once.
-            wait_s = ANNOUNCE_EVERY_S * self.random.uniform(0.5, 1.0)
-
-    def _remove_gone(self) -> None:
-        """Remove what routers left in the store that are gone for good."""
-        routers, reports = (
-            self.mirrors[kind].snapshot()
-            for kind in (KIND_ROUTERS, KIND_REPORTS)
-        )
-        if routers is None or reports is None or self.shifts.running:
-            return
-        self.routers.remove_gone()
-        known = {self.host.instance, *routers.objects}
-        self.shifts.reporter.remove_gone(reports.objects.values(), known)
-
     def _keep_house(self) -> None:
         self.gateway.pool.prune()
         self.gateway.share_retries(self._retry_terms())
 
     def _drop_lapsed(self) -> None:
+        self.directory.take_held()
         if not self.health.doubtful:
             self.directory.drop_lapsed()
+            self.cordons.settle()
 
     def _every(self, interval_s: float, function: Callable[[], None]) -> None:
         """Run a function again and again until the daemon stops.
--- a/tests/components/routers/test_routers.py
+++ b/tests/components/routers/test_routers.py
@@ -13,7 +13,7 @@
 from lacewingdock.components.shifts.report import Report
 from lacewingdock.components.shifts.reporter import Reporter
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.platform.object_api import ABSENT
+from lacewingdock.platform.object_api import ABSENT, ObjectApi
 from lacewingdock.platform.objects import StoredObject
 from lacewingdock.world.router_entry import KIND_ROUTERS, RouterEntry
 
@@ -38,12 +38,11 @@
         self.objects[kind, name] = stored
         return True, stored
 
-    def write_over(self, kind, name, spec, expect, _):
-        """Write a spec, once more over what is in its way."""
-        written, found = self._put(kind, name, expect, spec=spec)
-        if written or not found.revision:
-            return written, found
-        return self._put(kind, name, found.revision, spec=spec)
+    def write(self, kind, name, spec, expect, _):
+        """Write a spec."""
+        return self._put(kind, name, expect, spec=spec)
+
+    write_over = ObjectApi.write_over
 
     def write_status(self, kind, name, status, expect, _):
         """Write a status."""
--- a/tests/daemons/observed_router.py
+++ b/tests/daemons/observed_router.py
@@ -7,6 +7,7 @@
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.daemons.router import LAPSED_S
 from lacewingdock.daemons.router_mirrors import store_health
+from lacewingdock.daemons.router_return import held_s
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
     KIND_CORDONS,
@@ -33,7 +34,7 @@
         self.time = time
         self.bounds = bounds
         self.look_s = look_s
-        self.directory = Directory()
+        self.directory = Directory(time)
         self.version = 0
         self.seen = []
         self.health = store_health(lambda: bounds, time)
@@ -48,10 +49,16 @@
             KIND_REPORTS: nothing,
             KIND_ROUTERS: nothing,
         }
+        self.cordons = CordonListener(self.directory)
         if self.bounds.cordon_s:
-            found[KIND_CORDONS] = CordonListener(self.directory)
+            found[KIND_CORDONS] = self.cordons
         return found
 
+    def returned(self):
+        """Do what is done when the store is back from a copy."""
+        self.health.restored()
+        self.directory.restored(held_s(self.bounds))
+
     def observe(self):
         """Start the tasks that look."""
         self.time.start(self._drop_lapsed)
@@ -63,8 +70,10 @@
     def _drop_lapsed(self):
         while True:
             self.time.sleep(LAPSED_S)
+            self.directory.take_held()
             if not self.health.doubtful:
                 self.directory.drop_lapsed()
+                self.cordons.settle()
 
     def _look(self):
         while True:
--- a/tests/daemons/relay_fleet.py
+++ b/tests/daemons/relay_fleet.py
@@ -123,6 +123,7 @@
         self.name = name
         self.troubles = troubles
         self.store = SimulatedStore(self.time, written, troubles)
+        self.store.eras.on_return.append(self.returned)
         self.entries = dict.fromkeys(names)
         self.draw = random.Random(name)
         self.mirrors = build_mirrors(
