--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -50,6 +50,7 @@
             state.store_doubtful,
         )
         yield from _store(state)
+        yield from _eras(state)
         yield _counter(
             "told_bytes",
             "Bytes of messages to other routers that links carried",
@@ -117,6 +118,34 @@
         yield from _roll_outs(state)
 
 
+def _eras(state: RouterState) -> Iterator[Metric]:
+    yield _plain(
+        "store_era",
+        "Era that the store's answers name; 0 where they name none",
+        state.store_era,
+    )
+    yield _counter(
+        "store_restored",
+        "How often the store came back from an older copy",
+        state.store_restored,
+    )
+    yield _counter(
+        "older_answers",
+        "Answers of the store that were of an earlier era",
+        state.older_answers,
+    )
+    yield _counter(
+        "eras_unread",
+        "Answers of the store whose era can't be read",
+        state.eras_unread,
+    )
+    yield _plain(
+        "older_entries",
+        "Instances whose listed entry tells less than is known of them",
+        state.older_entries,
+    )
+
+
 def _plain(name: str, text: str, value: float) -> Metric:
     return GaugeMetricFamily(f"lacewingdock_router_{name}", text, value=value)
 
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -145,6 +145,11 @@
             is gone.
         store_returned_s: Seconds since it answered again after a failure;
             None where it always did.
+        store_era: Era that its answers name; 0 where they name none.
+        store_restored: How often it came back from an older copy.
+        older_answers: Its answers that were of an earlier era.
+        eras_unread: Its answers whose era can't be read.
+        older_entries: Instances whose listed entry tells less than is known.
         told_bytes: Bytes of messages to other routers that links carried.
         messages_refused: Datagrams that no router known here sent.
         watches: Whether it watches the store itself, for others or for want
@@ -182,6 +187,11 @@
     store_away: bool
     store_doubtful: bool
     store_returned_s: float | None = None
+    store_era: int = 0
+    store_restored: int = 0
+    older_answers: int = 0
+    eras_unread: int = 0
+    older_entries: int = 0
     told_bytes: int = 0
     messages_refused: int = 0
     watches: bool = True
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -26,6 +26,7 @@
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.const import VERSION
 from lacewingdock.platform import documents
+from lacewingdock.platform.object_api import ObjectApi
 from lacewingdock.world.host import HostProfile
 
 
@@ -36,6 +37,7 @@
     routes: Routes
     gateway: Gateway
     callers: CallersPort
+    api: ObjectApi
     health: StoreHealth
     mirrors: dict[str, Mirror]
     directory: Directory
@@ -67,6 +69,11 @@
         store_away=router.health.away,
         store_doubtful=router.health.doubtful,
         store_returned_s=age_s(router.health.returned_at),
+        store_era=router.api.eras.era,
+        store_restored=router.api.eras.returns,
+        older_answers=router.api.eras.passed_over,
+        eras_unread=router.api.eras.odd,
+        older_entries=len(router.directory.held),
         told_bytes=router.gossip.sent_bytes,
         messages_refused=router.gossip.datagrams.refused
         + (relay.datagrams.refused if relay else 0),
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -272,6 +272,16 @@
             "contact",
             bounds.contact_s,
         ),
+        PropagationPath(
+            promise,
+            "entry missing since the store's return from a copy",
+            (
+                Delay("doubt after the last answer", restored_doubt_s(bounds)),
+                Delay("look whether doubt is over", LAPSED_S),
+            ),
+            "contact and drain",
+            bounds.contact_s + bounds.drain_s,
+        ),
     ]
 
 
