--- a/tests/daemons/test_router_restore.py
+++ b/tests/daemons/test_router_restore.py
@@ -1,10 +1,14 @@
 """Tests of a router whose platform's store comes back from an older copy."""
 
+import os
+import signal
 import time
 
 import pytest
 
 from bench.http import call
+from lacewingdock.helpers.http_client import get as get_bytes
+from lacewingdock.world.router_entry import KIND_ROUTERS
 from tests.components.gateway.fakes import Upstream
 from tests.daemons.router_site import configuration, server
 from tests.waiting import wait
@@ -92,3 +96,89 @@
         assert router.call(path="/r/x")[0] == 200
     assert len(site.upstream.requests) == before
     other.close()
+
+
+def announced(site):
+    """Return the names of the routers whose entries the store has."""
+    return set(site.api.list_kind(KIND_ROUTERS, "test").objects)
+
+
+def test_routers_entries_that_the_copy_lacks_are_written_again(site):
+    """Symptom: after the store's return nobody knows a router for minutes.
+
+    Cause: it announced itself again ten minutes later.
+    """
+    routers = site.first, site.second
+    for router in routers:
+        router.start()
+    for router in routers:
+        wait(router.is_ready)
+    wait(lambda: announced(site) == {"r-1", "r-2"})
+    come_back(site, 2)
+    assert announced(site) == set()
+    wait(lambda: announced(site) == {"r-1", "r-2"}, CONTACT_S + APPLY_S)
+
+
+def test_router_that_was_frozen_over_the_return_goes_by_the_new_history(site):
+    """Symptom: a router that wakes brings back what the store lost.
+
+    Sequence: one router freezes, the store comes back from a copy, the
+    operator writes on, and the router wakes. Cause: it knows higher counts
+    than the others, and would be asked for the newest copy.
+    """
+    routers = site.first, site.second
+    for router in routers:
+        router.start()
+    for router in routers:
+        wait(router.is_ready)
+    for version in range(4, 9):
+        configure(site, version, lost="idempotent")
+    for router in routers:
+        wait(lambda r=router: r.call(path="/lost/x")[0] == 200, APPLY_S)
+    os.kill(site.second.popen.pid, signal.SIGSTOP)
+    come_back(site, 5)
+    time.sleep(CONTACT_S)
+    configure(site, 20, new="idempotent")
+    wait(lambda: site.first.call(path="/new/x")[0] == 200, APPLY_S)
+    os.kill(site.second.popen.pid, signal.SIGCONT)
+    time.sleep(CONTACT_S)
+    for router in routers:
+        wait(lambda r=router: r.call(path="/new/x")[0] == 200, APPLY_S)
+        assert router.call(path="/lost/x")[0] == 404
+
+
+def test_several_returns_in_a_row_leave_the_last_configuration_in_force(site):
+    """Symptom: a router is deaf since the store came back twice in a second."""
+    router = site.first
+    router.start()
+    wait(router.is_ready)
+    for version in range(4, 9):
+        configure(site, version, lost="idempotent")
+    wait(lambda: router.call(path="/lost/x")[0] == 200, APPLY_S)
+    for lost in (2, 3, 1):
+        come_back(site, lost)
+        site.api.write("routers-of-others", f"o-{lost}", {}, 0, "test")
+        # What was in force stays so, whatever the copy shows.
+        assert router.call(path="/lost/x")[0] == 200
+        time.sleep(0.3)
+    configure(site, 20, new="idempotent")
+    wait(lambda: router.call(path="/new/x")[0] == 200, CONTACT_S + APPLY_S)
+    metrics = get_bytes(f"http://127.0.0.1:{router.metrics}/metrics").decode()
+    assert "lacewingdock_router_store_era 4.0" in metrics
+    assert "lacewingdock_router_store_restored_total 3.0" in metrics
+
+
+def test_router_that_starts_in_the_return_serves(site):
+    """Symptom: a router that starts while the store returns is never ready."""
+    site.first.start()
+    wait(site.first.is_ready)
+    site.second.start()
+    for _ in range(3):
+        come_back(site, 1)
+        time.sleep(0.05)
+    found = site.api.read("config", "main", "test")
+    if found is None:
+        spec = configuration(20, r="idempotent")
+        site.api.write("config", "main", spec, 0, "test")
+    wait(site.second.is_ready)
+    wait(lambda: announced(site) >= {"r-2"})
