--- a/lacewingdock/components/mirror/history.py
+++ b/lacewingdock/components/mirror/history.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from lacewingdock.platform.history import count_of
+from lacewingdock.platform.history import have_same_count
 from lacewingdock.platform.objects import Change, Changes, StoredObject
 
 # Answers of the store whose changes are kept: who asks for news asks several
@@ -124,6 +124,6 @@
 
 
 def _is_same(stored: StoredObject, known: StoredObject | None) -> bool:
-    if known is None or count_of(stored.revision) != count_of(known.revision):
+    if known is None or not have_same_count(stored.revision, known.revision):
         return False
     return stored.spec == known.spec and stored.status == known.status
--- a/lacewingdock/platform/history.py
+++ b/lacewingdock/platform/history.py
@@ -41,6 +41,14 @@
     return revision & MAX_COUNT
 
 
+def have_same_count(one: int, other: int) -> bool:
+    """Whether two revisions are of the same count, in whatever eras.
+
+    An object that stands at one in both has not been written in between.
+    """
+    return count_of(one) == count_of(other)
+
+
 def shown(revision: int | None) -> str:
     """Return a revision as logs and reports show it: era and count."""
     if revision is None:
