--- a/tests/daemons/test_router_restore.py
+++ b/tests/daemons/test_router_restore.py
@@ -27,6 +27,18 @@
     assert written
 
 
+def have_in_force(site, routers):
+    """Start routers, and have five changes in force that a copy may lack."""
+    for router in routers:
+        router.start()
+    for router in routers:
+        wait(router.is_ready)
+    for version in range(4, 9):
+        configure(site, version, lost="idempotent")
+    for router in routers:
+        wait(lambda r=router: r.call(path="/lost/x")[0] == 200, APPLY_S)
+
+
 def come_back(site, lost):
     """Have the store come back from a copy that lacks the last changes."""
     call("POST", f"{site.url}/restore", {"lost": lost})
@@ -45,11 +57,7 @@
     of the history that was lost.
     """
     router = site.first
-    router.start()
-    wait(router.is_ready)
-    for version in range(4, 9):
-        configure(site, version, lost="idempotent")
-    wait(lambda: router.call(path="/lost/x")[0] == 200, APPLY_S)
+    have_in_force(site, [router])
     come_back(site, 5)
     for number in range(rewritten):
         # Other writers' changes count as well.
@@ -127,14 +135,7 @@
     than the others, and would be asked for the newest copy.
     """
     routers = site.first, site.second
-    for router in routers:
-        router.start()
-    for router in routers:
-        wait(router.is_ready)
-    for version in range(4, 9):
-        configure(site, version, lost="idempotent")
-    for router in routers:
-        wait(lambda r=router: r.call(path="/lost/x")[0] == 200, APPLY_S)
+    have_in_force(site, routers)
     os.kill(site.second.popen.pid, signal.SIGSTOP)
     come_back(site, 5)
     time.sleep(CONTACT_S)
@@ -150,11 +151,7 @@
 def test_several_returns_in_a_row_leave_the_last_configuration_in_force(site):
     """Symptom: a router is deaf since the store came back twice in a second."""
     router = site.first
-    router.start()
-    wait(router.is_ready)
-    for version in range(4, 9):
-        configure(site, version, lost="idempotent")
-    wait(lambda: router.call(path="/lost/x")[0] == 200, APPLY_S)
+    have_in_force(site, [router])
     for lost in (2, 3, 1):
         come_back(site, lost)
         site.api.write("routers-of-others", f"o-{lost}", {}, 0, "test")
