--- a/tests/components/relay/test_port.py
+++ b/tests/components/relay/test_port.py
@@ -20,6 +20,7 @@
 from lacewingdock.components.relay.follower import Follower
 from lacewingdock.components.relay.port import RelayPort
 from lacewingdock.components.relay.watcher import Watcher
+from lacewingdock.platform.object_api import ObjectApi
 from lacewingdock.platform.objects import Change, Changes, StoredObject
 from tests.waiting import wait
 
@@ -47,7 +48,7 @@
     """Return a mirror with a copy of revision 1 that never calls."""
     found = Mirror(
         KIND,
-        None,
+        ObjectApi("http://127.0.0.1:1"),
         StoreHealth(1.0),
         Listens(),
         lambda *_: Copy(False),
