--- a/lacewingdock/components/relay/follower.py
+++ b/lacewingdock/components/relay/follower.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from lacewingdock.components.mirror import Copy, Mirror
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.relay import (
     KindState,
     Question,
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -19,7 +19,8 @@
 import msgspec
 import pycurl
 
-from lacewingdock.components.mirror import Copy, Mirror
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.http_client import send
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import Final
 
-from lacewingdock.components.mirror import Copy, Mirror
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.components.mirror.listener import Listener
 from lacewingdock.components.shifts.const import KIND_REPORTS
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from lacewingdock.components.mirror import Copy, Mirror
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.components.mirror.listener import EachObject
 from lacewingdock.components.upstreams.directory import Directory
--- a/tests/components/mirror/test_store_return.py
+++ b/tests/components/mirror/test_store_return.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from lacewingdock.components.mirror import Copy, Mirror
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.components.mirror.history import ChangeHistory, differences
 from lacewingdock.components.mirror.listener import EachObject
--- a/tests/components/relay/test_port.py
+++ b/tests/components/relay/test_port.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from lacewingdock.components.mirror import Copy, Mirror
+from lacewingdock.components.mirror import Mirror
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.mirror.health import StoreHealth
 from lacewingdock.components.relay import (
     KindState,
--- a/tests/daemons/relay_fleet.py
+++ b/tests/daemons/relay_fleet.py
@@ -4,7 +4,7 @@
 import threading
 from dataclasses import dataclass, field
 
-from lacewingdock.components.mirror import Copy
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.relay import Question, decode, encode
 from lacewingdock.components.relay.const import ASK_S
 from lacewingdock.components.routers import (
--- a/tests/daemons/test_router_mirrors.py
+++ b/tests/daemons/test_router_mirrors.py
@@ -12,7 +12,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from lacewingdock.components.mirror import Copy
+from lacewingdock.components.mirror.copies import Copy
 from lacewingdock.components.routers import ASKED, PULL_S
 from lacewingdock.daemons.router_mirrors import (
     REPORTS_PAUSE_S,
