Sidecars: what an entry gave up is not begun after a pause

Callers saw: copies of a crashing request, sent at once, took three engines, with two silent sidecars all four; then harmless requests got 503.

Cause: an entry gives up a link that is silent for 0.7 s and sends what went over it elsewhere. A sidecar that was paused, or whose link was held up, found the attempts in its socket ahead of the link's end and began them, seconds after everybody had left and before it read the evidence that convicts them. What queued for a slot at the pause was begun in the same way.

Why it works: a frame bears its sender's time, so a sidecar tells what is late whatever held it up (its own pause, the entry's, the link) without a common clock. A side that owes answers notes its own silence over a link, so what queued is looked at once more; a close is seen while frames wait before it. What is not begun is refused as not run, which is true. A call that may not be repeated went nowhere else and is begun, as before.

Tried: refusing calls that may not be repeated too: a ticket's home then says "no" after a pause of 1 s where its entry still waits for the answer (tests/components/claims/test_processes.py::test_tickets_in_an_outage). Ruled out by design: a question to the entry before each begin (a round trip each).

--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -11,6 +11,7 @@
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.clock import stamp_ms
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.tally import Tally
@@ -87,6 +88,7 @@
         self._track(answer, link)
         upstream.in_flight.add(1)
         upstream.sent_since_news += 1
+        attempt.sent_ms = stamp_ms()
         if not link.send(attempt):
             # Part of the frame may have left, but a sidecar runs only whole
             # frames, and the whole one did not leave.
--- a/lacewingdock/components/peers/__init__.py
+++ b/lacewingdock/components/peers/__init__.py
@@ -19,6 +19,7 @@
 )
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import LacewingdockError
+from lacewingdock.helpers.clock import stamp_ms
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.sockets import listen_error
 from lacewingdock.links.handshake import accept, dial
@@ -192,9 +193,14 @@
             if link.silent_s(now) > limit:
                 link.close("silent")
             elif self._is_due(link, now, due):
-                frame = frame or encode(self.beat())
+                frame = frame or self._beat_frame()
                 link.beat(frame)
 
+    def _beat_frame(self) -> bytes:
+        beat = self.beat()
+        beat.sent_ms = stamp_ms()
+        return encode(beat)
+
     def _is_due(self, link: Link, now: float, due: float) -> bool:
         """Tell whether a link needs a beat.
 
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from typing import Final
 
+import prometheus_client
+
 from lacewingdock.components.admission.slots import Slots
 from lacewingdock.components.billing.sidecar import SidecarBilling
 from lacewingdock.components.claims import Claims, Duplicate, Recorded
@@ -23,7 +25,7 @@
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.links.link import Link
+from lacewingdock.links.link import LAPSE_S, Link
 from lacewingdock.links.messages import (
     Attempt,
     Beat,
@@ -65,6 +67,7 @@
         quarantine: Which requests crash upstreams.
         crashes: Notices that the upstream crashed.
         billing: Gets a bill of each run before its end is told.
+        not_begun: Attempts that came too late to be begun.
         slots: The upstream's capacity.
         shelf: The runs and the answers kept.
         targets: Versions that the engine has loaded, or the service.
@@ -77,6 +80,7 @@
         "configuration",
         "crashes",
         "daemon",
+        "not_begun",
         "on_end",
         "peers",
         "quarantine",
@@ -109,6 +113,11 @@
             lambda: probe_upstream(settings.upstream),
             self._on_crash,
         )
+        self.not_begun = prometheus_client.Counter(
+            "lacewingdock_attempts_not_begun",
+            "Attempts not begun because their entry had given them up",
+            registry=daemon.metrics,
+        )
         self.slots = Slots(settings.capacity, settings.queue)
         self.shelf = Shelf(settings.replay_bytes, settings.resume_s, ORPHAN_S)
         self.targets: list[str] = [settings.service] if settings.service else []
@@ -174,17 +183,24 @@
                 run.refuse(_never_came(attempt.attempt))
             case first if first is run:
                 run.attach(link, attempt.attempt, 0)
-                self.daemon.spawn(self._serve, run, link)
+                late_s = link.delay.of(attempt.sent_ms)
+                self.daemon.spawn(self._serve, run, link, late_s)
             case first:
                 # The frame came twice; the id of another workspace's attempt
                 # must not open its answer.
                 self._send_rest(link, attempt.attempt, attempt.workspace, first)
 
-    def _serve(self, run: Run, link: Link) -> None:
-        """Take one attempt through the gate and run it."""
+    def _serve(self, run: Run, link: Link, late_s: float) -> None:
+        """Take one attempt through the gate and run it.
+
+        Args:
+            run: The attempt's run.
+            link: Where it came from.
+            late_s: Seconds that it was on its way beyond the usual.
+        """
         started = time.monotonic()
         try:
-            self._admit(run, link)
+            self._admit(run, link, late_s)
         except LacewingdockError as error:
             run.refuse(
                 self._checked_ran(run, error), self.configuration.revision
@@ -218,8 +234,11 @@
             error.kind, error.detail, RAN_UNKNOWN, error.retry_after_s
         )
 
-    def _admit(self, run: Run, link: Link) -> None:
+    def _admit(self, run: Run, link: Link, late_s: float) -> None:
         attempt = run.attempt
+        run.deadline -= late_s
+        if late_s > LAPSE_S and attempt.repeatable:
+            raise self._not_begun(run, f"it came {late_s:.1f} s late")
         self.gate(attempt, link)
         self.billing.check_room()
         if attempt.repeatable or self.claims is None:
@@ -279,22 +298,32 @@
                 ErrorKind.VERSION_WITHDRAWN, f"{attempt.target} is withdrawn"
             )
 
+    def _not_begun(self, run: Run, reason: str) -> LacewingdockError:
+        """Return the refusal of an attempt that its entry gave up."""
+        self.not_begun.inc()
+        log.info(
+            "attempt not begun",
+            request_id=run.attempt.request,
+            attempt_id=run.attempt.attempt,
+            reason=reason,
+        )
+        return LacewingdockError(
+            ErrorKind.NO_UPSTREAM, f"not begun: {reason}", RAN_NO
+        )
+
     def _execute(self, run: Run) -> None:
         """Wait for a slot and run; a suspect waits until it can run alone."""
         attempt = run.attempt
-        deadline = time.monotonic() + attempt.deadline_ms / 1000
         fingerprint = fingerprint_of(attempt)
         done = False
         while not done:
             alone = self.quarantine.check(fingerprint) is Verdict.SUSPECT
             with self.slots.hold(
-                attempt.priority, deadline, alone, run.let_cancel
+                attempt.priority, run.deadline, alone, run.let_cancel
             ):
-                done = self._run(run, fingerprint, alone, deadline)
+                done = self._run(run, fingerprint, alone)
 
-    def _run(
-        self, run: Run, fingerprint: str, alone: bool, deadline: float
-    ) -> bool:
+    def _run(self, run: Run, fingerprint: str, alone: bool) -> bool:
         """Check once more and call the upstream.
 
         Returns:
@@ -308,6 +337,8 @@
             raise LacewingdockError(
                 ErrorKind.DEADLINE, "nobody waits any more", RAN_NO
             )
+        if run.is_given_up():
+            raise self._not_begun(run, "its entry has turned elsewhere")
         if suspect != alone:
             return False
         try:
@@ -315,7 +346,7 @@
                 call_upstream(
                     self.settings.upstream,
                     run,
-                    deadline,
+                    run.deadline,
                     is_engine=not self.settings.service,
                 )
         except LacewingdockError:
--- a/lacewingdock/components/shifts/shift.py
+++ b/lacewingdock/components/shifts/shift.py
@@ -25,6 +25,7 @@
 )
 from lacewingdock.components.shifts.report import Report, Stage
 from lacewingdock.components.shifts.schedule import Schedule, schedule
+from lacewingdock.helpers.clock import since_boot
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.backend import ShiftOrder, UpstreamEntry
 from lacewingdock.world.call import Call
@@ -108,7 +109,7 @@
     ) -> None:
         """Take an order that was just seen, and how old it may be."""
         self.order = order
-        self.seen_at = _now()
+        self.seen_at = since_boot()
         self.known_s = age_s
         self.stage = Stage.CANARY
         self.evidence = Evidence()
@@ -122,7 +123,7 @@
     @property
     def elapsed_s(self) -> float:
         """Seconds since the order."""
-        return self.known_s + _now() - self.seen_at
+        return self.known_s + since_boot() - self.seen_at
 
     @property
     def schedule(self) -> Schedule:
@@ -160,7 +161,7 @@
         """
         if self.found_bad:
             return False
-        is_new = _now() < self.seen_at + SETTLE_S
+        is_new = since_boot() < self.seen_at + SETTLE_S
         if is_new and self.stage is Stage.CANARY:
             return False
         return self.draws(call.session or call.id)
@@ -339,8 +340,3 @@
 def _bucket(target: str, name: str) -> int:
     draw = hashlib.blake2b(f"{target}/{name}".encode(), digest_size=8)
     return int.from_bytes(draw.digest(), "big") % _BUCKETS
-
-
-def _now() -> float:
-    """Return the time since boot, which goes on while a machine sleeps."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/lacewingdock/helpers/clock.py
+++ b/lacewingdock/helpers/clock.py
@@ -1,9 +1,11 @@
-"""Support for time that a test can stand in for."""
+"""Support for clocks: one that a test can stand in for, one since boot."""
 
 import threading
 import time
 from typing import Final, Protocol
 
+MS_PER_S: Final = 1000
+
 
 class Clock(Protocol):
     """Time as a task sees it."""
@@ -30,3 +32,17 @@
 
 
 STEADY: Final = SteadyClock()
+
+
+def since_boot() -> float:
+    """Return seconds since the machine's boot, suspended ones too.
+
+    The monotonic clock stands still while a machine is suspended: what waited
+    in its sockets all the while would look as if it had just come.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def stamp_ms() -> int:
+    """Return milliseconds since boot, to be compared with later stamps."""
+    return int(since_boot() * MS_PER_S)
--- a/lacewingdock/links/handshake.py
+++ b/lacewingdock/links/handshake.py
@@ -12,6 +12,7 @@
 )
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.address import split_address
+from lacewingdock.helpers.clock import stamp_ms
 from lacewingdock.links.keys import KeyRing
 from lacewingdock.links.link import Link, read_frame
 from lacewingdock.links.messages import Hello, Proof
@@ -48,7 +49,7 @@
     sock, peer, transcript = _greet(address, me, keys, timeout_s)
     try:
         key_id, mac = keys.sign(LABEL_DIALER, *transcript)
-        sock.sendall(encode(Proof(key_id.encode() + b" " + mac)))
+        sock.sendall(encode(Proof(key_id.encode() + b" " + mac, stamp_ms())))
         return Link(sock, peer)
     except BaseException:
         sock.close()
@@ -137,7 +138,9 @@
         raise LacewingdockError(
             ErrorKind.BAD_LINK, f"{peer.instance} does not hold a link key"
         )
-    return Link(sock, peer)
+    link = Link(sock, peer)
+    link.delay.note(proof.sent_ms)
+    return link
 
 
 def _hello(sock: socket.socket) -> Hello:
--- a/lacewingdock/links/link.py
+++ b/lacewingdock/links/link.py
@@ -1,6 +1,7 @@
 """Support for one link between two daemons."""
 
 import contextlib
+import select
 import socket
 import struct
 import threading
@@ -9,10 +10,17 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-from lacewingdock.const import HANDSHAKE_TIMEOUT_S, MAX_FRAME_BYTES
+from lacewingdock.const import (
+    BEAT_BUSY_S,
+    HANDSHAKE_TIMEOUT_S,
+    MAX_FRAME_BYTES,
+    SILENCE_S,
+)
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.clock import since_boot
 from lacewingdock.helpers.tally import Tally
-from lacewingdock.links.messages import Hello, Message
+from lacewingdock.links.delay import Delay
+from lacewingdock.links.messages import Attempt, Beat, Hello, Message
 from lacewingdock.links.wire import LENGTH_BYTES, decode, encode
 
 RECEIVE_BYTES: Final = 65536
@@ -27,6 +35,12 @@
 # What waits for a slow peer at most; two frames of the largest size. Beyond it
 # the link is given up, and its answers are fetched by offset over a new one.
 MAX_BACKLOG_BYTES: Final = 2 * MAX_FRAME_BYTES
+# A peer that heard nothing for so long may give the link up before the next
+# beat reaches it.
+LAPSE_S: Final = SILENCE_S - BEAT_BUSY_S
+_HUNG_UP: Final = (
+    select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL
+)
 # Whoever sends in bulk waits while more than this is in the backlog.
 BULK_BACKLOG_BYTES: Final = 512 * 1024
 
@@ -74,6 +88,7 @@
         last_sent: Monotonic time of the last frame sent.
         last_beat: Monotonic time of the last beat sent.
         traffic: Bytes and messages over this link.
+        delay: How long the peer's frames take.
         backlog_bytes: Bytes that wait for the socket to take them.
         closed: Whether the link was given up.
         reason: Why it was given up.
@@ -84,12 +99,16 @@
     __slots__ = (
         "_backlog",
         "_emptying",
+        "_lapsed_at",
         "_lock",
+        "_owes_since",
         "_room",
+        "_spoke_at",
         "backlog_bytes",
         "busy",
         "busy_since",
         "closed",
+        "delay",
         "last_beat",
         "last_heard",
         "last_sent",
@@ -111,6 +130,9 @@
         self.closed = False
         self.reason = ""
         self.traffic = Traffic()
+        self.delay = Delay()
+        self._spoke_at = self._owes_since = since_boot()
+        self._lapsed_at = 0.0
         self.spawn: Spawn | None = None
         self._lock = threading.Lock()
         self._room = threading.Condition(self._lock)
@@ -129,6 +151,7 @@
         """Count an answer that is outstanding from now on."""
         if self.busy.add(1) == 1:
             self.busy_since = time.monotonic()
+            self._owes_since = since_boot()
 
     def finish(self) -> None:
         """Count an answer that is no longer outstanding."""
@@ -145,6 +168,42 @@
             return now - max(self.last_heard, self.busy_since)
         return now - self.last_heard
 
+    def lapsed_since(self, since: float) -> bool:
+        """Tell whether the peer may have given this end up as silent.
+
+        While answers are outstanding this end owes the peer a sign of life
+        all the while. One that was paused did not give it; what the peer
+        asked for before that may have gone to another upstream since.
+
+        Args:
+            since: Seconds since boot.
+        """
+        if self._lapsed_at >= since:
+            return True
+        return not self.closed and self._is_lapsing(since_boot())
+
+    def _is_lapsing(self, now: float) -> bool:
+        if self.busy.value == 0:
+            return False
+        return now - max(self._spoke_at, self._owes_since) > LAPSE_S
+
+    def _note_lapse(self) -> None:
+        now = since_boot()
+        if self._is_lapsing(now):
+            self._lapsed_at = now
+
+    def is_hung_up(self) -> bool:
+        """Tell whether the peer closed, also while its last frames wait."""
+        if self.closed:
+            return True
+        poll = select.poll()
+        try:
+            poll.register(self.sock, select.POLLRDHUP)
+            return any(events & _HUNG_UP for _, events in poll.poll(0))
+        except (OSError, ValueError):
+            # Its reading task has just freed the socket.
+            return True
+
     def send(self, message: Message) -> bool:
         """Send a message; return False when the link is or gets closed.
 
@@ -169,6 +228,8 @@
             return self._keep_locked(frame[sent:])
 
     def _count_sent(self, size: int) -> None:
+        self._note_lapse()
+        self._spoke_at = since_boot()
         self.last_sent = time.monotonic()
         self.traffic.sent_bytes += size
         self.traffic.sent_messages += 1
@@ -205,6 +266,7 @@
                 self.close(f"send: {error}")
                 continue
             with self._lock:
+                self._spoke_at = since_boot()
                 self.last_sent = time.monotonic()
                 self.backlog_bytes -= len(data)
                 self._room.notify_all()
@@ -260,6 +322,8 @@
             self.traffic.heard_bytes += len(data)
             for message in _split(pending):
                 self.traffic.heard_messages += 1
+                if isinstance(message, Attempt | Beat):
+                    self.delay.note(message.sent_ms)
                 yield message
             if self.busy.value >= GATHER_ANSWERS:
                 time.sleep(GATHER_S)
@@ -273,6 +337,7 @@
         self._close_locked(reason)
 
     def _close_locked(self, reason: str) -> None:
+        self._note_lapse()
         self.closed = True
         self.reason = reason
         with contextlib.suppress(OSError):
--- a/lacewingdock/links/messages.py
+++ b/lacewingdock/links/messages.py
@@ -29,9 +29,15 @@
 
 @dataclass(slots=True)
 class Proof:
-    """Carry the dialer's signature over the listener's nonce."""
+    """Carry the dialer's signature over the listener's nonce.
+
+    Attributes:
+        mac: The signature, behind the name of its key.
+        sent_ms: Sender's milliseconds since boot; 0 when it does not tell.
+    """
 
     mac: bytes
+    sent_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -56,6 +62,8 @@
         resumable: Whether the answer is kept if the caller goes away.
         step: Index of the cascade's step, for bills.
         ordinal: How many attempts of this step went before, for bills.
+        sent_ms: Sender's milliseconds since boot when it was sent; 0 when it
+            does not tell.
     """
 
     attempt: str
@@ -75,6 +83,7 @@
     resumable: bool = False
     step: int = 0
     ordinal: int = 0
+    sent_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -204,11 +213,13 @@
         running: Requests on the sender's upstream.
         queued: Requests waiting at the sender.
         revision: Configuration revision in force at the sender.
+        sent_ms: Sender's milliseconds since boot; 0 when it does not tell.
     """
 
     running: int = 0
     queued: int = 0
     revision: int = 0
+    sent_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -13,6 +13,7 @@
 
 struct Proof {
   mac @0 :Data;
+  sentMs @1 :UInt64;
 }
 
 struct Attempt {
@@ -33,6 +34,7 @@
   resumable @14 :Bool;
   step @15 :UInt8;
   ordinal @16 :UInt8;
+  sentMs @17 :UInt64;
 }
 
 struct Chunk {
@@ -88,6 +90,7 @@
   running @0 :UInt32;
   queued @1 :UInt32;
   revision @2 :UInt64;
+  sentMs @3 :UInt64;
 }
 
 struct Item {
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -4,11 +4,12 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 from lacewingdock.const import RAN_YES
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.clock import MS_PER_S, since_boot
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import Attempt, Chunk, Finish, Refusal
 
@@ -24,11 +25,18 @@
         link: Where the frames go.
         attempt: The id they carry.
         live: Whether it has all kept pieces and gets new ones as they come.
+        since: When it began to wait, in seconds since boot.
     """
 
     link: Link
     attempt: str
     live: bool = False
+    since: float = field(default_factory=since_boot)
+
+    def is_waiting(self) -> bool:
+        """Tell whether its end of the link still waits, for all one knows."""
+        link = self.link
+        return not link.is_hung_up() and not link.lapsed_since(self.since)
 
 
 class Run:
@@ -40,6 +48,7 @@
         size: Bytes of the pieces.
         outcome: The end; None while running.
         watchers: Who gets the answer now.
+        first: Who got the answer first; None before.
         lock: Guards the pieces, the outcome and the watchers. Nothing blocks
             under it, for links' reading tasks take it.
         cancelled: Set when the upstream shall be told to stop.
@@ -50,6 +59,7 @@
         kept: Whether an entry said that it comes back for the rest.
         fetched: Whether an entry said that it has the end.
         caller_left: Whether it was cancelled because its caller went away.
+        deadline: Monotonic time by which the answer must be whole.
         before_end: Called once with the run and its end, before anyone is
             told of the end; None once called.
     """
@@ -61,9 +71,11 @@
         "cancelled",
         "changed",
         "chunks",
+        "deadline",
         "evicted",
         "executed",
         "fetched",
+        "first",
         "kept",
         "lock",
         "on_cancel",
@@ -79,10 +91,12 @@
         self.size = 0
         self.outcome: Finish | Refusal | None = None
         self.watchers: list[Watcher] = []
+        self.first: Watcher | None = None
         self.lock = threading.Lock()
         self.cancelled = threading.Event()
         self.on_cancel: Callable[[], object] | None = None
         self.changed = time.monotonic()
+        self.deadline = self.changed + attempt.deadline_ms / MS_PER_S
         self.executed = False
         self.evicted = False
         self.kept = False
@@ -114,7 +128,7 @@
             error.kind,
             error.ran,
             error.detail,
-            -1 if retry is None else int(retry * 1000),
+            -1 if retry is None else int(retry * MS_PER_S),
             revision,
         )
         self._call_before_end(refusal)
@@ -126,6 +140,24 @@
         if callback is not None:
             callback(self, outcome)
 
+    def is_given_up(self) -> bool:
+        """Tell whether its entry has turned elsewhere before it began.
+
+        The entry of a link that was silent for too long has sent the request
+        to another upstream: begun now, it would run twice. One that may not
+        be repeated was sent nowhere else; its entry comes back for it.
+        """
+        attempt = self.attempt
+        if not attempt.repeatable:
+            return False
+        if any(watcher.is_waiting() for watcher in tuple(self.watchers)):
+            return False
+        if not (attempt.resumable or self.kept):
+            return True
+        # A caller whose entry died may come back for such an answer.
+        first = self.first
+        return first is not None and first.link.lapsed_since(first.since)
+
     def cancel(self) -> None:
         """Tell the upstream to stop, now rather than with its next byte."""
         self.cancelled.set()
@@ -166,6 +198,7 @@
             if link.closed:
                 return
             link.begin()
+            self.first = self.first or watcher
             self.watchers.append(watcher)
         while self._catch_up(watcher, offset):
             offset += BATCH_PIECES
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -23,6 +23,8 @@
 DEFAULT_TOKENS: Final = 16
 # A request with this word in it ends the process that runs it.
 CRASH_WORD: Final = "crash-the-upstream"
+# Begins the line of the log that names such a request by its id.
+CRASH_LINE: Final = "runs crashing request "
 # A weak version is unsure of a request with this word in it.
 HARD_WORD: Final = "hard"
 UNSURE: Final = "unsure"
@@ -33,6 +35,7 @@
     {
         "bad",
         "checks_fencing",
+        "crash_after_s",
         "cut_after",
         "first_s",
         "leaving",
@@ -92,6 +95,8 @@
         first_s: Seconds to the first token.
         served: Requests that reached the engine, by version.
         cancelled: Streams that were closed before their end.
+        crash_after_s: Seconds that a crashing request runs before it ends the
+            process.
         streams: What runs, by stream id.
         resumable: Whether a broken stream goes on and can be read again.
         cut_after: Events after which the next stream's connection breaks,
@@ -110,6 +115,7 @@
         "bad",
         "cancelled",
         "checks_fencing",
+        "crash_after_s",
         "cut_after",
         "fencing",
         "first_s",
@@ -146,6 +152,7 @@
         self.streams: dict[str, Stream] = {}
         self.resumable = True
         self.cut_after = 0
+        self.crash_after_s = 0.0
         self.leaving = False
         self.orders: list[dict[str, Any]] = []
         self.weights = ""
@@ -164,7 +171,7 @@
         with self.lock:
             self.served[version] = self.served.get(version, 0) + 1
         if CRASH_WORD in prompt:
-            os._exit(139)
+            self._crash(request)
         if version not in self.versions:
             return json_response({"error": f"{version} is not loaded"}, 404)
         if version in self.bad:
@@ -179,6 +186,12 @@
             self.streams[name] = stream
         return self._response(name, stream, 0)
 
+    def _crash(self, request: Request) -> None:
+        """End the process; its log tells whose request began to run here."""
+        print(f"{CRASH_LINE}{request.headers.get('X-Request-Id')}", flush=True)
+        time.sleep(self.crash_after_s)
+        os._exit(139)
+
     def resume(self, request: Request, name: str) -> Response:
         """Answer with the rest of a stream whose connection broke."""
         stream = self.running().get(name)
--- a/tests/components/shifts/fakes.py
+++ b/tests/components/shifts/fakes.py
@@ -57,7 +57,7 @@
 
     def __init__(self, monkeypatch):
         self.now = 1000.0
-        monkeypatch.setattr(shift_module, "_now", lambda: self.now)
+        monkeypatch.setattr(shift_module, "since_boot", lambda: self.now)
 
 
 def router(store, name="r-1", entries=("v1", "v1", "v2", "v2")):
--- a/tests/links/test_link.py
+++ b/tests/links/test_link.py
@@ -7,8 +7,9 @@
 import pytest
 
 from lacewingdock.const import SILENCE_IDLE_S, SILENCE_S
+from lacewingdock.helpers.clock import since_boot
 from lacewingdock.links import link as link_module
-from lacewingdock.links.link import Link
+from lacewingdock.links.link import LAPSE_S, Link
 from lacewingdock.links.messages import Beat, Chunk, Hello
 
 PEER = Hello("worker-0", "w", "sidecar", "hall-a", b"")
@@ -125,3 +126,60 @@
     assert [frame.offset for frame in far.receive()] == list(range(count))
     assert far.reason == "peer closed"
     stop.join()
+
+
+@pytest.mark.parametrize(
+    ("busy", "spoken", "closed", "lapsed"),
+    [
+        (True, False, False, True),
+        (True, True, False, True),
+        (True, False, True, True),
+        # Nothing is owed over an idle link.
+        (False, False, False, False),
+        (False, True, True, False),
+    ],
+)
+def test_pause_of_one_that_owes_answers_is_told(
+    ends, monkeypatch, busy, spoken, closed, lapsed
+):
+    """What was given up during a pause is begun after it.
+
+    Symptom: a request runs at two upstreams at once.
+    Events: a sidecar is paused; its entry gives the link up and sends the
+    request elsewhere; the sidecar goes on as if no time had passed.
+    Cause: it does not notice its own pause, whichever of its tasks runs first.
+    """
+    link, _ = ends
+    now = [since_boot()]
+    monkeypatch.setattr(link_module, "since_boot", lambda: now[0])
+    if busy:
+        link.begin()
+    link.send(Beat())
+    began = now[0]
+    assert not link.lapsed_since(began)
+    now[0] += LAPSE_S + 0.1
+    if spoken:
+        link.send(Beat())
+    if closed:
+        link.close("peer closed")
+    assert link.lapsed_since(began) is lapsed
+    if closed:
+        now[0] += 60.0
+        assert not link.lapsed_since(now[0])
+
+
+def test_close_shows_while_frames_before_it_wait(ends):
+    """Frames of a link that its peer gave up are taken as if it waited.
+
+    Symptom: attempts begin whose entry has gone elsewhere.
+    Events: an entry closes a link; its frames are read one by one.
+    Cause: the close is behind the frames and is read after them.
+    """
+    near, far = ends
+    assert not far.is_hung_up()
+    near.send(Beat())
+    near.close("silent")
+    assert far.is_hung_up()
+    assert next(far.receive()) == Beat()
+    far.dispose()
+    assert far.is_hung_up()
--- a/tests/memory_links.py
+++ b/tests/memory_links.py
@@ -8,9 +8,12 @@
 from types import SimpleNamespace
 from typing import Any
 
+import prometheus_client
+
 from lacewingdock.components.answers import Answers
 from lacewingdock.components.runs import Runs
 from lacewingdock.helpers.tally import Tally
+from lacewingdock.links.delay import Delay
 from lacewingdock.links.messages import Attempt, Hello, Message
 from lacewingdock.settings import SidecarSettings
 from lacewingdock.world.objects import Instance
@@ -26,6 +29,8 @@
         self.silent = False
         self.closed = False
         self.busy = Tally()
+        self.delay = Delay()
+        self.lapsed = False
         self.other: MemoryLink = self
         self.owner: FakePeers
 
@@ -35,6 +40,14 @@
             self.sent.append(message)
         return not self.closed
 
+    def lapsed_since(self, _since: float) -> bool:
+        """Tell whether the test says that this end was silent too long."""
+        return self.lapsed
+
+    def is_hung_up(self) -> bool:
+        """Tell whether the link is closed."""
+        return self.closed
+
     def begin(self) -> None:
         """Count an outstanding answer."""
         self.busy.add(1)
@@ -73,6 +86,7 @@
     def __init__(self, name: str, incarnation: str) -> None:
         self.me = Hello(name, incarnation, "", "hall-a", b"")
         self.leaving = SimpleNamespace(is_set=lambda: False)
+        self.metrics = prometheus_client.CollectorRegistry()
 
     def add(self, name: str, component: Any) -> None:
         """Take a component in."""
