Quarantine: an attempt of which nothing is known counts as a danger

Callers saw: a crashing request whose sidecar fell silent while it ran took three engines (worker-1 paused for 3 and 8 s, 0.15 s after the first copy; worker-3, the host of suspects, for 4 s), and in some runs with a pause of 0.9 s, where the copies met two upstreams at once.

Cause: a loss without a known cause was no evidence. The request stayed clear, or lost its host, and went on as if it had not been there; each silent sidecar cost one engine more. Only the entry that had sent it knew of it at all.

Now a request endangers two upstreams at most: those that it crashed and those where an attempt of it has neither begun to answer nor ended. One silent upstream alone moves it on as before. At the limit it goes to one of the two, waits for it for up to 3 s, and is refused then, truly and with a time. An entry asks a sidecar that is back what became of what it gave up (a cancel that is to be answered); the sidecar fences or stops it. Where a crash is known entries tell each other where their copies are, which suspects wait 0.25 s for. A suspect keeps its host while that is silent, until it is known to be gone.

Ways weighed: the host's own view alone (it can't know of a silent third); a run alone after each loss (dozens of harmless requests would queue behind one slot after each pause); losses as crashes (they would convict); telling each loss at once (31 entries' news over 168 links for each pause). It runs alone where it was already, once that is back.

Found by the new tests before they passed: at the limit an upstream that had been tried was no candidate.

--- a/lacewingdock/components/answers/answer.py
+++ b/lacewingdock/components/answers/answer.py
@@ -48,6 +48,8 @@
         ended: Whether an end was delivered, whole or refused.
         dropped: Whether nobody waits any more.
         left: Whether that is because the caller went away.
+        in_doubt: Whether its link was lost before it began, so that nobody
+            knows whether its upstream lives.
         shown: Whether the caller gets the pieces as they come.
         tap: Sees each new piece, for metrics; None where nobody looks.
         sink: Takes pieces in the delivering task; None lets them wait.
@@ -66,6 +68,7 @@
         "expected",
         "finish",
         "held",
+        "in_doubt",
         "left",
         "link",
         "lost",
@@ -97,6 +100,7 @@
         self.ended = False
         self.dropped = False
         self.left = False
+        self.in_doubt = False
         self.shown = True
         self.sent_to = ""
         self.sink: Sink | None = None
@@ -144,6 +148,11 @@
             self._lose_locked()
             return False
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a piece or an end came of it."""
+        return self.ended or self.expected > 0
+
     def divert(self, sink: Sink | None) -> None:
         """Let pieces go to a sink in the task that delivers them.
 
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -1,6 +1,7 @@
 """Support for getting one request answered, over links and retries."""
 
 import random
+import time
 from typing import Final
 
 from lacewingdock.components.admission.retry_budget import RetryBudget
@@ -13,8 +14,10 @@
     Verdict,
     fingerprint_of,
 )
+from lacewingdock.components.quarantine.losses import Loss
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.clock import MS_PER_S
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.messages import Attempt
 from lacewingdock.world.upstream import Upstream
@@ -88,14 +91,16 @@
         fingerprint = fingerprint_of(attempt)
         worst_ran = RAN_NO
         last: LacewingdockError | None = None
+        deadline = time.monotonic() + attempt.deadline_ms / MS_PER_S
         self.retries.count_request()
         for _ in range(MAX_TRIES):
             try:
                 upstream = self.quarantine.choose(
                     fingerprint,
-                    self.membership.serving(attempt.target),
+                    self.membership.placeable(attempt.target),
                     tried,
                     self.source,
+                    deadline,
                 )
             except LacewingdockError as error:
                 raise _final(_told(last, error), worst_ran) from error
@@ -148,6 +153,7 @@
             return self.take(answer)
         except LacewingdockError:
             self.answers.drop(answer)
+            self._doubt(answer, given_up=True)
             raise
 
     def take(self, answer: Answer) -> list[bytes]:
@@ -156,14 +162,37 @@
         Raises:
             LacewingdockError: The answer can't be had whole.
         """
-        while True:
-            pieces = answer.take()
-            if isinstance(pieces, LinkLost):
+        try:
+            while True:
+                pieces = answer.take()
+                if not isinstance(pieces, LinkLost):
+                    break
+                self._doubt(answer)
                 self.answers.reattach(answer)
-                continue
-            if answer.finish is not None:
-                self.quarantine.prove(fingerprint_of(answer.attempt))
-            return pieces
+        finally:
+            if answer.in_doubt and answer.has_begun:
+                self.quarantine.resolve(answer.attempt.attempt)
+        if answer.finish is not None:
+            self.quarantine.prove(fingerprint_of(answer.attempt))
+        return pieces
+
+    def _doubt(self, answer: Answer, given_up: bool = False) -> None:
+        """Take note that nothing is known of an attempt that was sent.
+
+        A call that may not be repeated goes nowhere else meanwhile.
+        """
+        attempt = answer.attempt
+        if answer.has_begun or not attempt.repeatable:
+            return
+        answer.in_doubt = True
+        loss = Loss(
+            attempt.attempt,
+            fingerprint_of(attempt),
+            answer.upstream.name,
+            answer.sent_to,
+            time.monotonic(),
+        )
+        self.quarantine.lose(loss, given_up)
 
     def whole(self, attempt: Attempt) -> tuple[Answer, list[bytes]]:
         """Ask until an upstream has given its whole answer.
@@ -250,10 +279,12 @@
     """Choose what to tell: the last try's error says more than "no upstream".
 
     A quarantine says more than the crash that brought it about: the caller
-    must learn that sending again is useless.
+    must learn that sending again is useless. So does a time to come back.
     """
     if last is None or error.kind is ErrorKind.QUARANTINED:
         return error
+    if error.retry_after_s is not None:
+        return error
     return last
 
 
--- a/lacewingdock/components/membership/__init__.py
+++ b/lacewingdock/components/membership/__init__.py
@@ -99,6 +99,22 @@
         """Return the upstreams that may take new work for a target."""
         return [u for u in tuple(self.upstreams.values()) if u.usable(target)]
 
+    def placeable(self, target: str) -> list[Upstream]:
+        """Return the upstreams that serve a target, silent ones too."""
+        return [u for u in tuple(self.upstreams.values()) if u.serves(target)]
+
+    def is_gone(self, name: str, incarnation: str) -> bool:
+        """Tell whether a process of a sidecar is known to have ended."""
+        if all(instance.name != name for instance in self.instances):
+            return True
+        upstream = self.upstreams.get(name)
+        if upstream is None:
+            return False
+        link = upstream.link
+        if link is not None and not link.closed:
+            return link.peer.incarnation != incarnation
+        return upstream.refused
+
     def home(self, partition: str) -> Upstream | None:
         """Find the sidecar that is home to a claim partition.
 
@@ -272,6 +288,9 @@
             start = time.monotonic()
             try:
                 self.peers.hold(upstream.instance.address)
+            except ConnectionRefusedError:
+                upstream.refused = True
+                log.debug("nothing listens", peer=upstream.name)
             except (OSError, LacewingdockError) as error:
                 log.debug("not linked", peer=upstream.name, error=str(error))
             if time.monotonic() - start > REDIAL_MAX_S:
@@ -285,6 +304,7 @@
     def _on_open(self, link: Link) -> None:
         upstream = self.upstreams.get(link.peer.instance)
         if upstream is not None:
+            upstream.refused = False
             upstream.set_link(link)
 
     def _on_close(self, link: Link) -> None:
--- a/lacewingdock/components/quarantine/__init__.py
+++ b/lacewingdock/components/quarantine/__init__.py
@@ -5,23 +5,31 @@
 import threading
 import time
 from collections.abc import Collection, Iterator
+from dataclasses import replace
 
 import prometheus_client
 
 from lacewingdock.components.configuration import Configuration
 from lacewingdock.components.peers import Peers
 from lacewingdock.components.quarantine.const import (
+    ASK_S,
+    MAX_ENDANGERED,
     NAME,
+    NEWS_S,
+    PATIENCE_S,
     QUARANTINE_S,
+    RETRY_AFTER_S,
     SWEEP_S,
     WRITE_S,
 )
 from lacewingdock.components.quarantine.evidence import (
     Crash,
+    Endangered,
     EvidenceTable,
     Verdict,
 )
 from lacewingdock.components.quarantine.fingerprint import fingerprint_of
+from lacewingdock.components.quarantine.losses import Loss, Losses
 from lacewingdock.components.quarantine.operate import (
     clear_expired,
     write_quarantine,
@@ -30,6 +38,7 @@
 from lacewingdock.const import RAN_NO
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import Attempt, Evidence
@@ -54,15 +63,19 @@
         configuration: Brings the quarantines that the platform keeps.
         table: The evidence.
         placing: Where copies of a request go, on an entry.
+        losses: Attempts of this entry of which nothing is known.
         unwritten: Convictions that this daemon proved and the platform has
             not taken yet, by fingerprint.
     """
 
     __slots__ = (
         "_lock",
+        "_news",
+        "_told",
         "configuration",
         "crashes",
         "daemon",
+        "losses",
         "peers",
         "placing",
         "refused",
@@ -79,8 +92,11 @@
         self.configuration = configuration
         self.table = EvidenceTable()
         self.placing = Placing()
+        self.losses = Losses()
+        self._told: dict[tuple[str, str], str] = {}
         self.unwritten: dict[str, QuarantineItem] = {}
         self._lock = threading.Lock()
+        self._news = threading.Condition(self._lock)
         self.crashes = prometheus_client.Counter(
             "lacewingdock_upstream_crashes",
             "Crashes of this sidecar's upstream with requests in flight",
@@ -96,6 +112,11 @@
             "Fingerprints that were in flight at a crash",
             registry=daemon.metrics,
         ).set_function(lambda: float(len(self.table.records)))
+        prometheus_client.Gauge(
+            "lacewingdock_lost_attempts",
+            "Attempts of this entry of which a sidecar has not told yet",
+            registry=daemon.metrics,
+        ).set_function(lambda: float(len(self.losses.given_up())))
         peers.handle(Evidence, self._on_evidence)
         peers.on_open.append(self._on_open)
 
@@ -115,6 +136,21 @@
         with self._lock:
             return self.table.get(fingerprint).verdict(released)
 
+    def endangered(self, fingerprint: str) -> Endangered:
+        """Return the instances that a request crashed or may have."""
+        item = self.configuration.world.quarantines.get(fingerprint)
+        is_released = item is not None and item.state == "released"
+        released = item.crashes if item is not None and is_released else ()
+        with self._lock:
+            record = self.table.get(fingerprint)
+            crashes = record.standing(released)
+            lost = record.lost() | self.losses.instances(fingerprint)
+        if crashes:
+            lost |= self.placing.instances(fingerprint)
+        crashed = {crash.instance for crash in crashes}
+        crashed_at = max((crash.seen for crash in crashes), default=0.0)
+        return Endangered(crashed, lost - crashed, crashed_at)
+
     def _crashes(self, fingerprint: str) -> list[Crash]:
         with self._lock:
             return list(self.table.get(fingerprint).crashes.values())
@@ -141,16 +177,76 @@
         candidates: list[Upstream],
         tried: Collection[str],
         source: random.Random,
+        deadline: float,
     ) -> Upstream:
-        """Choose the upstream for a request.
+        """Choose the upstream for a request; waits for one that is silent.
+
+        Args:
+            fingerprint: The request.
+            candidates: Upstreams that serve it, silent ones too.
+            tried: Names of those that refused it before.
+            source: Source of draws.
+            deadline: Monotonic time after which nobody waits.
 
         Raises:
             LacewingdockError: QUARANTINED or NO_UPSTREAM, not run.
         """
-        if self.check(fingerprint) is Verdict.CLEAR:
-            return self.placing.choose(fingerprint, candidates, tried, source)
-        crashed = {crash.instance for crash in self._crashes(fingerprint)}
-        return choose_isolated(fingerprint, candidates, tried, crashed)
+        end = min(deadline, time.monotonic() + PATIENCE_S)
+        while True:
+            verdict = self.check(fingerprint)
+            danger = self.endangered(fingerprint)
+            chosen = self._choose(
+                fingerprint, verdict, danger, candidates, tried, source
+            )
+            now = time.monotonic()
+            # Other entries may have copies where this one has none.
+            is_news_due = now < danger.crashed_at + NEWS_S
+            if chosen is not None and chosen.linked and not is_news_due:
+                return chosen
+            if now >= end:
+                where = sorted(danger.crashed | danger.lost)
+                raise _held(f"not run elsewhere before {where} tell")
+            with self._news:
+                self._news.wait(min(end - now, ASK_S))
+
+    def _choose(
+        self,
+        fingerprint: str,
+        verdict: Verdict,
+        danger: Endangered,
+        candidates: list[Upstream],
+        tried: Collection[str],
+        source: random.Random,
+    ) -> Upstream | None:
+        """Choose as things stand; None when all it may go to are away."""
+        allowed = danger.allowed()
+        if allowed is not None:
+            candidates = [u for u in candidates if u.name in allowed]
+            if not candidates:
+                return None
+            tried = ()
+        if verdict is Verdict.CLEAR:
+            linked = [u for u in candidates if u.linked]
+            if allowed is not None and not linked:
+                return None
+            return self.placing.choose(fingerprint, linked, tried, source)
+        # While its host is silent copies may run there, and no other may.
+        return choose_isolated(fingerprint, candidates, (), danger.crashed)
+
+    def check_endangered(self, fingerprint: str, instance: str) -> None:
+        """Refuse a request that two other instances are endangered by.
+
+        Args:
+            fingerprint: The request.
+            instance: Name of this sidecar's instance.
+
+        Raises:
+            LacewingdockError: NO_UPSTREAM, not run.
+        """
+        danger = self.endangered(fingerprint)
+        others = (danger.crashed | danger.lost) - {instance}
+        if len(others) >= MAX_ENDANGERED:
+            raise _held(f"it endangers {sorted(others)}")
 
     @contextlib.contextmanager
     def sending(self, fingerprint: str, upstream: Upstream) -> Iterator[None]:
@@ -164,20 +260,12 @@
         link = upstream.link
         for crash in self._crashes(fingerprint) if link else ():
             assert link is not None
-            age_ms = max(0, int((time.monotonic() - crash.seen) * 1000))
-            link.send(
-                Evidence(
-                    crash.id,
-                    crash.isolated,
-                    crash.excused,
-                    [fingerprint],
-                    age_ms,
-                )
-            )
+            link.send(crash.evidence([fingerprint], time.monotonic()))
         try:
             yield
         finally:
             self.placing.ended(fingerprint, upstream.name)
+            self._take_back(fingerprint, upstream.name)
 
     def prove(self, fingerprint: str) -> None:
         """Take note that a request was answered whole."""
@@ -205,9 +293,9 @@
         """Have a conviction written, if the evidence amounts to one."""
         if self.verdict(fingerprint) is not Verdict.QUARANTINED:
             return
-        crashes = sorted(
-            c.id for c in self._crashes(fingerprint) if not c.excused
-        )
+        with self._lock:
+            standing = self.table.get(fingerprint).standing()
+        crashes = sorted(crash.id for crash in standing)
         self.unwritten[fingerprint] = QuarantineItem(
             workspace=attempt.workspace,
             target=attempt.target,
@@ -216,6 +304,73 @@
             expires=int(time.time() + QUARANTINE_S),
         )
 
+    def lose(self, loss: Loss, given_up: bool = False) -> None:
+        """Take note that nobody knows what became of an attempt.
+
+        Args:
+            loss: The attempt.
+            given_up: Whether its entry has turned elsewhere.
+        """
+        self.losses.add(loss)
+        if given_up:
+            self.losses.give_up(loss.attempt)
+            log.info(
+                "attempt lost",
+                attempt_id=loss.attempt,
+                upstream=loss.instance,
+                fingerprint=loss.fingerprint,
+            )
+        self._tell_losses(loss.fingerprint)
+
+    def resolve(self, attempt: str) -> None:
+        """Take note that an attempt did not crash its upstream, or is told."""
+        loss = self.losses.remove(attempt)
+        if loss is None:
+            return
+        log.info(
+            "lost attempt resolved",
+            attempt_id=attempt,
+            upstream=loss.instance,
+            age_s=round(time.monotonic() - loss.since, 2),
+        )
+        self._take_back(loss.fingerprint, loss.instance)
+        with self._news:
+            self._news.notify_all()
+
+    def _own(self, fingerprint: str) -> set[str]:
+        """Return where this entry has attempts that may still crash."""
+        lost = self.losses.instances(fingerprint)
+        return lost | self.placing.instances(fingerprint)
+
+    def _tell_losses(self, fingerprint: str) -> None:
+        """Tell the fleet where this entry's attempts are, once it matters.
+
+        A single loss moves a request on, whoever knows of it; so most losses
+        at a machine that is silent need not be told.
+        """
+        danger = self.endangered(fingerprint)
+        if danger.allowed() is None:
+            return
+        for instance in danger.lost & self._own(fingerprint):
+            key = fingerprint, instance
+            if key in self._told:
+                continue
+            told = self._told[key] = f"{instance}/lost-{new_id()}"
+            self._spread(
+                Evidence(told, False, False, [fingerprint], 0, True), None
+            )
+
+    def _take_back(self, fingerprint: str, instance: str) -> None:
+        """Tell the fleet that nothing of this entry is in doubt any more."""
+        key = fingerprint, instance
+        if key not in self._told or instance in self._own(fingerprint):
+            return
+        told = self._told.pop(key, None)
+        if told is not None:
+            self._spread(
+                Evidence(told, False, True, [fingerprint], 0, True), None
+            )
+
     def _spread(self, evidence: Evidence, source: Link | None) -> None:
         """Take evidence in; what was news goes on to every other link.
 
@@ -227,17 +382,17 @@
             news = self.table.join(evidence, time.monotonic())
         if not news:
             return
-        self.placing.doubt(news)
-        evidence = Evidence(
-            evidence.crash,
-            evidence.isolated,
-            evidence.excused,
-            news,
-            evidence.age_ms,
-        )
+        if not evidence.unresolved:
+            self.placing.doubt(news)
+        evidence = replace(evidence, fingerprints=news)
         for link in tuple(self.peers.links):
             if link is not source:
                 link.send(evidence)
+        with self._news:
+            self._news.notify_all()
+        for fingerprint in news:
+            if self._own(fingerprint):
+                self._tell_losses(fingerprint)
 
     def _on_evidence(self, link: Link, message: Evidence) -> None:
         self._spread(message, link)
@@ -270,6 +425,12 @@
         """Nothing is held beyond the daemon's tasks."""
 
 
+def _held(detail: str) -> LacewingdockError:
+    return LacewingdockError(
+        ErrorKind.NO_UPSTREAM, detail, RAN_NO, RETRY_AFTER_S
+    )
+
+
 def setup(
     daemon: Daemon, peers: Peers, configuration: Configuration
 ) -> Quarantine:
--- a/lacewingdock/components/quarantine/const.py
+++ b/lacewingdock/components/quarantine/const.py
@@ -20,5 +20,22 @@
 # than the others, as a part of capacity.
 SPILL: Final = 0.25
 
+# Upstreams that one request may endanger: those that it crashed and those of
+# which that is not known yet.
+MAX_ENDANGERED: Final = 2
+# A loss that nobody clears up is forgotten after this long; a sidecar that is
+# paused for longer is taken off the list of instances.
+LOSS_S: Final = 60.0
+MAX_LOSSES: Final = 4096
+# How often a sidecar that was silent is asked what became of lost attempts.
+ASK_S: Final = 0.25
+# How long a request waits here for a silent sidecar, and when its caller may
+# come back if that is not enough.
+PATIENCE_S: Final = 3.0
+RETRY_AFTER_S: Final = 2.0
+# After a crash a suspect waits for so long before it runs alone, so that each
+# entry has heard where the others have copies of it.
+NEWS_S: Final = 0.25
+
 WRITE_S: Final = 1.0
 SWEEP_S: Final = 5.0
--- a/lacewingdock/components/quarantine/evidence.py
+++ b/lacewingdock/components/quarantine/evidence.py
@@ -10,11 +10,14 @@
 from enum import StrEnum
 
 from lacewingdock.components.quarantine.const import (
+    LOSS_S,
     MAX_CRASHES,
+    MAX_ENDANGERED,
     MAX_RECORDS,
     QUARANTINE_S,
     SUSPECT_S,
 )
+from lacewingdock.helpers.clock import MS_PER_S
 from lacewingdock.links.messages import Evidence
 
 
@@ -35,18 +38,62 @@
         isolated: Whether the request ran alone there, as a suspect.
         seen: Monotonic time at which it was first known.
         excused: Whether the request was shown not to be the cause.
+        unresolved: Whether it is not known yet if there was a crash.
     """
 
     id: str
     isolated: bool
     seen: float
     excused: bool = False
+    unresolved: bool = False
 
     @property
     def instance(self) -> str:
         """Name of the sidecar's instance whose upstream crashed."""
         return self.id.partition("/")[0]
 
+    def evidence(self, fingerprints: list[str], now: float) -> Evidence:
+        """Return what peers are told of it.
+
+        Args:
+            fingerprints: Whom it is told of.
+            now: Monotonic time.
+        """
+        return Evidence(
+            self.id,
+            self.isolated,
+            self.excused,
+            fingerprints,
+            max(0, int((now - self.seen) * MS_PER_S)),
+            self.unresolved,
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class Endangered:
+    """The instances that a request is a danger to.
+
+    Attributes:
+        crashed: Those that crashed while they ran it.
+        lost: Others that may have, or may yet.
+        crashed_at: Monotonic time of the newest crash; 0 without one.
+    """
+
+    crashed: set[str]
+    lost: set[str]
+    crashed_at: float
+
+    def allowed(self) -> set[str] | None:
+        """Return the instances that it may go to; None for any.
+
+        At the limit it goes to one that it endangers already. That is one of
+        which nothing is known, if there is any: its answer tells more than
+        another crash where it crashed before.
+        """
+        if len(self.crashed | self.lost) < MAX_ENDANGERED:
+            return None
+        return self.lost or self.crashed
+
 
 @dataclass(slots=True)
 class Record:
@@ -63,9 +110,27 @@
         return [
             crash
             for crash in self.crashes.values()
-            if not crash.excused and crash.id not in released
+            if not (crash.excused or crash.unresolved or crash.id in released)
         ]
 
+    def lost(self) -> set[str]:
+        """Return the instances of which it is not known if they crashed."""
+        return {
+            crash.instance
+            for crash in self.crashes.values()
+            if crash.unresolved and not crash.excused
+        }
+
+    def make_room(self) -> bool:
+        """Tell whether another crash fits, at the cost of a mere loss."""
+        if len(self.crashes) < MAX_CRASHES:
+            return True
+        for crash in self.crashes.values():
+            if crash.unresolved:
+                del self.crashes[crash.id]
+                return True
+        return False
+
     def verdict(self, released: Collection[str] = ()) -> Verdict:
         """Weigh the crashes that still count.
 
@@ -84,6 +149,15 @@
         return Verdict.SUSPECT
 
 
+def _is_news(known: Crash, evidence: Evidence) -> bool:
+    """Tell whether evidence says more of a crash than is known."""
+    return (
+        (evidence.isolated and not known.isolated)
+        or (evidence.excused and not known.excused)
+        or (known.unresolved and not evidence.unresolved)
+    )
+
+
 class EvidenceTable:
     """Evidence by fingerprint, bounded in time and memory.
 
@@ -107,8 +181,9 @@
         Returns:
             The fingerprints that it was news for.
         """
-        seen = now - evidence.age_ms / 1000
-        if now - seen > QUARANTINE_S:
+        seen = now - evidence.age_ms / MS_PER_S
+        limit = LOSS_S if evidence.unresolved else QUARANTINE_S
+        if now - seen > limit:
             return []
         news = [
             fingerprint
@@ -125,16 +200,20 @@
         record = self.records.get(fingerprint) or Record()
         known = record.crashes.get(evidence.crash)
         if known is None:
-            if len(record.crashes) >= MAX_CRASHES:
+            if not record.make_room():
                 return False
-            known = Crash(evidence.crash, evidence.isolated, seen)
+            known = Crash(
+                evidence.crash,
+                evidence.isolated,
+                seen,
+                unresolved=evidence.unresolved,
+            )
             record.crashes[evidence.crash] = known
-        elif (known.isolated or not evidence.isolated) and (
-            known.excused or not evidence.excused
-        ):
+        elif not _is_news(known, evidence):
             return False
         known.isolated = known.isolated or evidence.isolated
         known.excused = known.excused or evidence.excused
+        known.unresolved = known.unresolved and evidence.unresolved
         self.records.pop(fingerprint, None)
         self.records[fingerprint] = record
         return True
@@ -158,6 +237,12 @@
     def sweep(self, now: float) -> None:
         """Forget what is too old to count."""
         for fingerprint, record in tuple(self.records.items()):
+            for crash in tuple(record.crashes.values()):
+                if crash.unresolved and now - crash.seen > LOSS_S:
+                    del record.crashes[crash.id]
+            if not record.crashes:
+                del self.records[fingerprint]
+                continue
             convicted = record.verdict() is Verdict.QUARANTINED
             limit = QUARANTINE_S if convicted else SUSPECT_S
             newest = max(crash.seen for crash in record.crashes.values())
@@ -166,11 +251,15 @@
 
     def dump(self, now: float) -> list[Evidence]:
         """Return everything, one message for each crash."""
-        grouped: dict[tuple[str, bool, bool], Evidence] = {}
+        grouped: dict[tuple[str, bool, bool, bool], Evidence] = {}
         for fingerprint, record in tuple(self.records.items()):
             for crash in tuple(record.crashes.values()):
-                key = (crash.id, crash.isolated, crash.excused)
-                age_ms = max(0, int((now - crash.seen) * 1000))
-                evidence = grouped.setdefault(key, Evidence(*key, [], age_ms))
+                key = (
+                    crash.id,
+                    crash.isolated,
+                    crash.excused,
+                    crash.unresolved,
+                )
+                evidence = grouped.setdefault(key, crash.evidence([], now))
                 evidence.fingerprints.append(fingerprint)
         return list(grouped.values())
--- /dev/null
+++ b/lacewingdock/components/quarantine/inquiry.py
@@ -0,0 +1,60 @@
+"""Support for asking sidecars what became of lost attempts."""
+
+import time
+
+from lacewingdock.components.membership import Membership
+from lacewingdock.components.peers import Peers
+from lacewingdock.components.quarantine import Quarantine
+from lacewingdock.components.quarantine.const import ASK_S, LOSS_S
+from lacewingdock.components.quarantine.losses import Loss
+from lacewingdock.core import Daemon
+from lacewingdock.links.link import Link
+from lacewingdock.links.messages import Cancel, Refusal
+
+
+class Inquiry:
+    """Clears up an entry's losses.
+
+    A sidecar that was silent is asked again and again until it says that an
+    attempt can't run any more. It tells of crashes by evidence, ahead of that.
+
+    Attributes:
+        membership: Where the sidecars are found.
+        quarantine: Holds the losses.
+    """
+
+    __slots__ = ("membership", "quarantine")
+
+    def __init__(
+        self, peers: Peers, membership: Membership, quarantine: Quarantine
+    ) -> None:
+        """Join the links."""
+        self.membership = membership
+        self.quarantine = quarantine
+        peers.handle(Refusal, self._on_refusal)
+
+    def start(self, daemon: Daemon) -> None:
+        """Start asking."""
+        daemon.every(ASK_S, self.ask)
+
+    def ask(self) -> None:
+        """Ask once for each attempt that nobody waits for."""
+        for loss in self.quarantine.losses.given_up():
+            if self._is_over(loss):
+                self.quarantine.resolve(loss.attempt)
+                continue
+            upstream = self.membership.upstreams.get(loss.instance)
+            link = upstream.link if upstream is not None else None
+            if link is not None:
+                link.send(Cancel(loss.attempt, settle=True))
+
+    def _is_over(self, loss: Loss) -> bool:
+        if time.monotonic() - loss.since > LOSS_S:
+            return True
+        return self.membership.is_gone(loss.instance, loss.incarnation)
+
+    def _on_refusal(self, link: Link, message: Refusal) -> None:
+        loss = self.quarantine.losses.get(message.attempt)
+        # A peer may only speak for attempts that were sent to it.
+        if loss is not None and loss.instance == link.peer.instance:
+            self.quarantine.resolve(message.attempt)
--- /dev/null
+++ b/lacewingdock/components/quarantine/losses.py
@@ -0,0 +1,97 @@
+"""Support for attempts of which nobody knows whether they crash an upstream.
+
+An attempt whose sidecar fell silent may have crashed its upstream, may do so
+yet, or may never have begun. Until the sidecar tells, or is known to be gone,
+the request is counted as a danger to that upstream.
+"""
+
+import threading
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from lacewingdock.components.quarantine.const import MAX_LOSSES
+
+
+@dataclass(slots=True, frozen=True)
+class Loss:
+    """One such attempt.
+
+    Attributes:
+        attempt: Id of the attempt.
+        fingerprint: The request.
+        instance: Name of the sidecar's instance.
+        incarnation: Incarnation of the sidecar that it was sent to.
+        since: Monotonic time at which it was lost.
+    """
+
+    attempt: str
+    fingerprint: str
+    instance: str
+    incarnation: str
+    since: float
+
+
+class Losses:
+    """The lost attempts of an entry, by id, the oldest first."""
+
+    __slots__ = ("_by_fingerprint", "_given_up", "_lock", "_losses")
+
+    def __init__(self) -> None:
+        """Start without losses."""
+        self._given_up: set[str] = set()
+        self._losses: OrderedDict[str, Loss] = OrderedDict()
+        self._by_fingerprint: dict[str, set[str]] = {}
+        self._lock = threading.Lock()
+
+    def add(self, loss: Loss) -> None:
+        """Take a loss in; beyond the limit the oldest is forgotten."""
+        with self._lock:
+            self._losses.setdefault(loss.attempt, loss)
+            attempts = self._by_fingerprint.setdefault(loss.fingerprint, set())
+            attempts.add(loss.attempt)
+            if len(self._losses) > MAX_LOSSES:
+                self._remove_locked(next(iter(self._losses)))
+
+    def give_up(self, attempt: str) -> None:
+        """Take note that its entry has turned elsewhere."""
+        with self._lock:
+            if attempt in self._losses:
+                self._given_up.add(attempt)
+
+    def remove(self, attempt: str) -> Loss | None:
+        """Take a loss out; return it if it was there."""
+        with self._lock:
+            return self._remove_locked(attempt)
+
+    def _remove_locked(self, attempt: str) -> Loss | None:
+        loss = self._losses.pop(attempt, None)
+        self._given_up.discard(attempt)
+        if loss is not None:
+            attempts = self._by_fingerprint[loss.fingerprint]
+            attempts.discard(attempt)
+            if not attempts:
+                del self._by_fingerprint[loss.fingerprint]
+        return loss
+
+    def get(self, attempt: str) -> Loss | None:
+        """Find a loss."""
+        return self._losses.get(attempt)
+
+    def given_up(self) -> list[Loss]:
+        """Return the losses that nobody waits for, the oldest first."""
+        with self._lock:
+            return [
+                loss
+                for loss in self._losses.values()
+                if loss.attempt in self._given_up
+            ]
+
+    def of(self, fingerprint: str) -> list[Loss]:
+        """Return the losses of a request."""
+        with self._lock:
+            attempts = self._by_fingerprint.get(fingerprint, ())
+            return [self._losses[attempt] for attempt in sorted(attempts)]
+
+    def instances(self, fingerprint: str) -> set[str]:
+        """Return the instances at which a request is lost."""
+        return {loss.instance for loss in self.of(fingerprint)}
--- a/lacewingdock/components/quarantine/placing.py
+++ b/lacewingdock/components/quarantine/placing.py
@@ -92,6 +92,11 @@
             if not +twins:
                 del self.open[fingerprint]
 
+    def instances(self, fingerprint: str) -> set[str]:
+        """Return where a request has attempts without an answer."""
+        with self._lock:
+            return set(+self.open.get(fingerprint, Counter()))
+
     def prove(self, fingerprint: str) -> None:
         """Take note of a whole answer."""
         with self._lock:
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -341,6 +341,7 @@
             raise self._not_begun(run, "its entry has turned elsewhere")
         if suspect != alone:
             return False
+        self.quarantine.check_endangered(fingerprint, self.settings.instance)
         try:
             with self.crashes.call(fingerprint, alone):
                 call_upstream(
@@ -419,6 +420,9 @@
 
     def _on_cancel(self, link: Link, cancel: Cancel) -> None:
         run = self.shelf.get(cancel.attempt)
+        if cancel.settle:
+            self._settle(link, cancel.attempt, run)
+            return
         # Only whoever gets the answer may give it up, and only while nobody
         # else gets it: a run between two links has no watcher either.
         if run is None or not run.detach(link, cancel.attempt):
@@ -433,6 +437,21 @@
             run.caller_left = cancel.left
             run.cancel()
 
+    def _settle(self, link: Link, attempt: str, run: Run | None) -> None:
+        """Tell of an attempt that was given up once it can't run any more."""
+        if run is None:
+            if self.shelf.fence(attempt):
+                link.send(_refusal(attempt, _never_came(attempt)))
+            return
+        # The link that the entry gave up may still look open here.
+        run.detach_peer(link)
+        if run.outcome is not None:
+            ran = RAN_UNKNOWN if run.executed else RAN_NO
+            error = LacewingdockError(ErrorKind.NO_UPSTREAM, "it ended", ran)
+            link.send(_refusal(attempt, error))
+        elif run.attempt.repeatable and not (run.kept or run.watchers):
+            run.cancel()
+
     def _on_close(self, link: Link) -> None:
         for run in self.shelf.runs():
             run.detach(link)
--- a/lacewingdock/links/messages.py
+++ b/lacewingdock/links/messages.py
@@ -176,12 +176,15 @@
         keep: Whether somebody may come back for the rest.
         ended: Whether its end was received, so that it need not be kept.
         left: Whether the caller went away, who pays for what was generated.
+        settle: Whether the sidecar shall tell, by a refusal, once the attempt
+            can't run any more. It was given up without its end.
     """
 
     attempt: str
     keep: bool = False
     ended: bool = False
     left: bool = False
+    settle: bool = False
 
 
 @dataclass(slots=True)
@@ -305,6 +308,8 @@
         excused: Whether the requests were shown not to be the cause.
         fingerprints: Fingerprints of the requests.
         age_ms: Milliseconds since the crash was seen.
+        unresolved: Whether it is not known yet if there was a crash: the
+            sidecar fell silent, or could not tell.
     """
 
     crash: str
@@ -312,6 +317,7 @@
     excused: bool = False
     fingerprints: list[str] = field(default_factory=list)
     age_ms: int = 0
+    unresolved: bool = False
 
 
 @dataclass(slots=True)
--- a/lacewingdock/links/schema.capnp
+++ b/lacewingdock/links/schema.capnp
@@ -75,6 +75,7 @@
   keep @1 :Bool;
   ended @2 :Bool;
   left @3 :Bool;
+  settle @4 :Bool;
 }
 
 struct Status {
@@ -131,6 +132,7 @@
   excused @2 :Bool;
   fingerprints @3 :List(Text);
   ageMs @4 :UInt64;
+  unresolved @5 :Bool;
 }
 
 struct Bills {
--- a/lacewingdock/world/upstream.py
+++ b/lacewingdock/world/upstream.py
@@ -20,6 +20,7 @@
         sent_since_news: Attempts sent since the last load report; a report
             lags, and without them all entries would herd to the idlest.
         wanted: Whether the link shall be kept.
+        refused: Whether nothing listened at its address at the last dial.
         guest: Whether the link is only there to fetch an answer.
         needed: Set to have a missing link dialed at once.
     """
@@ -31,6 +32,7 @@
         "instance",
         "link",
         "needed",
+        "refused",
         "sent_since_news",
         "status",
         "wanted",
@@ -45,6 +47,7 @@
         self.sent_since_news = 0
         self.wanted = True
         self.guest = False
+        self.refused = False
         self.needed = threading.Event()
         self._changed = threading.Condition()
 
@@ -61,8 +64,12 @@
 
     def usable(self, target: str) -> bool:
         """Tell whether new work for a target may go there."""
+        return self.linked and self.serves(target)
+
+    def serves(self, target: str) -> bool:
+        """Tell whether it takes work for a target, or would if it spoke."""
         return (
-            self.linked
+            (self.linked or not self.refused)
             and not self.guest
             and not self.status.leaving
             and self.instance.state == "live"
--- a/tests/components/admission/test_retry_budget.py
+++ b/tests/components/admission/test_retry_budget.py
@@ -74,7 +74,7 @@
         verdict=lambda _: Verdict.CLEAR,
     )
     refusing = Refusing(kind)
-    members = SimpleNamespace(serving=lambda _: [], configuration=None)
+    members = SimpleNamespace(placeable=lambda _: [], configuration=None)
     relay = Relay(refusing, members, quarantine, random.Random(1))
     attempt = Attempt("a", "r", "retail", "drafter-1", "POST", "/", b"")
     for _ in range(REQUESTS):
--- a/tests/components/quarantine/test_evidence.py
+++ b/tests/components/quarantine/test_evidence.py
@@ -27,6 +27,7 @@
     fingerprints=st.lists(
         st.sampled_from(["f", "g", "h"]), min_size=1, unique=True
     ),
+    unresolved=st.booleans(),
 )
 
 
@@ -104,6 +105,7 @@
     for fingerprint in "fgh":
         verdicts = {t.get(fingerprint).verdict() for t in (first, second)}
         assert len(verdicts) == 1
+        assert first.get(fingerprint).lost() == second.get(fingerprint).lost()
 
 
 @CHECKED
--- /dev/null
+++ b/tests/components/quarantine/test_losses.py
@@ -0,0 +1,326 @@
+"""Tests for attempts of which nobody knows what became, with fakes."""
+
+import random
+import threading
+import time
+from types import SimpleNamespace
+
+import prometheus_client
+import pytest
+
+from lacewingdock.components.quarantine import Quarantine
+from lacewingdock.components.quarantine import const as quarantine_const
+from lacewingdock.components.quarantine.evidence import (
+    EvidenceTable,
+    Verdict,
+)
+from lacewingdock.components.quarantine.inquiry import Inquiry
+from lacewingdock.components.quarantine.losses import Loss, Losses
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.links.messages import Cancel, Evidence, Refusal, Status
+from lacewingdock.world.objects import Instance
+from lacewingdock.world.upstream import Upstream
+
+F = "f"
+NAMES = ["w0", "w1", "w2", "w3"]
+NOW = 1_000_000.0
+
+
+class FakeLink:
+    """Takes what is sent."""
+
+    def __init__(self, instance="w0", incarnation="i"):
+        self.closed = False
+        self.sent = []
+        self.peer = SimpleNamespace(instance=instance, incarnation=incarnation)
+
+    def send(self, message):
+        """Keep a frame."""
+        self.sent.append(message)
+        return True
+
+
+def upstream(name, *, linked=True):
+    made = Upstream(
+        Instance(
+            name=name,
+            role="sidecar",
+            failure_domain="hall",
+            address="127.0.0.1:1",
+        )
+    )
+    made.take_news(Status(["v"], 0, 0, 10))
+    if linked:
+        made.set_link(FakeLink(name))
+    return made
+
+
+def loss(instance, attempt="a", fingerprint=F, since=0.0):
+    return Loss(attempt, fingerprint, instance, "i", since)
+
+
+@pytest.fixture
+def quarantine(monkeypatch):
+    """Of an entry that waits neither for news nor for silent sidecars."""
+    for name in ("PATIENCE_S", "NEWS_S"):
+        monkeypatch.setattr(f"lacewingdock.components.quarantine.{name}", 0.0)
+    links = {FakeLink("w0"), FakeLink("w1")}
+    peers = SimpleNamespace(
+        links=links, handle=lambda *_: None, on_open=[], on_close=[]
+    )
+    daemon = SimpleNamespace(metrics=prometheus_client.CollectorRegistry())
+    configuration = SimpleNamespace(world=SimpleNamespace(quarantines={}))
+    return Quarantine(daemon, peers, configuration)
+
+
+def crash(quarantine, name, *, isolated=False, fingerprint=F):
+    evidence = Evidence(f"{name}/1", isolated, False, [fingerprint])
+    quarantine._on_evidence(None, evidence)
+
+
+def told(quarantine):
+    """Return the evidence that went over the first link."""
+    first = next(iter(quarantine.peers.links))
+    return [m for m in first.sent if isinstance(m, Evidence)]
+
+
+def choose(quarantine, candidates, tried=()):
+    return quarantine.choose(
+        F, candidates, tried, random.Random(1), time.monotonic() + 1
+    ).name
+
+
+@pytest.mark.parametrize(
+    ("lost", "crashed", "silent", "allowed"),
+    [
+        # A silent upstream alone moves the request on, as it must.
+        (["w0"], [], ["w0"], {"w1", "w2", "w3"}),
+        # With two of them it may have crashed both.
+        (["w0", "w1"], [], ["w0", "w1"], None),
+        (["w0", "w1"], [], ["w0"], {"w1"}),
+        # A crash and a silent one: it stays with the silent one.
+        (["w0"], ["w1"], ["w0"], None),
+        (["w0"], ["w1"], [], {"w0"}),
+        ([], ["w1"], [], {"w0", "w2", "w3"}),
+        # Two crashes, never alone: it may be harmless, and runs where no
+        # other upstream is risked.
+        ([], ["w0", "w1"], [], {"w0", "w1"}),
+        ([], ["w0", "w1"], ["w0", "w1"], None),
+        (["w2"], ["w0", "w1"], [], {"w2"}),
+    ],
+)
+def test_a_request_endangers_two_upstreams(
+    quarantine, lost, crashed, silent, allowed
+):
+    """A request goes to a third upstream while two may be lost to it.
+
+    Symptom: three or more engines are lost beside a pause.
+    Events: copies run at one upstream that crashes and at one whose sidecar
+    is silent.
+    Cause: an attempt of which nothing is known counted as harmless.
+    """
+    for index, name in enumerate(lost):
+        quarantine.lose(loss(name, f"a{index}"), given_up=True)
+    for name in crashed:
+        crash(quarantine, name)
+    candidates = [upstream(n, linked=n not in silent) for n in NAMES]
+    if allowed is None:
+        with pytest.raises(LacewingdockError) as caught:
+            choose(quarantine, candidates)
+        assert caught.value.kind is ErrorKind.NO_UPSTREAM
+        assert caught.value.ran == "no"
+        assert caught.value.retry_after_s
+        return
+    for seed in range(20):
+        chosen = quarantine.choose(
+            F, candidates, lost, random.Random(seed), time.monotonic() + 1
+        )
+        assert chosen.name in allowed
+
+
+def test_suspect_stays_with_a_silent_host(quarantine):
+    """A suspect is run by a second host while copies run at the first.
+
+    Symptom: one engine more is lost for each host that is silent.
+    Events: the host of a suspect is paused while it runs it.
+    Cause: what is silent was no candidate, so the next one became the host.
+    """
+    crash(quarantine, "w0")
+    candidates = [upstream(n) for n in NAMES]
+    host = choose(quarantine, candidates)
+    next(u for u in candidates if u.name == host).set_link(None)
+    with pytest.raises(LacewingdockError) as caught:
+        choose(quarantine, candidates)
+    assert caught.value.retry_after_s
+    # One that is known to be gone runs nothing any more.
+    left = [u for u in candidates if u.name != host]
+    assert choose(quarantine, left) != host
+
+
+def test_waiting_ends_when_the_silent_one_tells(quarantine, monkeypatch):
+    monkeypatch.setattr("lacewingdock.components.quarantine.PATIENCE_S", 5.0)
+    quarantine.lose(loss("w0", "a0"), given_up=True)
+    quarantine.lose(loss("w1", "a1"), given_up=True)
+    candidates = [upstream(n, linked=n > "w1") for n in NAMES]
+    threading.Timer(0.1, quarantine.resolve, ["a0"]).start()
+    start = time.monotonic()
+    chosen = quarantine.choose(
+        F, candidates, ["w0", "w1"], random.Random(1), start + 10.0
+    )
+    assert chosen.name in ("w2", "w3")
+    assert time.monotonic() - start < 1.0
+
+
+@pytest.mark.parametrize("left", ["lost", "open"])
+def test_losses_are_told_once_they_matter(quarantine, left):
+    """Entries that do not know of each other's losses choose apart.
+
+    Symptom: a third engine is lost beside a pause, through two entries.
+    Events: copies through one entry are at a silent upstream, those through
+    the other crash another one; the other isolates them at a third.
+    Cause: only who sent an attempt knew that nothing came of it.
+    """
+    if left == "lost":
+        quarantine.lose(loss("w1"), given_up=True)
+    else:
+        sending = quarantine.sending(F, upstream("w1"))
+        sending.__enter__()
+    assert not told(quarantine)
+    crash(quarantine, "w0")
+    unresolved = [e for e in told(quarantine) if e.unresolved]
+    assert [e.crash.partition("/")[0] for e in unresolved] == ["w1"]
+    other = EvidenceTable()
+    for evidence in told(quarantine):
+        other.join(evidence, time.monotonic())
+    assert other.get(F).lost() == {"w1"}
+    if left == "lost":
+        quarantine.resolve("a")
+    else:
+        sending.__exit__(None, None, None)
+    for evidence in told(quarantine):
+        other.join(evidence, time.monotonic())
+    assert other.get(F).lost() == set()
+    assert other.get(F).verdict() is Verdict.SUSPECT
+
+
+def test_harmless_losses_are_not_told(quarantine):
+    """Symptom: each pause floods the fleet with news of every request."""
+    for index in range(50):
+        quarantine.lose(loss("w0", f"a{index}", f"f{index}"), given_up=True)
+    assert not told(quarantine)
+
+
+@pytest.mark.parametrize(
+    ("crashed", "lost", "refused"),
+    [
+        ([], [], False),
+        (["w0"], [], False),
+        (["w0"], ["w1"], True),
+        (["w0", "w1"], [], True),
+        (["w0", "w2"], [], False),
+        ([], ["w0", "w1"], True),
+        (["w2"], ["w0"], False),
+    ],
+)
+def test_sidecar_refuses_what_endangers_two_others(
+    quarantine, crashed, lost, refused
+):
+    for name in crashed:
+        crash(quarantine, name)
+    for name in lost:
+        evidence = Evidence(f"{name}/lost-1", False, False, [F], 0, True)
+        quarantine._on_evidence(None, evidence)
+    if not refused:
+        quarantine.check_endangered(F, "w2")
+        return
+    with pytest.raises(LacewingdockError) as caught:
+        quarantine.check_endangered(F, "w2")
+    assert caught.value.ran == "no"
+
+
+@pytest.mark.parametrize(
+    ("steps", "verdict", "lost"),
+    [
+        (["lost"], Verdict.CLEAR, {"a"}),
+        (["lost", "excused"], Verdict.CLEAR, set()),
+        (["lost", "crashed"], Verdict.SUSPECT, set()),
+        (["excused", "lost"], Verdict.CLEAR, set()),
+        (["crashed", "lost"], Verdict.SUSPECT, set()),
+    ],
+)
+def test_loss_convicts_nobody(steps, verdict, lost):
+    kinds = {
+        "lost": Evidence("a/1", False, False, [F], 0, True),
+        "excused": Evidence("a/1", False, True, [F], 0, True),
+        "crashed": Evidence("a/1", False, False, [F], 0, False),
+    }
+    table = EvidenceTable()
+    for step in steps:
+        table.join(kinds[step], NOW)
+    assert table.get(F).verdict() is verdict
+    assert table.get(F).lost() == lost
+
+
+def test_losses_leave_room_for_crashes():
+    table = EvidenceTable()
+    for index in range(quarantine_const.MAX_CRASHES):
+        table.join(Evidence(f"l{index}/1", False, False, [F], 0, True), NOW)
+    assert table.join(Evidence("w0/1", False, False, [F]), NOW)
+    assert table.get(F).verdict() is Verdict.SUSPECT
+
+
+def test_losses_are_forgotten_after_a_while():
+    table = EvidenceTable()
+    table.join(Evidence("w0/1", False, False, [F], 0, True), NOW)
+    table.sweep(NOW + quarantine_const.LOSS_S + 1)
+    assert not table.records
+    late = int((quarantine_const.LOSS_S + 1) * 1000)
+    assert not table.join(Evidence("w0/1", False, False, [F], late, True), NOW)
+
+
+def test_losses_are_bounded(monkeypatch):
+    monkeypatch.setattr(
+        "lacewingdock.components.quarantine.losses.MAX_LOSSES", 3
+    )
+    losses = Losses()
+    for index in range(5):
+        losses.add(loss("w0", f"a{index}", f"f{index}"))
+        losses.give_up(f"a{index}")
+    assert [one.attempt for one in losses.given_up()] == ["a2", "a3", "a4"]
+    assert not losses.instances("f0")
+
+
+@pytest.mark.parametrize(
+    ("gone", "linked", "age_s", "refusal_of", "left"),
+    [
+        (False, True, 0.0, "w0", False),
+        # Only the sidecar itself may say what became of an attempt.
+        (False, True, 0.0, "w1", True),
+        (False, False, 0.0, None, True),
+        (True, False, 0.0, None, False),
+        (False, False, 61.0, None, False),
+    ],
+)
+def test_silent_sidecar_is_asked(
+    quarantine, gone, linked, age_s, refusal_of, left
+):
+    handlers = []
+    peers = SimpleNamespace(handle=lambda _, handler: handlers.append(handler))
+    silent = upstream("w0", linked=linked)
+    membership = SimpleNamespace(
+        upstreams={"w0": silent}, is_gone=lambda *_: gone
+    )
+    inquiry = Inquiry(peers, membership, quarantine)
+    lost = loss("w0", since=time.monotonic() - age_s)
+    quarantine.lose(lost)
+    inquiry.ask()
+    # Its entry still waits for the answer over a new link.
+    assert not linked or not silent.link.sent
+    quarantine.lose(lost, given_up=True)
+    inquiry.ask()
+    if linked:
+        assert silent.link.sent == [Cancel("a", settle=True)]
+    if refusal_of is not None:
+        link = FakeLink(refusal_of)
+        handlers[0](link, Refusal("a", "no_upstream", "no", ""))
+    assert bool(quarantine.losses.instances(F)) is left
--- a/tests/components/quarantine/test_pauses.py
+++ b/tests/components/quarantine/test_pauses.py
@@ -117,7 +117,12 @@
 CASES = [
     Pause(("worker-1",), 2.0),
     Pause(("worker-1",), 6.0),
+    Pause(("worker-1",), 0.9),
+    Pause(("worker-1",), 1.0, crash_after_s=0.3, after_s=0.15),
+    Pause(("worker-1",), 3.0, crash_after_s=0.3, after_s=0.15),
+    Pause(("worker-1",), 8.0, crash_after_s=0.3, after_s=0.15),
     Pause(("worker-3",), 3.0),
+    Pause(("worker-3",), 4.0, crash_after_s=0.3, after_s=0.5),
     Pause(("worker-1", "worker-3"), 3.0),
     Pause(("worker-1", "worker-0"), 3.0),
     Pause(("worker-1", "entry-0"), 3.0),
--- a/tests/components/runs/test_given_up.py
+++ b/tests/components/runs/test_given_up.py
@@ -9,9 +9,9 @@
 from lacewingdock.components import runs as runs_module
 from lacewingdock.components.quarantine import Verdict
 from lacewingdock.const import RAN_NO
-from lacewingdock.exceptions import ErrorKind
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.helpers.clock import stamp_ms
-from lacewingdock.links.messages import Refusal
+from lacewingdock.links.messages import Cancel, Finish, Refusal
 from tests.memory_links import Pair, attempt_of
 
 TARGET = "drafter-1"
@@ -47,7 +47,7 @@
         )
         runs.configuration.loaded.set()
         runs.quarantine = SimpleNamespace(
-            check=lambda _: Verdict.CLEAR, check_risk=lambda *_: None
+            check=lambda _: Verdict.CLEAR, check_endangered=lambda *_: None
         )
         runs.crashes = SimpleNamespace(call=lambda *_: contextlib.nullcontext())
         self.pair.daemon.spawn = lambda *task: self.tasks.append(task)
@@ -162,3 +162,52 @@
     run.attach(newer, "a2", 0)
     sidecar.run()
     assert begun == ["a1"]
+
+
+@pytest.mark.parametrize(
+    ("state", "told", "cancelled"),
+    [
+        ("never came", "no", False),
+        ("waits", None, True),
+        ("waits, kept", None, False),
+        ("waits, awaited", None, False),
+        ("refused", "no", False),
+        ("ran", "unknown", False),
+    ],
+)
+def test_entry_is_told_once_a_lost_attempt_can_not_run_any_more(
+    state, told, cancelled
+):
+    """An entry never hears what became of what it gave up.
+
+    Symptom: a request is held back for a minute after a pause of seconds.
+    Events: a sidecar goes on after its links were closed as silent.
+    Cause: what was given up has no watcher that could be told.
+    """
+    sidecar = Sidecar()
+    runs = sidecar.pair.runs
+    run = None
+    if state != "never came":
+        sidecar.take(attempt_of())
+        (run,) = runs.shelf.runs()
+        sidecar.pair.close(sidecar.link)
+    newer = sidecar.pair.connect().other
+    match state:
+        case "waits, kept":
+            run.kept = True
+        case "waits, awaited":
+            run.attach(newer, "a2", 0)
+        case "refused":
+            run.refuse(LacewingdockError(ErrorKind.OVERLOADED, "", RAN_NO))
+        case "ran":
+            run.executed = True
+            run.end(Finish("a1", 0))
+    sidecar.pair.peers.deliver(newer, Cancel("a1", settle=True))
+    refusals = [m for m in newer.sent if isinstance(m, Refusal)]
+    assert [r.ran for r in refusals] == ([] if told is None else [told])
+    if run is not None:
+        assert run.cancelled.is_set() is cancelled
+    # It is fenced: the frame itself may still come.
+    if state == "never came":
+        sidecar.take(attempt_of())
+        assert not sidecar.tasks
--- a/tests/components/runs/test_two_gates.py
+++ b/tests/components/runs/test_two_gates.py
@@ -97,7 +97,7 @@
 class FakeQuarantine:
     """Holds nothing against any request."""
 
-    def choose(self, _, candidates, tried, source):
+    def choose(self, _, candidates, tried, source, deadline):
         """Choose any."""
         return choose_upstream(candidates, tried, source)
 
@@ -117,13 +117,15 @@
         return SimpleNamespace(
             take=lambda: next(takes)(),
             finish=None,
+            in_doubt=False,
+            has_begun=True,
             divert=lambda _: None,
             attempt=attempt,
         )
 
     relay = Relay(
         SimpleNamespace(ask=take_attempt, drop=lambda *_: None),
-        SimpleNamespace(serving=lambda _: [sidecar], configuration=entry),
+        SimpleNamespace(placeable=lambda _: [sidecar], configuration=entry),
         FakeQuarantine(),
         random.Random(1),
     )
