Entries: the tries of a request share its deadline

Callers saw nothing; engines worked for callers that had left, and an entry that was paused went on with requests whose time was over.

Cause: the milliseconds left were reckoned once, for the first try, and each further try was given all of them again; calls that may not be repeated were not.

--- a/lacewingdock/components/answers/__init__.py
+++ b/lacewingdock/components/answers/__init__.py
@@ -11,7 +11,7 @@
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.helpers.clock import stamp_ms
+from lacewingdock.helpers.clock import MS_PER_S, stamp_ms
 from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.tally import Tally
@@ -260,9 +260,20 @@
     )
 
 
-def retry_of(attempt: Attempt) -> Attempt:
-    """Return the same request as a new attempt."""
-    return replace(attempt, attempt=new_id(), ordinal=attempt.ordinal + 1)
+def retry_of(attempt: Attempt, deadline: float) -> Attempt:
+    """Return the same request as a new attempt.
+
+    Args:
+        attempt: The attempt before.
+        deadline: Monotonic time after which nobody waits.
+    """
+    left_ms = int((deadline - time.monotonic()) * MS_PER_S)
+    return replace(
+        attempt,
+        attempt=new_id(),
+        ordinal=attempt.ordinal + 1,
+        deadline_ms=max(left_ms, 1),
+    )
 
 
 def setup(daemon: Daemon, peers: Peers, membership: Membership) -> Answers:
--- a/lacewingdock/components/callers/relay.py
+++ b/lacewingdock/components/callers/relay.py
@@ -116,10 +116,12 @@
                 last = error
                 if not self._goes_on(error, attempt, fingerprint, upstream):
                     break
+                if time.monotonic() >= deadline:
+                    break
                 if _never_came(error, answer):
                     # Its link was at fault, and there is a new one.
                     tried.discard(upstream.name)
-                attempt = retry_of(attempt)
+                attempt = retry_of(attempt, deadline)
         assert last is not None
         raise _final(last, worst_ran)
 
@@ -203,6 +205,7 @@
         Raises:
             LacewingdockError: No upstream answers; `ran` says what is known.
         """
+        deadline = time.monotonic() + attempt.deadline_ms / MS_PER_S
         try:
             return self._whole(attempt)
         except _BrokeOffError as broken:
@@ -211,7 +214,7 @@
             if not self._may_retry(error, attempt, fingerprint):
                 raise error from None
         try:
-            return self._whole(retry_of(attempt))
+            return self._whole(retry_of(attempt, deadline))
         except _BrokeOffError as broken:
             raise broken.cause from None
         except LacewingdockError as later:
--- a/lacewingdock/components/callers/services.py
+++ b/lacewingdock/components/callers/services.py
@@ -1,7 +1,6 @@
 """Support for answering calls of plain services."""
 
 import time
-from dataclasses import replace
 from http import HTTPStatus
 from typing import Final
 
@@ -171,8 +170,7 @@
                     raise
                 last = error
             time.sleep(SEND_PAUSE_S)
-            left_ms = int((end - time.monotonic()) * 1000)
-            attempt = replace(retry_of(attempt), deadline_ms=max(left_ms, 1))
+            attempt = retry_of(attempt, end)
         raise last
 
     def _ask_home(
--- a/tests/components/quarantine/test_pauses.py
+++ b/tests/components/quarantine/test_pauses.py
@@ -78,6 +78,13 @@
     }
 
 
+def set_crash_after(deployment, workers, seconds):
+    """Let a crashing request run for so long before it crashes."""
+    for index in range(workers):
+        engine = deployment.processes[f"engine-{index}"]
+        call("POST", f"{engine.url()}/control", {"crash_after_s": seconds})
+
+
 def pause(deployment, case):
     """Stop the processes at their time, and let them go on."""
     time.sleep(max(0.0, case.after_s))
@@ -90,13 +97,7 @@
 
 def send_copies(deployment, case):
     """Send the copies at once through both entries beside the pause."""
-    for index in range(WORKERS):
-        engine = deployment.processes[f"engine-{index}"]
-        call(
-            "POST",
-            f"{engine.url()}/control",
-            {"crash_after_s": case.crash_after_s},
-        )
+    set_crash_after(deployment, WORKERS, case.crash_after_s)
     pauser = threading.Thread(target=pause, args=(deployment, case))
     pauser.start()
     time.sleep(max(0.0, -case.after_s))
