Sidecars: a crash that the probe can't tell yet is told later

Callers could see: a crashing request takes an upstream more, and no evidence of the first is ever told. Found by reading for the same class: an unknown that counts as no.

Cause: after a lost call the sidecar asks the upstream for its incarnation. If that one listens and does not answer, as a next start that loads its model does, the call was forgotten; the poll that later saw another incarnation found nothing in flight.

Evidence: a lost call, a probe that hangs, a poll that sees another incarnation: no report at all on the code before; with this the crash is told with the request, and the doubt is told ahead of the refusal and ended after. tests/components/quarantine/test_crash_watch.py, four cases. Not provoked with real processes.

--- a/lacewingdock/components/quarantine/__init__.py
+++ b/lacewingdock/components/quarantine/__init__.py
@@ -284,6 +284,18 @@
         )
         self._spread(Evidence(crash, isolated, False, fingerprints), None)
 
+    def doubt(self, loss: str, fingerprint: str, is_over: bool) -> None:
+        """Tell the fleet that this upstream may have crashed, or no longer may.
+
+        Args:
+            loss: Id of the doubt.
+            fingerprint: The request that was lost.
+            is_over: Whether a crash was told, or there was none.
+        """
+        self._spread(
+            Evidence(loss, False, is_over, [fingerprint], 0, True), None
+        )
+
     def excuse(self, fingerprint: str) -> None:
         """Take note that a suspect ran alone and nothing crashed."""
         for crash in self._crashes(fingerprint):
--- a/lacewingdock/components/quarantine/crash_watch.py
+++ b/lacewingdock/components/quarantine/crash_watch.py
@@ -13,21 +13,27 @@
     UpstreamLost,
 )
 from lacewingdock.helpers.ids import new_id
+from lacewingdock.helpers.log import get_logger
 
 # Returns the upstream's incarnation, empty if it does not tell one, or None
 # when nothing listens at its port; raises when it can't be told.
 Probe = Callable[[], str | None]
 # Takes the crash's id, whether the request ran alone, and the fingerprints.
 Report = Callable[[str, bool, list[str]], None]
+# Takes an id, the request's fingerprint and whether the doubt is over.
+Doubt = Callable[[str, str, bool], None]
 
 _UNKNOWN: Final = None
 
+log = get_logger("quarantine")
+
 
 @dataclass(slots=True, eq=False)
 class _Call:
     fingerprint: str
     alone: bool
     era: str
+    doubt: str = ""
 
 
 class CrashWatch:
@@ -41,6 +47,8 @@
         instance: Name of the sidecar's instance.
         probe: Asks the upstream for its incarnation.
         report: Told of each crash once.
+        doubt: Told of each lost call for which the probe can't tell, and
+            again once it is known.
         incarnation: The upstream's incarnation; None when not known.
         era: Id of this life of the upstream, as this sidecar knows it.
     """
@@ -49,6 +57,8 @@
         "_calls",
         "_judging",
         "_lock",
+        "_undecided",
+        "doubt",
         "era",
         "incarnation",
         "instance",
@@ -56,14 +66,18 @@
         "report",
     )
 
-    def __init__(self, instance: str, probe: Probe, report: Report) -> None:
+    def __init__(
+        self, instance: str, probe: Probe, report: Report, doubt: Doubt
+    ) -> None:
         """Start without knowing the upstream."""
         self.instance = instance
         self.probe = probe
         self.report = report
+        self.doubt = doubt
         self.incarnation: str | None = _UNKNOWN
         self.era = new_id()
         self._calls: set[_Call] = set()
+        self._undecided: set[_Call] = set()
         self._lock = threading.Lock()
         self._judging = threading.Lock()
 
@@ -104,6 +118,9 @@
         elif self.incarnation != incarnation:
             with self._judging:
                 self._crashed(self.era, incarnation)
+        elif self._undecided:
+            with self._judging:
+                self._decide(self.era, incarnation)
 
     def _learn(self) -> None:
         with self._judging:
@@ -125,10 +142,35 @@
                 return
             try:
                 incarnation = self.probe()
-            except LacewingdockError:
+            except LacewingdockError as error:
+                log.warning("crash not told", error=error.detail)
+                self._put_in_doubt(call)
                 return
-            if incarnation is None or incarnation != self.incarnation:
-                self._crashed(call.era, incarnation)
+            self._decide(call.era, incarnation)
+
+    def _decide(self, era: str, incarnation: str | None) -> None:
+        if incarnation is None or incarnation != self.incarnation:
+            self._crashed(era, incarnation)
+        else:
+            self._end_doubts()
+
+    def _put_in_doubt(self, call: _Call) -> None:
+        """Keep a lost call until it is known whether it was a crash.
+
+        What hangs now may be the upstream's next start, which does not answer
+        yet. Unsaid, the entry would send the request to another upstream as
+        if nothing had happened.
+        """
+        call.doubt = f"{self.instance}/lost-{new_id()}"
+        with self._lock:
+            self._undecided.add(call)
+        self.doubt(call.doubt, call.fingerprint, False)
+
+    def _end_doubts(self) -> None:
+        with self._lock:
+            decided, self._undecided = self._undecided, set()
+        for call in decided:
+            self.doubt(call.doubt, call.fingerprint, True)
 
     def _crashed(self, era: str, incarnation: str | None) -> None:
         """Report the crash that ended an era, and begin another."""
@@ -137,9 +179,10 @@
                 return
             self.era = new_id()
             self.incarnation = incarnation
-            struck = [call for call in self._calls if call.era == era]
-        if not struck:
-            return
-        alone = len(struck) == 1 and struck[0].alone
-        fingerprints = sorted({call.fingerprint for call in struck})
-        self.report(f"{self.instance}/{era}", alone, fingerprints)
+            calls = self._calls | self._undecided
+            struck = [call for call in calls if call.era == era]
+        if struck:
+            alone = len(struck) == 1 and struck[0].alone
+            fingerprints = sorted({call.fingerprint for call in struck})
+            self.report(f"{self.instance}/{era}", alone, fingerprints)
+        self._end_doubts()
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -112,6 +112,7 @@
             settings.instance,
             lambda: probe_upstream(settings.upstream),
             self._on_crash,
+            lambda *doubt: self.quarantine.doubt(*doubt),
         )
         self.not_begun = prometheus_client.Counter(
             "lacewingdock_attempts_not_begun",
--- a/tests/components/quarantine/test_crash_watch.py
+++ b/tests/components/quarantine/test_crash_watch.py
@@ -20,6 +20,7 @@
     def __init__(self, *found):
         self.found = list(found)
         self.reports = []
+        self.doubts = []
 
     def probe(self):
         """Answer one probe."""
@@ -31,7 +32,10 @@
     def watch(self):
         """Return a watch on this upstream."""
         return CrashWatch(
-            "w", self.probe, lambda *report: self.reports.append(report)
+            "w",
+            self.probe,
+            lambda *report: self.reports.append(report),
+            lambda *doubt: self.doubts.append(doubt[1:]),
         )
 
 
@@ -135,3 +139,33 @@
         watch.seen("two")
         watch.seen("two")
     assert [r[2] for r in upstream.reports] == [["f"]]
+
+
+@pytest.mark.parametrize("seen_by", ["poll", "probe"])
+@pytest.mark.parametrize(("later", "crashes"), [("one", 0), ("two", 1)])
+def test_what_the_probe_can_not_tell_is_told_later(seen_by, later, crashes):
+    """A crash is never told where the upstream's next start hangs at first.
+
+    Symptom: a crashing request takes an upstream more, without evidence.
+    Events: the upstream crashes; its next start listens and does not answer.
+    Cause: a probe without an answer counted as no crash, for good.
+    """
+    upstream = FakeUpstream("one", HANGS, later)
+    watch = upstream.watch()
+    with contextlib.suppress(UpstreamLost), watch.call("f", True):
+        raise UpstreamLost("reset")
+    assert upstream.doubts == [("f", False)]
+    assert not upstream.reports
+    if seen_by == "poll":
+        watch.seen(later)
+    else:
+        with contextlib.suppress(UpstreamLost), watch.call("g", False):
+            raise UpstreamLost("reset")
+    assert upstream.doubts == [("f", False), ("f", True)]
+    assert len(upstream.reports) == crashes
+    for _, isolated, fingerprints in upstream.reports:
+        assert "f" in fingerprints
+        assert isolated is (seen_by == "poll")
+    # What is decided is not told with a later crash.
+    watch.seen("three")
+    assert len(upstream.reports) == crashes
