Launchers of deployments hold their ports by a lock

Seen once by a maintainer: two deployments started by two processes on one machine; in one apply_example got a 404 for GET /objects/config, as another deployment's process answered on its port.

Cause: a port was looked up free and bound by its process later; nothing held it meanwhile, and launchers side by side walked through the same 17,000 ports. By the code: two lookups from the same place give the same port. The single sighting itself was not reproduced, so that it was this is inferred.

A launcher now takes one of 32 ranges of 531 ports by a lock on a file, which ends with the process.

--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -1,7 +1,6 @@
 """Support for starting a whole deployment on loopback, for tests and demos."""
 
 import contextlib
-import itertools
 import os
 import signal
 import socket
@@ -15,39 +14,14 @@
 from typing import Any, Final
 
 from bench.http import Reply, call
+from bench.ports import HOST, free_ports
 
-HOST: Final = "127.0.0.1"
-PORTS: Final = (15000, 32000)
 START_TIMEOUT_S: Final = 30.0
 STOP_TIMEOUT_S: Final = 15.0
 LINK_KEYS: Final = "k1 a-link-key-for-loopback-only\n"
 SESSION_KEYS: Final = "s1 a-session-key-for-loopback-only\n"
 
 
-# Each port is given out once: two daemons that have not bound theirs yet must
-# not be handed the same one. Where to begin differs from process to process,
-# so that deployments side by side seldom meet.
-_next_port = itertools.cycle(range(*PORTS))
-for _ in range(os.getpid() * 97 % (PORTS[1] - PORTS[0])):
-    next(_next_port)
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that nobody listens on now.
-
-    They lie below the range that the system draws a connection's own port
-    from. From within that range a connection could take the port before its
-    process listens, and the deployment would not start.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = next(_next_port)
-        with contextlib.suppress(OSError), socket.socket() as sock:
-            sock.bind((HOST, port))
-            ports.append(port)
-    return ports
-
-
 def wait_until(
     condition: Callable[[], bool],
     failure: str,
