--- a/lacewingdock/components/quarantine/__init__.py
+++ b/lacewingdock/components/quarantine/__init__.py
@@ -35,10 +35,10 @@
     write_quarantine,
 )
 from lacewingdock.components.quarantine.placing import Placing, choose_isolated
+from lacewingdock.components.quarantine.told_losses import ToldLosses
 from lacewingdock.const import RAN_NO
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.helpers.ids import new_id
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import Attempt, Evidence
@@ -64,6 +64,7 @@
         table: The evidence.
         placing: Where copies of a request go, on an entry.
         losses: Attempts of this entry of which nothing is known.
+        told: What the fleet was told of them.
         unwritten: Convictions that this daemon proved and the platform has
             not taken yet, by fingerprint.
     """
@@ -71,7 +72,6 @@
     __slots__ = (
         "_lock",
         "_news",
-        "_told",
         "configuration",
         "crashes",
         "daemon",
@@ -80,6 +80,7 @@
         "placing",
         "refused",
         "table",
+        "told",
         "unwritten",
     )
 
@@ -93,7 +94,9 @@
         self.table = EvidenceTable()
         self.placing = Placing()
         self.losses = Losses()
-        self._told: dict[tuple[str, str], str] = {}
+        self.told = ToldLosses(
+            self.losses, self.placing, lambda news: self._spread(news, None)
+        )
         self.unwritten: dict[str, QuarantineItem] = {}
         self._lock = threading.Lock()
         self._news = threading.Condition(self._lock)
@@ -265,7 +268,7 @@
             yield
         finally:
             self.placing.ended(fingerprint, upstream.name)
-            self._take_back(fingerprint, upstream.name)
+            self.told.take_back(fingerprint, upstream.name)
 
     def prove(self, fingerprint: str) -> None:
         """Take note that a request was answered whole."""
@@ -332,7 +335,7 @@
                 upstream=loss.instance,
                 fingerprint=loss.fingerprint,
             )
-        self._tell_losses(loss.fingerprint)
+        self.told.update(loss.fingerprint, self.endangered(loss.fingerprint))
 
     def resolve(self, attempt: str) -> None:
         """Take note that an attempt did not crash its upstream, or is told."""
@@ -345,44 +348,10 @@
             upstream=loss.instance,
             age_s=round(time.monotonic() - loss.since, 2),
         )
-        self._take_back(loss.fingerprint, loss.instance)
+        self.told.take_back(loss.fingerprint, loss.instance)
         with self._news:
             self._news.notify_all()
 
-    def _own(self, fingerprint: str) -> set[str]:
-        """Return where this entry has attempts that may still crash."""
-        lost = self.losses.instances(fingerprint)
-        return lost | self.placing.instances(fingerprint)
-
-    def _tell_losses(self, fingerprint: str) -> None:
-        """Tell the fleet where this entry's attempts are, once it matters.
-
-        A single loss moves a request on, whoever knows of it; so most losses
-        at a machine that is silent need not be told.
-        """
-        danger = self.endangered(fingerprint)
-        if danger.allowed() is None:
-            return
-        for instance in danger.lost & self._own(fingerprint):
-            key = fingerprint, instance
-            if key in self._told:
-                continue
-            told = self._told[key] = f"{instance}/lost-{new_id()}"
-            self._spread(
-                Evidence(told, False, False, [fingerprint], 0, True), None
-            )
-
-    def _take_back(self, fingerprint: str, instance: str) -> None:
-        """Tell the fleet that nothing of this entry is in doubt any more."""
-        key = fingerprint, instance
-        if key not in self._told or instance in self._own(fingerprint):
-            return
-        told = self._told.pop(key, None)
-        if told is not None:
-            self._spread(
-                Evidence(told, False, True, [fingerprint], 0, True), None
-            )
-
     def _spread(self, evidence: Evidence, source: Link | None) -> None:
         """Take evidence in; what was news goes on to every other link.
 
@@ -403,8 +372,8 @@
         with self._news:
             self._news.notify_all()
         for fingerprint in news:
-            if self._own(fingerprint):
-                self._tell_losses(fingerprint)
+            if self.told.own(fingerprint):
+                self.told.update(fingerprint, self.endangered(fingerprint))
 
     def _on_evidence(self, link: Link, message: Evidence) -> None:
         self._spread(message, link)
--- a/lacewingdock/components/quarantine/placing.py
+++ b/lacewingdock/components/quarantine/placing.py
@@ -3,7 +3,7 @@
 import hashlib
 import random
 import threading
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Collection
 
 from lacewingdock.components.quarantine.const import (
@@ -14,6 +14,7 @@
 from lacewingdock.components.routing.choice import choose_upstream
 from lacewingdock.const import RAN_NO
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.recent import remember
 from lacewingdock.world.upstream import Upstream
 
 
@@ -49,7 +50,7 @@
     def __init__(self) -> None:
         """Start with nothing seen."""
         self.open: dict[str, Counter[str]] = {}
-        self.proven: OrderedDict[str, None] = OrderedDict()
+        self.proven: dict[str, None] = {}
         self._lock = threading.Lock()
 
     def choose(
@@ -100,10 +101,7 @@
     def prove(self, fingerprint: str) -> None:
         """Take note of a whole answer."""
         with self._lock:
-            self.proven[fingerprint] = None
-            self.proven.move_to_end(fingerprint)
-            if len(self.proven) > MAX_PROVEN:
-                self.proven.popitem(last=False)
+            remember(self.proven, fingerprint, None, MAX_PROVEN)
 
     def doubt(self, fingerprints: Collection[str]) -> None:
         """Forget that requests were answered whole."""
--- a/lacewingdock/components/runs/__init__.py
+++ b/lacewingdock/components/runs/__init__.py
@@ -24,16 +24,17 @@
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.core import Daemon
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.clock import MS_PER_S
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.links.link import LAPSE_S, Link
 from lacewingdock.links.messages import (
     Attempt,
     Beat,
     Cancel,
-    Refusal,
     Resume,
     Status,
 )
+from lacewingdock.links.refusals import refusal_of
 from lacewingdock.settings import SidecarSettings
 from lacewingdock.world.run import Run
 
@@ -42,7 +43,6 @@
 # How long a run that may not be resumed by its caller outlives its entry's
 # link: long enough for the entry to come back over a new one.
 ORPHAN_S: Final = 5.0
-MS_PER_S: Final = 1000
 # How long aborted runs may take to tell their entries.
 ABORT_S: Final = 0.5
 ABORT_POLL_S: Final = 0.01
@@ -367,7 +367,7 @@
         run = self.shelf.get(resume.original)
         if run is None:
             error = self._judge_unknown(resume)
-            link.send(_refusal(resume.attempt, error))
+            link.send(refusal_of(resume.attempt, error))
             return
         self._send_rest(
             link, resume.attempt, resume.workspace, run, resume.offset
@@ -383,9 +383,9 @@
             resume.incarnation == self.daemon.me.incarnation
             and resume.age_ms < self.settings.resume_s * MS_PER_S / 2
         )
-        never_came = is_remembered and self.shelf.fence(resume.original)
+        is_new = is_remembered and self.shelf.fence(resume.original)
         # Of a key only its claim can say that it did not run.
-        if never_came and self.claims is None:
+        if is_new and self.claims is None:
             return _never_came(resume.original)
         return LacewingdockError(
             ErrorKind.ANSWER_GONE,
@@ -411,7 +411,7 @@
                 "this sidecar has no such answer",
                 RAN_UNKNOWN,
             )
-            link.send(_refusal(attempt, error))
+            link.send(refusal_of(attempt, error))
             return
         # The entry gave its old link up; here that link may look open for long,
         # and would count as somebody who waits.
@@ -442,14 +442,14 @@
         """Tell of an attempt that was given up once it can't run any more."""
         if run is None:
             if self.shelf.fence(attempt):
-                link.send(_refusal(attempt, _never_came(attempt)))
+                link.send(refusal_of(attempt, _never_came(attempt)))
             return
         # The link that the entry gave up may still look open here.
         run.detach_peer(link)
         if run.outcome is not None:
             ran = RAN_UNKNOWN if run.executed else RAN_NO
             error = LacewingdockError(ErrorKind.NO_UPSTREAM, "it ended", ran)
-            link.send(_refusal(attempt, error))
+            link.send(refusal_of(attempt, error))
         elif run.attempt.repeatable and not (run.kept or run.watchers):
             run.cancel()
 
@@ -477,12 +477,6 @@
     )
 
 
-def _refusal(attempt: str, error: LacewingdockError) -> Refusal:
-    retry = error.retry_after_s
-    retry_ms = -1 if retry is None else int(retry * MS_PER_S)
-    return Refusal(attempt, error.kind, error.ran, error.detail, retry_ms)
-
-
 def setup(
     daemon: Daemon,
     settings: SidecarSettings,
--- a/lacewingdock/world/run.py
+++ b/lacewingdock/world/run.py
@@ -12,6 +12,7 @@
 from lacewingdock.helpers.clock import MS_PER_S, since_boot
 from lacewingdock.links.link import Link
 from lacewingdock.links.messages import Attempt, Chunk, Finish, Refusal
+from lacewingdock.links.refusals import refusal_of
 
 # Kept pieces sent in one go before the link is asked whether it has room.
 BATCH_PIECES: Final = 64
@@ -122,15 +123,7 @@
 
     def refuse(self, error: LacewingdockError, revision: int = 0) -> None:
         """End the answer with an error, decided at a revision."""
-        retry = error.retry_after_s
-        refusal = Refusal(
-            self.attempt.attempt,
-            error.kind,
-            error.ran,
-            error.detail,
-            -1 if retry is None else int(retry * MS_PER_S),
-            revision,
-        )
+        refusal = refusal_of(self.attempt.attempt, error, revision)
         self._call_before_end(refusal)
         with self.lock:
             self._end_locked(refusal)
--- a/tests/components/quarantine/test_crash.py
+++ b/tests/components/quarantine/test_crash.py
@@ -15,6 +15,7 @@
 from lacewingdock.platform.store import ObjectStore
 from standins.engine import CRASH_WORD
 from tests.common import chat
+from tests.components.quarantine.common import lost
 
 WORKERS = 4
 SHAPE = Shape(entries=2, workers=WORKERS, booking_workers=1)
@@ -27,15 +28,6 @@
         yield running
 
 
-def lost(deployment):
-    """Name the engines whose process has ended."""
-    return [
-        name
-        for name, process in deployment.processes.items()
-        if name.startswith("engine-") and process.popen.poll() is not None
-    ]
-
-
 def crash(deployment, entry="entry-0", word="sofa"):
     return chat(deployment, f"{word} {CRASH_WORD}", entry=entry)
 
--- a/tests/components/quarantine/test_losses.py
+++ b/tests/components/quarantine/test_losses.py
@@ -17,9 +17,8 @@
 from lacewingdock.components.quarantine.inquiry import Inquiry
 from lacewingdock.components.quarantine.losses import Loss, Losses
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
-from lacewingdock.links.messages import Cancel, Evidence, Refusal, Status
-from lacewingdock.world.objects import Instance
-from lacewingdock.world.upstream import Upstream
+from lacewingdock.links.messages import Cancel, Evidence, Refusal
+from tests.components.quarantine.common import upstream as bare_upstream
 
 F = "f"
 NAMES = ["w0", "w1", "w2", "w3"]
@@ -41,15 +40,7 @@
 
 
 def upstream(name, *, linked=True):
-    made = Upstream(
-        Instance(
-            name=name,
-            role="sidecar",
-            failure_domain="hall",
-            address="127.0.0.1:1",
-        )
-    )
-    made.take_news(Status(["v"], 0, 0, 10))
+    made = bare_upstream(name)
     if linked:
         made.set_link(FakeLink(name))
     return made
--- a/tests/components/quarantine/test_pauses.py
+++ b/tests/components/quarantine/test_pauses.py
@@ -11,9 +11,9 @@
 from bench.deployment import Deployment, Shape
 from bench.example import apply_example
 from bench.http import call
-from lacewingdock.const import HEADER_REQUEST_ID, RAN_NO
-from standins.engine import CRASH_LINE, CRASH_WORD
+from standins.engine import CRASH_WORD
 from tests.common import chat
+from tests.components.quarantine.common import lost, untrue
 
 WORKERS = 4
 COPIES = 20
@@ -54,30 +54,6 @@
         yield running
 
 
-def lost(deployment):
-    """Name the engines whose process has ended."""
-    return [
-        name
-        for name, process in deployment.processes.items()
-        if name.startswith("engine-") and process.popen.poll() is not None
-    ]
-
-
-def begun(deployment):
-    """Return the ids of the crashing requests that an engine began."""
-    lines = [
-        line
-        for name in deployment.processes
-        if name.startswith("engine-")
-        for line in (deployment.folder / f"{name}.log").read_text().splitlines()
-    ]
-    return {
-        line.removeprefix(CRASH_LINE)
-        for line in lines
-        if line.startswith(CRASH_LINE)
-    }
-
-
 def set_crash_after(deployment, workers, seconds):
     """Let a crashing request run for so long before it crashes."""
     for index in range(workers):
@@ -148,14 +124,7 @@
         (r.status, r.json().get("code"), r.json().get("ran")) for r in replies
     )
     assert len(lost(deployment)) <= 2, (lost(deployment), seen)
-    ran = begun(deployment)
-    untrue = [
-        reply
-        for reply in replies
-        if reply.json().get("ran") == RAN_NO
-        and reply.headers.get(HEADER_REQUEST_ID.lower()) in ran
-    ]
-    assert not untrue
+    assert not untrue(deployment, replies)
     for index in range(4):
         reply = chat(deployment, f"a wardrobe {index}", entry="entry-0")
         assert reply.status == 200, reply.body
--- a/tests/components/quarantine/test_placing.py
+++ b/tests/components/quarantine/test_placing.py
@@ -13,26 +13,12 @@
 )
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.links.messages import Attempt, Status
-from lacewingdock.world.objects import Instance
-from lacewingdock.world.upstream import Upstream
+from tests.components.quarantine.common import upstream
 
 CHECKED = settings(derandomize=True, deadline=None)
 NAMES = [f"worker-{i}" for i in range(8)]
 
 
-def upstream(name, running=0):
-    made = Upstream(
-        Instance(
-            name=name,
-            role="sidecar",
-            failure_domain="hall",
-            address="127.0.0.1:1",
-        )
-    )
-    made.take_news(Status(["v"], running, 0, 10))
-    return made
-
-
 def attempt(**changes):
     values = {
         "workspace": "retail",
--- a/tests/components/quarantine/test_random_pauses.py
+++ b/tests/components/quarantine/test_random_pauses.py
@@ -15,15 +15,13 @@
 
 from bench.deployment import Deployment, Shape
 from bench.example import apply_example
-from lacewingdock.const import HEADER_REQUEST_ID, RAN_NO
 from standins.engine import CRASH_WORD
 from tests.common import chat
+from tests.components.quarantine.common import lost, untrue
 from tests.components.quarantine.seeds import seeds
 from tests.components.quarantine.test_pauses import (
     SETTLED_S,
     Pause,
-    begun,
-    lost,
     pause,
     set_crash_after,
 )
@@ -142,7 +140,7 @@
         deployment.wait_links()
         copies, harmless = play(deployment, drawn, seed)
         down = lost(deployment)
-        ran = begun(deployment)
+        false = untrue(deployment, copies)
         print(
             f"seed {seed}: {drawn.workers} workers, {drawn.entries} entries,"
             f" {len(drawn.copies)} copies, {[str(p) for p in drawn.pauses]},"
@@ -152,10 +150,4 @@
         )
     assert len(down) <= 2, down
     assert "quarantined" not in codes(harmless)
-    untrue = [
-        reply
-        for reply in copies
-        if reply.json().get("ran") == RAN_NO
-        and reply.headers.get(HEADER_REQUEST_ID.lower()) in ran
-    ]
-    assert not untrue
+    assert not false
