Quarantine: a loss that is resolved while it is told is taken back

Two tasks could also tell of one loss under two ids, of which one was never taken back. The first test failed before.

--- a/lacewingdock/components/quarantine/told_losses.py
+++ b/lacewingdock/components/quarantine/told_losses.py
@@ -1,5 +1,6 @@
 """Support for telling the fleet where an entry's attempts may still crash."""
 
+import threading
 from collections.abc import Callable
 
 from lacewingdock.components.quarantine.evidence import Endangered
@@ -22,7 +23,7 @@
         spread: Takes evidence in and passes it on.
     """
 
-    __slots__ = ("_ids", "losses", "placing", "spread")
+    __slots__ = ("_ids", "_lock", "losses", "placing", "spread")
 
     def __init__(
         self,
@@ -35,6 +36,7 @@
         self.placing = placing
         self.spread = spread
         self._ids: dict[tuple[str, str], str] = {}
+        self._lock = threading.Lock()
 
     def own(self, fingerprint: str) -> set[str]:
         """Return where this entry has attempts that may still crash."""
@@ -46,18 +48,19 @@
         if danger.allowed() is None:
             return
         for instance in sorted(danger.lost & self.own(fingerprint)):
-            key = fingerprint, instance
-            if key not in self._ids:
-                told = self._ids[key] = f"{instance}/lost-{new_id()}"
-                self.spread(
-                    Evidence(told, False, False, [fingerprint], 0, True)
-                )
+            told = f"{instance}/lost-{new_id()}"
+            with self._lock:
+                if self._ids.setdefault((fingerprint, instance), told) != told:
+                    continue
+            self.spread(Evidence(told, False, False, [fingerprint], 0, True))
+            # It may have been resolved before there was anything to take back.
+            self.take_back(fingerprint, instance)
 
     def take_back(self, fingerprint: str, instance: str) -> None:
         """Tell that nothing of this entry is in doubt there any more."""
-        key = fingerprint, instance
-        if key not in self._ids or instance in self.own(fingerprint):
+        if instance in self.own(fingerprint):
             return
-        told = self._ids.pop(key, None)
+        with self._lock:
+            told = self._ids.pop((fingerprint, instance), None)
         if told is not None:
             self.spread(Evidence(told, False, True, [fingerprint], 0, True))
--- a/tests/components/quarantine/test_losses.py
+++ b/tests/components/quarantine/test_losses.py
@@ -11,11 +11,14 @@
 from lacewingdock.components.quarantine import Quarantine
 from lacewingdock.components.quarantine import const as quarantine_const
 from lacewingdock.components.quarantine.evidence import (
+    Endangered,
     EvidenceTable,
     Verdict,
 )
 from lacewingdock.components.quarantine.inquiry import Inquiry
 from lacewingdock.components.quarantine.losses import Loss, Losses
+from lacewingdock.components.quarantine.placing import Placing
+from lacewingdock.components.quarantine.told_losses import ToldLosses
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.links.messages import Cancel, Evidence, Refusal
 from tests.components.quarantine.common import upstream as bare_upstream
@@ -194,6 +197,44 @@
     assert other.get(F).verdict() is Verdict.SUSPECT
 
 
+def test_loss_that_is_resolved_while_it_is_told_is_taken_back():
+    """A request is held back for a minute although nothing is in doubt.
+
+    Symptom: callers of a harmless request are refused after a pause.
+    Events: an entry tells of a loss in one task, another task resolves it.
+    Cause: when it was resolved there was nothing told yet to take back.
+    """
+    losses, told = Losses(), []
+
+    def spread(evidence):
+        told.append(evidence.excused)
+        losses.remove("a")
+
+    losses.add(loss("w1"))
+    news = ToldLosses(losses, Placing(), spread)
+    news.update(F, Endangered({"w0"}, {"w1"}, 0.0))
+    assert told == [False, True]
+
+
+def test_loss_is_told_once_by_two_tasks():
+    """Symptom: the first of two ids of one loss is never taken back."""
+    losses, told = Losses(), []
+
+    def spread(evidence):
+        told.append(evidence.crash)
+        if len(told) == 1:
+            news.update(F, danger)
+
+    losses.add(loss("w1"))
+    danger = Endangered({"w0"}, {"w1"}, 0.0)
+    news = ToldLosses(losses, Placing(), spread)
+    news.update(F, danger)
+    losses.remove("a")
+    news.take_back(F, "w1")
+    assert len(told) == 2
+    assert len(set(told)) == 1
+
+
 def test_harmless_losses_are_not_told(quarantine):
     """Symptom: each pause floods the fleet with news of every request."""
     for index in range(50):
