Pauses in virtual time: the shelf's clock and the end of an answer

Traced: the test's fleet left two things out. The shelf's default clock is bound when its class is made, so it went by the machine's own time and dropped ended answers at once; a Resume then found nothing. And the test never dropped an answer that it had whole, so links looked busy for good and were closed as silent, which made that Resume necessary. The product binds both right: its shelf has one clock, and callers drop answers.

--- a/tests/components/quarantine/virtual_fleet.py
+++ b/tests/components/quarantine/virtual_fleet.py
@@ -181,6 +181,8 @@
             SimpleNamespace(on_end=lambda *_: None, check_room=lambda: None),
         )
         self.runs.crashes.probe = self.engine.probe
+        # Its default was bound before the clock was replaced.
+        self.runs.shelf.clock = fleet.vt.now
         self.runs.targets = [TARGET]
         self.daemon.every(0.2, self.peers.pace)
         self.daemon.every(1.0, self.runs.shelf.sweep)
@@ -350,7 +352,10 @@
             self.replies[request] = "waits"
             try:
                 answer, pieces = entry.relay.start(attempt)
-                entry.relay.collect(answer, pieces)
+                try:
+                    entry.relay.collect(answer, pieces)
+                finally:
+                    entry.relay.answers.drop(answer)
                 self.replies[request] = None
             except LacewingdockError as error:
                 self.replies[request] = (str(error.kind), error.ran)
