Quarantine: what an operator released is worked out in one place

No change of behaviour: verdict and the limit of two each looked it up. The test fleet's question whether a module has a clock could only be answered yes.

--- a/lacewingdock/components/quarantine/__init__.py
+++ b/lacewingdock/components/quarantine/__init__.py
@@ -131,19 +131,23 @@
     def verdict(self, fingerprint: str) -> Verdict:
         """Tell what is held of a request now."""
         item = self.configuration.world.quarantines.get(fingerprint)
-        released: Collection[str] = ()
-        if item is not None and item.state == "released":
-            released = item.crashes
-        elif item is not None and item.expires > time.time():
+        is_kept = item is not None and item.state != "released"
+        if item is not None and is_kept and item.expires > time.time():
             return Verdict.QUARANTINED
+        released = self._released(fingerprint)
         with self._lock:
             return self.table.get(fingerprint).verdict(released)
 
+    def _released(self, fingerprint: str) -> Collection[str]:
+        """Return the crashes that an operator excused a request of."""
+        item = self.configuration.world.quarantines.get(fingerprint)
+        if item is None or item.state != "released":
+            return ()
+        return item.crashes
+
     def endangered(self, fingerprint: str) -> Endangered:
         """Return the instances that a request crashed or may have."""
-        item = self.configuration.world.quarantines.get(fingerprint)
-        is_released = item is not None and item.state == "released"
-        released = item.crashes if item is not None and is_released else ()
+        released = self._released(fingerprint)
         with self._lock:
             record = self.table.get(fingerprint)
             crashes = record.standing(released)
--- a/tests/components/quarantine/virtual_fleet.py
+++ b/tests/components/quarantine/virtual_fleet.py
@@ -280,8 +280,7 @@
         ):
             monkeypatch.setattr(module, "threading", waiting)
         for module in (clock_module, link_module, run_module):
-            if hasattr(module, "since_boot"):
-                monkeypatch.setattr(module, "since_boot", vt.now)
+            monkeypatch.setattr(module, "since_boot", vt.now)
         monkeypatch.setattr("lacewingdock.links.delay.since_boot", vt.now)
         monkeypatch.setattr(
             answer_module,
