Suspects: each loss, what was found of it, and each decision is told

Lines: loss, loss passed over, loss verified, suspect cleared, suspect let through; losses heard names requests. The metrics count each decision and stand ahead of the others, since collectors may cut a long text. The explanation of a lost booking has the loss's line ahead of the attempt's, so its test asks for three lines in place of two.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -35,6 +35,7 @@
 from lacewingdock.components.gateway.request_log import finished
 from lacewingdock.components.pacing.const import WAIT_PART
 from lacewingdock.components.shifts import Sample
+from lacewingdock.components.suspects.decision import Decision
 from lacewingdock.components.upstreams.connection import CallerLeft
 from lacewingdock.components.upstreams.instance import (
     FAILURES_TO_PASS_OVER,
@@ -411,8 +412,7 @@
                 instance.failed(0.5)
             case Broken():
                 instance.failed(1.0)
-                if result.ended:
-                    self._note_loss(instance)
+                self._note_loss(instance, result)
             case Whole(head, _) if head.status >= SERVER_ERROR:
                 instance.failed(0.5)
             case _:
@@ -443,10 +443,15 @@
             self.gateway.chooser.directory.may_be_cold(instance)
         instance.succeeded()
 
-    def _note_loss(self, instance: Instance) -> None:
+    def _note_loss(self, instance: Instance, result: Broken) -> None:
         """Note that an instance lost the request, which may be the cause."""
+        suspects, start = self.gateway.suspects, instance.entry.incarnation
+        if not result.ended:
+            suspects.passed_over(self.call, start, Decision.NOT_ENDED)
+            return
         if self.progress.started:
             # It was answered in part, so it is not what crashed the instance.
+            suspects.passed_over(self.call, start, Decision.ANSWERED_IN_PART)
             return
         self.crashes = self.gateway.suspects.lost(
             self.call, self.workspace, instance.entry.incarnation
--- a/lacewingdock/components/inspection/beliefs.py
+++ b/lacewingdock/components/inspection/beliefs.py
@@ -49,6 +49,7 @@
             "1 while a missing entry need not mean that something is gone",
             state.store_doubtful,
         )
+        yield from _suspects(state)
         yield from _store(state)
         yield from _eras(state)
         yield _counter(
@@ -176,6 +177,27 @@
         )
 
 
+def _suspects(state: RouterState) -> Iterator[Metric]:
+    yield _plain(
+        "suspects",
+        "Requests that were lost and not answered since",
+        state.suspects,
+    )
+    yield _plain(
+        "suspects_held",
+        "Requests that are held back, as they crash what runs them",
+        state.suspects_held,
+    )
+    decisions = CounterMetricFamily(
+        "lacewingdock_router_suspect_decisions",
+        "What was decided about lost requests",
+        labels=["decision"],
+    )
+    for name, count in state.suspect_decisions.items():
+        decisions.add_metric([name], count)
+    yield decisions
+
+
 def _unknown_names(state: RouterState) -> Iterator[Metric]:
     uses = CounterMetricFamily(
         "lacewingdock_router_unknown_names",
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -163,6 +163,9 @@
         probes_asked: Questions to instances for their load.
         probes_answered: Answers to them that came in time.
         leavings_said: Instances that said themselves that they leave.
+        suspects: Requests that were lost and not answered since.
+        suspects_held: Those of them that are held back.
+        suspect_decisions: What was decided about lost requests, counted.
         limits_named: How often an instance began to name a limit to it.
         rests_asked: How often an instance asked it for rest, while at none.
         unknown_headers: Names in upstreams' answers that nothing here reads,
@@ -204,6 +207,9 @@
     probes_asked: int = 0
     probes_answered: int = 0
     leavings_said: int = 0
+    suspects: int = 0
+    suspects_held: int = 0
+    suspect_decisions: dict[str, int] = field(default_factory=dict)
     limits_named: int = 0
     rests_asked: int = 0
     unknown_headers: dict[str, int] = field(default_factory=dict)
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -9,6 +9,7 @@
 import random
 import threading
 import time
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -18,11 +19,13 @@
     HOLD_S,
     LIFE_MARGIN_S,
     MAX_HOLD_S,
+    MAX_LOGGED,
     MAX_SUSPECTS,
     MAX_TOLD,
     TELL_AFTER_S,
     TRIAL_S,
 )
+from lacewingdock.components.suspects.decision import Decision
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.helpers.digest import digest
@@ -70,10 +73,12 @@
         suspects: The requests, the oldest first.
         heard: What each other router told last.
         told: What was told to them last.
+        counts: What was decided since the start, for the metrics.
     """
 
     __slots__ = (
         "_lock",
+        "counts",
         "directory",
         "heard",
         "publish",
@@ -98,6 +103,7 @@
         self.suspects: dict[str, Suspect] = {}
         self.heard: dict[str, Losses] = {}
         self.told: Losses = {}
+        self.counts: Counter[str] = Counter()
         self._lock = threading.Lock()
 
     def holds(self, call: Call, workspace: str) -> bool:
@@ -111,16 +117,35 @@
         fingerprint = fingerprint_of(call, workspace)
         with self._lock:
             suspect = self.suspects.get(fingerprint)
-            if suspect is None or not self._is_cause(suspect):
+            if suspect is None:
+                return False
+            if not self._is_cause(suspect):
+                self._let_through(call, fingerprint, suspect)
                 return False
             now = time.monotonic()
             if now < suspect.held_until:
+                self.counts[Decision.REFUSED] += 1
                 return True
             suspect.held_until = now + TRIAL_S
             suspect.tried = True
+            self.counts[Decision.TRIED] += 1
         log.info("suspect tried", request=call.id, fingerprint=fingerprint)
         return False
 
+    def _let_through(
+        self, call: Call, fingerprint: str, suspect: Suspect
+    ) -> None:
+        """Tell that a request goes on that was lost before, and why."""
+        self.counts[Decision.LET_THROUGH] += 1
+        log.info(
+            "suspect let through",
+            request=call.id,
+            fingerprint=fingerprint,
+            own=sorted(suspect.own),
+            told=sorted(suspect.told),
+            crashed=self._crashed(suspect.own),
+        )
+
     def lost(self, call: Call, workspace: str, instance: str) -> bool:
         """Note that an instance ended the connection of a request it had.
 
@@ -137,17 +162,43 @@
             suspect = self._suspect(fingerprint)
             suspect.own[instance] = time.monotonic()
             losses = suspect.own | suspect.told
+            self.counts[Decision.NOTED] += 1
+        log.info(
+            "loss",
+            request=call.id,
+            fingerprint=fingerprint,
+            upstream=instance,
+            known=len(losses),
+        )
         if len(losses) > 1:
             self._verify(losses.items())
         with self._lock:
             return self._judge(fingerprint, suspect)
 
+    def passed_over(self, call: Call, instance: str, why: Decision) -> None:
+        """Tell of an attempt that broke and does not count as a loss."""
+        self.counts[why] += 1
+        log.info(
+            "loss passed over", request=call.id, upstream=instance, why=why
+        )
+
     def answered(self, call: Call, workspace: str) -> None:
         """Note that an instance began to answer a request."""
         if not self.suspects:
             return
+        fingerprint = fingerprint_of(call, workspace)
         with self._lock:
-            self.suspects.pop(fingerprint_of(call, workspace), None)
+            found = self.suspects.pop(fingerprint, None)
+            if found is None:
+                return
+            self.counts[Decision.CLEARED] += 1
+        log.info(
+            "suspect cleared",
+            request=call.id,
+            fingerprint=fingerprint,
+            own=sorted(found.own),
+            told=sorted(found.told),
+        )
 
     def hear(self, router: str, losses: Losses) -> None:
         """Take what another router told; only what is new in it counts."""
@@ -155,16 +206,22 @@
             before = self.heard.pop(router, {})
             if losses:
                 self.heard[router] = losses
-            heard = 0
+            heard: list[str] = []
             for fingerprint, instances in losses.items():
                 new = set(instances) - set(before.get(fingerprint, ()))
                 if new:
                     suspect = self._suspect(fingerprint)
                     suspect.told |= dict.fromkeys(new, time.monotonic())
                     self._judge(fingerprint, suspect)
-                    heard += 1
+                    heard.append(fingerprint)
+            self.counts[Decision.HEARD] += len(heard)
         if heard:
-            log.info("losses heard", router=router, requests=heard)
+            log.info(
+                "losses heard",
+                router=router,
+                requests=len(heard),
+                fingerprints=heard[-MAX_LOGGED:],
+            )
 
     def round(self) -> None:
         """Forget what is old, and tell the others what is new."""
@@ -190,6 +247,12 @@
         if self._is_news(newest) and self.publish(newest):
             self.told = newest
 
+    def held(self) -> int:
+        """Return how many requests are held back."""
+        now = time.monotonic()
+        with self._lock:
+            return sum(one.held_until > now for one in self.suspects.values())
+
     def tell_again(self) -> None:
         """Tell the others all that counts, since the store may have lost it."""
         self.told = {}
@@ -218,10 +281,20 @@
             instance = self.directory.incarnation(name)
             if instance is None or _is_known(instance, lost_at):
                 continue
-            if self.reach(instance):
+            reached = self.reach(instance)
+            if reached:
                 instance.reached_at = time.monotonic()
             else:
                 instance.took_no_connection()
+            self.counts[
+                Decision.REACHED if reached else Decision.NOT_REACHED
+            ] += 1
+            log.info(
+                "loss verified",
+                upstream=name,
+                reached=reached,
+                lost_s=round(time.monotonic() - lost_at, 3),
+            )
 
     def _suspect(self, fingerprint: str) -> Suspect:
         """Return the record of a request, as the newest one."""
@@ -246,6 +319,7 @@
         hold_s = suspect.hold_s * (1.0 + self.random.random())
         until = time.monotonic() + hold_s
         suspect.held_until = max(suspect.held_until, until)
+        self.counts[Decision.HELD] += 1
         log.warning(
             "request held back",
             fingerprint=fingerprint,
--- a/lacewingdock/components/suspects/const.py
+++ b/lacewingdock/components/suspects/const.py
@@ -33,3 +33,5 @@
 MAX_SUSPECTS: Final = 1000
 # Requests that are told to others at most, of about 100 bytes each.
 MAX_TOLD: Final = 200
+# Requests that a line of the log names at most, the latest.
+MAX_LOGGED: Final = 8
--- /dev/null
+++ b/lacewingdock/components/suspects/decision.py
@@ -0,0 +1,33 @@
+"""Support for naming what is decided about lost requests."""
+
+from enum import StrEnum
+
+
+class Decision(StrEnum):
+    """What was decided about a lost request, for the metrics.
+
+    Attributes:
+        NOTED: A loss was noted.
+        NOT_ENDED: An attempt broke with its connection standing; no loss.
+        ANSWERED_IN_PART: An attempt broke after its first event; no loss.
+        REACHED: The instance took a connection after the loss.
+        NOT_REACHED: It took none.
+        HEARD: Another router told a loss.
+        CLEARED: The request was answered: nothing speaks against it any more.
+        LET_THROUGH: It was lost before, and goes on.
+        HELD: It began to be held back, or for longer.
+        REFUSED: It was refused, since it is held back.
+        TRIED: It passed as a trial.
+    """
+
+    NOTED = "noted"
+    NOT_ENDED = "not_ended"
+    ANSWERED_IN_PART = "answered_in_part"
+    REACHED = "reached"
+    NOT_REACHED = "not_reached"
+    HEARD = "heard"
+    CLEARED = "cleared"
+    LET_THROUGH = "let_through"
+    HELD = "held"
+    REFUSED = "refused"
+    TRIED = "tried"
--- a/tests/components/inspection/test_inspection.py
+++ b/tests/components/inspection/test_inspection.py
@@ -66,6 +66,9 @@
     limits_named=2,
     leavings_said=5,
     rests_asked=7,
+    suspects=14,
+    suspects_held=15,
+    suspect_decisions={"tried": 16},
     odd_values={"server-limit": 6},
     unknown_headers={"server-mood": 4},
     unknown_fields={"config.mood": 2},
@@ -125,6 +128,9 @@
         "lacewingdock_router_limits_named_total 2.0",
         "lacewingdock_router_leavings_said_total 5.0",
         "lacewingdock_router_rests_asked_total 7.0",
+        "lacewingdock_router_suspects 14.0",
+        "lacewingdock_router_suspects_held 15.0",
+        'lacewingdock_router_suspect_decisions_total{decision="tried"} 16.0',
         'lacewingdock_router_unknown_names_total{name="server-limit",'
         'where="value"} 6.0',
         'lacewingdock_router_unknown_names_total{name="server-mood",'
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -149,10 +149,12 @@
     status, text = command("explain", "booking-17", text=log)
     assert status == 0, text
     own = [line for line in text.splitlines() if line.startswith("*")]
-    assert len(own) == 2
-    for said in ("upstream=i-1", "result=Broken", "ConnectionReset"):
+    assert len(own) == 3
+    for said in ("loss:", "upstream=i-1", "known=1"):
         assert said in own[0]
-    assert "outcome=upstream_failed" in own[1]
+    for said in ("upstream=i-1", "result=Broken", "ConnectionReset"):
+        assert said in own[1]
+    assert "outcome=upstream_failed" in own[2]
     # What the router had come to believe of configuration and upstream.
     assert "configuration in force: version=9" in text
     assert "upstream: upstream=i-1 service=svc" in text
