--- /dev/null
+++ b/tests/daemons/crash_site.py
@@ -0,0 +1,165 @@
+"""Routers as processes before engines that one request ends."""
+
+import contextlib
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+from lacewingdock.platform.object_api import ObjectApi
+from tests.daemons.crash_engines import BAD, Engines
+from tests.daemons.router_site import (
+    Router,
+    answers,
+    configuration,
+    free_port,
+    server,
+    start,
+)
+from tests.waiting import wait
+
+ENGINES = 8
+ROUTERS = 3
+# Pause between two copies of the bad request, and between harmless ones.
+COPY_EVERY_S = 0.15
+HARMLESS_EVERY_S = 0.05
+# A request is held back by all routers so long after its third crash.
+CONTACT_S = 3.0
+CRASHES = 3
+
+
+@dataclass
+class Outcome:
+    """What a play showed.
+
+    Attributes:
+        ended: Engines that the bad request ended.
+        late: Of these, by copies that were sent later than the contact time
+            after the third.
+        after: Of these, by copies that were sent after the third.
+        bad: Answers to copies, by status; 0 for none.
+        harmless: Answers to harmless requests, by status; 0 for none whole.
+    """
+
+    ended: int = 0
+    late: int = 0
+    after: int = 0
+    bad: Counter = field(default_factory=Counter)
+    harmless: Counter = field(default_factory=Counter)
+
+
+class CrashSite:
+    """A platform, routers, and engines.
+
+    Attributes:
+        routers: The routers, ready.
+        engines: The engines.
+        sent: When each copy was sent, by its id.
+        outcome: What was seen so far.
+    """
+
+    def __init__(self, tmp_path, form, routers=ROUTERS, engines=ENGINES):
+        port = free_port()
+        self.platform = start("standins.platform", f"--port={port}")
+        self.url = f"http://127.0.0.1:{port}"
+        self.api = ObjectApi(self.url)
+        wait(lambda: answers(self.api))
+        self.lock = threading.Lock()
+        spec = configuration(3, s="streaming")
+        self.api.write("config", "main", spec, 0, "test")
+        self.engines = Engines(engines, form, self._write, self._remove)
+        self.routers = [Router(tmp_path, port, "r-0")]
+        for number in range(1, routers):
+            first = self.routers[0].peer
+            name = f"r-{number}"
+            self.routers.append(Router(tmp_path, port, name, first))
+        for router in self.routers:
+            router.start()
+        wait(lambda: all(router.is_ready() for router in self.routers))
+        self.sent = {}
+        self.outcome = Outcome()
+
+    def play(self, seconds, harmless=True):
+        """Send copies, and harmless requests beside them; return what came."""
+        stop = threading.Event()
+        tasks = [threading.Thread(target=self._copies, args=(stop,))]
+        if harmless:
+            tasks.append(threading.Thread(target=self._harmless, args=(stop,)))
+        for task in tasks:
+            task.start()
+        time.sleep(seconds)
+        stop.set()
+        for task in tasks:
+            task.join()
+        return self.result()
+
+    def result(self):
+        """Return what was seen up to now."""
+        found = self.outcome
+        ended = sorted(self.engines.ended)
+        found.ended = len(ended)
+        if len(ended) > CRASHES:
+            third = ended[CRASHES - 1][0]
+            sent = [self.sent[call] for _, call in ended[CRASHES:]]
+            found.after = sum(at > third for at in sent)
+            found.late = sum(at > third + CONTACT_S for at in sent)
+        return found
+
+    def close(self):
+        self.engines.close()
+        for router in self.routers:
+            router.stop()
+        self.platform.kill()
+        self.platform.wait()
+
+    def ask(self, number, call_id, body):
+        """Send a request; return its status, 0 without a whole answer."""
+        router = self.routers[number % len(self.routers)]
+        fields = {"call_id": call_id, "path": "/s/x", "body": body}
+        with (
+            contextlib.suppress(OSError, EOFError),
+            router.connect() as sock,
+        ):
+            return router.call(sock, **fields)[0]
+        return 0
+
+    def copy(self, number):
+        """Send a copy of the bad request."""
+        call_id = f"bad-{number}"
+        self.sent[call_id] = time.monotonic()
+        status = self.ask(number, call_id, BAD)
+        with self.lock:
+            self.outcome.bad[status] += 1
+
+    def harmless(self, number):
+        """Send a request of its own."""
+        status = self.ask(number, f"ok-{number}", b"harmless %d" % number)
+        with self.lock:
+            self.outcome.harmless[status] += 1
+
+    def _copies(self, stop):
+        self._send(stop, COPY_EVERY_S, self.copy)
+
+    def _harmless(self, stop):
+        self._send(stop, HARMLESS_EVERY_S, self.harmless)
+
+    def _send(self, stop, every_s, ask):
+        tasks = []
+        number = 0
+        while not stop.wait(every_s):
+            task = threading.Thread(target=ask, args=(number,))
+            task.start()
+            tasks.append(task)
+            number += 1
+        for task in tasks:
+            task.join(10.0)
+
+    def _write(self, name, port):
+        self.api.write("servers", name, server(port), 0, "test")
+
+    def _remove(self, name):
+        if self.engines.closed.is_set():
+            return
+        found = self.api.list_kind("servers", "test").objects.get(name)
+        if found is not None:
+            self.api.remove("servers", name, found.revision, "test")
