Suspects: an instance lives if that very start answers, not if its address takes a connection

Callers saw engine after engine end under one request that was not held back. Cause: whether an engine crashed when it lost a request was told by opening a connection to its address; a process that goes down, the host's queue and the next start there take it too, that stood above all learned later, and nothing asked again. The answer 421 of the next start counted as life of the one before it. Now the question names the start (health path, Expect-Instance): its own answer proves life, another's or no connection a crash, all else is asked again; bytes alone are outweighed by a later refused connection.

Failed before: test_next_start_at_the_address_is_no_sign_of_life (6 engines of 6, 3 allowed), test_answer_of_the_next_start_is_no_sign_of_life.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -256,6 +256,9 @@
         connection.watch_caller(self.caller.sock)
         head = self._wait(connection, self.patience.head, connection.read_head)
         self.head = head
+        if not head.is_by_other(self.instance.entry.id):
+            # What another start says is no life of this one.
+            self.instance.heard_at = connection.heard_at
         self.began_at = time.monotonic()
         self.began()
         self.on_head(head)
@@ -290,6 +293,7 @@
             if last_at and data is not None:
                 pause_s = connection.heard_at - last_at
                 self.on_pause(pause_s)
+            self.instance.heard_at = connection.heard_at
             if data is None:
                 break
             last_at = connection.heard_at
@@ -332,12 +336,9 @@
         until = min(start + wait.silent_s, last)
         while True:
             try:
-                found = read(until)
+                return read(until)
             except TimedOut:
                 alive = self.instance.alive_at > until - wait.silent_s
                 if until >= last or not alive:
                     raise
                 until = min(until + wait.silent_s, last)
-            else:
-                self.instance.heard_at = connection.heard_at
-                return found
--- a/lacewingdock/components/gateway/gateway.py
+++ b/lacewingdock/components/gateway/gateway.py
@@ -123,6 +123,8 @@
             sent_at: Monotonic time at which the request was sent.
         """
         entry = instance.entry
+        if not head.is_by_other(entry.id):
+            instance.answered(sent_at)
         memory = self.chooser.directory.signals
         if memory.answered(entry, instance.signals, head, sent_at):
             self.chooser.changed.set()
--- a/lacewingdock/components/routes/__init__.py
+++ b/lacewingdock/components/routes/__init__.py
@@ -40,6 +40,11 @@
         limits = self.limits(service)
         return limits.cold_start_s if limits else 0.0
 
+    def health_path(self, service: str) -> str:
+        """Return where a service's instances are asked how they fare."""
+        limits = self.limits(service)
+        return (limits.health_path if limits else "") or "/"
+
     def take(self, stored: StoredObject) -> None:
         """Take a configuration; one that was removed stays in force."""
         if stored.name != CONFIGURATION_NAME:
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -12,12 +12,12 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Final
 
 from lacewingdock.components.suspects.const import (
     CRASHES_TO_HOLD,
     FORGET_S,
     HOLD_S,
-    LIFE_MARGIN_S,
     MAX_HOLD_S,
     MAX_LOGGED,
     MAX_SUSPECTS,
@@ -26,6 +26,8 @@
     TRIAL_S,
 )
 from lacewingdock.components.suspects.decision import Decision
+from lacewingdock.components.suspects.look import Found
+from lacewingdock.components.suspects.verdict import Fate, Look, fate_of
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.helpers.digest import digest
@@ -35,6 +37,13 @@
 # Instances at which requests were lost, by the requests' fingerprints.
 Losses = dict[str, list[str]]
 
+_MET: Final = {
+    Look.ITSELF: Decision.MET_ITSELF,
+    Look.ANOTHER: Decision.MET_ANOTHER,
+    Look.NOTHING: Decision.MET_NOTHING,
+    Look.UNCLEAR: Decision.MET_UNCLEAR,
+}
+
 log = get_logger("suspects")
 
 
@@ -68,7 +77,7 @@
     Attributes:
         directory: The upstream instances.
         publish: Tells the other routers; returns whether they can know.
-        reach: Opens a connection to an instance; returns whether it took it.
+        reach: Asks at an instance's address; returns who answered.
         random: Source of draws.
         suspects: The requests, the oldest first.
         heard: What each other router told last.
@@ -92,7 +101,7 @@
         self,
         directory: Directory,
         publish: Callable[[Losses], bool],
-        reach: Callable[[Instance], bool],
+        reach: Callable[[Instance], Found],
         source: random.Random,
     ) -> None:
         """Start without suspects."""
@@ -271,30 +280,38 @@
     def _verify(self, losses: Iterable[tuple[str, float]]) -> None:
         """Learn of instances that lost a request whether they crashed.
 
-        Whoever lost a connection and takes new ones has not crashed. Without
-        this, nothing tells where no other request goes there.
+        Without this, nothing tells where no other request goes there. What
+        stays unclear is asked again in the next round.
 
         Args:
             losses: The instances, with the monotonic times of the losses.
         """
         for name, lost_at in losses:
             instance = self.directory.incarnation(name)
-            if instance is None or _is_known(instance, lost_at):
+            if fate_of(instance, lost_at) is not Fate.UNKNOWN:
                 continue
-            reached = self.reach(instance)
-            if reached:
-                instance.reached_at = time.monotonic()
-            else:
+            if instance is not None:
+                look = self._look(instance)
+                log.info(
+                    "loss verified",
+                    upstream=name,
+                    answers=look,
+                    lost_s=round(time.monotonic() - lost_at, 3),
+                )
+
+    def _look(self, instance: Instance) -> Look:
+        """Ask at an instance's address, and take what that shows of it."""
+        asked_at = time.monotonic()
+        found = self.reach(instance)
+        match found.look:
+            case Look.ITSELF:
+                instance.answered(asked_at)
+            case Look.ANOTHER:
+                self.directory.answered_by_other(instance, found.answered_by)
+            case Look.NOTHING:
                 instance.took_no_connection()
-            self.counts[
-                Decision.REACHED if reached else Decision.NOT_REACHED
-            ] += 1
-            log.info(
-                "loss verified",
-                upstream=name,
-                reached=reached,
-                lost_s=round(time.monotonic() - lost_at, 3),
-            )
+        self.counts[_MET[found.look]] += 1
+        return found.look
 
     def _suspect(self, fingerprint: str) -> Suspect:
         """Return the record of a request, as the newest one."""
@@ -359,30 +376,13 @@
 
         One that crashed comes back as another start.
         """
-        instance = self.directory.incarnation(name)
-        if instance is None:
-            return True
-        return not _lives(instance, lost_at) and _failed(instance, lost_at)
+        return self._fate(name, lost_at) is Fate.CRASHED
 
     def _shows_life(self, name: str, since: float) -> bool:
-        instance = self.directory.incarnation(name)
-        return instance is not None and _lives(instance, since)
-
-
-def _lives(instance: Instance, lost_at: float) -> bool:
-    """Whether an instance sent anything, or took a connection, since a loss."""
-    if instance.reached_at >= lost_at:
-        return True
-    return instance.heard_at > lost_at + LIFE_MARGIN_S
-
-
-def _failed(instance: Instance, lost_at: float) -> bool:
-    return instance.unreached_at >= lost_at
-
+        return self._fate(name, since) in (Fate.PROVED, Fate.LIVES)
 
-def _is_known(instance: Instance, lost_at: float) -> bool:
-    """Whether it is known if an instance crashed at a loss."""
-    return _lives(instance, lost_at) or _failed(instance, lost_at)
+    def _fate(self, name: str, lost_at: float) -> Fate:
+        return fate_of(self.directory.incarnation(name), lost_at)
 
 
 def fingerprint_of(call: Call, workspace: str) -> str:
--- a/lacewingdock/components/suspects/const.py
+++ b/lacewingdock/components/suspects/const.py
@@ -2,7 +2,7 @@
 
 from typing import Final
 
-# How long an instance has to take a connection that shows whether it crashed.
+# How long an instance has to answer the question whether it crashed.
 REACH_S: Final = 0.2
 # Crashed instances from which a request is held back. An honest request is in
 # flight at one crash, and with bad luck at a second one that follows; at three
--- a/lacewingdock/components/suspects/decision.py
+++ b/lacewingdock/components/suspects/decision.py
@@ -10,8 +10,10 @@
         NOTED: A loss was noted.
         NOT_ENDED: An attempt broke with its connection standing; no loss.
         ANSWERED_IN_PART: An attempt broke after its first event; no loss.
-        REACHED: The instance took a connection after the loss.
-        NOT_REACHED: It took none.
+        MET_ITSELF: The instance answered after the loss.
+        MET_ANOTHER: Another one answered at its address.
+        MET_NOTHING: It took no connection.
+        MET_UNCLEAR: It took one and did not answer.
         HEARD: Another router told a loss.
         CLEARED: The request was answered: nothing speaks against it any more.
         LET_THROUGH: It was lost before, and goes on.
@@ -23,8 +25,10 @@
     NOTED = "noted"
     NOT_ENDED = "not_ended"
     ANSWERED_IN_PART = "answered_in_part"
-    REACHED = "reached"
-    NOT_REACHED = "not_reached"
+    MET_ITSELF = "met_itself"
+    MET_ANOTHER = "met_another"
+    MET_NOTHING = "met_nothing"
+    MET_UNCLEAR = "met_unclear"
     HEARD = "heard"
     CLEARED = "cleared"
     LET_THROUGH = "let_through"
--- /dev/null
+++ b/lacewingdock/components/suspects/look.py
@@ -0,0 +1,59 @@
+"""Support for asking at an instance's address which start answers there."""
+
+import time
+from dataclasses import dataclass
+
+from lacewingdock.components.suspects.const import REACH_S
+from lacewingdock.components.suspects.verdict import Look
+from lacewingdock.components.upstreams.connection import (
+    TimedOut,
+    UpstreamConnection,
+    connect,
+)
+from lacewingdock.exceptions import UpstreamLost
+from lacewingdock.platform.wire import question_headers
+from lacewingdock.world.backend import UpstreamEntry
+from lacewingdock.world.call import AnswerHead
+
+
+@dataclass(slots=True, frozen=True)
+class Found:
+    """What was found at an address.
+
+    Attributes:
+        look: Who answered.
+        answered_by: Id of the other instance, where it said it.
+    """
+
+    look: Look
+    answered_by: str = ""
+
+
+def look_at(entry: UpstreamEntry, path: str) -> Found:
+    """Ask at an instance's address, naming the instance.
+
+    Args:
+        entry: The start that is asked for.
+        path: Path of a question that needs no right to be run.
+    """
+    until = time.monotonic() + REACH_S
+    try:
+        sock = connect(entry.host, entry.port, REACH_S)
+    except UpstreamLost:
+        return Found(Look.NOTHING)
+    connection = UpstreamConnection(sock, 0.0)
+    try:
+        left_s = until - time.monotonic()
+        headers = question_headers(entry.host, entry.id)
+        connection.send("", b"GET", path.encode(), headers, b"", left_s)
+        return _found(connection.read_head(until), entry)
+    except (UpstreamLost, TimedOut):
+        return Found(Look.UNCLEAR)
+    finally:
+        connection.close()
+
+
+def _found(head: AnswerHead, entry: UpstreamEntry) -> Found:
+    if head.is_by_other(entry.id):
+        return Found(Look.ANOTHER, head.instance)
+    return Found(Look.ITSELF)
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -275,15 +275,6 @@
     return sock
 
 
-def takes_connections(host: str, port: int, timeout_s: float) -> bool:
-    """Whether an upstream takes a connection, which is closed unused."""
-    try:
-        connect(host, port, timeout_s).close()
-    except UpstreamLost:
-        return False
-    return True
-
-
 def _new_parser() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
 
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -1,5 +1,6 @@
 """Support for one upstream instance and how it fares."""
 
+import math
 import zlib
 from enum import StrEnum
 from typing import Final
@@ -67,8 +68,8 @@
         failures: Recent failures, halved again and again.
         heard_at: Monotonic time of the last bytes that came from it.
         others_heard_at: The same as other routers told it.
-        reached_at: Monotonic time at which it last took a connection that was
-            opened to see whether it does.
+        answered_at: Monotonic time at which the latest request was sent that
+            this very start answered, or a question whether it lives.
         unreached_at: Monotonic time at which it last took no connection.
         failed_at: Monotonic time up to which `failures` is reckoned.
         trial_at: Monotonic time from which one request may try it again.
@@ -81,6 +82,7 @@
     """
 
     __slots__ = (
+        "answered_at",
         "clock",
         "cold_from",
         "cold_until",
@@ -93,7 +95,6 @@
         "lapsed",
         "mark",
         "others_heard_at",
-        "reached_at",
         "running",
         "signals",
         "superseded",
@@ -119,7 +120,7 @@
         self.trial_at = 0.0
         self.heard_at = 0.0
         self.others_heard_at = 0.0
-        self.reached_at = 0.0
+        self.answered_at = -math.inf
         self.unreached_at = 0.0
         self.cold_from = 0.0
         self.cold_until = 0.0
@@ -236,6 +237,10 @@
         self.failed_at = now
         self.trial_at = now + TRIAL_AFTER_S
 
+    def answered(self, sent_at: float) -> None:
+        """Note that it answered what was sent at a monotonic time."""
+        self.answered_at = max(self.answered_at, sent_at)
+
     def took_no_connection(self) -> None:
         """Count a connection that it did not take."""
         self.unreached_at = self.clock.now()
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -31,9 +31,9 @@
 from lacewingdock.components.shifts import Shifts
 from lacewingdock.components.shifts.const import KIND_REPORTS, ROUND_S
 from lacewingdock.components.suspects import Suspects
-from lacewingdock.components.suspects.const import REACH_S, TELL_EVERY_S
+from lacewingdock.components.suspects.const import TELL_EVERY_S
+from lacewingdock.components.suspects.look import Found, look_at
 from lacewingdock.components.upstreams.choice import Chooser
-from lacewingdock.components.upstreams.connection import takes_connections
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.instance import Instance
 from lacewingdock.components.upstreams.sync import InstanceListener
@@ -172,7 +172,7 @@
         )
         self.routers.tell = self.shifts.own_reports
         self.suspects = Suspects(
-            self.directory, self.routers.publish, _reach, self.random
+            self.directory, self.routers.publish, self._look_at, self.random
         )
         self.routers.heard = lambda router, status: self.suspects.hear(
             router, status.losses
@@ -376,6 +376,11 @@
             ),
         )
 
+    def _look_at(self, instance: Instance) -> Found:
+        """Ask at an instance's address, naming it, whether it lives."""
+        path = self.routes.health_path(instance.entry.service)
+        return look_at(instance.entry, path)
+
     def _bounds(self) -> Bounds:
         return self.host.bounds
 
@@ -463,10 +468,5 @@
     exit_now(1 if left else 0)
 
 
-def _reach(instance: Instance) -> bool:
-    entry = instance.entry
-    return takes_connections(entry.host, entry.port, REACH_S)
-
-
 def _start(name: str, function: Callable[..., Any], *args: Any) -> None:
     threading.Thread(target=function, args=args, name=name, daemon=True).start()
--- a/lacewingdock/platform/documents.py
+++ b/lacewingdock/platform/documents.py
@@ -81,6 +81,7 @@
     # How long an instance is cold, and requests a second that it bears then.
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
+    health_path: str = ""
     engine: _Engine | None = None
 
 
@@ -132,7 +133,7 @@
 # What is known and left unread; the page of the platform's words says why.
 _UNREAD: Final[dict[type[Any], frozenset[str]]] = {
     _Route: frozenset({"sticky", "protocol"}),
-    _Service: frozenset({"health_path", "protocol", "tls"}),
+    _Service: frozenset({"protocol", "tls"}),
     _Engine: frozenset(
         {
             "backups",
@@ -347,4 +348,5 @@
         cold_start_s=max(found.cold_start_s, 0.0),
         cold_per_s=max(found.cold_per_s, 0.0),
         model_costs={model.name: model.cost for model in models},
+        health_path=found.health_path,
     )
--- a/lacewingdock/platform/wire.py
+++ b/lacewingdock/platform/wire.py
@@ -204,6 +204,11 @@
     )
 
 
+def question_headers(host: str, instance: str) -> Headers:
+    """Return the headers of a question to one instance and no other."""
+    return [(b"Host", host.encode()), (INSTANCE, instance.encode("latin-1"))]
+
+
 def refusal_headers(call_id: str) -> Headers:
     """Return the headers that tell an own answer's call."""
     return [(CALL_ID, call_id.encode("latin-1"))] if call_id else []
--- a/lacewingdock/world/call.py
+++ b/lacewingdock/world/call.py
@@ -117,6 +117,12 @@
     odd: tuple[str, ...] = ()
     unknown: tuple[str, ...] = ()
 
+    def is_by_other(self, instance: str) -> bool:
+        """Whether another instance answered than the one of an id."""
+        if self.instance:
+            return self.instance != instance
+        return self.misdirected
+
     @property
     def success(self) -> bool:
         """Whether the status is a success."""
--- a/lacewingdock/world/route.py
+++ b/lacewingdock/world/route.py
@@ -104,6 +104,8 @@
         cold_per_s: Requests a second that it bears while it is cold; 0 for any
             number.
         model_costs: Cost of 1,000 generated tokens by model.
+        health_path: Path at which an instance says how it fares; empty where
+            none is named.
     """
 
     name: str
@@ -111,6 +113,7 @@
     cold_start_s: float = 0.0
     cold_per_s: float = 0.0
     model_costs: dict[str, float] = field(default_factory=dict)
+    health_path: str = ""
 
     def relative_cost(self, model: str) -> float:
         """Return a model's cost as a part of the dearest one's.
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -15,8 +15,8 @@
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.shifts import Shifts
 from lacewingdock.components.suspects import Suspects
+from lacewingdock.components.suspects.look import look_at
 from lacewingdock.components.upstreams.choice import Chooser
-from lacewingdock.components.upstreams.connection import takes_connections
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.world.backend import UpstreamEntry
 from lacewingdock.world.host import Bounds, HostProfile
@@ -82,6 +82,7 @@
         requests: Heads of all requests that came, as text.
         bodies: Their bodies.
         connections: Connections accepted.
+        named: Id by which it answers a question whether it lives.
     """
 
     def __init__(self, *steps):
@@ -89,6 +90,7 @@
         self.requests = []
         self.bodies = []
         self.connections = 0
+        self.named = b""
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.port = self.sock.getsockname()[1]
         self.open = []
@@ -133,6 +135,12 @@
         with contextlib.suppress(OSError):
             while (found := self._read(sock)) is not None:
                 call_id, head = found
+                if not call_id:
+                    # A question whether it lives is none of the script's.
+                    own_id = b"Instance-Id: " + self.named + b"\r\n"
+                    extra = own_id if self.named else b""
+                    sock.sendall(ok(b"", b"well", extra))
+                    continue
                 step = self.steps.pop(0) if self.steps else answer()
                 if step(sock, call_id, head) is False:
                     break
@@ -152,9 +160,11 @@
         length = int(headers.get(b"content-length", 0))
         while len(body) < length:
             body += sock.recv(65536)
-        self.requests.append(head.decode())
-        self.bodies.append(body)
-        return headers.get(b"attempt-id", b""), head
+        call_id = headers.get(b"attempt-id", b"")
+        if call_id:
+            self.requests.append(head.decode())
+            self.bodies.append(body)
+        return call_id, head
 
 
 def answer(body=b"done", extra=b"", status=b"200 OK"):
@@ -264,8 +274,7 @@
         self.pool.submit(self.port.listener.run, self.stopping)
 
     def _reach(self, instance):
-        entry = instance.entry
-        return takes_connections(entry.host, entry.port, 0.2)
+        return look_at(instance.entry, "/health")
 
     def _publish(self, losses):
         self.published.append(losses)
--- a/tests/components/gateway/test_suspects.py
+++ b/tests/components/gateway/test_suspects.py
@@ -1,9 +1,12 @@
 """Tests of requests that crash the instances that they reach."""
 
+import socket
+
 import pytest
 
 from lacewingdock.world.route import Repeat
 from tests.components.gateway.fakes import (
+    LINGER_NONE,
     Upstream,
     answer,
     route,
@@ -54,6 +57,45 @@
     assert not [i for i in refused for head in heads if f"{i}\r" in head]
 
 
+def replaced(upstream):
+    """Return a step after which another instance answers at the address."""
+
+    def step(sock, *_):
+        upstream.named = b"next"
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        return False
+
+    return step
+
+
+def test_next_start_at_the_address_is_no_sign_of_life(staged):
+    """Guards against a crash that counts as a broken connection for good.
+
+    Symptom: one request ends engine after engine. Sequence: its engine ends;
+    when that is looked into, the address takes connections again. Cause:
+    whoever took a connection counted as the engine that lost the request.
+    """
+    upstreams = [Upstream() for _ in range(6)]
+    for upstream in upstreams:
+        upstream.steps = [replaced(upstream)]
+    stage = staged([route(Repeat.ONCE)], upstreams)
+    for number in range(8):
+        stage.call(call_id=f"c-{number}", body=b"bad")
+    assert sum(not one.steps for one in upstreams) == 3
+    assert stage.directory.replaced_seen == 3
+
+
+def test_answer_of_the_next_start_is_no_sign_of_life(staged):
+    """Guards against the next start's answers keeping its dead one alive."""
+    other = b"Not-Executed: 1\r\nInstance-Id: next\r\n"
+    upstream = Upstream(answer(b"", other, b"421 Misdirected"))
+    stage = staged([route(Repeat.ONCE)], [upstream])
+    instance = stage.directory.instances["i-1"]
+    assert stage.call(body=b"any")[0] == 503
+    assert instance.heard_at == 0.0
+    assert instance.answered_at < 0.0
+
+
 def test_others_go_on(staged):
     upstreams = [*crashing(3), Upstream()]
     stage = staged([route(max_attempts=2)], upstreams)
--- /dev/null
+++ b/tests/components/suspects/test_look.py
@@ -0,0 +1,68 @@
+"""Tests of asking which start of an instance answers at its address."""
+
+import contextlib
+import socket
+
+import pytest
+
+from lacewingdock.components.suspects.look import Found, look_at
+from lacewingdock.components.suspects.verdict import Look
+from tests.components.gateway.fakes import Upstream
+
+
+def says(status, *headers):
+    """Return an answer's bytes."""
+    lines = [b"HTTP/1.1 " + status, *headers, b"Content-Length: 0", b"", b""]
+    return b"\r\n".join(lines)
+
+
+class Server(Upstream):
+    """Answers each question the same, whatever it is; None for never."""
+
+    def __init__(self, reply):
+        super().__init__()
+        self.reply = reply
+        self.asked = []
+
+    def _serve(self, sock):
+        self.asked.append(sock.recv(65536).decode())
+        with contextlib.suppress(OSError), sock:
+            if self.reply is None:
+                sock.recv(1)
+            sock.sendall(self.reply or b"")
+
+
+@pytest.mark.parametrize(
+    ("reply", "found"),
+    [
+        (says(b"200 OK", b"Instance-Id: i-1"), Found(Look.ITSELF)),
+        (says(b"503 Draining", b"Instance-Id: i-1"), Found(Look.ITSELF)),
+        (says(b"503 Full", b"Not-Executed: 1"), Found(Look.ITSELF)),
+        (says(b"404 Not Found"), Found(Look.ITSELF)),
+        (
+            says(b"421 Misdirected", b"Instance-Id: i-2"),
+            Found(Look.ANOTHER, "i-2"),
+        ),
+        (says(b"421 Misdirected"), Found(Look.ANOTHER)),
+        (says(b"200 OK", b"Instance-Id: i-2"), Found(Look.ANOTHER, "i-2")),
+        (b"", Found(Look.UNCLEAR)),
+        (b"garbage\r\n\r\n", Found(Look.UNCLEAR)),
+        (None, Found(Look.UNCLEAR)),
+    ],
+)
+def test_who_answers(reply, found):
+    """An open port is no sign of life: whoever listens there takes it."""
+    server = Server(reply)
+    assert look_at(server.entry("i-1"), "/health") == found
+    request = server.asked[0].lower()
+    assert request.startswith("get /health http/1.1\r\n")
+    assert "expect-instance: i-1\r\n" in request
+    assert "attempt-id" not in request
+    server.close()
+
+
+def test_a_closed_port_takes_no_connection():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port = sock.getsockname()[1]
+    found = look_at(Upstream().entry(port=port), "/health")
+    assert found == Found(Look.NOTHING)
--- a/tests/daemons/test_router_crashing_requests.py
+++ b/tests/daemons/test_router_crashing_requests.py
@@ -19,14 +19,17 @@
         pytest.param(
             Form(first="bare head"), id="a head without a length, closed"
         ),
+        pytest.param(Form(port_s=0.3), id="an open port"),
+        pytest.param(Form(port_s=1.2, hangs_s=1.0), id="a port that hangs"),
     ],
 )
 def test_request_that_ended_three_engines_is_held_back(tmp_path, form):
     """Guards against a crash that leaves no trace, as it isn't a reset alone.
 
     Symptom: one request ends engine after engine, and a third of all others
-    are not served. Sequence: the engine begins to answer it and ends. Cause:
-    what was answered in part, or closed, did not count as a loss.
+    are not served. Sequence: the engine begins to answer it and ends, or its
+    port takes connections for a while. Cause: what was answered in part, or
+    closed, did not count as a loss, and an open port counted as life.
     """
     site = CrashSite(tmp_path, form)
     try:
