Suspects: an end after the first event, or by a close, is a loss too

Callers saw a third of their requests not served while one request ended 64 engines in 14 s. Cause: a stream that broke after its first event was passed over ("it was answered in part, so it is not what crashed the instance"), and so was an answer without a length that closed before an event: nothing of the crash was noted. Both are losses now; harmless streams that were in flight are noted too, and are cleared by their next whole answer, or by the engine's own answer where it lives. Ruled out: the evidence's way to the other routers (nothing had been noted to tell).

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -299,10 +299,13 @@
             last_at = connection.heard_at
             self._pass_on(head, cutter, data)
             wait = self.patience.gap
+        # An answer without a length ends with its connection.
+        ended = connection.ended
         if cutter.rest:
-            return Broken("stream ended in the middle of an event"), None
+            detail = "stream ended in the middle of an event"
+            return Broken(detail, ended=ended), None
         if not self.progress.started:
-            return Broken("stream without an event"), None
+            return Broken("stream without an event", ended=ended), None
         return Streamed(), head
 
     def _pass_on(
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -449,10 +449,6 @@
         if not result.ended:
             suspects.passed_over(self.call, start, Decision.NOT_ENDED)
             return
-        if self.progress.started:
-            # It was answered in part, so it is not what crashed the instance.
-            suspects.passed_over(self.call, start, Decision.ANSWERED_IN_PART)
-            return
         self.crashes = self.gateway.suspects.lost(
             self.call, self.workspace, instance.entry.incarnation
         )
--- a/lacewingdock/components/suspects/decision.py
+++ b/lacewingdock/components/suspects/decision.py
@@ -9,7 +9,6 @@
     Attributes:
         NOTED: A loss was noted.
         NOT_ENDED: An attempt broke with its connection standing; no loss.
-        ANSWERED_IN_PART: An attempt broke after its first event; no loss.
         MET_ITSELF: The instance answered after the loss.
         MET_ANOTHER: Another one answered at its address.
         MET_NOTHING: It took no connection.
@@ -24,7 +23,6 @@
 
     NOTED = "noted"
     NOT_ENDED = "not_ended"
-    ANSWERED_IN_PART = "answered_in_part"
     MET_ITSELF = "met_itself"
     MET_ANOTHER = "met_another"
     MET_NOTHING = "met_nothing"
--- a/tests/components/gateway/test_suspects.py
+++ b/tests/components/gateway/test_suspects.py
@@ -6,9 +6,11 @@
 
 from lacewingdock.world.route import Repeat
 from tests.components.gateway.fakes import (
+    END,
     LINGER_NONE,
     Upstream,
     answer,
+    event,
     route,
     send,
     stream_head,
@@ -85,6 +87,47 @@
     assert stage.directory.replaced_seen == 3
 
 
+def in_part(upstream, *parts, ends):
+    """Return a step that answers in part and resets; `ends` the instance."""
+
+    def step(sock, call_id, _):
+        for part in parts:
+            sock.sendall(part(call_id) if callable(part) else part)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
+        if ends:
+            upstream.close()
+        return False
+
+    return step
+
+
+@pytest.mark.parametrize(
+    ("ends", "held"), [(True, True), (False, False)], ids=["ends", "lives"]
+)
+def test_streams_that_broke_in_part_count_where_the_instance_ended(
+    staged, ends, held
+):
+    """Guards against a crash after the first event that leaves no trace.
+
+    Instances that live on after a reset speak against nobody.
+    """
+    whole = send(stream_head, event(1), END, then="keep")
+    upstreams = [Upstream() for _ in range(3)]
+    for upstream in upstreams:
+        first = (stream_head, event(1))
+        broken = in_part(upstream, *first, ends=ends)
+        upstream.steps = [broken, *[whole] * 4]
+    stage = staged([route(Repeat.ONCE, streaming=True)], upstreams)
+    for number in range(len(upstreams)):
+        for other in stage.directory.instances.values():
+            other.superseded = other.entry.id != f"i-{number + 1}"
+        with pytest.raises(EOFError):
+            stage.call(call_id=f"c-{number}", body=b"bad")
+    for other in stage.directory.instances.values():
+        other.superseded = False
+    assert (stage.call(call_id="c-9", body=b"bad")[0] == 429) is held
+
+
 def test_answer_of_the_next_start_is_no_sign_of_life(staged):
     """Guards against the next start's answers keeping its dead one alive."""
     other = b"Not-Executed: 1\r\nInstance-Id: next\r\n"
