Suspects: only a whole run clears what is known of a request

Callers saw engines end under one request that had been lost at others before. Cause: an engine's own 500, or the head of an unsure small model's answer, took back all evidence on a router, also what others had told. Neither shows that the request runs to its end without a crash; a whole stream or answer does.

Failed before: test_what_shows_no_whole_run_clears_nothing (both cases).

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -417,7 +417,8 @@
                 instance.failed(0.5)
             case _:
                 self._succeeded(instance)
-        if isinstance(result, Whole | Streamed | Unsure):
+        if isinstance(result, Whole | Streamed) and not is_failure(result):
+            # A failure, or a head alone, does not show that it runs to its end.
             self.gateway.suspects.answered(self.call, self.workspace)
         if not isinstance(result, NotRun):
             self.may_have_run = True
--- a/tests/components/gateway/test_suspects.py
+++ b/tests/components/gateway/test_suspects.py
@@ -128,6 +128,39 @@
     assert (stage.call(call_id="c-9", body=b"bad")[0] == 429) is held
 
 
+@pytest.mark.parametrize(
+    "between",
+    [
+        answer(b"failed", status=b"500 Error"),
+        send(
+            lambda i: stream_head(i, b"Confidence: 1\r\n"),
+            then="keep",
+        ),
+    ],
+    ids=["a failure", "an unsure head"],
+)
+def test_what_shows_no_whole_run_clears_nothing(staged, between):
+    """Guards against a crashing request that is forgotten between two crashes.
+
+    Symptom: it ends engine after engine. Sequence: an engine that fails some
+    of its requests answers it with 500, or the head of a small model's answer
+    comes ahead of the crash. Cause: either took back all that was known.
+    """
+    upstreams = crashing(5)
+    models = ("small", "large")
+    changes = {"streaming": True, "models": models, "max_attempts": 3}
+    stage = staged([route(Repeat.RESUMABLE, **changes)], upstreams)
+    suspects, extra = stage.suspects, "Model: *\r\n"
+    for number, upstream in enumerate(upstreams[:3]):
+        if number == 2:
+            upstream.steps.insert(0, between)
+        for other in stage.directory.instances.values():
+            other.superseded = other.entry.id != f"i-{number + 1}"
+        while upstream.steps:
+            stage.call(call_id=f"c-{number}", body=b"bad", extra=extra)
+    assert suspects.held() == 1
+
+
 def test_answer_of_the_next_start_is_no_sign_of_life(staged):
     """Guards against the next start's answers keeping its dead one alive."""
     other = b"Not-Executed: 1\r\nInstance-Id: next\r\n"
