Suspects: what is known is asked again before a request is written, and before a repeat

Callers lost engines to copies that were admitted before the evidence was there and sent after it. Cause: a request was asked once, when it came; it may wait for a turn or a connection, or go on to another instance. Now it is asked once more right before it is written, where the instance's wishes are looked at too, and before a repeat, so that what the first instance answered is passed on. The errors of requests without an answer have a module of their own.

Failed before: test_request_that_waits_as_the_evidence_comes_is_not_sent (200, 429 is right), test_request_is_not_repeated_once_the_evidence_is_there (200).

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -51,7 +51,7 @@
         replaced_by: Id of another instance, which answered at the address;
             empty where none did.
         withheld: Whether it was not sent, since the instance wanted no more
-            by then.
+            by then, or it was found to crash what runs it.
     """
 
     detail: str
@@ -140,6 +140,8 @@
         patience: How long it waits.
         progress: How far the stream got.
         streaming: Whether a success is passed on event by event.
+        is_withheld: Asked before the request is written: whether it is not to
+            be sent there any more.
         accepts: Whether a stream's head shows an answer that is good enough.
         on_head: Called with each head that was read.
         on_began: Called once, when the answer begins or the attempt ends.
@@ -157,6 +159,7 @@
         "has_begun",
         "head",
         "instance",
+        "is_withheld",
         "on_began",
         "on_head",
         "on_pause",
@@ -175,6 +178,7 @@
         patience: Patience,
         progress: Progress,
         streaming: bool,
+        is_withheld: Callable[[], bool],
         accepts: Callable[[AnswerHead], bool],
         on_head: Callable[[AnswerHead], None],
         on_began: Callable[[], None],
@@ -188,6 +192,7 @@
         self.patience = patience
         self.progress = progress
         self.streaming = streaming
+        self.is_withheld = is_withheld
         self.accepts = accepts
         self.on_head = on_head
         self.on_began = on_began
@@ -207,10 +212,10 @@
             connection = self.pool.take(self.instance.entry, sending.left_s)
         except UpstreamLost as error:
             return NotRun(error.detail, reached=False)
-        if not self.instance.takes_any(time.monotonic()):
-            # It said so while the connection was opened.
+        if self.is_withheld():
+            # It came to be known while the connection was opened.
             connection.close()
-            return NotRun("wants no more", reached=False, withheld=True)
+            return NotRun("withheld", reached=False, withheld=True)
         head: AnswerHead | None = None
         try:
             result, head = self._exchange(connection, sending)
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -32,6 +32,7 @@
     patience_of_last,
 )
 from lacewingdock.components.gateway.placing import NoPlace, Seeker, place
+from lacewingdock.components.gateway.refusal import not_run, repeats_crash
 from lacewingdock.components.gateway.request_log import finished
 from lacewingdock.components.pacing.const import WAIT_PART
 from lacewingdock.components.shifts import Sample
@@ -56,11 +57,6 @@
 # configuration, instances and roll-outs, which take some round trips to the
 # store; a refusal would have the caller wait longer.
 START_WAIT_S: Final = 0.4
-# How soon a refused caller may come back. Callers wait at most a third of the
-# time they have left.
-RETRY_AFTER_S: Final = 0.25
-# Callers that are told when there is room come back within so many times that.
-SPREAD_AFTER: Final = 1.5
 # Waits of callers that do not say how long; beyond any route's timeout.
 DEFAULT_PATIENCE_S: Final = 60.0
 
@@ -186,9 +182,7 @@
             patience_s = min(patience_s, call.patience_s)
         self.end = self.started + patience_s
         if self.gateway.suspects.holds(call, self.workspace):
-            raise LacewingdockError(
-                ErrorKind.REPEATS_CRASH, "it was lost at several instances"
-            )
+            raise repeats_crash()
         self.service = self._service()
         self.cascade = Cascade(
             self.gateway, call, route, self.service, self.started
@@ -294,14 +288,7 @@
             after_s: Seconds after which there may be one, if that is known.
         """
         if not self.may_have_run:
-            wait_s, spread = RETRY_AFTER_S, 1.0
-            if after_s is not None:
-                wait_s = max(after_s, RETRY_AFTER_S)
-                # Who is refused together shall not come back together.
-                spread = self.gateway.random.uniform(1.0, SPREAD_AFTER)
-            return LacewingdockError(
-                ErrorKind.NO_UPSTREAM, detail, retry_after_s=wait_s * spread
-            )
+            return not_run(detail, after_s, self.gateway.random)
         if time.monotonic() >= self.end:
             return LacewingdockError(ErrorKind.DEADLINE, detail)
         return LacewingdockError(ErrorKind.UPSTREAM_FAILED, detail)
@@ -323,6 +310,7 @@
             self._patience(instance),
             self.progress,
             self.route.streaming,
+            lambda: self._is_held() or not instance.takes_any(time.monotonic()),
             # This attempt is not among those counted yet.
             lambda head: self.cascade.accepts(head, len(self.tried) + 1),
             lambda head: self.gateway.answered(instance, head, start),
@@ -358,6 +346,16 @@
         )
         return result
 
+    def _is_held(self) -> bool:
+        """Whether it is known by now that it crashes what runs it.
+
+        It may have waited for a turn or a connection since it was admitted.
+        """
+        if not self.crashes:
+            suspects = self.gateway.suspects
+            self.crashes = suspects.is_held(self.call, self.workspace)
+        return self.crashes
+
     def priority(self) -> int:
         """Return the request's rank; its workspace's goes first."""
         rank = self.route.priority
@@ -456,7 +454,7 @@
 
     def _may_repeat(self, result: Result) -> bool:
         """Whether another attempt may be made, and can still be answered."""
-        if self.crashes or self.end - time.monotonic() < MIN_LEFT_S:
+        if self._is_held() or self.end - time.monotonic() < MIN_LEFT_S:
             return False
         if isinstance(result, NotRun) and result.withheld:
             # It is not chosen again, so there is an end.
@@ -481,6 +479,8 @@
         detail = getattr(result, "detail", "upstream failed")
         if self.progress.started:
             return self._break_off(detail)
+        if self.crashes and not self.may_have_run:
+            raise repeats_crash()
         after_s = self.gateway.chooser.next_turn_s(self.service)
         raise self._no_answer(detail, after_s)
 
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -62,6 +62,7 @@
             it was never held back.
         held_until: Monotonic time until which it is held back.
         crashes: Crashed instances that the present hold goes by.
+        trial: Id of the request that passed as a trial last.
     """
 
     own: dict[str, float] = field(default_factory=dict)
@@ -70,6 +71,7 @@
     held_at: float = 0.0
     held_until: float = 0.0
     crashes: int = 0
+    trial: str = ""
 
     def told_up_to(self, now: float) -> float:
         """Return the monotonic time up to which its losses are told.
@@ -153,10 +155,29 @@
                 self.counts[Decision.REFUSED] += 1
                 return True
             suspect.held_until = now + TRIAL_S
+            suspect.trial = call.id
             self.counts[Decision.TRIED] += 1
         log.info("suspect tried", request=call.id, fingerprint=fingerprint)
         return False
 
+    def is_held(self, call: Call, workspace: str) -> bool:
+        """Whether an admitted request is held back by now.
+
+        The one that passes as a trial is not.
+        """
+        if not self.suspects:
+            return False
+        fingerprint = fingerprint_of(call, workspace)
+        with self._lock:
+            suspect = self.suspects.get(fingerprint)
+            if suspect is None or suspect.trial == call.id:
+                return False
+            if not self._judge(fingerprint, suspect):
+                return False
+            self.counts[Decision.STOPPED] += 1
+        log.info("suspect stopped", request=call.id, fingerprint=fingerprint)
+        return True
+
     def _let_through(
         self, call: Call, fingerprint: str, suspect: Suspect
     ) -> None:
--- a/lacewingdock/components/suspects/decision.py
+++ b/lacewingdock/components/suspects/decision.py
@@ -18,6 +18,7 @@
         LET_THROUGH: It was lost before, and goes on.
         HELD: It began to be held back, or for longer.
         REFUSED: It was refused, since it is held back.
+        STOPPED: It was admitted before, and not sent any more.
         TRIED: It passed as a trial.
     """
 
@@ -32,4 +33,5 @@
     LET_THROUGH = "let_through"
     HELD = "held"
     REFUSED = "refused"
+    STOPPED = "stopped"
     TRIED = "tried"
--- a/lacewingdock/lab/router.py
+++ b/lacewingdock/lab/router.py
@@ -18,8 +18,6 @@
     LAST_PRIORITY,
     MAX_UNREACHED,
     MIN_LEFT_S,
-    RETRY_AFTER_S,
-    SPREAD_AFTER,
     WORK_UNIT,
 )
 from lacewingdock.components.gateway.placing import (
@@ -27,6 +25,10 @@
     Seeker,
     find_place,
 )
+from lacewingdock.components.gateway.refusal import (
+    RETRY_AFTER_S,
+    SPREAD_AFTER,
+)
 from lacewingdock.components.gateway.sizing import Pressure
 from lacewingdock.components.pacing import Pacer
 from lacewingdock.components.pacing.const import WAIT_PART
--- a/tests/components/gateway/test_suspects.py
+++ b/tests/components/gateway/test_suspects.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from lacewingdock.components.suspects import fingerprint_of
+from lacewingdock.components.upstreams.pool import ConnectionPool
+from lacewingdock.world.call import Call
 from lacewingdock.world.route import Repeat
 from tests.components.gateway.fakes import (
     END,
@@ -11,6 +14,7 @@
     Upstream,
     answer,
     event,
+    ok,
     route,
     send,
     stream_head,
@@ -161,6 +165,53 @@
     assert suspects.held() == 1
 
 
+def told(stage, body):
+    """Have another router tell of three crashes of a request."""
+    names = [f"gone-{number}" for number in range(3)]
+    request = Call("x", b"POST", b"/r/x?q=1", "h.example", "/r/x", body=body)
+    stage.suspects.hear("r-2", {fingerprint_of(request, "w-1"): names})
+
+
+class LatePool(ConnectionPool):
+    """Something comes to be known while a connection is opened."""
+
+    __slots__ = ("meanwhile",)
+
+    def take(self, entry, timeout_s):
+        self.meanwhile()
+        return super().take(entry, timeout_s)
+
+
+def test_request_that_waits_as_the_evidence_comes_is_not_sent(staged):
+    """Guards against copies under way that go on to fresh engines.
+
+    Sequence: a copy is admitted and waits for a connection; other routers tell
+    of its crashes. Cause: it was asked once, when it came.
+    """
+    upstream = Upstream()
+    stage = staged([route()], [upstream])
+    stage.gateway.pool = LatePool()
+    stage.gateway.pool.meanwhile = lambda: told(stage, b"bad")
+    assert stage.call(body=b"bad")[0] == 429
+    assert upstream.requests == []
+    assert stage.call(body=b"good")[0] == 200
+
+
+def test_request_is_not_repeated_once_the_evidence_is_there(staged):
+    """Guards against a repeat, as above; what the first said is passed on."""
+    upstreams = [Upstream(), Upstream()]
+    stage = staged([route()], upstreams)
+
+    def fails(sock, call_id, _):
+        told(stage, b"bad")
+        sock.sendall(ok(call_id, b"failed", b"", b"500 Error"))
+
+    for upstream in upstreams:
+        upstream.steps = [fails]
+    assert stage.call(body=b"bad")[0] == 500
+    assert sum(len(one.requests) for one in upstreams) == 1
+
+
 def test_answer_of_the_next_start_is_no_sign_of_life(staged):
     """Guards against the next start's answers keeping its dead one alive."""
     other = b"Not-Executed: 1\r\nInstance-Id: next\r\n"
