Suspects: what routers told stays known when all of them start again

Callers would lose three engines more, and those under way, whenever all routers are killed or lose power while a request that crashes engines goes on coming. Cause: evidence was in memory; what an earlier start had written to the store was there, and void. It counts for 300 s now, told_at says from when; a router takes its own earlier start's word as its own, looks into instances that are still listed, and tells it again. The check that an earlier start's word is void is replaced: it stays void once it is older, or says no time.

--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -60,6 +60,9 @@
 # A router that did not for so long is gone: several announcements that failed,
 # and clocks that are wrong by minutes.
 GONE_AFTER_S: Final = 3600.0
+# What an earlier start of a router told counts for so long: it may name
+# instances and requests of another day.
+LOSSES_COUNT_S: Final = 300.0
 # Connections from other routers served at once.
 MAX_CONNECTIONS: Final = 64
 _LIMITS: Final = CallerLimits(read_s=1.0, idle_s=2.0)
@@ -74,10 +77,26 @@
     Attributes:
         incarnation: The start that tells it; an object outlives it.
         losses: Instances at which requests were lost, by fingerprint.
+        told_at: Unix time at which it was told, in seconds; 0 where not said.
     """
 
     incarnation: str
     losses: dict[str, list[str]] = field(default_factory=dict)
+    told_at: int = 0
+
+    def counts_for(self, incarnation: str, now: float) -> bool:
+        """Whether it counts at a start of its router.
+
+        What an earlier start told still does: when all routers end at once,
+        it is all that is known of requests that crash what runs them.
+
+        Args:
+            incarnation: The start.
+            now: Unix time in seconds.
+        """
+        if self.incarnation == incarnation:
+            return True
+        return abs(now - self.told_at) <= LOSSES_COUNT_S
 
 
 class Routers:
@@ -93,7 +112,9 @@
         tell: Returns what others are told along with a question; this
             router can't write it to the store then.
         revisions: Revisions of the other routers' objects, by name.
-        heard: Takes what another router tells all, by its name.
+        heard: Takes what a router tells all, by its name; under this one's own
+            what its earlier start told.
+        recovered: Whether that was looked at.
         revision: Revision of this router's object, as far as it knows.
         due: Set when this router is to announce itself again.
         random: Source of draws.
@@ -108,6 +129,7 @@
         "heard",
         "name",
         "random",
+        "recovered",
         "revision",
         "revisions",
         "tell",
@@ -130,6 +152,7 @@
         self.random = source
         self.revision = ABSENT
         self.due = threading.Event()
+        self.recovered = False
         self.revisions: dict[str, int] = {}
         self.tell: Callable[[], bytes] = lambda: b""
         self.heard: Callable[[str, RouterStatus], None] = lambda *_: None
@@ -163,7 +186,8 @@
         A conflict is an earlier write whose answer was lost: nobody else
         writes this object.
         """
-        status = RouterStatus(self.entry.incarnation, losses)
+        told_at = int(time.time())
+        status = RouterStatus(self.entry.incarnation, losses, told_at)
         for _ in range(2):
             try:
                 written, found = self.api.write_status(
@@ -220,8 +244,9 @@
             self.heard(stored.name, RouterStatus(gone.incarnation))
 
     def take(self, stored: StoredObject) -> None:
-        """Take a router's entry."""
+        """Take a router's entry; of its own, what its earlier start told."""
         if stored.name == self.name:
+            self._recover(stored)
             return
         try:
             entry = msgspec.convert(stored.spec, RouterEntry)
@@ -235,8 +260,17 @@
             log.info("router", router=stored.name, address=entry.address)
         self._take_status(stored, entry)
 
+    def _recover(self, stored: StoredObject) -> None:
+        """Take what an earlier start of this router told, once."""
+        if self.recovered:
+            return
+        self.recovered = True
+        told: dict[str, str] = stored.status or {}
+        if told.get("incarnation") not in (None, self.entry.incarnation):
+            self._take_status(stored, self.entry)
+
     def _take_status(self, stored: StoredObject, entry: RouterEntry) -> None:
-        """Take what a router tells; what an earlier start told is void."""
+        """Take what a router tells."""
         status = RouterStatus(entry.incarnation)
         if stored.status:
             try:
@@ -246,7 +280,7 @@
                     "status refused", router=stored.name, error=str(error)
                 )
                 return
-            if found.incarnation == entry.incarnation:
+            if found.counts_for(entry.incarnation, time.time()):
                 status = found
         self.heard(stored.name, status)
 
--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -270,6 +270,22 @@
                 fingerprints=heard[-MAX_LOGGED:],
             )
 
+    def recover(self, losses: Losses) -> None:
+        """Take what an earlier start of this router told as its own.
+
+        The others are told again: some may not know it, and this start's
+        words go in place of it.
+        """
+        if not losses:
+            return
+        now = time.monotonic()
+        with self._lock:
+            for fingerprint, instances in losses.items():
+                own = self._suspect(fingerprint).own
+                for name in instances:
+                    own.setdefault(name, now)
+        log.info("losses recovered", requests=len(losses))
+
     def run(self, stopping: threading.Event) -> None:
         """Look for what is to be forgotten and told until the daemon stops."""
         while not stopping.wait(TELL_PAUSE_S):
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -173,8 +173,10 @@
         self.suspects = Suspects(
             self.directory, self.routers.publish, self._look_at, self.random
         )
-        self.routers.heard = lambda router, status: self.suspects.hear(
-            router, status.losses
+        self.routers.heard = lambda router, status: (
+            self.suspects.recover(status.losses)
+            if router == host.instance
+            else self.suspects.hear(router, status.losses)
         )
         self.mirrors = self._mirrors()
         self.api.eras.on_return.append(
--- a/tests/components/suspects/test_suspects.py
+++ b/tests/components/suspects/test_suspects.py
@@ -187,6 +187,30 @@
     assert 0 < trials <= 3
 
 
+def test_recovered_losses_hold_where_the_instances_are_gone(clock):
+    fleet = Fleet(1)
+    suspects = fleet.routers[0]
+    fingerprint = fingerprint_of(call(), "w")
+    for number in range(3):
+        fleet.directories[0].remove(f"i-{number}", doubtful=False)
+    suspects.recover({fingerprint: ["i-0", "i-1", "i-2"]})
+    assert suspects.holds(call(), "w")
+    suspects.round()
+    assert suspects.told == {fingerprint: ["i-0", "i-1", "i-2"]}
+
+
+def test_recovered_losses_of_living_instances_do_not_count(clock):
+    fleet = Fleet(1)
+    suspects = fleet.routers[0]
+    fleet.alive = {f"i-{number}" for number in range(8)}
+    fingerprint = fingerprint_of(call(), "w")
+    suspects.recover({fingerprint: ["i-0", "i-1", "i-2"]})
+    clock.now += TELL_AFTER_S
+    suspects.round()
+    assert not suspects.holds(call(), "w")
+    assert suspects.told == {}
+
+
 def test_bound_over_the_fleet(clock):
     """At most three more instances in 34 s after the third crash is known."""
     fleet = Fleet(4, instances=100)
--- a/tests/daemons/test_router_crashing_requests.py
+++ b/tests/daemons/test_router_crashing_requests.py
@@ -4,6 +4,7 @@
 
 from tests.daemons.crash_engines import Form
 from tests.daemons.crash_site import CRASHES, CrashSite
+from tests.waiting import wait
 
 # The third engine ends within a second, the rest is beyond the contact time.
 PLAY_S = 8.0
@@ -39,3 +40,24 @@
     assert found.ended >= CRASHES
     assert found.late == 0
     assert not found.harmless[429]
+
+
+def test_routers_that_are_all_killed_still_hold_it_back(tmp_path):
+    """Guards against what three engines showed being lost with the routers.
+
+    Symptom: a request ends four engines and more beyond the first three.
+    Sequence: it is held back by all routers; all are killed and start again.
+    Cause: what was known was in their memory, and void in the store.
+    """
+    site = CrashSite(tmp_path, Form())
+    try:
+        before = site.play(3.0).ended
+        for router in site.routers:
+            router.stop()
+            router.start()
+        wait(lambda: all(router.is_ready() for router in site.routers))
+        found = site.play(4.0)
+    finally:
+        site.close()
+    assert before >= CRASHES
+    assert found.ended == before
