Suspects: a loss at an instance that lived on is dropped for good

Callers of harmless requests would be refused with 429, and routers would write to the store, as instances leave in a release. The next round drops a loss once its instance answered what was sent after it. A lost request has only its own router's losses looked into while its caller waits, not those that others told.

Failed before: test_losses_at_instances_that_lived_on_do_not_count_as_they_leave.

--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -83,8 +83,8 @@
 
     @property
     def newest(self) -> float:
-        """Monotonic time of the last loss."""
-        return max([*self.own.values(), *self.told.values()], default=0.0)
+        """Monotonic time of the last loss; long ago where none is left."""
+        return max([*self.own.values(), *self.told.values()], default=-math.inf)
 
 
 class Suspects:
@@ -207,17 +207,18 @@
         with self._lock:
             suspect = self._suspect(fingerprint)
             suspect.own[instance] = time.monotonic()
-            losses = suspect.own | suspect.told
+            own = dict(suspect.own)
+            known = len(own.keys() | suspect.told.keys())
             self.counts[Decision.NOTED] += 1
         log.info(
             "loss",
             request=call.id,
             fingerprint=fingerprint,
             upstream=instance,
-            known=len(losses),
+            known=known,
         )
-        if len(losses) > 1:
-            self._verify(losses.items())
+        if known > 1:
+            self._verify(own.items())
             self.due.set()
         with self._lock:
             return self._judge(fingerprint, suspect)
@@ -230,7 +231,7 @@
         )
 
     def answered(self, call: Call, workspace: str) -> None:
-        """Note that an instance began to answer a request."""
+        """Note that an instance ran a request to a whole answer."""
         if not self.suspects:
             return
         fingerprint = fingerprint_of(call, workspace)
@@ -302,6 +303,7 @@
         now = time.monotonic()
         with self._lock:
             for fingerprint, suspect in list(self.suspects.items()):
+                self._drop_proved(suspect)
                 if now - suspect.newest > FORGET_S:
                     del self.suspects[fingerprint]
             losses = [
@@ -378,6 +380,16 @@
         self.counts[_MET[found.look]] += 1
         return found.look
 
+    def _drop_proved(self, suspect: Suspect) -> None:
+        """Drop losses at instances that lived on.
+
+        They would count as crashes once these leave, as planned.
+        """
+        for losses in (suspect.own, suspect.told):
+            for name, lost_at in list(losses.items()):
+                if self._fate(name, lost_at) is Fate.PROVED:
+                    del losses[name]
+
     def _suspect(self, fingerprint: str) -> Suspect:
         """Return the record of a request, as the newest one."""
         suspect = self.suspects.pop(fingerprint, None) or Suspect()
--- a/tests/components/suspects/test_suspects.py
+++ b/tests/components/suspects/test_suspects.py
@@ -187,6 +187,31 @@
     assert 0 < trials <= 3
 
 
+def test_losses_at_instances_that_lived_on_do_not_count_as_they_leave(clock):
+    """Guards against requests that pay for a release.
+
+    Symptom: a request is refused with 429, and routers write to the store as
+    instances leave. Sequence: its connections are reset at three instances,
+    which live on; much later they leave. Cause: what is gone counted as
+    crashed, though it had answered others since the loss.
+    """
+    fleet = Fleet(2)
+    suspects, directory = fleet.routers[0], fleet.directories[0]
+    for number in range(3):
+        suspects.lost(call(), "w", f"i-{number}")
+        clock.now += 0.1
+        directory.instances[f"i-{number}"].answered(clock.now)
+    clock.now += 1.0
+    fleet.round()
+    assert suspects.suspects == {}
+    for number in range(3):
+        directory.remove(f"i-{number}", doubtful=False)
+    clock.now += 1.0
+    fleet.round()
+    assert not suspects.holds(call(), "w")
+    assert fleet.writes == 0
+
+
 def test_recovered_losses_hold_where_the_instances_are_gone(clock):
     fleet = Fleet(1)
     suspects = fleet.routers[0]
--- a/tests/daemons/crash_engines.py
+++ b/tests/daemons/crash_engines.py
@@ -71,6 +71,7 @@
         write: Writes an entry, by id and port.
         remove: Removes one, by id.
         ended: (monotonic time, id of the request) of each crash.
+        lives: The present start by port.
         ids: Numbers of their starts.
         closed: Set at the end.
     """
@@ -80,6 +81,7 @@
         self.write = write
         self.remove = remove
         self.ended = []
+        self.lives = {}
         self.ids = itertools.count(1)
         self.closed = threading.Event()
         self.errors = itertools.count(1)
@@ -91,10 +93,23 @@
     def close(self):
         self.closed.set()
 
+    def end(self, count):
+        """End some engines at once, as a loss of power of their hosts does."""
+        alive = [one for one in self.lives.values() if not one.ended.is_set()]
+        for life in alive[:count]:
+            self._end(life)
+
+    def reset(self):
+        """Reset the connections of all, which live on."""
+        for life in self.lives.values():
+            for sock in list(life.open):
+                _reset(sock)
+
     def _live(self, listener, port):
         """Live again and again at one address."""
         while not self.closed.is_set():
             life = Life(f"i-{next(self.ids)}")
+            self.lives[port] = life
             self.write(life.name, port)
             self._accept(life, listener)
             listener.close()
@@ -161,8 +176,11 @@
         time.sleep(RUNS_S)
         if life.ended.is_set():
             return
-        life.ended.set()
         self.ended.append((time.monotonic(), call_id.decode()))
+        self._end(life)
+
+    def _end(self, life):
+        life.ended.set()
         for one in list(life.open):
             if self.form.soft or self.form.first == "bare head":
                 with contextlib.suppress(OSError):
--- a/tests/daemons/crash_site.py
+++ b/tests/daemons/crash_site.py
@@ -23,6 +23,8 @@
 # Pause between two copies of the bad request, and between harmless ones.
 COPY_EVERY_S = 0.15
 HARMLESS_EVERY_S = 0.05
+# Harmless requests that differ: each comes again after two seconds.
+KINDS = 40
 # A request is held back by all routers so long after its third crash.
 CONTACT_S = 3.0
 CRASHES = 3
@@ -56,6 +58,7 @@
         engines: The engines.
         sent: When each copy was sent, by its id.
         outcome: What was seen so far.
+        kinds: Harmless requests that differ.
     """
 
     def __init__(self, tmp_path, form, routers=ROUTERS, engines=ENGINES):
@@ -78,16 +81,33 @@
         wait(lambda: all(router.is_ready() for router in self.routers))
         self.sent = {}
         self.outcome = Outcome()
+        self.kinds = KINDS
 
-    def play(self, seconds, harmless=True):
+    def play(self, seconds):
         """Send copies, and harmless requests beside them; return what came."""
+        return self._play(lambda: time.sleep(seconds), [self.copy])
+
+    def disturb(self, times, every_s, action):
+        """Do something again and again beside harmless requests alone."""
+
+        def disturb():
+            for _ in range(times):
+                action()
+                time.sleep(every_s)
+
+        return self._play(disturb, [])
+
+    def _play(self, meanwhile, others):
         stop = threading.Event()
-        tasks = [threading.Thread(target=self._copies, args=(stop,))]
-        if harmless:
-            tasks.append(threading.Thread(target=self._harmless, args=(stop,)))
+        rates = {self.harmless: HARMLESS_EVERY_S}
+        rates |= dict.fromkeys(others, COPY_EVERY_S)
+        tasks = [
+            threading.Thread(target=self._send, args=(stop, every_s, ask))
+            for ask, every_s in rates.items()
+        ]
         for task in tasks:
             task.start()
-        time.sleep(seconds)
+        meanwhile()
         stop.set()
         for task in tasks:
             task.join()
@@ -132,17 +152,12 @@
             self.outcome.bad[status] += 1
 
     def harmless(self, number):
-        """Send a request of its own."""
-        status = self.ask(number, f"ok-{number}", b"harmless %d" % number)
+        """Send a request, of which the same comes again after a while."""
+        body = b"harmless %d" % (number % self.kinds)
+        status = self.ask(number, f"ok-{number}", body)
         with self.lock:
             self.outcome.harmless[status] += 1
 
-    def _copies(self, stop):
-        self._send(stop, COPY_EVERY_S, self.copy)
-
-    def _harmless(self, stop):
-        self._send(stop, HARMLESS_EVERY_S, self.harmless)
-
     def _send(self, stop, every_s, ask):
         tasks = []
         number = 0
--- a/tests/daemons/test_router_crashing_requests.py
+++ b/tests/daemons/test_router_crashing_requests.py
@@ -61,3 +61,22 @@
         site.close()
     assert before >= CRASHES
     assert found.ended == before
+
+
+@pytest.mark.parametrize(
+    ("times", "every_s", "action"),
+    [
+        pytest.param(16, 0.4, lambda e: e.end(1), id="one after the other"),
+        pytest.param(3, 2.5, lambda e: e.end(4), id="half of them at once"),
+        pytest.param(20, 0.3, lambda e: e.reset(), id="resets alone"),
+    ],
+)
+def test_harmless_requests_are_not_held_back(tmp_path, times, every_s, action):
+    """Guards against requests that pay for engines that others ended."""
+    site = CrashSite(tmp_path, Form())
+    try:
+        found = site.disturb(times, every_s, lambda: action(site.engines))
+    finally:
+        site.close()
+    assert not found.harmless[429]
+    assert found.harmless[200] > 0
