--- a/lacewingdock/components/suspects/__init__.py
+++ b/lacewingdock/components/suspects/__init__.py
@@ -467,10 +467,7 @@
         )
 
     def _has_crashed(self, name: str, lost_at: float) -> bool:
-        """Whether an instance is gone, or took no connection, since a loss.
-
-        One that crashed comes back as another start.
-        """
+        """Whether a start crashed when it lost a request."""
         return self._fate(name, lost_at) is Fate.CRASHED
 
     def _shows_life(self, name: str, since: float) -> bool:
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -52,14 +52,18 @@
     return ok(call_id, b"full", b"Not-Executed: 1\r\n", b"503 Busy")
 
 
-def stream_head(call_id, extra=b""):
-    """Return the head of a stream."""
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+
+
+def stream_head(call_id, extra=b"", framing=CHUNKED):
+    """Return the head of a stream; without framing it ends by a close."""
     return (
         b"HTTP/1.1 200 OK\r\nAttempt-Id: "
         + call_id
         + b"\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
         + extra
-        + b"Transfer-Encoding: chunked\r\n\r\n"
+        + framing
+        + b"\r\n"
     )
 
 
@@ -147,19 +151,10 @@
         sock.close()
 
     def _read(self, sock):
-        data = b""
-        while b"\r\n\r\n" not in data:
-            more = sock.recv(65536)
-            if not more:
-                return None
-            data += more
-        head, _, body = data.partition(b"\r\n\r\n")
-        headers = dict(
-            line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
-        )
-        length = int(headers.get(b"content-length", 0))
-        while len(body) < length:
-            body += sock.recv(65536)
+        found = read_request(sock)
+        if found is None:
+            return None
+        head, headers, body = found
         call_id = headers.get(b"attempt-id", b"")
         if call_id:
             self.requests.append(head.decode())
@@ -167,6 +162,27 @@
         return call_id, head
 
 
+def read_request(sock):
+    """Return head, headers by lower-case name, and body; None at the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return None
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    headers = dict(
+        line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
+    )
+    length = int(headers.get(b"content-length", 0))
+    while len(body) < length:
+        more = sock.recv(65536)
+        if not more:
+            return None
+        body += more
+    return head, headers, body
+
+
 def answer(body=b"done", extra=b"", status=b"200 OK"):
     """Return a step that answers whole."""
     return lambda sock, call_id, _: sock.sendall(
--- a/tests/daemons/crash_engines.py
+++ b/tests/daemons/crash_engines.py
@@ -7,7 +7,14 @@
 import time
 from dataclasses import dataclass, field
 
-from tests.components.gateway.fakes import END, LINGER_NONE, event, ok
+from tests.components.gateway.fakes import (
+    END,
+    LINGER_NONE,
+    event,
+    ok,
+    read_request,
+    stream_head,
+)
 
 # The body of the request that ends what runs it.
 BAD = b"ends what runs it"
@@ -139,8 +146,8 @@
 
     def _serve(self, life, sock):
         with contextlib.suppress(OSError), sock:
-            while (found := _read(sock)) is not None:
-                headers, body = found
+            while (found := read_request(sock)) is not None:
+                _, headers, body = found
                 if life.ended.is_set():
                     return
                 self._answer(life, sock, headers, body)
@@ -189,51 +196,23 @@
                 _reset(one)
 
 
-def _head(call_id, extra=b"Transfer-Encoding: chunked\r\n"):
-    return (
-        b"HTTP/1.1 200 OK\r\nAttempt-Id: "
-        + call_id
-        + b"\r\nResponse-Seal: s\r\nContent-Type: text/event-stream\r\n"
-        + extra
-        + b"\r\n"
-    )
-
-
-_CHUNKED = b"Transfer-Encoding: chunked\r\n"
 _FIRST = {
     "": lambda _: b"",
-    "head": _head,
-    "unsure": lambda i: _head(i, b"Confidence: 1\r\n" + _CHUNKED),
-    "event": lambda i: _head(i) + event(1),
-    "bare head": lambda i: _head(i, b"Connection: close\r\n"),
+    "head": stream_head,
+    "unsure": lambda i: stream_head(i, b"Confidence: 1\r\n"),
+    "event": lambda i: stream_head(i) + event(1),
+    "bare head": lambda i: stream_head(i, b"Connection: close\r\n", b""),
 }
 
 
 def _stream(sock, call_id):
-    sock.sendall(_head(call_id))
+    sock.sendall(stream_head(call_id))
     for number in range(1, EVENTS + 1):
         time.sleep(PAUSE_S)
         sock.sendall(event(number))
     sock.sendall(END)
 
 
-def _read(sock):
-    """Return headers and body of a request; None at the end."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        more = sock.recv(65536)
-        if not more:
-            return None
-        data += more
-    head, _, body = data.partition(b"\r\n\r\n")
-    headers = dict(
-        line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:]
-    )
-    while len(body) < int(headers.get(b"content-length", 0)):
-        body += sock.recv(65536)
-    return headers, body
-
-
 def _reset(sock):
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NONE)
--- a/tests/daemons/crash_site.py
+++ b/tests/daemons/crash_site.py
@@ -76,12 +76,17 @@
             first = self.routers[0].peer
             name = f"r-{number}"
             self.routers.append(Router(tmp_path, port, name, first))
-        for router in self.routers:
-            router.start()
-        wait(lambda: all(router.is_ready() for router in self.routers))
         self.sent = {}
         self.outcome = Outcome()
         self.kinds = KINDS
+        try:
+            for router in self.routers:
+                router.start()
+            wait(lambda: all(router.is_ready() for router in self.routers))
+        except BaseException:
+            # Nobody else has them yet, and they would run on.
+            self.close()
+            raise
 
     def play(self, seconds):
         """Send copies, and harmless requests beside them; return what came."""
