Log which connection an attempt used, and what was read there

The attempt line could not tell two attempts over one connection apart, nor whether an answer was read before an upstream could have given it. It now has the connection's number, the requests sent over it so far, the answers to other requests that were skipped, and the seconds from the request's last byte to its answer's head.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -9,6 +9,7 @@
 from lacewingdock.components.gateway.timeouts import ReadTimeout, ReadTimeouts
 from lacewingdock.components.upstreams.connection import (
     CallerLeft,
+    ConnectionUse,
     TimedOut,
     UpstreamConnection,
 )
@@ -151,6 +152,7 @@
         has_begun: Whether `on_began` was called.
         head: Head of the answer; None until it is read.
         began_at: Monotonic time at which the answer began; 0 if it did not.
+        use: What the attempt used of its connection; None if nothing was sent.
     """
 
     __slots__ = (
@@ -169,6 +171,7 @@
         "progress",
         "streaming",
         "timeouts",
+        "use",
     )
 
     def __init__(
@@ -202,6 +205,7 @@
         self.has_begun = False
         self.head: ResponseHead | None = None
         self.began_at = 0.0
+        self.use: ConnectionUse | None = None
 
     def run(self, sending: AttemptOptions) -> Result:
         """Make the attempt.
@@ -227,6 +231,7 @@
         except TimedOut:
             return Broken("silent", timed_out=True)
         finally:
+            self.use = connection.use()
             # Closing the connection makes the upstream cancel the request.
             if head is None:
                 connection.close()
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -362,11 +362,9 @@
         self._record_result(instance, result, start, events)
         log_attempt(
             self.gateway.chooser,
-            self.call,
+            attempt,
             self.cascade.model,
-            instance,
             result,
-            attempt.head,
             time.monotonic() - start,
         )
         return result
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -1,9 +1,11 @@
 """Support for one connection to an upstream instance."""
 
 import contextlib
+import itertools
 import select
 import socket
 import time
+from dataclasses import dataclass
 from typing import Final
 
 import h11
@@ -24,6 +26,8 @@
 # nothing; by default the kernel retransmits for a quarter of an hour.
 USER_TIMEOUT_MS: Final = 1500
 
+_numbers = itertools.count(1)
+
 
 class CallerLeft(Exception):
     """The caller closed its connection during a wait for the upstream."""
@@ -33,6 +37,24 @@
     """The upstream sent nothing until the deadline of a read."""
 
 
+@dataclass(slots=True, frozen=True)
+class ConnectionUse:
+    """What one request used of a connection, for the log.
+
+    Attributes:
+        connection: Number of the connection, unique in this process.
+        requests: Number of requests sent over it so far, including this one.
+        skipped: Number of responses to other requests that were skipped.
+        head_after_s: Seconds from the request's last byte to its response
+            head; None if no head was read.
+    """
+
+    connection: int
+    requests: int
+    skipped: int
+    head_after_s: float | None
+
+
 class UpstreamConnection:
     """An HTTP/1.1 connection that carries one request at a time.
 
@@ -41,6 +63,11 @@
     may have run.
 
     Attributes:
+        number: Number of the connection, unique in this process.
+        requests: Number of requests sent over it so far.
+        skipped: Responses to other requests skipped during this request.
+        sent_at: Monotonic time at which the request was written.
+        head_at: Monotonic time at which its response head was read; 0 before.
         sock: The socket.
         parser: State of the HTTP parser.
         idle_since: Monotonic time since which the connection is idle.
@@ -55,15 +82,25 @@
         "_request",
         "_watched",
         "ended",
+        "head_at",
         "idle_since",
         "keep_alive_s",
         "last_received_at",
+        "number",
         "parser",
+        "requests",
+        "sent_at",
+        "skipped",
         "sock",
     )
 
     def __init__(self, sock: socket.socket, keep_alive_s: float) -> None:
         """Wrap a connected socket; it may stay idle for `keep_alive_s`."""
+        self.number = next(_numbers)
+        self.requests = 0
+        self.skipped = 0
+        self.sent_at = 0.0
+        self.head_at = 0.0
         self.sock = sock
         self.keep_alive_s = keep_alive_s
         self.idle_since = time.monotonic()
@@ -101,6 +138,9 @@
                 ran is unknown.
         """
         self._call = call_id
+        self.requests += 1
+        self.skipped = 0
+        self.head_at = 0.0
         self._request = h11.Request(
             method=method, target=target, headers=headers
         )
@@ -111,6 +151,14 @@
         except OSError as error:
             self.ended = True
             raise UpstreamLost(f"send: {error!r}", RAN_UNKNOWN) from error
+        self.sent_at = time.monotonic()
+
+    def use(self) -> ConnectionUse:
+        """Return what the current request used of the connection."""
+        head_after_s = self.head_at - self.sent_at if self.head_at else None
+        return ConnectionUse(
+            self.number, self.requests, self.skipped, head_after_s
+        )
 
     def watch_caller(self, caller: socket.socket | None) -> None:
         """End waits when the caller closes its connection; None stops that."""
@@ -144,7 +192,9 @@
             raw = event.headers.raw_items()
             head = read_answer(event.status_code, list(event.headers), raw)
             if not head.call or head.call == self._call:
+                self.head_at = time.monotonic()
                 return head
+            self.skipped += 1
             self._skip_answer(until)
 
     def read_body(self, until: float) -> bytes | None:
