Never send the same id twice over a connection to an upstream

What callers saw: a booking ran twice, or a caller was told 503 "not run" for a request that ran.

Cause: a faulty instance sends the answer of a refused attempt once more, where the next answer on the connection is expected. Answers were told apart by the request's id alone, and all attempts of a request bear the caller's id. A retry over the connection of the refusal took the copy for its own answer, was counted as refused while it ran, and was sent again or answered 503.

A connection now remembers the ids it carried (8 bytes each, 1,000 at most, then it is closed) and the pool gives a request only a connection that never carried its id. An answer with the id is then the answer to the one request with it. This covers retries after errors and callers that reuse an id as well.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -216,7 +216,9 @@
             CallerDisconnected: Sending to the caller failed.
         """
         try:
-            connection = self.pool.acquire(self.instance.entry, sending.left_s)
+            connection = self.pool.acquire(
+                self.instance.entry, self.call.id, sending.left_s
+            )
         except UpstreamLost as error:
             return NotRun(error.detail, reached=False)
         if self.is_withheld():
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -5,6 +5,7 @@
 import select
 import socket
 import time
+from array import array
 from dataclasses import dataclass
 from typing import Final
 
@@ -25,6 +26,8 @@
 # instance that lost power or is behind a network partition acknowledges
 # nothing; by default the kernel retransmits for a quarter of an hour.
 USER_TIMEOUT_MS: Final = 1500
+# Requests after which a connection is closed; it remembers 8 bytes of each.
+MAX_REQUESTS: Final = 1000
 
 _numbers = itertools.count(1)
 
@@ -62,6 +65,10 @@
     pooled one turns out to be closed; this class never does, since the request
     may have run.
 
+    A connection carries an id once. An upstream may send a second response to
+    an earlier request; if that was an earlier attempt of the same request, the
+    ids would not tell the two apart.
+
     Attributes:
         number: Number of the connection, unique in this process.
         requests: Number of requests sent over it so far.
@@ -78,6 +85,7 @@
 
     __slots__ = (
         "_call",
+        "_carried",
         "_poll",
         "_request",
         "_watched",
@@ -112,6 +120,15 @@
         self._watched: socket.socket | None = None
         self._request: h11.Request | None = None
         self._call = ""
+        # Hashes of the ids of all requests sent over the connection.
+        self._carried = array("q")
+
+    def has_carried(self, call_id: str) -> bool:
+        """Whether a request with this id was sent over the connection.
+
+        Two ids with the same hash only cost a connection.
+        """
+        return hash(call_id) in self._carried
 
     def is_reusable(self) -> bool:
         """Whether a new request may be sent: open, drained and not too old.
@@ -138,6 +155,7 @@
                 ran is unknown.
         """
         self._call = call_id
+        self._carried.append(hash(call_id))
         self.requests += 1
         self.skipped = 0
         self.head_at = 0.0
@@ -241,7 +259,7 @@
             return False
         if self.parser.their_state is not h11.DONE:
             return False
-        if self.parser.trailing_data[0]:
+        if self.parser.trailing_data[0] or self.requests >= MAX_REQUESTS:
             return False
         self.parser.start_next_cycle()
         self.idle_since = time.monotonic()
--- a/lacewingdock/components/upstreams/pool.py
+++ b/lacewingdock/components/upstreams/pool.py
@@ -42,18 +42,19 @@
         self._lock = threading.Lock()
 
     def acquire(
-        self, entry: UpstreamEntry, timeout_s: float
+        self, entry: UpstreamEntry, call_id: str, timeout_s: float
     ) -> UpstreamConnection:
         """Return a reusable idle connection, or a new one.
 
         Args:
             entry: The instance.
+            call_id: Id of the request, which the connection never carried.
             timeout_s: Longest time for connecting, in seconds.
 
         Raises:
             UpstreamLost: The connection failed; the request did not run.
         """
-        while (kept := self._pop(entry.incarnation)) is not None:
+        while (kept := self._pop(entry.incarnation, call_id)) is not None:
             if kept.is_reusable():
                 return kept
             kept.close()
@@ -106,7 +107,11 @@
         for connection in old:
             connection.close()
 
-    def _pop(self, instance: str) -> UpstreamConnection | None:
+    def _pop(self, instance: str, call_id: str) -> UpstreamConnection | None:
         with self._lock:
-            kept = self.idle.get(instance)
-            return kept.pop() if kept else None
+            kept = self.idle.get(instance, [])
+            for connection in reversed(kept):
+                if not connection.has_carried(call_id):
+                    kept.remove(connection)
+                    return connection
+        return None
--- a/tests/components/gateway/test_leaving_instances.py
+++ b/tests/components/gateway/test_leaving_instances.py
@@ -67,12 +67,12 @@
     harness.directory.instances["i-2"].running = 50
     connect = harness.gateway.pool.acquire
 
-    def slow(entry, timeout_s):
+    def slow(entry, call_id, timeout_s):
         if entry.id == "i-1":
             instance = harness.directory.instances["i-1"]
             head = ResponseHead(200, [], sealed=True, leaving=True)
             harness.gateway.record_head(instance, head, 0.0)
-        return connect(entry, timeout_s)
+        return connect(entry, call_id, timeout_s)
 
     harness.gateway.pool = InterceptedPool(slow, harness.gateway.pool)
     assert harness.call()[0] == 200
--- a/tests/components/gateway/test_suspects.py
+++ b/tests/components/gateway/test_suspects.py
@@ -177,9 +177,9 @@
 
     __slots__ = ("meanwhile",)
 
-    def acquire(self, entry, timeout_s):
+    def acquire(self, entry, call_id, timeout_s):
         self.meanwhile()
-        return super().acquire(entry, timeout_s)
+        return super().acquire(entry, call_id, timeout_s)
 
 
 def test_waiting_request_is_not_sent_after_evidence(build_harness):
--- a/tests/components/upstreams/test_restarts.py
+++ b/tests/components/upstreams/test_restarts.py
@@ -114,8 +114,8 @@
     pool = ConnectionPool()
     pool.idle[entry(FIRST).incarnation] = [UpstreamConnection(near, 9.0)]
     with pytest.raises(UpstreamLost):
-        pool.acquire(entry(SECOND), 0.2)
-    assert pool.acquire(entry(FIRST), 0.2).sock is near
+        pool.acquire(entry(SECOND), "c-1", 0.2)
+    assert pool.acquire(entry(FIRST), "c-1", 0.2).sock is near
     near.close()
     far.close()
 
