Take only an answer with the request's own id

What callers saw: a request that may run once ran twice or was told 503 though it ran; or a caller got the body of another caller's answer.

Cause: an answer without an id was taken for the answer to whatever request was next on the connection. Upstreams echo the id always, so an answer without one names no request that has one: it is the upstream's answer to a request without an id, or bytes that belong to no request.

Before, test_answer_without_an_id_answers_no_request failed in all four cases, and the property over second answers with both counterexamples (another's body, two runs).

Such an answer is skipped like one with another id, and the request waits for its own up to its timeouts; without one it may have run.

--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -191,7 +191,8 @@
 
         An upstream may send a second response to an earlier request, in the
         place of the response to this one. The request id in its head tells
-        the two apart.
+        the two apart. A response without an id names no request, so it proves
+        nothing about one that has an id.
 
         Args:
             until: Deadline as monotonic time.
@@ -209,7 +210,7 @@
                 raise UpstreamLost(f"unexpected {type(event).__name__}")
             raw = event.headers.raw_items()
             head = read_answer(event.status_code, list(event.headers), raw)
-            if not head.call or head.call == self._call:
+            if head.call == self._call:
                 self.head_at = time.monotonic()
                 return head
             self.skipped += 1
--- a/tests/components/gateway/test_second_answers.py
+++ b/tests/components/gateway/test_second_answers.py
@@ -49,23 +49,25 @@
             sock.sendall(self.owed.pop(sock, b""))
         return found
 
-    def refuse(self, build=refusal, copies=0):
+    def refuse(self, build=refusal, copies=0, named=True):
         """Return a step that refuses the request and sends copies later.
 
         Args:
             build: Returns the answer to a request's id.
             copies: Number of second answers.
+            named: Whether the second answers bear the request's id.
         """
 
         def step(sock, call_id, _):
-            self.owed[sock] = build(call_id) * copies
+            copy_id = call_id if named else b""
+            self.owed[sock] = build(copy_id) * copies
             sock.sendall(build(call_id))
 
         return step
 
-    def run(self, build=ok, copies=0):
+    def run(self, build=ok, copies=0, named=True):
         """Return a step that runs the request and sends copies later."""
-        respond = self.refuse(build, copies)
+        respond = self.refuse(build, copies, named)
 
         def step(sock, call_id, head):
             with self.lock:
@@ -115,6 +117,23 @@
     assert (status, body, upstream.ran) == (200, b"done", ["c-1"])
 
 
+@pytest.mark.parametrize("build", [refusal, too_many, misdirected, ok])
+def test_answer_without_an_id_answers_no_request(serve, build):
+    """Guards against an answer that is taken although it names no request."""
+    harness, upstream = serve(Repeat.ONCE, max_attempts=1)
+    first = upstream.run if build is ok else upstream.refuse
+    upstream.steps = [
+        first(build, copies=1, named=False),
+        upstream.run(lambda call_id: ok(call_id, b"own")),
+        upstream.run(),
+    ]
+    harness.call(call_id="c-0")
+    status, _, body = harness.call(call_id="c-1")
+    assert (status, body) == (200, b"own")
+    assert upstream.ran.count("c-1") == 1
+    assert upstream.connections == 1
+
+
 def test_copy_of_an_error_does_not_answer_the_retry(serve):
     """Guards against a retry's good answer that is lost behind an old error."""
     harness, upstream = serve(Repeat.IDEMPOTENT)
@@ -196,6 +215,7 @@
 REPLIES = st.tuples(
     st.sampled_from(["503", "429", "run"]),
     st.integers(min_value=0, max_value=2),
+    st.booleans(),
 )
 
 
@@ -211,10 +231,10 @@
     harness = GatewayHarness([route(Repeat.ONCE)], [upstream])
     builds = {"503": refusal, "429": too_many}
     upstream.steps = [
-        upstream.run(lambda i: ok(i, b"of " + i), copies)
+        upstream.run(lambda i: ok(i, b"of " + i), copies, named)
         if kind == "run"
-        else upstream.refuse(builds[kind], copies)
-        for kind, copies in replies
+        else upstream.refuse(builds[kind], copies, named)
+        for kind, copies, named in replies
     ]
     upstream.steps += [upstream.run(lambda i: ok(i, b"of " + i))] * 9
     try:
