Close the connection to an engine's report on which a second answer waits

What callers saw: nothing so far. Requests are placed by load reports, and a sidecar would answer with an engine's load as of the read before, for the rest of its life.

Cause: the sidecar reads the report over a kept connection, and reports have no request id. A second answer that arrives after the first stays unread, and the next read takes it; the answer to that read is then left over for the one after.

Evidence: against a server that sends each answer once more after 0.05 s, test_second_report_is_not_read_as_the_next[soon] read 0, 0, 1, 2 in place of 0, 1, 2, 3. One that comes with the first answer is discarded already.

A connection on which bytes wait before a read is closed. A second answer that arrives during the next read is still taken (one read old, shown by a test); the answer left over closes the connection before the read after.

--- a/lacewingdock/helpers/sockets.py
+++ b/lacewingdock/helpers/sockets.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import errno
+import select
 import socket
 import threading
 from collections.abc import Callable
@@ -30,6 +31,13 @@
         return True
 
 
+def has_unread(descriptor: int) -> bool:
+    """Whether bytes, or the end of the stream, wait to be read."""
+    poller = select.poll()
+    poller.register(descriptor, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class Listener:
     """Accepts connections and serves each in a thread of its own.
 
--- a/lacewingdock/platform/engine_report.py
+++ b/lacewingdock/platform/engine_report.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.sockets import has_unread
 from lacewingdock.world.engine_load import EngineLoad
 
 PATH = "/report"
@@ -60,13 +61,10 @@
             LacewingdockError: UPSTREAM_FAILED if the engine does not answer
                 with a valid report.
         """
-        if self._connection is None:
-            self._connection = http.client.HTTPConnection(
-                self.host, self.port, timeout=self.timeout_s
-            )
+        connection = self._open_connection()
         try:
-            self._connection.request("GET", PATH)
-            answer = self._connection.getresponse()
+            connection.request("GET", PATH)
+            answer = connection.getresponse()
             body = answer.read(MAX_BYTES)
         except (OSError, http.client.HTTPException) as error:
             self.close()
@@ -76,6 +74,21 @@
             raise _report_error(f"status {answer.status}")
         return decode_report(body)
 
+    def _open_connection(self) -> http.client.HTTPConnection:
+        """Return the open connection, or a new one if bytes wait on it.
+
+        They are a second answer to an earlier read, and would be taken for the
+        answer to this one: from then on, all reports would be out of date.
+        """
+        kept = self._connection
+        if kept and kept.sock and has_unread(kept.sock.fileno()):
+            self.close()
+        if self._connection is None:
+            self._connection = http.client.HTTPConnection(
+                self.host, self.port, timeout=self.timeout_s
+            )
+        return self._connection
+
     def close(self) -> None:
         """Close the connection; the next read opens another one."""
         if self._connection is not None:
