Close the connection to the store on which a second answer waits

A proxy in front of the store that sends one would make each later read over the connection return the object of the read before, and confirm each write by the answer to another.

Cause: libcurl keeps the connection of each thread, the answers have no request id, and libcurl reads whatever is next as the answer: it reused a connection on which a second answer had been waiting for 0.2 s.

Evidence: a server that sends each answer once more; a, b, c read as a, a, b if the copy comes between the calls, and as a, a, c if it comes during the next one.

A connection on which bytes wait before a call is closed, and an answer about another object than the one asked for is no answer: the call fails, a write with "may have taken effect". A list is never taken for the answer to a watch, nor the other way round, since each lacks a field of the other; a watch answered by an earlier one of its kind brings no change twice, since copies only advance.

--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -20,6 +20,7 @@
 from lacewingdock.helpers.clock import STEADY
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
+from lacewingdock.helpers.sockets import has_unread
 from lacewingdock.platform.budget import CallBudget
 from lacewingdock.platform.eras import ERA_HEADER, EarlierEraError, StoreEras
 from lacewingdock.platform.history import (
@@ -119,7 +120,7 @@
         )
         if reply.status == HTTPStatus.NOT_FOUND:
             return None
-        return to_stored_object(_decode(reply, ObjectAnswer, RAN_NO), reply.era)
+        return self._to_object(reply, name, RAN_NO)
 
     def list_kind(
         self,
@@ -334,9 +335,7 @@
         )
         if reply.status == HTTPStatus.NOT_FOUND:
             return False, StoredObject(name, ABSENT)
-        found = to_stored_object(
-            _decode(reply, ObjectAnswer, RAN_UNKNOWN), reply.era
-        )
+        found = self._to_object(reply, name, RAN_UNKNOWN)
         written = reply.status != HTTPStatus.CONFLICT
         if written and expect and reply.era != era_of(expect):
             # The store was restored before the write arrived, so the write
@@ -348,6 +347,23 @@
             )
         return written, found
 
+    def _to_object(self, reply: Reply, name: str, ran: str) -> StoredObject:
+        """Return the object of an answer, which has to be the one asked for.
+
+        Answers have no request id. A second answer to an earlier call that
+        arrives during this one is read in place of its own.
+
+        Raises:
+            LacewingdockError: PLATFORM_UNAVAILABLE.
+        """
+        found = to_stored_object(_decode(reply, ObjectAnswer, ran), reply.era)
+        if found.name != name:
+            self._drop_handle()
+            raise unavailable_error(
+                f"answer about {found.name} in place of {name}", ran
+            )
+        return found
+
     def _call(
         self,
         method: str,
@@ -423,8 +439,16 @@
         self.failures[purpose] = self.failures.get(purpose, 0) + 1
 
     def _curl_handle(self) -> pycurl.Curl:
-        """Return the thread's handle, which keeps its connection open."""
+        """Return the thread's handle, which keeps its connection open.
+
+        A connection on which bytes wait is closed. They belong to no call that
+        is still to be made, but libcurl would read them as its answer, and each
+        later call would get the answer to the one before.
+        """
         curl = getattr(self._local, "curl", None)
+        if curl is not None and _has_unread_bytes(curl):
+            self._drop_handle()
+            curl = None
         if curl is None:
             curl = self._local.curl = pycurl.Curl()
             curl.setopt(pycurl.NOSIGNAL, 1)
@@ -452,6 +476,12 @@
                 curl.close()
 
 
+def _has_unread_bytes(curl: pycurl.Curl) -> bool:
+    """Whether bytes, or an end, wait on a handle's open connection."""
+    descriptor = curl.getinfo(pycurl.LASTSOCKET)
+    return descriptor >= 0 and has_unread(descriptor)
+
+
 def unavailable_error(detail: str, ran: str) -> LacewingdockError:
     """Build the PLATFORM_UNAVAILABLE error of a call.
 
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -2,9 +2,12 @@
 
 import time
 
+import msgspec
 import pytest
 
+from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.engine_report import ReportReader
+from lacewingdock.platform.object_api import ObjectApi
 from tests.platform.repeating_server import ARRIVAL_S, Moment, RepeatingServer
 
 
@@ -22,6 +25,13 @@
         server.close()
 
 
+def encode_object(target):
+    """Return the body of an object with the name in the target."""
+    name = target.rpartition("/")[2]
+    metadata = {"name": name, "revision": 5}
+    return msgspec.json.encode({"metadata": metadata, "spec": name})
+
+
 def build_reports():
     """Return a function whose bodies are load reports with a rising count."""
     count = iter(range(100))
@@ -49,3 +59,34 @@
         assert reader.read().running >= number - 1
         time.sleep(ARRIVAL_S)
     reader.close()
+
+
+@pytest.mark.parametrize("moment", list(Moment))
+def test_second_object_is_not_read_as_another(serve, moment):
+    """Guards against an object of the store in place of another one."""
+    server = serve(encode_object, moment)
+    api = ObjectApi("http://{}:{}".format(*server.address))
+    found = []
+    for name in ("a", "b", "c", "d"):
+        try:
+            found.append(api.read("kind", name, "test").name == name)
+        except LacewingdockError as error:
+            assert error.kind is ErrorKind.PLATFORM_UNAVAILABLE
+        time.sleep(2 * ARRIVAL_S)
+    assert len(found) >= 2
+    assert all(found)
+
+
+@pytest.mark.parametrize("moment", list(Moment))
+def test_second_answer_does_not_confirm_another_write(serve, moment):
+    """Guards against a write that counts as done by another one's answer."""
+    server = serve(encode_object, moment)
+    api = ObjectApi("http://{}:{}".format(*server.address))
+    for name in ("a", "b", "c", "d"):
+        try:
+            _, written = api.write("kind", name, name, 3, "test")
+            assert written.name == name
+        except LacewingdockError as error:
+            assert error.kind is ErrorKind.PLATFORM_UNAVAILABLE
+            assert error.ran == "unknown"
+        time.sleep(2 * ARRIVAL_S)
