Test connections over which an upstream may answer twice

Shown safe by these tests: each run on an engine and each check of an address has a connection of its own; a connection of the pool carries an id, and also no id, once, and is closed after its last request. The links between daemons tell frames by ids of their own, made for each attempt, and repeated and reordered frames are covered by tests/components/answers/test_events.py.

--- a/tests/components/poison_requests/test_address_check.py
+++ b/tests/components/poison_requests/test_address_check.py
@@ -81,3 +81,13 @@
         port = sock.getsockname()[1]
     found = check_address(Upstream().entry(port=port), "/health")
     assert found == AddressCheck(Responder.NOTHING)
+
+
+def test_each_check_has_a_connection_of_its_own():
+    """Guards against an earlier check's second answer, which has no id."""
+    server = Server(answer(b"200 OK", b"Instance-Id: i-1") * 2)
+    for _ in range(2):
+        found = check_address(server.entry("i-1"), "/health")
+        assert found == AddressCheck(Responder.ITSELF)
+    assert server.connections == 2
+    server.close()
--- a/tests/platform/test_second_answers.py
+++ b/tests/platform/test_second_answers.py
@@ -8,7 +8,7 @@
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
 from lacewingdock.platform.engine_report import ReportReader
 from lacewingdock.platform.object_api import ObjectApi
-from tests.platform.repeating_server import ARRIVAL_S, Moment, RepeatingServer
+from tests.repeating_server import ARRIVAL_S, Moment, RepeatingServer
 
 
 @pytest.fixture
