Count the answers that were skipped

An instance that sends answers to other requests, or without a request id, is faulty, and callers see nothing of it. The attempt line has the number; the metric lacewingdock_gateway_skipped_answers_total tells of the extent.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -356,8 +356,10 @@
         finally:
             attempt.notify_began()
             self.gateway.chooser.done(instance)
-        state = instance.state(start)
-        self.gateway.metrics.count_attempt(state, type(result).__name__)
+        skipped = attempt.use.skipped if attempt.use else 0
+        self.gateway.metrics.count_attempt(
+            instance.state(start), type(result).__name__, skipped
+        )
         self._record_pace(attempt, result, events)
         self._record_result(instance, result, start, events)
         log_attempt(
--- a/lacewingdock/components/gateway/metrics.py
+++ b/lacewingdock/components/gateway/metrics.py
@@ -86,15 +86,24 @@
         requests: Number of finished requests.
         seconds: Durations from the request to the end of the answer.
         attempts: Number of attempts.
+        skipped_answers: Number of answers that were skipped, as they named
+            another request or none.
     """
 
-    __slots__ = ("_lock", "attempts", "requests", "seconds")
+    __slots__ = (
+        "_lock",
+        "attempts",
+        "requests",
+        "seconds",
+        "skipped_answers",
+    )
 
     def __init__(self) -> None:
         """Create empty counters."""
         self.requests: Counter[RequestLabels] = Counter()
         self.seconds: dict[TimeLabels, DurationHistogram] = {}
         self.attempts: Counter[AttemptLabels] = Counter()
+        self.skipped_answers = 0
         self._lock = threading.Lock()
 
     def count_outcome(
@@ -127,10 +136,13 @@
             self.requests[labels] += 1
             self.seconds.setdefault(times, DurationHistogram()).add(seconds)
 
-    def count_attempt(self, state: InstanceState, result: str) -> None:
+    def count_attempt(
+        self, state: InstanceState, result: str, skipped_answers: int = 0
+    ) -> None:
         """Count an attempt by the instance's state and the result."""
         with self._lock:
             self.attempts[AttemptLabels(state, result)] += 1
+            self.skipped_answers += skipped_answers
 
     def copy(self) -> "GatewayMetrics":
         """Return a consistent copy of the counters."""
@@ -138,6 +150,7 @@
         with self._lock:
             copied.requests = self.requests.copy()
             copied.attempts = self.attempts.copy()
+            copied.skipped_answers = self.skipped_answers
             copied.seconds = {
                 labels: DurationHistogram(list(times.counts), times.total_s)
                 for labels, times in self.seconds.items()
--- a/lacewingdock/components/inspection/exposition.py
+++ b/lacewingdock/components/inspection/exposition.py
@@ -60,6 +60,11 @@
             AttemptLabels._fields,
             counters.attempts,
         )
+        yield CounterMetricFamily(
+            "lacewingdock_gateway_skipped_answers",
+            "Answers skipped, as they named another request or none",
+            value=counters.skipped_answers,
+        )
         seconds = HistogramMetricFamily(
             "lacewingdock_gateway_request_seconds",
             "Seconds from a whole request to the end of its answer",
--- a/tests/components/gateway/test_second_answers.py
+++ b/tests/components/gateway/test_second_answers.py
@@ -132,6 +132,7 @@
     assert (status, body) == (200, b"own")
     assert upstream.ran.count("c-1") == 1
     assert upstream.connections == 1
+    assert harness.gateway.metrics.skipped_answers == 1
 
 
 def test_copy_of_an_error_does_not_answer_the_retry(serve):
--- a/tests/components/inspection/test_inspection.py
+++ b/tests/components/inspection/test_inspection.py
@@ -78,7 +78,7 @@
 METRICS = GatewayMetrics()
 for taken_s in (0.1, 0.025, 40.0):
     METRICS.count_outcome("svc", Repeat.ONCE, 1, answered(200), taken_s)
-METRICS.count_attempt(InstanceState.SOUND, "Whole")
+METRICS.count_attempt(InstanceState.SOUND, "Whole", skipped_answers=2)
 
 
 @pytest.fixture
@@ -106,6 +106,7 @@
         'lacewingdock_gateway_requests_total{code="200",contract="once",'
         'end="answered",rank="1",service="svc"} 3.0',
         'lacewingdock_gateway_attempts_total{result="Whole",state="sound"} 1.0',
+        "lacewingdock_gateway_skipped_answers_total 2.0",
         'lacewingdock_gateway_request_seconds_bucket{contract="once",'
         'end="answered",le="0.1",rank="1"} 2.0',
         'lacewingdock_gateway_request_seconds_bucket{contract="once",'
