--- a/lacewingdock/components/admin/__init__.py
+++ b/lacewingdock/components/admin/__init__.py
@@ -21,8 +21,8 @@
     Attributes:
         daemon: The daemon.
         configuration: The configuration in force.
-        has_upstream: Tells whether an upstream can be reached.
-        routes: More paths: method and handler of each, put in before `start`.
+        has_upstream: Returns whether an upstream can be reached.
+        routes: Method and handler of further paths, added before `start`.
         server: The HTTP server.
     """
 
@@ -34,7 +34,7 @@
         configuration: Configuration,
         has_upstream: Callable[[], bool],
     ) -> None:
-        """Bind the port."""
+        """Bind the port; `start` begins to serve."""
         self.daemon = daemon
         self.configuration = configuration
         self.has_upstream = has_upstream
@@ -67,7 +67,7 @@
     def answer(
         self, environ: dict[str, Any], start_response: Callable[..., Any]
     ) -> Iterable[bytes]:
-        """Answer one request (WSGI)."""
+        """Answer a request; a WSGI application."""
         request = Request(environ)
         method, handler = self.routes.get(request.path, ("", None))
         match request.path:
@@ -110,7 +110,7 @@
     configuration: Configuration,
     has_upstream: Callable[[], bool],
 ) -> Admin:
-    """Set the admin port up."""
+    """Set up the admin port."""
     admin = Admin(daemon, configuration, has_upstream)
     daemon.add(NAME, admin)
     return admin
--- a/lacewingdock/components/exposure/__init__.py
+++ b/lacewingdock/components/exposure/__init__.py
@@ -1,4 +1,4 @@
-"""Support for stopping a bad version early without blaming healthy ones."""
+"""Support for detecting a bad version early, with few false alarms."""
 
 from lacewingdock.components.exposure.judge import Judge, Verdict
 
--- a/lacewingdock/components/exposure/batch.py
+++ b/lacewingdock/components/exposure/batch.py
@@ -1,4 +1,4 @@
-"""Support for what one entry sees of one incoming version."""
+"""Support for one entry's evidence on one incoming version."""
 
 from lacewingdock.components.exposure.const import (
     CONTROL_HALF_LIFE,
@@ -9,16 +9,16 @@
 
 
 class Batch:
-    """Evidence of one roll-out at one entry.
+    """Evidence of one entry on one roll-out.
 
     Attributes:
-        levels: What the bets go by; fixed before what they are on.
-        control: The old version, as seen here.
+        levels: Levels of the bets, fixed before the observations.
+        control: The old version's data at this entry.
         seen: The bets so far.
-        requests: Requests of the new version that are not bet on yet.
-        failed: Those of them that failed.
-        old_requests: Requests of the old version in the same time.
-        old_failed: Those of them that failed.
+        requests: Requests of the new version without a bet yet.
+        failed: Number of those that failed.
+        old_requests: Requests of the old version in the same period.
+        old_failed: Number of those that failed.
     """
 
     __slots__ = (
@@ -32,7 +32,7 @@
     )
 
     def __init__(self, entries: int) -> None:
-        """Start without evidence; `entries` share the comparison."""
+        """Create an empty batch at one of `entries` entries."""
         half_life = max(CONTROL_HALF_LIFE / entries, ENTRY_HALF_LIFE_MIN)
         self.levels = Levels()
         self.control = Control(half_life)
@@ -50,27 +50,27 @@
         self.control.add_request(is_error)
 
     def add_rating(self, is_new: bool, rating: float) -> None:
-        """Take a rating of the new or the old version."""
+        """Add a rating of the new or the old version."""
         if not is_new:
             self.control.add_rating(rating)
         elif self.levels.rating is not None:
             self.seen.add_rating(rating, self.levels.rating)
 
-    def settle(self, levels: Levels) -> None:
-        """Bet on the requests since the last time; go by `levels` from now.
+    def place_bets(self, levels: Levels) -> None:
+        """Bet on the requests since the last call; use `levels` from now on.
 
-        An engine that dies fails requests of both versions within seconds,
-        before the fleet's level can show it, and two such errors would call
-        the new version bad. So the old version's errors here in the same
-        seconds raise the level. They are other requests than those bet on,
-        so the bet stays fair.
+        An engine that crashes fails requests of both versions within seconds,
+        before the fleet's level reflects it, and two such errors would be
+        enough to judge the new version bad. So the old version's errors at
+        this entry in the same period raise the level. Those are other requests
+        than the ones bet on, so the bet stays fair.
         """
         if self.requests:
-            beside = 0.0
+            local_level = 0.0
             if self.old_requests:
-                beside = 2.0 * self.old_failed / self.old_requests
-            level = max(self.levels.errors, beside)
+                local_level = 2.0 * self.old_failed / self.old_requests
+            level = max(self.levels.errors, local_level)
             self.seen.add_requests(self.requests, self.failed, level)
         self.requests = self.failed = self.old_requests = self.old_failed = 0
-        self.seen.take_control(self.control)
+        self.seen.copy_control(self.control)
         self.levels = levels
--- a/lacewingdock/components/exposure/evidence.py
+++ b/lacewingdock/components/exposure/evidence.py
@@ -1,9 +1,9 @@
-"""Support for evidence that may be looked at after each observation.
+"""Support for evidence that may be evaluated after each observation.
 
-An e-process is a bet against "the version is healthy" that is fair while it
-is. Its wealth reaches 1/a with a chance of at most a, however often one
-looks (Ville's inequality); a fixed-size test looked at repeatedly would call
-every healthy version bad in the end.
+An e-process is a bet against the hypothesis that the version is healthy, and
+fair under it. Its wealth ever reaches 1/a with a probability of at most a
+(Ville's inequality). A test of fixed size that is evaluated repeatedly would
+judge every healthy version bad eventually.
 """
 
 from lacewingdock.components.exposure.const import (
@@ -14,14 +14,14 @@
 
 
 def rating_factor(bet: float, rating: float, level: float) -> float:
-    """Return by what a bet's wealth is multiplied by one rating."""
-    # A bet must not be able to lose more than it has.
+    """Return the factor by which one rating changes a bet's wealth."""
+    # The stake is limited so that the wealth stays positive.
     stake = min(bet, 0.9 / max(1.0 - level, 1e-3))
     return 1.0 + stake * (level - rating)
 
 
 def error_factor(share: float, is_error: bool, level: float) -> float:
-    """Return by what a bet's wealth is multiplied by one request."""
+    """Return the factor by which one request changes a bet's wealth."""
     level = min(max(level, ERROR_TOLERANCE), 0.5)
     if share <= level:
         return 1.0
@@ -29,17 +29,17 @@
 
 
 class RatingEvidence:
-    """Evidence that ratings from 0 to 1 have a mean below some level.
+    """Evidence that ratings from 0 to 1 have a mean below a level.
 
     Attributes:
         wealths: Wealth of each bet.
-        count: Ratings seen.
+        count: Number of ratings.
     """
 
     __slots__ = ("count", "wealths")
 
     def __init__(self) -> None:
-        """Start with a wealth of one."""
+        """Create evidence with a wealth of one."""
         self.wealths = [1.0] * len(RATING_BETS)
         self.count = 0
 
@@ -48,8 +48,7 @@
 
         Args:
             rating: 0 to 1.
-            level: Mean that a healthy version reaches; it must have been
-                known before the rating.
+            level: Mean rating of a healthy version, known before the rating.
         """
         self.count += 1
         for index, bet in enumerate(RATING_BETS):
@@ -57,29 +56,29 @@
 
     @property
     def wealth(self) -> float:
-        """Mean wealth of the bets, itself an e-process."""
+        """Mean wealth of the bets, which is an e-process too."""
         return sum(self.wealths) / len(self.wealths)
 
 
 class ErrorEvidence:
-    """Evidence that the share of errors is above some level.
+    """Evidence that the share of errors is above a level.
 
     Attributes:
         wealths: Wealth of each bet.
-        requests: Requests seen.
-        errors: Errors seen.
+        requests: Number of requests.
+        errors: Number of errors.
     """
 
     __slots__ = ("errors", "requests", "wealths")
 
     def __init__(self) -> None:
-        """Start with a wealth of one."""
+        """Create evidence with a wealth of one."""
         self.wealths = [1.0] * len(ERROR_SHARES)
         self.requests = 0
         self.errors = 0
 
     def add(self, is_error: bool, level: float = ERROR_TOLERANCE) -> None:
-        """Bet on one request; `level` is the share that is tolerated."""
+        """Bet on one request; `level` is the tolerated share of errors."""
         self.requests += 1
         self.errors += is_error
         for index, share in enumerate(ERROR_SHARES):
@@ -87,5 +86,5 @@
 
     @property
     def wealth(self) -> float:
-        """Mean wealth of the bets, itself an e-process."""
+        """Mean wealth of the bets, which is an e-process too."""
         return sum(self.wealths) / len(self.wealths)
--- a/lacewingdock/components/exposure/fleet.py
+++ b/lacewingdock/components/exposure/fleet.py
@@ -1,8 +1,8 @@
-"""Support for judging a version on what the whole fleet saw.
+"""Support for judging a version by the evidence of the whole fleet.
 
-Whoever holds the roll-outs' lease adds up what the entries published. It
-keeps nothing that the next holder would need: that one adds the same objects
-up and comes to the same sum.
+The holder of the roll-outs' lease adds up the evidence that the entries
+publish. It has no state that the next holder would need: that one adds up the
+same objects, with the same result.
 """
 
 from dataclasses import dataclass, field
@@ -36,12 +36,12 @@
 
 
 @dataclass(slots=True)
-class Read:
-    """What was read of one roll-out.
+class PublishedEvidence:
+    """Evidence on one roll-out that was read from the store.
 
     Attributes:
-        revision: Up to where.
-        parts: What each run of an entry saw, by object name.
+        revision: Revision up to which it was read.
+        parts: Evidence of each start of an entry, by object name.
     """
 
     revision: int = -1
@@ -52,33 +52,33 @@
     """Judges versions for the holder of the roll-outs' lease.
 
     Attributes:
-        store: The platform.
+        store: The platform's store.
         rated: Whether a rating service is configured.
-        read: What was read, by roll-out id.
-        listed: Names and revisions of published objects, perhaps to be
-            removed; None until they were listed.
-        again: Whether they must be listed once more.
+        read: Evidence read so far, by roll-out id.
+        listed: Names and revisions of published objects that may have to be
+            removed; None until they are listed.
+        must_relist: Whether the objects must be listed again.
     """
 
-    __slots__ = ("again", "listed", "rated", "read", "store")
+    __slots__ = ("listed", "must_relist", "rated", "read", "store")
 
     def __init__(self, store: Any, rated: bool) -> None:
-        """Start without evidence."""
+        """Create a judge without evidence."""
         self.store = store
         self.rated = rated
-        self.read: dict[str, Read] = {}
+        self.read: dict[str, PublishedEvidence] = {}
         self.listed: list[tuple[str, int]] | None = None
-        self.again = False
+        self.must_relist = False
 
     def refresh(self, rollout: Rollout) -> Increments:
-        """Read what the entries published since, and add it all up.
+        """Read the evidence published since the last call; return the sum.
 
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
         """
-        known = self.read.setdefault(rollout.id, Read())
-        # Only what changed: a list of 1,200 objects each round would cost
-        # the holder some 300 KB a second, which is all its control budget.
+        known = self.read.setdefault(rollout.id, PublishedEvidence())
+        # Reads only changes: a list of 1,200 objects per round would take
+        # some 300 KB/s, far more than the control budget of a daemon.
         listing = self.store.list_all(
             COLLECTION_EXPOSURE, NAME, f"{rollout.id}/", known.revision
         )
@@ -95,7 +95,7 @@
         return sum_up(known.parts.values())
 
     def verdict(self, rollout: Rollout) -> Verdict:
-        """Say what the fleet's evidence tells of a roll-out's version.
+        """Return the verdict of the fleet's evidence on a roll-out's version.
 
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
@@ -113,8 +113,8 @@
         return GoOn()
 
     def levels(self, rollout: Rollout) -> Levels:
-        """Return what the entries shall go by; call after `verdict`."""
-        known = self.read.get(rollout.id, Read())
+        """Return the levels for the entries' bets; call after `verdict`."""
+        known = self.read.get(rollout.id, PublishedEvidence())
         found = sum_up(known.parts.values()).levels()
         old = rollout.levels
         if found.rating is None or old.rating is None:
@@ -125,24 +125,24 @@
         return found if moved else old
 
     def clean(self, active: set[str]) -> None:
-        """Remove a few of the objects of roll-outs that have ended.
+        """Remove some objects of roll-outs that have ended.
 
-        A holder that froze comes with an old list of active roll-outs and
-        would remove the evidence of one that began since. So the objects
-        are listed a round earlier than the roll-outs that they are held
-        against: what is listed then and not active now has ended, since an
-        id is never used again.
+        A holder that was paused has an outdated list of active roll-outs and
+        would remove the evidence of one that began since. So the objects are
+        listed one round before the roll-outs that they are compared with: an
+        object listed then whose roll-out is not active now belongs to one that
+        has ended, since ids are never reused.
 
         Args:
-            active: Ids of the active roll-outs, read just before.
+            active: Ids of the active roll-outs, read immediately before.
 
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
         """
-        over = [known for known in self.read if known not in active]
-        for known in over:
+        ended = [known for known in self.read if known not in active]
+        for known in ended:
             del self.read[known]
-        if self.listed is None or over:
+        if self.listed is None or ended:
             listing = self.store.list_all(COLLECTION_EXPOSURE, NAME)
             self.listed = [
                 (o.name, o.revision)
@@ -158,8 +158,8 @@
         for _ in range(min(MAX_REMOVED, len(self.listed))):
             self._remove(*self.listed[-1])
             self.listed.pop()
-        if self.again and not self.listed:
-            self.listed, self.again = None, False
+        if self.must_relist and not self.listed:
+            self.listed, self.must_relist = None, False
 
     def _remove(self, name: str, revision: int) -> None:
         try:
@@ -167,5 +167,5 @@
         except LacewingdockError as error:
             if error.kind is not ErrorKind.CONFLICT:
                 raise
-            # Its entry wrote once more, or an answer was lost.
-            self.again = True
+            # The entry wrote again, or the answer to a removal was lost.
+            self.must_relist = True
--- a/lacewingdock/components/exposure/increments.py
+++ b/lacewingdock/components/exposure/increments.py
@@ -1,8 +1,8 @@
-"""Support for evidence that many entries gather side by side.
+"""Support for evidence that many entries collect in parallel.
 
-Every entry bets on its own requests and ratings with levels that were fixed
-before it saw them. Different entries bet on different observations, so the
-product of their wealths is an e-process again, and logarithms add up.
+Each entry bets on its own requests and ratings, with levels that were fixed
+before. Different entries bet on different observations, so the product of
+their wealths is an e-process too, and its logarithm is a sum.
 """
 
 import math
@@ -25,11 +25,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Levels:
-    """What a healthy version reaches, as the old one does.
+    """Levels of a healthy version, derived from the old version.
 
     Attributes:
-        rating: Mean rating; None while it isn't known.
-        errors: Share of requests that fail.
+        rating: Mean rating; None while unknown.
+        errors: Tolerated share of failed requests.
     """
 
     rating: float | None = None
@@ -38,16 +38,16 @@
 
 @dataclass(slots=True)
 class Increments:
-    """What one entry, or the whole fleet, saw of a roll-out so far.
+    """Evidence of one entry, or of the whole fleet, on a roll-out.
 
     Attributes:
         rating_logs: Logarithm of the wealth of each bet on ratings.
-        error_logs: The same of each bet on errors.
-        rated: Ratings of the new version that were bet on.
-        answered: Requests of the new version.
-        failed: Those of them that failed.
+        error_logs: Logarithm of the wealth of each bet on errors.
+        rated: Number of ratings of the new version that were bet on.
+        answered: Number of requests of the new version.
+        failed: Number of those that failed.
         old_weight: Discounted number of ratings of the old version.
-        old_total: Discounted sum of them.
+        old_total: Discounted sum of those ratings.
         old_requests: Discounted number of requests of the old version.
         old_errors: Discounted number of those that failed.
     """
@@ -75,7 +75,7 @@
             )
 
     def add_requests(self, requests: int, failed: int, level: float) -> None:
-        """Bet on requests of the new version, `failed` of which failed."""
+        """Bet on requests of the new version, some of which failed."""
         self.answered += requests
         self.failed += failed
         for index, share in enumerate(ERROR_SHARES):
@@ -85,13 +85,13 @@
                 error_factor(share, False, level)
             )
 
-    def take_control(self, control: Control) -> None:
-        """Copy what is known of the old version."""
+    def copy_control(self, control: Control) -> None:
+        """Copy the ratings and errors of the old version."""
         self.old_weight, self.old_total = control.weight, control.total
         self.old_requests, self.old_errors = control.requests, control.errors
 
     def reason(self) -> str:
-        """Say why the version is bad; empty while it isn't known to be."""
+        """Return why the version is bad; empty while there is no proof."""
         if _wealth_log(self.error_logs) >= -math.log(FALSE_ALARM_ERRORS):
             return f"{self.failed} of {self.answered} answers failed"
         if _wealth_log(self.rating_logs) >= -math.log(FALSE_ALARM_RATINGS):
@@ -99,7 +99,7 @@
         return ""
 
     def levels(self) -> Levels:
-        """Return the levels that follow from the old version."""
+        """Return the levels that follow from the old version's data."""
         control = Control()
         control.weight, control.total = self.old_weight, self.old_total
         control.requests, control.errors = self.old_requests, self.old_errors
@@ -107,7 +107,7 @@
 
 
 def sum_up(parts: Iterable[Increments]) -> Increments:
-    """Return what the entries saw together."""
+    """Return the evidence of several entries together."""
     whole = Increments()
     for part in parts:
         whole.rating_logs = _added(whole.rating_logs, part.rating_logs)
@@ -127,6 +127,6 @@
 
 
 def _wealth_log(logs: list[float]) -> float:
-    """Logarithm of the mean wealth of the bets, itself an e-process."""
+    """Return the logarithm of the mean wealth, which is an e-process too."""
     top = max(logs)
     return top + math.log(sum(math.exp(x - top) for x in logs) / len(logs))
--- a/lacewingdock/components/exposure/judge.py
+++ b/lacewingdock/components/exposure/judge.py
@@ -1,4 +1,4 @@
-"""Support for judging a version that is being rolled out."""
+"""Support for judging a new version during its roll-out."""
 
 from enum import StrEnum
 
@@ -19,7 +19,7 @@
 
 
 class Verdict(StrEnum):
-    """What the evidence says of a version."""
+    """Verdict on a version."""
 
     BAD = "bad"
     GOOD = "good"
@@ -27,66 +27,67 @@
 
 
 class Control:
-    """What the old version does at the same time.
+    """The old version's ratings and errors in the same period.
 
-    The two are compared side by side: a harder hour lowers both, and a
-    comparison with last week would blame the new version for it.
+    Both versions are compared over the same period: harder requests lower the
+    ratings of both, and a comparison with an earlier period would attribute
+    that to the new version.
 
     Attributes:
         weight: Discounted number of ratings.
         total: Discounted sum of ratings.
         requests: Discounted number of requests.
         errors: Discounted number of errors.
-        half_life: Ratings after which one counts half.
+        half_life: Number of ratings after which a rating has half its weight.
     """
 
     __slots__ = ("errors", "half_life", "requests", "total", "weight")
 
     def __init__(self, half_life: float = CONTROL_HALF_LIFE) -> None:
-        """Start without observations."""
+        """Create an empty record."""
         self.half_life = half_life
         self.weight = self.total = 0.0
         self.requests = self.errors = 0.0
 
     def add_rating(self, rating: float) -> None:
         """Count a rating."""
-        fade = 0.5 ** (1.0 / self.half_life)
-        self.weight = self.weight * fade + 1.0
-        self.total = self.total * fade + rating
+        decay = 0.5 ** (1.0 / self.half_life)
+        self.weight = self.weight * decay + 1.0
+        self.total = self.total * decay + rating
 
     def add_request(self, is_error: bool) -> None:
         """Count a request."""
-        fade = 0.5 ** (0.1 / self.half_life)
-        self.requests = self.requests * fade + 1.0
-        self.errors = self.errors * fade + is_error
+        decay = 0.5 ** (0.1 / self.half_life)
+        self.requests = self.requests * decay + 1.0
+        self.errors = self.errors * decay + is_error
 
     def rating_level(self) -> float | None:
-        """Return the mean that a healthy version reaches, if known."""
+        """Return the mean rating of a healthy version; None if unknown."""
         if self.weight < CONTROL_MIN:
             return None
         return max(self.total / self.weight - RATING_TOLERANCE, 0.0)
 
     def error_level(self) -> float:
-        """Return the share of errors that a healthy version may have."""
+        """Return the tolerated share of errors of a healthy version."""
         share = self.errors / self.requests if self.requests else 0.0
         return max(2.0 * share, ERROR_TOLERANCE)
 
 
 class Judge:
-    """Judges a version by its errors and ratings as they come.
+    """Judges a version by its errors and ratings, one at a time.
 
     Attributes:
         control: The old version.
-        ratings: Evidence against the new one by ratings.
-        errors: Evidence against it by errors.
-        answered: Requests that the new one answered.
-        reason: Why it was called bad; empty otherwise.
+        ratings: Evidence from ratings against the new version.
+        errors: Evidence from errors against it.
+        answered: Number of requests that the new version answered.
+        reason: Why it was judged bad; empty otherwise.
     """
 
     __slots__ = ("answered", "control", "errors", "ratings", "reason")
 
     def __init__(self) -> None:
-        """Start without evidence."""
+        """Create a judge without evidence."""
         self.control = Control()
         self.ratings = RatingEvidence()
         self.errors = ErrorEvidence()
@@ -116,7 +117,7 @@
             self.reason = self.reason or "ratings"
 
     def verdict(self) -> Verdict:
-        """Say what the evidence tells so far."""
+        """Return the verdict on the evidence so far."""
         if self.reason:
             return Verdict.BAD
         enough = (
--- a/lacewingdock/components/exposure/watch.py
+++ b/lacewingdock/components/exposure/watch.py
@@ -1,13 +1,13 @@
-"""Support for an entry's part of judging the versions that come in.
+"""Support for collecting one entry's evidence on incoming versions.
 
-While a model has an incoming version, the entry counts what it sees of it
-and of the old one, and publishes the sum of its bets in one object of the
-platform, named by the roll-out and by this run of the entry.
+While a model has an incoming version, the entry counts requests and ratings of
+it and of the old version, and publishes the sum of its bets in one object of
+the store, named by the roll-out and by the incarnation of the entry.
 
-- Lost answers and repeated writes do no harm: the object holds sums, and
-  nobody else writes it.
-- An entry that restarts publishes under another name, so what it had
-  published stays, and nothing counts twice.
+- Lost answers and repeated writes do no harm: the object holds sums and has a
+  single writer.
+- An entry that restarts publishes under another name. Its earlier evidence
+  stays, and nothing is counted twice.
 """
 
 import threading
@@ -36,19 +36,19 @@
 
 
 class Watched:
-    """One incoming version at this entry.
+    """An incoming version at this entry.
 
     Attributes:
-        batch: What was seen.
-        rollout: Id of its roll-out; empty until it was read.
+        batch: The evidence.
+        rollout: Id of its roll-out; empty until read.
         revision: Revision of the published object.
-        published: What it holds.
+        published: Value of the published object.
     """
 
     __slots__ = ("batch", "published", "revision", "rollout")
 
     def __init__(self, entries: int) -> None:
-        """Start without evidence."""
+        """Create it without evidence, at one of `entries` entries."""
         self.batch = Batch(entries)
         self.rollout = ""
         self.revision = ABSENT
@@ -56,14 +56,14 @@
 
 
 class Watch:
-    """What this entry sees of the incoming versions of all models.
+    """Collects this entry's evidence on the incoming versions of all models.
 
     Attributes:
         daemon: The daemon.
-        configuration: Names the incoming versions.
-        entries: Tells how many entries there are.
-        watched: What was seen, by model and incoming version.
-        due: Monotonic time of the next round.
+        configuration: The configuration, with the incoming versions.
+        entries: Returns the number of entries.
+        watched: Evidence by model and incoming version.
+        due: Monotonic time of the next publication.
     """
 
     __slots__ = (
@@ -82,23 +82,23 @@
         configuration: Configuration,
         entries: Callable[[], int],
     ) -> None:
-        """Start without evidence."""
+        """Create it without evidence; `start` begins to publish."""
         self.daemon = daemon
         self.configuration = configuration
         self.entries = entries
         self.watched: dict[tuple[str, str], Watched] = {}
         self.due = 0.0
         self._lock = threading.Lock()
-        # Two rounds at once would write one object from two sides.
+        # Prevents two concurrent writes of one object.
         self._round = threading.Lock()
 
     def start(self) -> None:
-        """Start publishing; what is there at a planned stop goes out too."""
+        """Start publishing, also once more at a planned stop."""
         self.daemon.every(PUBLISH_S / 2, self._tick)
         self.daemon.on_leave.append(self.publish_all)
 
     def interval_s(self) -> float:
-        """Return the time between two publications of this entry."""
+        """Return the interval between two publications of this entry."""
         writes = self.entries() * max(len(self.watched), 1)
         return max(PUBLISH_S, writes / FLEET_WRITES_PER_S)
 
@@ -106,14 +106,15 @@
         now = time.monotonic()
         if now < self.due:
             return
-        # Entries that heard of the roll-out at once must not write at once.
+        # Entries learn of a roll-out at the same time and must not write at
+        # the same time.
         spread = self.interval_s() * (0.5 + self.daemon.random.random())
         first, self.due = self.due == 0.0, now + spread
         if not first:
             self.publish_all()
 
     def wants(self, version: str) -> bool:
-        """Tell whether ratings of a version's answers are wanted."""
+        """Return whether ratings of a version's answers are needed."""
         return self._key(version) is not None
 
     def _key(self, version: str) -> tuple[str, str] | None:
@@ -133,7 +134,7 @@
             self._batch(key).add_request(version == key[1], is_error)
 
     def add_rating(self, version: str, rating: float) -> None:
-        """Take a rating of an answer of a version."""
+        """Add a rating of an answer of a version."""
         key = self._key(version)
         if key is None:
             return
@@ -146,7 +147,7 @@
         return self.watched[key].batch
 
     def publish_all(self) -> None:
-        """Publish what was seen of each incoming version."""
+        """Publish the evidence on each incoming version."""
         incoming = {
             (name, model.incoming)
             for name, model in self.configuration.world.models.items()
@@ -160,7 +161,7 @@
                 try:
                     self._publish(key)
                 except LacewingdockError as error:
-                    # All of it goes out with the next publication.
+                    # The next publication contains the same evidence.
                     log.warning("evidence not published", error=error.detail)
 
     def _forget(self, key: tuple[str, str]) -> None:
@@ -168,7 +169,7 @@
             self.watched.pop(key, None)
 
     def _publish(self, key: tuple[str, str]) -> None:
-        """Bet on what was seen, with the levels of the last time.
+        """Bet on the new observations with the previous levels, and publish.
 
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE, INTERNAL.
@@ -180,14 +181,14 @@
             rollout is None
             or rollout.version != key[1]
             or rollout.state != STATE_RAISING
-            # Evidence of one roll-out must not judge the next.
+            # Evidence on one roll-out must not count for the next.
             or known.rollout not in ("", rollout.id)
         ):
             self._forget(key)
             return
         known.rollout = rollout.id
         with self._lock:
-            known.batch.settle(rollout.levels)
+            known.batch.place_bets(rollout.levels)
             value = msgspec.to_builtins(known.batch.seen)
         if value != known.published:
             self._put(key, known, value)
@@ -202,8 +203,8 @@
         except LacewingdockError as error:
             if error.kind is not ErrorKind.CONFLICT:
                 raise
-            # An earlier write of ours took effect though its answer was
-            # lost. The next publication holds all that this one does.
+            # An earlier write of this entry took effect, and its answer was
+            # lost. The next publication contains all of this one.
             found = store.get(COLLECTION_EXPOSURE, name, NAME)
             known.revision = found.revision
             if found.value is None:
@@ -212,13 +213,13 @@
         known.revision, known.published = stored.revision, value
 
     def unload(self) -> None:
-        """Nothing is held beyond the daemon's tasks."""
+        """Do nothing; only tasks of the daemon are in use."""
 
 
 def setup(
     daemon: Daemon, configuration: Configuration, entries: Callable[[], int]
 ) -> Watch:
-    """Set the watch up."""
+    """Set up the watch."""
     watch = Watch(daemon, configuration, entries)
     daemon.add(NAME, watch)
     return watch
--- a/tests/components/exposure/test_fleet.py
+++ b/tests/components/exposure/test_fleet.py
@@ -1,4 +1,4 @@
-"""Tests of judging a version on what many entries saw."""
+"""Tests of judging a version by the evidence of many entries."""
 
 import math
 from types import SimpleNamespace
@@ -28,10 +28,10 @@
 
 
 class Fleet:
-    """Entries that watch v2 beside v1, and who holds the lease."""
+    """Entries that compare v2 with v1, and the holder of the lease."""
 
     def __init__(self, entries=2, evidence=0, rated=True):
-        """Start with a roll-out of v2 at its first step."""
+        """Create a fleet with a roll-out of v2 at its first step."""
         self.store, self.rated = FakeStore(), rated
         self.world = World()
         self.world.versions = {v: Version(model="m") for v in ("v1", "v2")}
@@ -68,7 +68,7 @@
         return decode_rollout(self.store.get("rollouts", "m"))
 
     def round(self):
-        """Let every entry publish and the holder judge."""
+        """Have each entry publish, and the holder judge."""
         for entry in self.entries:
             entry.publish_all()
         record = self.record()
@@ -82,7 +82,7 @@
         return verdict
 
     def know_old(self, rating=0.9):
-        """Let the old version be rated until its level is published."""
+        """Have the old version rated until its level is published."""
         for entry in self.entries:
             for _ in range(60):
                 entry.add_request("v1", False)
@@ -94,7 +94,7 @@
         return self.holder().refresh(self.record())
 
 
-def test_no_entry_sees_enough_alone():
+def test_evidence_of_several_entries_suffices_together():
     fleet = Fleet(entries=4)
     fleet.know_old()
     for entry in fleet.entries[:3]:
@@ -110,7 +110,7 @@
         (0.9, 200, GoOn),
         (0.9, 20, Hold),
         (0.6, 200, Return),
-        # The rating service is down: no verdict is no good verdict.
+        # The rating service is down: missing ratings are not good ratings.
         (None, 200, Hold),
     ],
 )
@@ -143,12 +143,11 @@
     assert isinstance(fleet.round(), GoOn)
 
 
-def test_a_dying_engine_does_not_blame_the_new_version():
-    """An engine dies that serves both versions.
+def test_crashed_engine_is_not_attributed_to_the_new_version():
+    """Guards against the rollback of a healthy version by an engine's crash.
 
-    Symptom: a healthy version is returned when an engine crashes.
-    Events: within one publication most answers of both versions fail.
-    Cause: a level from before, against which two errors are proof.
+    The engine serves both versions. Within one publication most answers of
+    both fail, while the level is still the one from before.
     """
     fleet = Fleet()
     fleet.know_old()
@@ -159,13 +158,11 @@
     assert not isinstance(fleet.round(), Return)
 
 
-def test_a_replaced_holder_knows_what_the_last_one_knew():
-    """The holder is replaced in mid-roll-out.
+def test_next_holder_has_all_evidence_of_the_last():
+    """Guards against evidence that is lost or counted twice.
 
-    Symptom: evidence is lost, or counts twice, after a change of holder.
-    Events: entries publish; the holder judges; another takes the lease, and
-    entries publish again.
-    Cause: evidence that is kept in the holder's memory.
+    Entries publish and the holder judges; then another daemon takes the lease
+    and the entries publish again.
     """
     fleet = Fleet()
     fleet.know_old()
@@ -184,13 +181,11 @@
     assert isinstance(fleet.round(), Return)
 
 
-def test_a_restarted_entry_loses_only_what_it_had_not_published():
-    """An entry restarts in mid-roll-out.
+def test_restarted_entry_loses_only_unpublished_evidence():
+    """Guards against a sum that starts at zero and replaces an earlier one.
 
-    Symptom: the count of answers falls, or grows by answers counted twice.
-    Events: an entry publishes, sees one more answer, is killed and comes
-    back under its old name; it publishes again.
-    Cause: a sum that starts at zero written over an earlier one.
+    An entry publishes, gets one more answer, is killed, restarts under its name
+    and publishes again.
     """
     fleet = Fleet()
     for _ in range(5):
@@ -215,11 +210,9 @@
     )
 )
 def test_any_fates_of_writes_count_each_answer_once(events):
-    """Writes are lost, late or never arrive, and entries restart.
+    """Guards against an increment that is counted twice or not at all.
 
-    Symptom: the fleet's count is not the number of answers.
-    Events: any order of them.
-    Cause: an increment sent again after its answer was lost.
+    Writes are lost, late or never arrive, and entries restart, in any order.
     """
     fleet, seen, base = Fleet(entries=1), 0, 0
     for number, event in enumerate(events):
@@ -239,14 +232,14 @@
                 base = seen = fleet.seen().answered
                 fleet.entries[0] = fleet.entry("entry-0", str(number))
         assert base <= fleet.seen().answered <= seen
-    # What is still under way arrives; conflicts settle in two rounds.
+    # Two rounds resolve conflicts with writes that arrived late.
     fleet.store.late.clear()
     for _ in range(3):
         fleet.entries[0].publish_all()
     assert fleet.seen().answered == seen
 
 
-def test_outage_keeps_what_was_seen():
+def test_outage_loses_no_evidence():
     fleet = Fleet()
     fleet.entries[0].add_request("v2", False)
     fleet.store.down = True
@@ -257,12 +250,10 @@
 
 
 def test_evidence_of_one_rollout_does_not_judge_the_next():
-    """A version is returned, mended and rolled out again.
+    """Guards against a rollback by the evidence on an earlier roll-out.
 
-    Symptom: the second roll-out is returned at once.
-    Events: errors are published; the roll-out ends, another of the same
-    version begins; an entry has not heard that the first ended.
-    Cause: evidence named by the version, or kept across roll-outs.
+    A version fails and is rolled back, fixed and rolled out again, while an
+    entry has not learned yet that the first roll-out ended.
     """
     fleet = Fleet()
     for _ in range(4):
@@ -275,12 +266,10 @@
 
 
 def test_ended_evidence_is_removed_and_running_evidence_never():
-    """A holder freezes between its list of roll-outs and the removal.
+    """Guards against the removal of evidence on an active roll-out.
 
-    Symptom: evidence of a running roll-out is gone.
-    Events: a holder reads the active roll-outs and freezes; another
-    roll-out begins and entries publish; the holder thaws and removes.
-    Cause: what is not in an old list taken for ended.
+    A holder is paused after it listed the active roll-outs. Another roll-out
+    begins and entries publish; then the holder removes evidence.
     """
     fleet = Fleet()
     fleet.entries[0].add_request("v2", False)
@@ -289,7 +278,7 @@
     fleet.begin("r-2")
     fleet.entries[1].add_request("v2", False)
     fleet.round()
-    # Its list of roll-outs is from before r-2 began.
+    # The holder listed the roll-outs before r-2 began.
     frozen.clean({"r-1"})
     assert fleet.seen().answered == 1
     for _ in range(3):
@@ -305,11 +294,11 @@
         every = fleet.entries[0].interval_s()
         assert every >= PUBLISH_S
         assert size / every <= FLEET_WRITES_PER_S
-    # Two roll-outs at once share them.
+    # Two concurrent roll-outs share the writes.
     fleet.entries[0].watched = {("m", "v2"): None, ("n", "w2"): None}
     assert 2 * size / fleet.entries[0].interval_s() <= FLEET_WRITES_PER_S
     fleet.entries[0].watched = {}
-    # Nothing new, nothing written.
+    # Without new evidence nothing is written.
     fleet.entries[0].add_request("v2", False)
     fleet.round()
     written = len(fleet.store.history)
@@ -320,7 +309,7 @@
 @given(st.lists(st.tuples(st.booleans(), st.floats(0, 1)), max_size=20))
 @settings(derandomize=True, deadline=None, max_examples=50)
 def test_shared_bets_multiply_to_the_bets_of_one(seen):
-    """Two entries' sums are what one entry that saw all would have."""
+    """The sums of two entries equal those of one with all observations."""
     errors, ratings = ErrorEvidence(), RatingEvidence()
     parts = [Increments(), Increments()]
     for index, (is_error, rating) in enumerate(seen):
--- a/tests/components/exposure/test_judge.py
+++ b/tests/components/exposure/test_judge.py
@@ -1,4 +1,4 @@
-"""Tests for judging a version that is being rolled out."""
+"""Tests of judging a new version during its roll-out."""
 
 import itertools
 import math
@@ -39,14 +39,14 @@
     assert (judge.verdict(), judge.reason) == (expected, reason)
 
 
-def test_gross_failure_is_seen_in_a_few_requests():
+def test_version_that_always_fails_is_bad_after_a_few_requests():
     judge = known_control()
     for _ in range(5):
         judge.add_request(True, True)
     assert judge.verdict() is Verdict.BAD
 
 
-def test_nothing_is_said_before_the_old_version_is_known():
+def test_no_verdict_before_the_old_version_is_known():
     judge = Judge()
     for _ in range(100):
         judge.add_rating(True, 0.0)
@@ -54,7 +54,7 @@
 
 
 def test_bets_on_errors_are_fair_when_the_version_is_healthy():
-    """The mean wealth over all outcomes is exactly one, so no look wins."""
+    """The expected wealth is exactly one, however often it is evaluated."""
     level, count, mean = 0.25, 8, 0.0
     for outcomes in itertools.product([False, True], repeat=count):
         evidence = ErrorEvidence()
@@ -63,7 +63,7 @@
             evidence.add(is_error, level)
             chance *= level if is_error else 1.0 - level
         mean += chance * evidence.wealth
-    # Shares at or below the level are not bet on and keep their wealth.
+    # Bets on shares at or below the level keep their wealth.
     assert math.isclose(mean, 1.0)
 
 
--- a/tests/components/exposure/test_processes.py
+++ b/tests/components/exposure/test_processes.py
@@ -1,4 +1,4 @@
-"""Tests of roll-outs judged through processes, by ratings that come late."""
+"""Tests of judging roll-outs with real processes and late ratings."""
 
 import itertools
 from concurrent.futures import ThreadPoolExecutor
@@ -42,12 +42,10 @@
 
 
 def test_ratings_decide_a_rollout(deployment):
-    """One version answers worse than the old one, another as well.
+    """Guards against a version that answers without errors, and badly.
 
-    Symptom: callers get poor answers until a person looks.
-    Events: half of the sessions get each version; ratings of its answers and
-    of the old version's come in late, some at each entry.
-    Cause: a controller that hears of errors only.
+    Of two new versions one answers worse than the old one. Half of the sessions
+    get each version, and ratings arrive late, some at each entry.
     """
     store = ObjectStore(deployment.processes["platform"].url())
     admin = Client(
@@ -84,7 +82,7 @@
     assert "ratings" in found.reason
     known = store.get("config", "version/planner-2", "t")
     assert known.value["state"] == "withdrawn"
-    # Both entries' evidence of both, and each under its roll-out.
+    # Both entries published evidence on each roll-out.
     assert len(writers) == 4
     assert {name.split("/")[0] for name in writers} == ids
     wait_until(
