--- a/tests/repeating_server.py
+++ b/tests/repeating_server.py
@@ -7,6 +7,8 @@
 from enum import StrEnum
 from typing import Final
 
+from tests.components.gateway.fakes import read_request
+
 # Long enough for bytes to arrive on loopback, in seconds.
 ARRIVAL_S: Final = 0.05
 
@@ -61,7 +63,8 @@
     def _serve(self, sock):
         owed = b""
         with contextlib.suppress(OSError):
-            while (target := _read_target(sock)) is not None:
+            while (found := read_request(sock)) is not None:
+                target = found[0].split()[1].decode()
                 answer = _encode(self.build(target))
                 match self.moment:
                     case Moment.TOGETHER:
@@ -76,22 +79,6 @@
         sock.close()
 
 
-def _read_target(sock):
-    """Return the target of the next request, whose body is read too."""
-    data = b""
-    while b"\r\n\r\n" not in data:
-        more = sock.recv(65536)
-        if not more:
-            return None
-        data += more
-    head, _, body = data.partition(b"\r\n\r\n")
-    lines = head.decode().split("\r\n")
-    headers = dict(line.lower().split(": ", 1) for line in lines[1:])
-    while len(body) < int(headers.get("content-length", 0)):
-        body += sock.recv(65536)
-    return lines[0].split()[1]
-
-
 def _encode(body):
     """Return a whole answer with a length."""
     return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (
