Test a port in use with one that is free, not with a fixed one

Cause: the test has its lock in a folder of its own, so its range is always the first, whoever else has that range, and it listened on the range's first port.

With a listener on 15000 the test failed and the changed one passes; it takes a port that is free at that moment, listens on it, and wants the whole range passed through without it.

--- a/tests/test_bench_ports.py
+++ b/tests/test_bench_ports.py
@@ -48,9 +48,12 @@
 
 
 def test_port_in_use_is_passed_over(tmp_path):
+    """Guards against a port that another process listens on."""
     own = PortRange(tmp_path)
-    with socket.create_server((HOST, own.first)):
-        assert own.first not in own.take(3)
+    # The range has its lock here alone, so any of its ports may be in use.
+    (port,) = own.take(1)
+    with socket.create_server((HOST, port)):
+        assert port not in own.take(SIZE)
 
 
 def test_no_range_left(tmp_path, monkeypatch):
