Send the copy in the test of a broken stream's second answer

The test named a second answer of the broken stream and its instance sent none, so it showed only that the connection is not used again. The instance now sends it where the next answer on the connection would be. Assertions are the same.

Checked on a scratch copy in which the connection is kept and may carry an id twice: the changed test fails there with the first event given twice.

--- a/tests/components/gateway/test_second_answers.py
+++ b/tests/components/gateway/test_second_answers.py
@@ -193,7 +193,12 @@
     """Guards against a resumed stream that goes on from its old answer."""
     harness, upstream = serve(Repeat.RESUMABLE, streaming=True, gap_s=0.1)
     upstream.steps = [
-        send(stream_head, event(1), b"6\r\nid: 2\n\r\n", END, then="keep"),
+        upstream.run(
+            lambda call_id: (
+                stream_head(call_id) + event(1) + b"6\r\nid: 2\n\r\n" + END
+            ),
+            copies=1,
+        ),
         upstream.run(lambda call_id: stream_head(call_id) + event(2) + END),
     ]
     status, _, body = harness.call()
