--- a/tests/daemons/crash_engines.py
+++ b/tests/daemons/crash_engines.py
@@ -18,6 +18,8 @@
 
 # Body of the request that crashes the engine that runs it.
 BAD = b"ends what runs it"
+# Prompt part of the requests that crash the engine that runs them.
+BAD_PART = b"bad0bad0"
 # Seconds for which the request runs before the crash.
 CRASH_DELAY_S = 0.06
 SLOTS = 4
@@ -78,6 +80,7 @@
         write: Writes an engine's entry, by id and port.
         remove: Removes an engine's entry, by id.
         ended: (monotonic time, id of the request) of each crash.
+        reached: (monotonic time, id) of each bad request that arrived.
         runs: The current run by port.
         ids: Counter for the instance ids of the runs.
         closed: Set when the engines are shut down.
@@ -89,6 +92,7 @@
         self.write = write
         self.remove = remove
         self.ended = []
+        self.reached = []
         self.runs = {}
         self.ids = itertools.count(1)
         self.closed = threading.Event()
@@ -165,10 +169,13 @@
         if not call_id:
             sock.sendall(ok(b"", b"well", instance_header))
             return
+        is_bad = body == BAD or BAD_PART in headers.get(b"prompt-prefix", b"")
+        if is_bad:
+            self.reached.append((time.monotonic(), call_id.decode()))
         with run.slots:
             if run.ended.is_set():
                 return
-            if body != BAD:
+            if not is_bad:
                 _stream(sock, call_id)
             elif self.crash_mode.error_in and not (
                 next(self.errors) % self.crash_mode.error_in
--- a/tests/daemons/crash_site.py
+++ b/tests/daemons/crash_site.py
@@ -140,10 +140,11 @@
         self.platform.kill()
         self.platform.wait()
 
-    def ask(self, number, call_id, body):
+    def ask(self, number, call_id, body, extra=""):
         """Send a request; return its status, 0 without a complete answer."""
         router = self.routers[number % len(self.routers)]
         fields = {"call_id": call_id, "path": "/s/x", "body": body}
+        fields["extra"] = extra
         with (
             contextlib.suppress(OSError, EOFError),
             router.connect() as sock,
