--- a/lacewingdock/components/poison_requests/__init__.py
+++ b/lacewingdock/components/poison_requests/__init__.py
@@ -12,16 +12,12 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from lacewingdock.components.poison_requests.address_check import AddressCheck
 from lacewingdock.components.poison_requests.const import (
     CRASHES_TO_HOLD,
-    MAX_CLEARED_PUBLISHED,
-    MAX_GOSSIPED,
-    MAX_GOSSIPED_CRASHES,
     MAX_LOGGED,
-    MAX_PUBLISHED,
     PART_CRASHES_TO_SPARE,
     PUBLISH_EVERY_S,
     PUBLISH_PAUSE_S,
@@ -32,7 +28,8 @@
 from lacewingdock.components.poison_requests.decision import Decision
 from lacewingdock.components.poison_requests.evidence import Evidence, Suspect
 from lacewingdock.components.poison_requests.holds import Hold, Holds
-from lacewingdock.components.poison_requests.report import CrashReport, Losses
+from lacewingdock.components.poison_requests.publication import Publication
+from lacewingdock.components.poison_requests.report import CrashReport
 from lacewingdock.components.poison_requests.traits import (
     fingerprint_of,
     is_part,
@@ -43,7 +40,6 @@
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.instance import UpstreamInstance
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.helpers.lru import insert_lru
 from lacewingdock.world.call import Call
 
 # Claims the next trial of a hold, by its name and the trials known so far.
@@ -56,36 +52,22 @@
     """Detects poison requests and refuses them for a time.
 
     Attributes:
-        publish: Publishes a report to the other routers; returns whether the
-            publication was stored.
         claim_trial: Claims the right to the next trial of a hold.
         checker: Tells crashed instances from others.
         evidence: The suspect traits.
         holding: The traits whose requests are refused.
-        published: Losses in this router's latest publication.
-        cleared: Losses that this router cleared and other routers may count,
-            by trait, the latest last.
-        published_cleared: Clearances in this router's latest publication.
-        gossiped: What this router reports in messages, beside publications.
-        on_change: Called when `gossiped` has changed.
+        publication: What this router reports to the others.
         counts: Decisions since the start, for the metrics.
-        publish_due: Set when there is something to publish without delay.
     """
 
     __slots__ = (
         "_lock",
         "checker",
         "claim_trial",
-        "cleared",
         "counts",
         "evidence",
-        "gossiped",
         "holding",
-        "on_change",
-        "publish",
-        "publish_due",
-        "published",
-        "published_cleared",
+        "publication",
     )
 
     def __init__(
@@ -107,18 +89,12 @@
                 address.
             source: Source of the jitter of holds.
         """
-        self.publish = publish
         self.claim_trial = claim_trial
         self.counts: Counter[str] = Counter()
         self.checker = CrashChecker(directory, check_address, self.counts)
         self.evidence = Evidence(self.checker)
         self.holding = Holds(source)
-        self.published: Losses = {}
-        self.cleared: Losses = {}
-        self.published_cleared: Losses = {}
-        self.gossiped = CrashReport()
-        self.on_change: Callable[[], None] = lambda: None
-        self.publish_due = threading.Event()
+        self.publication = Publication(self.evidence, publish)
         self._lock = threading.Lock()
 
     @property
@@ -142,7 +118,7 @@
                 return False
             is_trial = self.holding.try_out(hold, call.id)
             if hold.is_trial_due:
-                self.publish_due.set()
+                self.publication.due.set()
             self.counts[Decision.TRIED if is_trial else Decision.REFUSED] += 1
         if is_trial:
             log.info(
@@ -229,15 +205,15 @@
             fingerprint=fingerprint_of(call, workspace),
             upstream=instance,
             known=known[fingerprint_of(call, workspace)],
-            parts={t: n for t, n in known.items() if is_part(t)},
+            parts=_most(known),
         )
         is_repeated = max(known.values()) > 1
         if is_repeated or any(map(self._is_unanswered_part, known)):
             self.checker.verify(own.items())
         if is_repeated:
-            self.publish_due.set()
+            self.publication.due.set()
         with self._lock:
-            self._update_gossip(now)
+            self.publication.update_gossip(now)
             return self._find_hold(traits) is not None
 
     def ended_by_close(self, call: Call, workspace: str, instance: str) -> None:
@@ -326,8 +302,8 @@
     def run(self, stopping: threading.Event) -> None:
         """Expire and publish losses until the daemon stops."""
         while not stopping.wait(PUBLISH_PAUSE_S):
-            self.publish_due.wait(PUBLISH_EVERY_S - PUBLISH_PAUSE_S)
-            self.publish_due.clear()
+            self.publication.due.wait(PUBLISH_EVERY_S - PUBLISH_PAUSE_S)
+            self.publication.due.clear()
             try:
                 self.round()
             except Exception:
@@ -345,10 +321,10 @@
         self.checker.verify(losses)
         with self._lock:
             self._refresh(now)
-            self._update_gossip(now)
-            report = self._report(now)
+            self.publication.update_gossip(now)
+            report = self.publication.report(now)
             due = [one for one in self.holding.in_force if one.is_trial_due]
-        self._publish(report)
+        self.publication.publish(report)
         for hold in due:
             self._claim_trial(hold)
 
@@ -356,60 +332,6 @@
         """Return the number of holds in force."""
         return len(self.holding.in_force)
 
-    def republish(self) -> None:
-        """Publish all losses again, since the store may have lost them."""
-        self.published = {}
-        self.published_cleared = {}
-
-    def _publish(self, report: CrashReport) -> None:
-        """Publish a report if it has anything new.
-
-        Losses that were cleared since are withdrawn with the next publication.
-        A publication for that alone would cost a call and change nothing,
-        unless other routers may hold back a request for them.
-        """
-        urgent = {
-            trait: instances
-            for trait, instances in report.cleared.items()
-            if len(instances) >= CRASHES_TO_HOLD
-        }
-        if not (
-            _has_more(report.losses, self.published)
-            or _has_more(urgent, self.published_cleared)
-        ):
-            return
-        if self.publish(report):
-            self.published = report.losses
-            self.published_cleared = report.cleared
-
-    def _report(self, now: float) -> CrashReport:
-        """Return the report to publish, with the most accused traits."""
-        found = sorted(
-            self.evidence.publishable(now).items(),
-            key=lambda one: self.suspects[one[0]].losses,
-        )
-        losses = dict(found[-MAX_PUBLISHED:])
-        recurrent = [one for one in losses if self.suspects[one].recurrent]
-        return CrashReport(losses, recurrent, dict(self.cleared))
-
-    def _update_gossip(self, now: float) -> None:
-        """Update what messages report: the parts that were lost just now.
-
-        Messages reach other routers before publications do, and also while the
-        platform's store does not answer.
-        """
-        losses = self.evidence.recent_part_crashes(now)
-        recurrent = [one for one in losses if self.suspects[one].recurrent]
-        cleared = {
-            trait: instances[-MAX_GOSSIPED_CRASHES:]
-            for trait, instances in list(self.cleared.items())[-MAX_GOSSIPED:]
-            if is_part(trait)
-        }
-        report = CrashReport(losses, recurrent, cleared)
-        if report != self.gossiped:
-            self.gossiped = report
-            self.on_change()
-
     def _claim_trial(self, hold: Hold) -> None:
         claim = self.claim_trial(hold.name, hold.trials)
         if claim is not None:
@@ -446,25 +368,22 @@
 
     def _clear(self, trait: str) -> bool:
         """Drop the losses of a trait; return whether there were any."""
-        found = self.evidence.answer(trait, time.monotonic())
+        now = time.monotonic()
+        found = self.evidence.answer(trait, now)
         if found is None:
             return False
         self.counts[Decision.CLEARED] += 1
         if trait in self.holding.by_trait:
             # Traits that were held together with this one are now told apart.
             self.holding.drop(trait)
-            self._refresh(time.monotonic())
-        if found.peer_losses or trait in self.published:
-            lost = sorted(found.own_losses.keys() | found.peer_losses.keys())
-            insert_lru(self.cleared, trait, lost, MAX_CLEARED_PUBLISHED)
-            if len(lost) >= CRASHES_TO_HOLD:
-                self.publish_due.set()
+            self._refresh(now)
+        self.publication.add_cleared(trait, found, now)
         return True
 
     def _check_soon(self, trait: str) -> None:
         """Have the next round check the losses of a part without an answer."""
         if self._is_unanswered_part(trait):
-            self.publish_due.set()
+            self.publication.due.set()
 
     def _is_unanswered_part(self, trait: str) -> bool:
         return is_part(trait) and trait not in self.evidence.answered_at
@@ -494,8 +413,8 @@
         )
 
 
-def _has_more(found: Losses, known: Losses) -> bool:
-    return any(
-        set(instances) - set(known.get(trait, ()))
-        for trait, instances in found.items()
-    )
+def _most(known: Mapping[str, int]) -> dict[str, int]:
+    """Return the parts with the most losses, for a log line."""
+    parts = [trait for trait in known if is_part(trait)]
+    parts.sort(key=known.__getitem__, reverse=True)
+    return {trait: known[trait] for trait in parts[:MAX_LOGGED]}
--- a/lacewingdock/components/poison_requests/const.py
+++ b/lacewingdock/components/poison_requests/const.py
@@ -56,6 +56,11 @@
 # of traits that other routers accuse.
 MAX_PUBLISHED: Final = 200
 MAX_CLEARED_PUBLISHED: Final = 50
+# Maximum number of instances published with a clearance.
+MAX_CLEARED_CRASHES: Final = 32
+# Seconds for which a clearance is published: other routers have it long before,
+# and remember it.
+CLEARED_S: Final = 60.0
 # Maximum number of accused parts in a gossip message, of cleared ones, and of
 # instances of each. A message must fit a datagram, and few crashes of a part
 # suffice to hold it back.
--- a/lacewingdock/components/poison_requests/holds.py
+++ b/lacewingdock/components/poison_requests/holds.py
@@ -97,7 +97,9 @@
         """Forget all holds on a trait."""
         found = self.by_trait.pop(trait, None)
         if found is not None:
-            self.in_force = [hold for hold in self.in_force if hold != found]
+            self.in_force = [
+                hold for hold in self.in_force if hold is not found
+            ]
 
     def retain(self, traits: Collection[str]) -> None:
         """Forget the holds on other traits than these."""
--- a/lacewingdock/daemons/router_ports.py
+++ b/lacewingdock/daemons/router_ports.py
@@ -70,10 +70,10 @@
             shifts.found_bad(),
             directory.recently_replaced()[:MAX_REPLACED],
             limit_rows(directory),
-            crash_rows(suspects.gossiped),
+            crash_rows(suspects.publication.gossiped),
         )
 
-    suspects.on_change = changed.set
+    suspects.publication.on_change = changed.set
 
     def others() -> list[tuple[str, int]]:
         return [
--- a/lacewingdock/daemons/router_restore.py
+++ b/lacewingdock/daemons/router_restore.py
@@ -33,7 +33,7 @@
     def returned() -> None:
         health.restored()
         directory.hold_older_entries(hold_older_entries_s(bounds()))
-        suspects.republish()
+        suspects.publication.republish()
         routers.due.set()
 
     return returned
--- a/tests/components/poison_requests/fleet.py
+++ b/tests/components/poison_requests/fleet.py
@@ -68,8 +68,8 @@
     def round(self, only_due=False):
         """Run a round of all routers, or of those with a publication due."""
         for router in self.routers:
-            if router.publish_due.is_set() or not only_due:
-                router.publish_due.clear()
+            if router.publication.due.is_set() or not only_due:
+                router.publication.due.clear()
                 router.round()
 
 
--- a/tests/components/poison_requests/test_parts.py
+++ b/tests/components/poison_requests/test_parts.py
@@ -96,7 +96,7 @@
     fleet = Fleet(2)
     sender, receiver = fleet.routers
     convict(sender, clock, "bad")
-    receiver.receive("r-0", sender.gossiped)
+    receiver.receive("r-0", sender.publication.gossiped)
     assert fleet.writes == 0
     assert receiver.holds(prompt("bad", name="new"), "w")
 
@@ -162,8 +162,8 @@
     fleet.round()
     assert not any(router.holds(request, "w") for router in fleet.routers)
     # The first router's report still names the crashes.
-    third.receive("r-0", first.gossiped)
-    first.republish()
+    third.receive("r-0", first.publication.gossiped)
+    first.publication.republish()
     fleet.round()
     assert not any(router.holds(request, "w") for router in fleet.routers)
 
@@ -232,9 +232,9 @@
     assert router.holds(prompt("bad", name="new"), "w")
     router.round()
     (bad,) = part_traits_of(prompt("bad"))
-    assert bad in router.published
-    assert bad in router.gossiped.losses
-    assert len(router.gossiped.losses) == MAX_GOSSIPED
+    assert bad in router.publication.published.losses
+    assert bad in router.publication.gossiped.losses
+    assert len(router.publication.gossiped.losses) == MAX_GOSSIPED
 
 
 @pytest.mark.parametrize("routers", [1, 4, 100])
--- a/tests/components/poison_requests/test_suspects.py
+++ b/tests/components/poison_requests/test_suspects.py
@@ -68,7 +68,9 @@
     assert not suspects.lost(call(), "w", "i-2")
     clock.now += PUBLISH_AFTER_S + 0.1
     suspects.round()
-    assert suspects.published == {fingerprint_of(call(), "w"): ["i-2"]}
+    assert suspects.publication.published.losses == {
+        fingerprint_of(call(), "w"): ["i-2"]
+    }
 
 
 def test_lost_connections_of_living_instances_do_not_count(clock):
@@ -228,7 +230,9 @@
     suspects.recover(CrashReport({fingerprint: ["i-0", "i-1", "i-2"]}))
     assert suspects.holds(call(), "w")
     suspects.round()
-    assert suspects.published == {fingerprint: ["i-0", "i-1", "i-2"]}
+    assert suspects.publication.published.losses == {
+        fingerprint: ["i-0", "i-1", "i-2"]
+    }
 
 
 def test_recovered_losses_of_living_instances_do_not_count(clock):
@@ -240,7 +244,7 @@
     clock.now += PUBLISH_AFTER_S
     suspects.round()
     assert not suspects.holds(call(), "w")
-    assert suspects.published == {}
+    assert suspects.publication.published.losses == {}
 
 
 def test_bound_over_the_fleet(clock):
