Keep the log message of a request that is held back

A reader of the logs, and a test of two routers, look for "request held back"; it had become "requests held back". The test failed once in a run of all parts: tests/daemons/test_router.py, the wait for that line at the first router.

The traits and crashes stay in the line's fields.

--- a/lacewingdock/components/poison_requests/__init__.py
+++ b/lacewingdock/components/poison_requests/__init__.py
@@ -360,7 +360,7 @@
         self.counts[Decision.HELD] += len(changed)
         for hold in changed:
             log.warning(
-                "requests held back",
+                "request held back",
                 traits=sorted(hold.traits),
                 crashes=sorted(hold.crashes),
                 hold_s=round(hold.held_until - now, 1),
