Give the trial of a request one attempt

A trial that crashed its engine was not repeated, but one that was refused or answered with low confidence was: where the router chooses the model, the small one crashes an engine after its head, and the largest model crashes another.

Found by reading the change; the test of the trial fails without it. A trial asks the largest model at once and is sent once.

--- a/lacewingdock/components/gateway/cascade.py
+++ b/lacewingdock/components/gateway/cascade.py
@@ -67,8 +67,20 @@
         route: Route,
         service: str,
         started: float,
+        *,
+        may_escalate: bool = True,
     ) -> None:
-        """Choose the first model of a request."""
+        """Choose the first model of a request.
+
+        Args:
+            gateway: The state that all requests share.
+            call: The request.
+            route: The request's route.
+            service: The service that the request is routed to.
+            started: Monotonic time at which the request was received.
+            may_escalate: Whether a larger model may be asked after a smaller
+                one.
+        """
         self.gateway = gateway
         self.call = call
         self.route = route
@@ -76,7 +88,9 @@
         self.started = started
         self.required_confidence = CONFIDENCE_ENOUGH
         self.model = (
-            self._first_model() if call.any_model and route.models else ""
+            self._first_model(may_escalate=may_escalate)
+            if call.any_model and route.models
+            else ""
         )
 
     @property
@@ -160,7 +174,7 @@
         if self.is_largest or part >= RELAXED_BELOW:
             self.gateway.pressure(self.service).add(part)
 
-    def _first_model(self) -> str:
+    def _first_model(self, *, may_escalate: bool) -> str:
         """Return the smallest model if the largest can be asked afterwards.
 
         A cascade needs two attempts, and one more in case of a failure. Where
@@ -169,7 +183,8 @@
         """
         models = self.route.models
         may_escalate = (
-            self.route.repeat is Repeat.RESUMABLE
+            may_escalate
+            and self.route.repeat is Repeat.RESUMABLE
             and self.route.max_attempts > ATTEMPTS_OF_CASCADE
             and self.gateway.budget(self.service).saved >= CASCADE_RESERVE
             and not self.gateway.chooser.is_paced(self.service)
--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -202,7 +202,13 @@
             raise repeats_crash_error()
         self.service = self._service()
         self.cascade = Cascade(
-            self.gateway, call, route, self.service, self.started
+            self.gateway,
+            call,
+            route,
+            self.service,
+            self.started,
+            # Each attempt of a trial may crash another instance.
+            may_escalate=not self.gateway.suspects.is_trial(call),
         )
         self.gateway.budget(self.service).count_request()
 
--- a/lacewingdock/components/poison_requests/__init__.py
+++ b/lacewingdock/components/poison_requests/__init__.py
@@ -149,16 +149,23 @@
         )
         return True
 
+    def is_trial(self, call: Call) -> bool:
+        """Whether a request was let through as the trial of a hold."""
+        return any(hold.trial == call.id for hold in self.holding.in_force)
+
     def is_risky(self, call: Call) -> bool:
-        """Whether a retry may crash another instance, by the request's parts.
+        """Whether a retry may crash another instance.
 
-        A part that was beside two crashes and was never answered may well be
-        their cause, though there are too few crashes to refuse requests.
+        That is so of a trial, and by the request's parts: one that was beside
+        two crashes and was never answered may well be their cause, though there
+        are too few crashes to refuse requests.
         """
         if not self.suspects:
             return False
         with self._lock:
-            return any(map(self._is_risky, part_traits_of(call)))
+            return self.is_trial(call) or any(
+                map(self._is_risky, part_traits_of(call))
+            )
 
     def lost(
         self,
--- a/tests/components/poison_requests/test_parts.py
+++ b/tests/components/poison_requests/test_parts.py
@@ -279,3 +279,19 @@
         crash(router, number)
     assert not any(one.startswith(PART_MARK) for one in router.suspects)
     assert not router.holds(prompt(name="new"), "w")
+
+
+def test_trial_is_not_retried(clock):
+    """Guards against a trial that crashes an instance with each attempt."""
+    router = Fleet(1).routers[0]
+    convict(router, clock, "bad")
+    clock.now += 100.0
+    trial = prompt("bad", name="trial")
+    assert router.holds(trial, "w")
+    router.round()
+    assert not router.is_risky(prompt("sound", name="trial"))
+    assert not router.holds(trial, "w")
+    assert router.is_trial(trial)
+    assert router.is_risky(trial)
+    assert not router.is_held(trial, "w")
+    assert router.lost(trial, "w", "i-7")
