Wait for both requests' lines in the test of a failed booking

The test read the log once the second booking's id stood there. The line of its attempt is written before its answer, that of its request, which names the workspace, after it: beside other test files the test once read the log between the two and found one request in place of two. It now waits for both lines; all its assertions stay.

--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -144,7 +144,9 @@
     site.upstream.steps = [reset]
     assert router.call(path="/b/x", call_id="booking-17")[0] == 502
     assert router.call(path="/b/x", call_id="booking-18")[0] == 200
-    wait(lambda: '"request":"booking-18"' in router.log.read_text())
+    # The line of an attempt is written before the answer, the one of its
+    # request after it.
+    wait(lambda: router.log.read_text().count('"message":"request"') == 2)
     log = router.log.read_text()
     status, text = command("explain", "booking-17", text=log)
     assert status == 0, text
