Take no request without an id for the trial of a hold

A hold that had made no trial yet kept an empty id for it, and a request without an id, admitted before the hold, passed for that trial and was sent. The new test fails without this. Found by reading the change; it was so before parts were held back, too.

--- a/lacewingdock/components/poison_requests/holds.py
+++ b/lacewingdock/components/poison_requests/holds.py
@@ -25,7 +25,8 @@
         hold_s: Length of the present hold in seconds, without jitter.
         held_at: Monotonic time of the first crash of the present series.
         held_until: Monotonic time until which no trial is made.
-        trial: Id of the request that was last let through as a trial.
+        trial: Id of the request that was last let through as a trial; None if
+            there was none. A request may have an empty id.
         trials: Number of the latest trial of any router known here.
         is_trial_due: Whether a request came after the end of the hold, so that
             the right to a trial is to be claimed.
@@ -37,7 +38,7 @@
     hold_s: float = HOLD_S
     held_at: float = 0.0
     held_until: float = 0.0
-    trial: str = ""
+    trial: str | None = None
     trials: int = 0
     is_trial_due: bool = False
     is_trial_granted: bool = False
--- a/tests/components/poison_requests/test_parts.py
+++ b/tests/components/poison_requests/test_parts.py
@@ -295,3 +295,12 @@
     assert router.is_risky(trial)
     assert not router.is_held(trial, "w")
     assert router.lost(trial, "w", "i-7")
+
+
+def test_request_without_an_id_is_no_trial(clock):
+    """Guards against admitted requests that are sent in spite of a hold."""
+    router = Fleet(1).routers[0]
+    convict(router, clock, "bad")
+    nameless = prompt("bad", name="")
+    assert router.is_held(nameless, "w")
+    assert not router.is_trial(nameless)
