Say once which instances lost a trait, and which part was never answered

The union of own and peer losses stood in three places, the test for a part without an answer in two. No behaviour changes; the tests of poison requests, gossip, routers and docs pass.

--- a/lacewingdock/components/poison_requests/__init__.py
+++ b/lacewingdock/components/poison_requests/__init__.py
@@ -215,7 +215,7 @@
             parts=_most(known),
         )
         is_repeated = max(known.values()) > 1
-        if is_repeated or any(map(self._is_unanswered_part, known)):
+        if is_repeated or any(map(self.evidence.is_unanswered_part, known)):
             self.checker.verify(own.items())
         if is_repeated:
             self.publication.due.set()
@@ -389,17 +389,14 @@
 
     def _check_soon(self, trait: str) -> None:
         """Have the next round check the losses of a part without an answer."""
-        if self._is_unanswered_part(trait):
+        if self.evidence.is_unanswered_part(trait):
             self.publication.due.set()
 
-    def _is_unanswered_part(self, trait: str) -> bool:
-        return is_part(trait) and trait not in self.evidence.answered_at
-
     def _is_risky(self, trait: str) -> bool:
         suspect = self.suspects.get(trait)
         if suspect is None or suspect.losses < PART_CRASHES_TO_SPARE:
             return False
-        if not self._is_unanswered_part(trait):
+        if not self.evidence.is_unanswered_part(trait):
             return False
         return len(self.evidence.evaluate(suspect)) >= PART_CRASHES_TO_SPARE
 
--- a/lacewingdock/components/poison_requests/evidence.py
+++ b/lacewingdock/components/poison_requests/evidence.py
@@ -44,12 +44,17 @@
     recurrent: bool = False
     crashes: frozenset[str] = frozenset()
 
+    @property
+    def instances(self) -> set[str]:
+        """Instances that lost a request."""
+        return self.own_losses.keys() | self.peer_losses.keys()
+
     @property
     def losses(self) -> int:
         """Number of instances that lost a request."""
         if not self.peer_losses:
             return len(self.own_losses)
-        return len(self.own_losses.keys() | self.peer_losses.keys())
+        return len(self.instances)
 
     @property
     def first_loss_at(self) -> float:
@@ -143,8 +148,7 @@
             insert_lru(self.answered_at, trait, now, MAX_ANSWERED_PARTS)
         suspect = self.suspects.pop(trait, None)
         if suspect is not None:
-            losses = suspect.own_losses.keys() | suspect.peer_losses.keys()
-            self._remember_cleared(trait, losses)
+            self._remember_cleared(trait, suspect.instances)
         return suspect
 
     def clear(self, trait: str, instances: Collection[str]) -> bool:
@@ -204,6 +208,10 @@
             return frozenset(own)
         return frozenset(own | self.checker.not_alive(suspect.peer_losses))
 
+    def is_unanswered_part(self, trait: str) -> bool:
+        """Whether a trait is a prompt part without any answer here."""
+        return is_part(trait) and trait not in self.answered_at
+
     def accused(self, min_losses: int) -> list[AccusedTrait]:
         """Evaluate the suspects with a number of losses, and return them."""
         found = []
@@ -232,8 +240,7 @@
         for trait, suspect in self.suspects.items():
             until = suspect.publishable_until(now)
             is_whole = suspect.losses == len(suspect.unconfirmed)
-            may_wait = trait in self.answered_at or not is_part(trait)
-            if not (is_whole and may_wait):
+            if not is_whole or self.is_unanswered_part(trait):
                 losses = suspect.own_losses.items()
                 found += [loss for loss in losses if loss[1] <= until]
         return found
--- a/lacewingdock/components/poison_requests/publication.py
+++ b/lacewingdock/components/poison_requests/publication.py
@@ -69,8 +69,7 @@
         """Report a trait as cleared if other routers may count its losses."""
         if not suspect.peer_losses and trait not in self.published.losses:
             return
-        lost = sorted(suspect.own_losses.keys() | suspect.peer_losses.keys())
-        lost = lost[-MAX_CLEARED_CRASHES:]
+        lost = sorted(suspect.instances)[-MAX_CLEARED_CRASHES:]
         insert_lru(self.cleared, trait, lost, MAX_CLEARED_PUBLISHED)
         insert_lru(self.cleared_at, trait, now, MAX_CLEARED_PUBLISHED)
         if len(lost) >= CRASHES_TO_HOLD:
