--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,11 +1,10 @@
-"""A version that was rolled back gets requests again at the next order."""
+"""A late write of a leaving worker's earlier entry opens it again."""
 
 import os
 import sys
 import threading
 import time
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
@@ -23,149 +22,80 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 SERVICE = "booking-api"
-ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
-# The order's time, as on the standard days of the site file.
-DURATION_S = 24.0
-SESSION_S = 5.0
-# Clients with a session, and others without; each sends a request a second.
-SESSIONS = 64
-OTHERS = 96
-# Seconds after "rolled_back" at which the platform drains the new workers, and
-# at which the operator orders the next version.
-DRAIN_AFTER_S = 3.0
-NEXT_AFTER_S = 0.5
-# PINNED: "more than three requests".
-ALLOWED = 3
-
-
-class Platform:
-    """Starts and stops workers on the status of the roll-outs."""
-
-    def __init__(self, store: Store, record: Record) -> None:
-        """Start with the workers of version v1."""
-        self.store = store
-        self.record = record
-        self.workers: list[Worker] = []
-        self.ordered_at: dict[str, float] = {}
-        self.rolled_back = threading.Event()
-        self.rolled_back_at = 0.0
-        store.on_status = self.take_status
-        self.add("v1")
-
-    def add(self, version: str, bad_share: float = 0.0) -> None:
-        """Start a version's workers, one a zone."""
-        for zone in ZONES:
-            worker = Worker(
-                self.store,
-                self.record,
-                SERVICE,
-                version,
-                zone,
-                work_s=0.045,
-                bad_share=bad_share,
-            )
-            self.workers.append(worker)
-
-    def order(self, version: str, bad_share: float = 0.0) -> None:
-        """Order a version, and start its workers beside the old ones."""
-        self.ordered_at[version] = self.store.write(
-            "rollouts",
-            SERVICE,
-            {"service": SERVICE, "target": version, "duration_s": DURATION_S},
-        )
-        self.record.add("order", version=version, duration_s=DURATION_S)
-        self.add(version, bad_share)
-
-    def take_status(self, kind: str, name: str, status: Any) -> None:
-        """Act on a status that the system wrote."""
-        if kind != "rollouts":
-            return
-        self.record.add("status", service=name, **status)
-        if status["state"] == "rolled_back" and not self.rolled_back.is_set():
-            self.rolled_back_at = time.monotonic()
-            self.rolled_back.set()
-            timer = threading.Timer(
-                DRAIN_AFTER_S, self.drain, [status["target"]]
-            )
-            timer.daemon = True
-            timer.start()
-
-    def drain(self, version: str) -> None:
-        """Have a version's workers report that they drain."""
-        self.record.add("drain", version=version)
-        for worker in self.workers:
-            if worker.version == version:
-                worker.drain()
-
-    def runs(self) -> list[tuple[float, str, str, str]]:
-        """Return time, attempt, session and version of all runs, in order."""
-        return sorted(
-            (at, attempt, session, worker.version)
-            for worker in self.workers
-            for at, attempt, session in worker.runs
-        )
-
-
-def run_client(
-    number: int, router: Router, record: Record, until: threading.Event
-) -> None:
-    """Send one client's requests, one a second."""
+ZONES = ("zone-a", "zone-b")
+# Clients, each with ten bookings a second at most.
+CLIENTS = 24
+PAUSE_S = 0.1
+HEARTBEAT_S = 1.2
+# Bounds of the site file.
+CONTACT_S = 3.0
+DRAIN_S = 2.0
+# The write without an answer is done so much later: "1 to 6 s later" (kinds).
+LATE_S = 5.0
+# Seconds after that write's sending at which the worker begins to leave: the
+# store loses no answer any more, and has been without disruption for
+# contact_ms.
+LEAVES_AFTER_S = CONTACT_S + 0.5
+# The worker serves for drain_ms and a little longer.
+SERVES_S = DRAIN_S + 0.3
+
+
+def run_client(router: Router, number: int, case: "Case") -> None:
+    """Send one client's bookings."""
     client = Client(router)
-    session = f"s-{number}" if number < SESSIONS else ""
-    until.wait(number / (SESSIONS + OTHERS))
     count = 0
-    while not until.is_set():
-        began = time.monotonic()
+    while not case.until.is_set():
         attempt = f"{number:04x}{count:012x}"
         count += 1
-        record.add("sent", attempt=attempt, session=session)
-        status = client.send("/book/1", attempt, session=session)
-        record.add("answered", attempt=attempt, status=status)
-        until.wait(max(began + 1.0 - time.monotonic(), 0.0))
+        case.record.add("sent", attempt=attempt, to=router.name)
+        status = client.send("/book/1", attempt)
+        case.record.add("answered", attempt=attempt, status=status)
+        case.statuses[attempt] = status
+        case.until.wait(PAUSE_S)
     client.close()
 
 
-def pinned_breaks(
-    runs: list[tuple[float, str, str, str]], ordered_at: dict[str, float]
-) -> list[tuple[float, str, str, str, str]]:
-    """Return the requests that PINNED counts.
+class Case:
+    """The clients' state.
 
-    These ran on another version than the one before in their session: on the
-    new version of a roll-out in the first half of its time.
+    Attributes:
+        record: The script's record.
+        until: Set when the clients are to end.
+        statuses: The answers' statuses by attempt.
     """
-    last: dict[str, tuple[float, str]] = {}
-    found = []
-    for at, attempt, session, version in runs:
-        before = last.get(session)
-        last[session] = (at, version)
-        if not session:
-            continue
-        if before is None or at - before[0] > SESSION_S:
-            continue
-        order = ordered_at.get(version)
-        if version == before[1] or order is None:
-            continue
-        if at < order + DURATION_S / 2:
-            found.append((at, attempt, session, before[1], version))
-    return found
+
+    def __init__(self) -> None:
+        """Open the record."""
+        self.record = Record(Path(__file__).resolve().parent)
+        self.until = threading.Event()
+        self.statuses: dict[str, int] = {}
+
+
+def renew(workers: list[Worker], until: threading.Event) -> None:
+    """Write the entries of all workers that run, every heartbeat."""
+    while not until.wait(HEARTBEAT_S):
+        for worker in workers:
+            if not worker.ended:
+                worker.register()
 
 
 def main() -> int:
     """Run the case; return the exit status."""
-    record = Record(Path(__file__).resolve().parent)
+    case = Case()
+    record, until = case.record, case.until
     store = Store()
-    store.write(
-        "config",
-        "main",
-        configuration(3, [route("book", "non_idempotent", SERVICE)], [SERVICE]),
-    )
-    platform = Platform(store, record)
+    routes = [route("book", "non_idempotent", SERVICE)]
+    store.write("config", "main", configuration(3, routes, [SERVICE]))
+    workers = [
+        Worker(store, record, SERVICE, "v1", zone, work_s=0.09)
+        for zone in (*ZONES, ZONES[0])
+    ]
+    leaving = workers[0]
     ports = free_ports()
     routers = [
         Router(number, store, ports, zone)
         for number, zone in enumerate(ZONES, 1)
     ]
-    until = threading.Event()
     try:
         for router in routers:
             router.start()
@@ -175,21 +105,39 @@
             "routers are not ready",
         )
         # All routers are in touch after contact_ms.
-        time.sleep(3.5)
-        for number in range(SESSIONS + OTHERS):
+        time.sleep(CONTACT_S + 0.5)
+        for number in range(CLIENTS):
             threading.Thread(
                 target=run_client,
-                args=(number, routers[number % len(routers)], record, until),
+                args=(routers[number % len(routers)], number, case),
                 daemon=True,
             ).start()
-        time.sleep(5.0)
-        platform.order("v2", bad_share=0.5)
-        wait(platform.rolled_back.is_set, DURATION_S, "v2 is not rolled back")
+        time.sleep(1.0)
+        # A heartbeat, with the state ready. The store loses its answer, and
+        # does the write later.
+        spec = leaving.entry()
+        sent_at = time.monotonic()
+        record.add("heartbeat", worker=leaving.id, sequence=spec["sequence"])
         if TROUBLE:
-            time.sleep(NEXT_AFTER_S)
-            platform.order("v3")
-        left_s = platform.rolled_back_at + 8.0 - time.monotonic()
-        time.sleep(max(left_s, 0.0))
+            timer = threading.Timer(
+                LATE_S, store.write_entry, [leaving.id, spec]
+            )
+            timer.daemon = True
+            timer.start()
+        else:
+            store.write_entry(leaving.id, spec)
+        threading.Thread(
+            target=renew, args=(workers, until), daemon=True
+        ).start()
+        time.sleep(LEAVES_AFTER_S)
+        acked_at = leaving.drain()
+        record.add(
+            "draining", worker=leaving.id, sequence=leaving.sequence, acked=1
+        )
+        time.sleep(max(acked_at + SERVES_S - time.monotonic(), 0.0))
+        leaving.leave()
+        record.add("left", worker=leaving.id)
+        time.sleep(max(sent_at + LATE_S + 3.0 - time.monotonic(), 0.0))
         until.set()
         time.sleep(1.0)
         if any(one.popen and one.popen.poll() is not None for one in routers):
@@ -199,29 +147,25 @@
         until.set()
         for router in routers:
             router.kill()
-    runs = platform.runs()
-    found = pinned_breaks(runs, platform.ordered_at)
-    start = record.start
-    for at, attempt, session, before, version in found:
+    bound = acked_at + DRAIN_S
+    late = [one for one in leaving.runs if one[0] > bound]
+    lost = [one for one in late if case.statuses.get(one[1]) != 200]
+    for at, attempt, _ in late:
         record.add(
-            "PINNED",
-            at=f"{at - start:.3f}",
+            "DRAIN",
             attempt=attempt,
-            session=session,
-            before=before,
-            ran_on=version,
+            after_s=f"{at - acked_at:.3f}",
+            status=case.statuses.get(attempt),
         )
-    late = [one for one in runs if one[3] == "v2"]
-    late = [one for one in late if one[0] > platform.rolled_back_at + 0.5]
     summary = (
-        f"{len(runs)} runs; {len(late)} on v2 later than 0.5 s after its"
-        f" roll-out had ended as rolled_back; PINNED counts {len(found)},"
-        f" allowed are {ALLOWED}"
+        f"{len(case.statuses)} bookings; {len(late)} reached the worker later"
+        f" than {DRAIN_S:g} s after its draining was acknowledged, {len(lost)}"
+        " of them got no success"
     )
     record.add("result", text=repr(summary))
     record.close()
     print(summary)
-    return 1 if len(found) > ALLOWED else 0
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
--- a/review/sitekit.py
+++ b/review/sitekit.py
@@ -4,6 +4,7 @@
 router has one of its own (127.0.0.11, 127.0.0.12, ...), as on the platform.
 """
 
+import contextlib
 import http.client
 import json
 import os
@@ -131,6 +132,16 @@
     daemon_threads = True
     request_queue_size = 512
 
+    def __init__(self, *arguments: Any) -> None:
+        """Start without connections."""
+        self.socks: list[socket.socket] = []
+        super().__init__(*arguments)
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Remember a connection, and serve it."""
+        self.socks.append(request)
+        super().process_request(request, client_address)
+
     def handle_error(self, *_: Any) -> None:
         """Ignore connections that the other side closed."""
 
@@ -178,6 +189,18 @@
             self._store(kind, name, spec, status)
             return time.monotonic()
 
+    def write_entry(self, name: str, spec: dict[str, Any]) -> float:
+        """Write a server's entry; return the time.
+
+        "The entry changes when more than `sequence` changes."
+        """
+        with self.changed:
+            known = self.objects.get(("servers", name))
+            before = known["spec"] if known else {}
+            if {**before, "sequence": spec["sequence"]} != spec:
+                self._store("servers", name, spec, None)
+            return time.monotonic()
+
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         with self.changed:
@@ -346,6 +369,8 @@
         self.work_s = work_s
         self.bad_share = bad_share
         self.state = "ready"
+        self.sequence = 0
+        self.ended = False
         self.id = f"i-{random.randrange(16**10):010x}"
         # Time, attempt id and session of each run.
         self.runs: list[tuple[float, str, str]] = []
@@ -363,37 +388,44 @@
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         self.register()
 
-    def register(self) -> None:
-        """Write the worker's entry."""
-        self.store.write(
-            "servers",
-            self.id,
-            {
-                "service": self.service,
-                "address": self.address,
-                "zone": self.zone,
-                "version": self.version,
-                "slots": 6,
-                "state": self.state,
-                "sequence": 1,
-                "cold_left_ms": 0,
-            },
-        )
+    def entry(self) -> dict[str, Any]:
+        """Return the worker's next entry, with a sequence one higher."""
+        self.sequence += 1
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": self.version,
+            "slots": 6,
+            "state": self.state,
+            "sequence": self.sequence,
+            "cold_left_ms": 0,
+        }
+
+    def register(self) -> float:
+        """Write the worker's entry; return the time."""
+        return self.store.write_entry(self.id, self.entry())
 
-    def drain(self) -> None:
+    def drain(self) -> float:
         """Report that the worker is draining; it goes on serving."""
         self.state = "draining"
-        self.register()
+        return self.register()
 
     def leave(self) -> None:
-        """End the worker and remove its entry."""
+        """End the worker, with what runs there, and remove its entry."""
+        self.ended = True
+        self.server.socket.close()
+        for sock in self.server.socks:
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
         self.store.remove("servers", self.id)
-        self.server.shutdown()
-        self.server.server_close()
 
     def answer(self, call: _Handler) -> None:
         """Answer a request or a health check."""
         call.read_body()
+        if self.ended:
+            call.close_connection = True
+            return
         headers = {"Instance-Id": self.id}
         attempt = call.headers.get("Attempt-Id", "")
         if attempt:
@@ -421,6 +453,9 @@
             )
             time.sleep(self.work_s * random.uniform(0.6, 1.4))
             status = 500 if random.random() < self.bad_share else 200
+        if self.ended:
+            call.close_connection = True
+            return
         headers["Response-Seal"] = f"{attempt}.{self.id}"
         call.reply(status, b"x" * 200, headers)
 
