Measure how late a router reads what has arrived

The lines of an overloaded router told neither how long a request had waited nor that the router could not keep up. `queued_s` of a request is the time from its connection's accept until it was read. A sampler looks at the busy connections each 0.1 s and counts those whose bytes were unread at two looks; a pause of the process makes none of them late. The share is a metric, and a line a second while it is above a twentieth.

A timer's lag was tried first and shows nothing: its thread runs while others starve.

--- a/lacewingdock/components/gateway/__init__.py
+++ b/lacewingdock/components/gateway/__init__.py
@@ -35,12 +35,20 @@
     Attributes:
         gateway: The state that all requests share.
         listener: Accepts the connections.
+        open: Connections on which requests may arrive.
         active: Number of requests that were read and not yet answered.
         leaving: Set once the daemon is to stop.
         is_shut: Whether new connections and requests are refused.
     """
 
-    __slots__ = ("active", "gateway", "is_shut", "leaving", "listener")
+    __slots__ = (
+        "active",
+        "gateway",
+        "is_shut",
+        "leaving",
+        "listener",
+        "open",
+    )
 
     def __init__(
         self,
@@ -58,6 +66,7 @@
         self.gateway = gateway
         self.leaving = leaving
         self.active = Tally()
+        self.open: set[ServerConnection] = set()
         self.is_shut = False
         most = min(int(max_files * CONNECTIONS_SHARE), MAX_CONNECTIONS)
         self.listener = Listener("callers", address, self.serve, most, sock)
@@ -72,14 +81,17 @@
         self.is_shut = True
         self.listener.close()
 
-    def serve(self, sock: socket.socket) -> None:
+    def serve(self, sock: socket.socket, accepted_at: float) -> None:
         """Serve one connection until either side closes it."""
-        connection = ServerConnection(sock)
+        connection = ServerConnection(sock, accepted_at)
+        self.open.add(connection)
         try:
             while self._serve_one(connection):
                 pass
         except CallerDisconnected:
             pass
+        finally:
+            self.open.discard(connection)
         if connection.started and not connection.complete:
             # A reset shows the caller that the answer is incomplete.
             connection.abort()
--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -236,7 +236,7 @@
             return NotRun(error.detail, reached=False)
         if self.is_withheld():
             # The reason arose while the connection was opened.
-            connection.close()
+            self.pool.close(connection)
             return NotRun("withheld", reached=False, withheld=True)
         head: ResponseHead | None = None
         try:
@@ -249,7 +249,7 @@
             self.use = connection.use()
             # Closing the connection makes the upstream cancel the request.
             if head is None:
-                connection.close()
+                self.pool.close(connection)
         if head is not None:
             self.pool.release(
                 self.instance.entry, connection, head.keep_alive_s, head.closes
--- a/lacewingdock/components/inspection/__init__.py
+++ b/lacewingdock/components/inspection/__init__.py
@@ -68,7 +68,7 @@
             "inspection", address, self.serve, MAX_CONNECTIONS
         )
 
-    def serve(self, sock: socket.socket) -> None:
+    def serve(self, sock: socket.socket, _: float) -> None:
         """Serve one connection."""
         try:
             serve_requests(sock, _LIMITS, self._answer)
--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -146,6 +146,10 @@
         missing: Reason why the router is not ready to serve; empty if it is.
         leaving: Whether the router is draining before a planned stop.
         active: Requests that were read and are not yet answered.
+        connections: Open connections of callers.
+        closed_unread: Connections of callers that were closed unread.
+        late_share: Share of the busy connections whose bytes wait too long to
+            be read.
         configuration: Version of the configuration in force; None if there is
             none.
         store_away: Whether the last call of the platform's store failed.
@@ -207,6 +211,9 @@
     configuration: int | None
     store_away: bool
     store_doubtful: bool
+    connections: int = 0
+    closed_unread: int = 0
+    late_share: float = 0.0
     store_returned_s: float | None = None
     store_era: int = 0
     store_restored: int = 0
--- a/lacewingdock/components/inspection/state_collector.py
+++ b/lacewingdock/components/inspection/state_collector.py
@@ -36,6 +36,7 @@
         yield _single_gauge(
             "active_requests", "Requests in progress", state.active
         )
+        yield from _load_metrics(state)
         yield _single_gauge(
             "configuration_version",
             "Version of the configuration in force; 0 without",
@@ -121,6 +122,22 @@
         yield from _rollout_metrics(state)
 
 
+def _load_metrics(state: RouterState) -> Iterator[Metric]:
+    yield _single_gauge(
+        "connections", "Open connections of callers", state.connections
+    )
+    yield _counter(
+        "closed_unread",
+        "Connections of callers that were closed unread",
+        state.closed_unread,
+    )
+    yield _single_gauge(
+        "late_share",
+        "Share of the busy connections whose bytes wait too long to be read",
+        state.late_share,
+    )
+
+
 def _era_metrics(state: RouterState) -> Iterator[Metric]:
     yield _single_gauge(
         "store_era",
--- /dev/null
+++ b/lacewingdock/components/overload/const.py
@@ -0,0 +1,15 @@
+"""Constants of the protection against overload."""
+
+from typing import Final
+
+# Seconds between two looks at the open connections. Bytes that are unread at
+# two looks in a row have waited for at least this long.
+SAMPLE_INTERVAL_S: Final = 0.1
+# Samples over which the share of late connections is averaged.
+SAMPLES: Final = 3
+# Fewest busy connections that are judged; one that stands still is no overload.
+MIN_BUSY: Final = 8
+# Share of busy connections that are late from which on new connections are
+# closed, and from which on all of them are.
+SHED_FROM: Final = 0.1
+SHED_ALL: Final = 0.3
--- a/lacewingdock/components/readiness.py
+++ b/lacewingdock/components/readiness.py
@@ -55,7 +55,7 @@
         self.last_missing: str | None = None
         self.listener = Listener("ready", address, self.serve, MAX_CONNECTIONS)
 
-    def serve(self, sock: socket.socket) -> None:
+    def serve(self, sock: socket.socket, _: float) -> None:
         """Serve the probes of one connection."""
         try:
             serve_requests(sock, _LIMITS, self._answer)
--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -411,7 +411,7 @@
         self.on_report = on_report
         self.listener = Listener("copies", address, self.serve, MAX_CONNECTIONS)
 
-    def serve(self, sock: socket.socket) -> None:
+    def serve(self, sock: socket.socket, _: float) -> None:
         """Serve one connection."""
         try:
             serve_requests(sock, _LIMITS, self._answer)
--- a/lacewingdock/components/upstreams/pool.py
+++ b/lacewingdock/components/upstreams/pool.py
@@ -32,13 +32,15 @@
 
     Attributes:
         idle: Idle connections by incarnation, the last used at the end.
+        in_use: Connections that carry a request.
     """
 
-    __slots__ = ("_lock", "idle")
+    __slots__ = ("_lock", "idle", "in_use")
 
     def __init__(self) -> None:
         """Create an empty pool."""
         self.idle: dict[str, list[UpstreamConnection]] = {}
+        self.in_use: set[UpstreamConnection] = set()
         self._lock = threading.Lock()
 
     def acquire(
@@ -54,12 +56,17 @@
         Raises:
             UpstreamLost: The connection failed; the request did not run.
         """
-        while (kept := self._pop(entry.incarnation, call_id)) is not None:
-            if kept.is_reusable():
-                return kept
-            kept.close()
-        sock = connect(entry.host, entry.port, min(CONNECT_S, timeout_s))
-        return UpstreamConnection(sock, DEFAULT_KEEP_ALIVE_S)
+        connection = self._reuse(entry, call_id)
+        if connection is None:
+            sock = connect(entry.host, entry.port, min(CONNECT_S, timeout_s))
+            connection = UpstreamConnection(sock, DEFAULT_KEEP_ALIVE_S)
+        self.in_use.add(connection)
+        return connection
+
+    def close(self, connection: UpstreamConnection) -> None:
+        """Close a connection that is not to be used again."""
+        self.in_use.discard(connection)
+        connection.close()
 
     def release(
         self,
@@ -78,8 +85,9 @@
             closes: Whether the upstream closes the connection.
         """
         if closes or not connection.reset():
-            connection.close()
+            self.close(connection)
             return
+        self.in_use.discard(connection)
         connection.keep_alive_s = (
             DEFAULT_KEEP_ALIVE_S
             if keep_alive_s is None
@@ -107,6 +115,15 @@
         for connection in old:
             connection.close()
 
+    def _reuse(
+        self, entry: UpstreamEntry, call_id: str
+    ) -> UpstreamConnection | None:
+        while (kept := self._pop(entry.incarnation, call_id)) is not None:
+            if kept.is_reusable():
+                return kept
+            kept.close()
+        return None
+
     def _pop(self, instance: str, call_id: str) -> UpstreamConnection | None:
         with self._lock:
             kept = self.idle.get(instance, [])
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -24,6 +24,7 @@
 from lacewingdock.components.inspection import InspectionPort
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.listener import Listener, PerObjectListener
+from lacewingdock.components.overload.lateness import LatenessMeter
 from lacewingdock.components.pacing import Pacer
 from lacewingdock.components.poison_requests import PoisonRequests
 from lacewingdock.components.poison_requests.address_check import (
@@ -104,6 +105,8 @@
 # Seconds between prunings of idle connections and updates of this router's
 # share of the retry budget; `FleetBudget` counts in seconds, too.
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
+# Share of busy connections read late that is logged.
+NOTABLE_LATE_SHARE: Final = 0.05
 
 log = get_logger("router")
 
@@ -128,6 +131,7 @@
         routers: The registry of routers.
         gateway: The state that all requests share.
         callers: The port for callers.
+        lateness: Measures how late what arrives is read.
         ready: The port for the load balancer's readiness checks.
         copies: The port from which other routers fetch copies.
         fleet_load: The load of the other routers at each instance.
@@ -229,6 +233,9 @@
             self.leaving,
             sock,
         )
+        self.lateness = LatenessMeter(
+            lambda: self.gateway.pool.in_use, lambda: self.callers.open
+        )
         self.ready = ReadinessServer(
             host.ready_address, self.missing, self.leaving
         )
@@ -281,6 +288,7 @@
             _start("relay-out", self.relay.send_queries, self.stopping)
         if self.gateway.chooser.prober is not None:
             _start("probes", self.gateway.chooser.prober.listen, self.stopping)
+        _start("lateness", self.lateness.run, self.stopping)
         announcer = Announcer(
             lambda: self.host,
             self.routers,
@@ -424,6 +432,15 @@
     def _run_housekeeping(self) -> None:
         self.gateway.pool.prune()
         self.gateway.update_retry_terms(self._retry_terms())
+        if self.lateness.share >= NOTABLE_LATE_SHARE:
+            log.info(
+                "running late",
+                late_share=round(self.lateness.share, 3),
+                busy=self.lateness.busy,
+                connections=self.callers.listener.open.value,
+                active=self.callers.active.value,
+                closed_unread=self.callers.listener.refused,
+            )
 
     def _drop_lapsed(self) -> None:
         self.directory.apply_held()
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -19,6 +19,7 @@
 from lacewingdock.components.inspection.state import RouterState
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.health import StoreHealth
+from lacewingdock.components.overload.lateness import LatenessMeter
 from lacewingdock.components.relay.port import RelayPort
 from lacewingdock.components.routers import Routers
 from lacewingdock.components.routes import Routes
@@ -43,6 +44,7 @@
     directory: Directory
     fleet_load: FleetLoad
     gossip: GossipPort
+    lateness: LatenessMeter
     relay: RelayPort | None
     shifts: Shifts
     routers: Routers
@@ -65,6 +67,9 @@
         missing=router.missing(),
         leaving=router.leaving.is_set(),
         active=router.callers.active.value,
+        connections=router.callers.listener.open.value,
+        closed_unread=router.callers.listener.refused,
+        late_share=router.lateness.share,
         configuration=table.version if table else None,
         store_away=router.health.away,
         store_doubtful=router.health.doubtful,
--- a/lacewingdock/helpers/server_connection.py
+++ b/lacewingdock/helpers/server_connection.py
@@ -66,18 +66,28 @@
         keep_alive: Whether another request may follow.
         started: Whether the head of a response was sent.
         received_at: Monotonic time at which the last request was complete.
+        last_received_at: Monotonic time of the last read that returned bytes.
+        accepted_at: Monotonic time at which the connection was accepted; None
+            if unknown or once a request was read.
+        queued_s: Seconds from the accept to the complete request; None if
+            unknown, or if the last request was not the first.
     """
 
     __slots__ = (
         "_poll",
+        "accepted_at",
         "keep_alive",
+        "last_received_at",
         "parser",
+        "queued_s",
         "received_at",
         "sock",
         "started",
     )
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(
+        self, sock: socket.socket, accepted_at: float | None = None
+    ) -> None:
         """Set the TCP options of an accepted socket."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
@@ -88,6 +98,9 @@
         self.keep_alive = True
         self.started = False
         self.received_at = 0.0
+        self.last_received_at = 0.0
+        self.accepted_at = accepted_at
+        self.queued_s: float | None = None
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
 
@@ -115,7 +128,7 @@
         self.started = False
         self._check_head(event, limits.header_bytes)
         body = self._read_body(until, limits.body_bytes)
-        self.received_at = time.monotonic()
+        self._record_received()
         return ServerRequest(
             event.method,
             event.target,
@@ -124,6 +137,13 @@
             body,
         )
 
+    def _record_received(self) -> None:
+        self.received_at = time.monotonic()
+        self.queued_s = None
+        if self.accepted_at is not None:
+            self.queued_s = self.received_at - self.accepted_at
+        self.accepted_at = None
+
     @property
     def reusable(self) -> bool:
         """Whether another request may be read from this connection."""
@@ -291,6 +311,7 @@
             data = self.sock.recv(READ_BYTES)
         except OSError as error:
             raise CallerDisconnected from error
+        self.last_received_at = time.monotonic()
         if not data and self.parser.their_state is h11.SEND_BODY:
             raise CallerDisconnected
         try:
--- a/lacewingdock/helpers/sockets.py
+++ b/lacewingdock/helpers/sockets.py
@@ -5,6 +5,7 @@
 import select
 import socket
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
@@ -44,7 +45,8 @@
     Attributes:
         name: Name of the port in the log.
         address: IP number and port.
-        serve: Serves one connection and closes it.
+        serve: Serves one connection and closes it; called with the monotonic
+            time at which it was accepted.
         max_connections: Limit on concurrent connections; further ones are
             closed unread, so that the sender knows that nothing was executed.
         open: Number of connections being served.
@@ -69,7 +71,7 @@
         self,
         name: str,
         address: tuple[str, int],
-        serve: Callable[[socket.socket], None],
+        serve: Callable[[socket.socket, float], None],
         max_connections: int,
         sock: socket.socket | None = None,
     ) -> None:
@@ -107,7 +109,7 @@
                 self.refused += 1
                 sock.close()
                 continue
-            self._executor.submit(self._serve, sock)
+            self._executor.submit(self._serve, sock, time.monotonic())
 
     def close(self) -> None:
         """Stop accepting, and wake the thread that is in `accept`."""
@@ -118,9 +120,9 @@
         with contextlib.suppress(OSError):
             self.sock.close()
 
-    def _serve(self, sock: socket.socket) -> None:
+    def _serve(self, sock: socket.socket, accepted_at: float) -> None:
         try:
-            self.serve(sock)
+            self.serve(sock, accepted_at)
         except Exception:
             log.exception("connection handler failed", name=self.name)
         finally:
--- a/tests/components/gateway/scripted.py
+++ b/tests/components/gateway/scripted.py
@@ -48,3 +48,4 @@
     def __init__(self, acquire, pool):
         self.acquire = acquire
         self.release = pool.release
+        self.close = pool.close
--- /dev/null
+++ b/tests/components/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the protection against overload."""
