Close new connections unread while a router can't keep up

Cause: nothing but 1,500 connections limited what a router reads. Its listen queue of 512 was never empty, so each request was read after its caller had left, 130 to 190 a second, and open streams starved for the processor time that this took. `queued_s` and `late_share` show both.

A guard is asked once per connection before anything is read. It closes in proportion to the share of busy connections whose bytes wait unread at two looks, from a tenth on, all from three tenths on; and whatever waited 0.2 s for its thread or in a listen queue that was not empty for so long. A caller whose connection is closed unread goes to another router at once. While most other routers say by gossip that they can't keep up either, or there are none, nothing is closed but what its caller has left.

--- a/lacewingdock/components/gateway/__init__.py
+++ b/lacewingdock/components/gateway/__init__.py
@@ -7,6 +7,7 @@
 
 import socket
 import threading
+from collections.abc import Callable
 from typing import Final
 
 from lacewingdock.components.gateway.exchange import Exchange
@@ -56,6 +57,7 @@
         address: tuple[str, int],
         max_files: int,
         leaving: threading.Event,
+        admits: Callable[[socket.socket, float], bool] = lambda *_: True,
         sock: socket.socket | None = None,
     ) -> None:
         """Bind the port unless `sock` is given; `listener.run` serves it.
@@ -69,7 +71,9 @@
         self.open: set[ServerConnection] = set()
         self.is_shut = False
         most = min(int(max_files * CONNECTIONS_SHARE), MAX_CONNECTIONS)
-        self.listener = Listener("callers", address, self.serve, most, sock)
+        self.listener = Listener(
+            "callers", address, self.serve, most, sock, admits
+        )
 
     def shut(self) -> None:
         """Accept no more connections, and refuse requests on open ones.
--- a/lacewingdock/components/gossip/__init__.py
+++ b/lacewingdock/components/gossip/__init__.py
@@ -131,6 +131,7 @@
             instances answered.
         limits: Limits that instances named to it.
         crashes: Crashes beside requests with prompt parts.
+        overloaded: Whether it can't keep up with its connections.
     """
 
     router: str
@@ -142,9 +143,10 @@
     replaced: list[int] = []
     limits: list[LimitRow] = []
     crashes: list[CrashRow] = []
+    overloaded: bool = False
 
     @property
-    def content(self) -> tuple[list[Any], ...]:
+    def content(self) -> tuple[Any, ...]:
         """The payload, without sender, numbers, ages of loads and of limits."""
         rows = [(row.mark, row.running, row.unread) for row in self.rows]
         limits = [(limit.mark, limit.per_s) for limit in self.limits]
@@ -155,6 +157,7 @@
             self.replaced,
             limits,
             self.crashes,
+            self.overloaded,
         )
 
 
--- a/lacewingdock/components/overload/const.py
+++ b/lacewingdock/components/overload/const.py
@@ -13,3 +13,11 @@
 # closed, and from which on all of them are.
 SHED_FROM: Final = 0.1
 SHED_ALL: Final = 0.3
+# Longest time in seconds from the accept of a connection to its thread. Callers
+# wait a second until they are read.
+MAX_QUEUED_S: Final = 0.2
+# Seconds for which another router's message counts.
+FULL_S: Final = 1.5
+# Share of the other routers that can't keep up from which on no connection is
+# closed: its caller would meet another such router.
+FULL_SHARE: Final = 0.5
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -24,6 +24,8 @@
 from lacewingdock.components.inspection import InspectionPort
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.listener import Listener, PerObjectListener
+from lacewingdock.components.overload.fleet import FleetOverload
+from lacewingdock.components.overload.guard import ConnectionGuard
 from lacewingdock.components.overload.lateness import LatenessMeter
 from lacewingdock.components.pacing import Pacer
 from lacewingdock.components.poison_requests import PoisonRequests
@@ -132,6 +134,7 @@
         gateway: The state that all requests share.
         callers: The port for callers.
         lateness: Measures how late what arrives is read.
+        guard: Decides which new connections of callers are read.
         ready: The port for the load balancer's readiness checks.
         copies: The port from which other routers fetch copies.
         fleet_load: The load of the other routers at each instance.
@@ -209,6 +212,12 @@
         self.gateway = self._build_gateway()
         self.fleet_load = FleetLoad()
         self.gateway.chooser.others = self.fleet_load.at
+        self.lateness = LatenessMeter(
+            lambda: self.gateway.pool.in_use, lambda: self.callers.open
+        )
+        self.guard = ConnectionGuard(
+            self.lateness, FleetOverload(self.routers.count), self.random
+        )
         self.gossip = build_gossip(
             host,
             self.directory,
@@ -216,6 +225,7 @@
             self.shifts,
             self.routers,
             self.suspects,
+            self.guard,
             self.gateway.chooser.changed,
             self.random,
         )
@@ -231,11 +241,9 @@
             host.callers_address,
             host.max_files,
             self.leaving,
+            self.guard.admits,
             sock,
         )
-        self.lateness = LatenessMeter(
-            lambda: self.gateway.pool.in_use, lambda: self.callers.open
-        )
         self.ready = ReadinessServer(
             host.ready_address, self.missing, self.leaving
         )
@@ -432,6 +440,7 @@
     def _run_housekeeping(self) -> None:
         self.gateway.pool.prune()
         self.gateway.update_retry_terms(self._retry_terms())
+        self.guard.review()
         if self.lateness.share >= NOTABLE_LATE_SHARE:
             log.info(
                 "running late",
--- a/lacewingdock/daemons/router_ports.py
+++ b/lacewingdock/daemons/router_ports.py
@@ -19,6 +19,7 @@
 from lacewingdock.components.gossip.port import GossipPort
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.health import StoreHealth
+from lacewingdock.components.overload.guard import ConnectionGuard
 from lacewingdock.components.poison_requests import PoisonRequests
 from lacewingdock.components.probes.prober import Prober
 from lacewingdock.components.relay.port import RelayPort
@@ -37,6 +38,7 @@
     shifts: Shifts,
     routers: Routers,
     suspects: PoisonRequests,
+    guard: ConnectionGuard,
     changed: threading.Event,
     source: random.Random,
 ) -> GossipPort:
@@ -49,6 +51,7 @@
         shifts: Roll-outs.
         routers: The other routers.
         suspects: Requests that were lost at instances.
+        guard: Decides which connections are read.
         changed: Set when this router's load at an instance changes.
         source: Source of random numbers.
 
@@ -71,6 +74,7 @@
             directory.recently_replaced()[:MAX_REPLACED],
             limit_rows(directory),
             crash_rows(suspects.publication.gossiped),
+            guard.overloaded,
         )
 
     suspects.publication.on_change = changed.set
@@ -86,6 +90,7 @@
         compose,
         [
             fleet_load.update,
+            guard.fleet.receive,
             shifts.receive_message,
             lambda message: record_contacts(directory, message),
             lambda message: apply_limits(directory, message),
--- a/tests/components/gossip/test_limits.py
+++ b/tests/components/gossip/test_limits.py
@@ -6,6 +6,9 @@
 
 from lacewingdock.components.gossip import MAX_LIMITS, decode, encode
 from lacewingdock.components.gossip.load import FleetLoad
+from lacewingdock.components.overload.fleet import FleetOverload
+from lacewingdock.components.overload.guard import ConnectionGuard
+from lacewingdock.components.overload.lateness import LatenessMeter
 from lacewingdock.components.poison_requests import PoisonRequests
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.limits import RateLimit
@@ -40,6 +43,11 @@
         shifts,
         routers,
         PoisonRequests(directory, None, None, None, random.Random(1)),
+        ConnectionGuard(
+            LatenessMeter(tuple, tuple),
+            FleetOverload(lambda: 2),
+            random.Random(1),
+        ),
         threading.Event(),
         random.Random(1),
     )
--- a/tests/components/gossip/test_port.py
+++ b/tests/components/gossip/test_port.py
@@ -33,6 +33,7 @@
     [17],
     [LimitRow(3, 0.5, 40)],
     [CrashRow("part-1", ["i-1"], True), CrashRow("part-2", cleared=["i-1"])],
+    True,
 )
 
 
@@ -73,8 +74,9 @@
 def test_message_of_another_release_is_decoded():
     """Guards against routers that ignore each other during an upgrade."""
     fields = msgspec.msgpack.decode(encode(FULL))
-    assert decode(msgspec.msgpack.encode(fields[:-1])).crashes == []
-    assert decode(msgspec.msgpack.encode(fields[:-2])).limits == []
+    assert not decode(msgspec.msgpack.encode(fields[:-1])).overloaded
+    assert decode(msgspec.msgpack.encode(fields[:-2])).crashes == []
+    assert decode(msgspec.msgpack.encode(fields[:-3])).limits == []
     assert decode(msgspec.msgpack.encode([*fields, 5])) == FULL
 
 
