Bound what an engine may send that is no answer

An engine's bytes may come without end: in a head, a chunk's size, trailers, an event that never ends, a body past any length, or in answers to nobody. Heads, chunk sizes and trailers had a bound. An event had none: a router kept 24 s of it and copied and searched it anew with each read, and as each read returned bytes, no pause ever ended the attempt; the caller got no event and no second attempt (the stream's tests failed with EOFError). Whole bodies were bounded at 16 MB each: twenty engines at once were given 340 MB, more than any router has, and a body of one-byte chunks took a list entry for each and all of the request's time (504 where another engine answers).

An event ends its attempt at 64 KB, and so do bytes that complete no event for as long as a silent engine may take. Whole bodies share 16 MB beyond the first 64 KB of each, and where another attempt may follow, a body gets half of the time left. Skipped answers and informational heads are counted. Callers' bodies are gathered in one buffer too.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -22,6 +22,8 @@
 
 # Longest body of an answer that is not a stream, in bytes.
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
+# Largest event of a stream, in bytes. Events hold some tokens.
+MAX_EVENT_BYTES: Final = 64 * 1024
 
 # Lowest status with which an upstream reports its own failure.
 SERVER_ERROR: Final = 500
@@ -293,7 +295,7 @@
         self.notify_began()
         self.on_head(head)
         if head.not_run:
-            connection.read_full_body(self.timeouts.end, MAX_BODY_BYTES)
+            self._read_body(connection)
             return self._not_run(head), head
         if head.success and (not head.sealed or head.encoded):
             return Broken(
@@ -304,9 +306,14 @@
             return Unsure(head.confidence or 0.0), None
         if self.streaming and head.success:
             return self._relay(connection, head)
-        body = connection.read_full_body(self.timeouts.end, MAX_BODY_BYTES)
+        body = self._read_body(connection)
         return Whole(head, body, by_close=connection.ended), head
 
+    def _read_body(self, connection: UpstreamConnection) -> bytes:
+        return connection.read_full_body(
+            self.timeouts.body_end, MAX_BODY_BYTES, self.pool.body_bytes
+        )
+
     def _not_run(self, head: ResponseHead) -> NotRun:
         """Return the result of a request that the upstream refused to run."""
         if head.instance and head.instance != self.instance.entry.id:
@@ -320,6 +327,7 @@
         splitter = EventSplitter()
         timeout = self.timeouts.head
         last_at = 0.0
+        event_at = time.monotonic()
         while True:
             data = self._read_while_alive(
                 connection, timeout, connection.read_body
@@ -331,8 +339,14 @@
             if data is None:
                 break
             last_at = connection.last_received_at
-            self._pass_on(head, splitter, data)
-            timeout = self.timeouts.gap
+            if self._pass_on(head, splitter, data):
+                event_at = time.monotonic()
+                timeout = self.timeouts.gap
+            elif time.monotonic() - event_at > timeout.queued_s:
+                # Bytes that complete no event are no sign of progress.
+                return Broken("bytes without an event", timed_out=True), None
+            if len(splitter.incomplete) > MAX_EVENT_BYTES:
+                return Broken("event without end"), None
         # An answer without a length ends when its connection is closed.
         ended = connection.ended
         if splitter.incomplete:
@@ -344,15 +358,17 @@
 
     def _pass_on(
         self, head: ResponseHead, splitter: EventSplitter, data: bytes
-    ) -> None:
+    ) -> bool:
+        """Pass on the events that are complete; return whether any are."""
         events = splitter.append(data)
         if not events:
-            return
+            return False
         is_first = not self.progress.started
         self.progress.record_events(events)
         if is_first:
             self.caller.start(head.status, head.headers)
         self.caller.send(b"".join(event.data for event in events))
+        return True
 
     def _read_while_alive(
         self,
--- a/lacewingdock/components/gateway/timeouts.py
+++ b/lacewingdock/components/gateway/timeouts.py
@@ -28,6 +28,9 @@
 # Shortest timeout between two events, in seconds, for the same reason: two
 # packets lost in a row take 0.6 s.
 MIN_GAP_S: Final = 0.9
+# Share of the time left in which a body must be complete: a body without end
+# leaves the rest to another attempt.
+BODY_SHARE: Final = 0.5
 
 
 @dataclass(slots=True, frozen=True)
@@ -52,11 +55,13 @@
         head: Timeout for the head of the answer, and for the first event.
         gap: Timeout between parts of the body.
         end: Monotonic deadline of the request.
+        body_end: Monotonic deadline of a body that is read as a whole.
     """
 
     head: ReadTimeout
     gap: ReadTimeout
     end: float
+    body_end: float
 
 
 def timeouts_of_last_attempt(end: float) -> ReadTimeouts:
@@ -70,7 +75,7 @@
     """
     left_s = max(end - time.monotonic(), 0.0)
     whole = ReadTimeout(left_s, left_s)
-    return ReadTimeouts(whole, whole, end)
+    return ReadTimeouts(whole, whole, end, end)
 
 
 def timeouts_before_retry(route: Route, end: float) -> ReadTimeouts:
@@ -89,4 +94,6 @@
         max(route.gap_s * SILENT_GAPS, MIN_GAP_S),
         max(route.gap_s * QUEUED_GAPS, MIN_GAP_S),
     )
-    return ReadTimeouts(head, gap, end)
+    now = time.monotonic()
+    body_end = now + BODY_SHARE * max(end - now, 0.0)
+    return ReadTimeouts(head, gap, end, body_end)
--- a/lacewingdock/components/upstreams/connection.py
+++ b/lacewingdock/components/upstreams/connection.py
@@ -13,6 +13,7 @@
 
 from lacewingdock.const import RAN_NO, RAN_UNKNOWN
 from lacewingdock.exceptions import UpstreamLost
+from lacewingdock.helpers.byte_budget import ByteBudget
 from lacewingdock.helpers.sockets import peer_closed
 from lacewingdock.platform.wire import read_answer
 from lacewingdock.world.call import Headers, ResponseHead
@@ -22,6 +23,12 @@
 READ_BYTES: Final = 64 * 1024
 # Largest response head accepted, in bytes.
 MAX_HEAD_BYTES: Final = 64 * 1024
+# Bytes of a response body that are read without regard to other bodies.
+FREE_BODY_BYTES: Final = 64 * 1024
+# Most bytes of responses to other requests, and most informational responses,
+# that are skipped before the response to a request.
+MAX_SKIPPED_BYTES: Final = 1024 * 1024
+MAX_INFORMATIONAL: Final = 16
 # Milliseconds after which unacknowledged data closes the connection. An
 # instance that lost power or is behind a network partition acknowledges
 # nothing; by default the kernel retransmits for a quarter of an hour.
@@ -80,6 +87,7 @@
         idle_since: Monotonic time since which the connection is idle.
         keep_alive_s: Seconds for which the connection may stay idle.
         last_received_at: Monotonic time of the last bytes received.
+        received_bytes: Number of bytes received.
         ended: Whether the upstream closed or reset the connection.
     """
 
@@ -96,6 +104,7 @@
         "last_received_at",
         "number",
         "parser",
+        "received_bytes",
         "requests",
         "sent_at",
         "skipped",
@@ -113,6 +122,7 @@
         self.keep_alive_s = keep_alive_s
         self.idle_since = time.monotonic()
         self.last_received_at = 0.0
+        self.received_bytes = 0
         self.ended = False
         self.parser = _new_parser()
         self._poll = select.poll()
@@ -202,9 +212,16 @@
             TimedOut: No complete head arrived by the deadline.
             CallerLeft: The caller closed its connection.
         """
+        received = self.received_bytes
+        informational = 0
         while True:
             event = self._next(until)
+            if self.received_bytes - received > MAX_SKIPPED_BYTES:
+                raise UpstreamLost("no answer among the bytes received")
             if isinstance(event, h11.InformationalResponse):
+                informational += 1
+                if informational > MAX_INFORMATIONAL:
+                    raise UpstreamLost("informational responses without end")
                 continue
             if not isinstance(event, h11.Response):
                 raise UpstreamLost(f"unexpected {type(event).__name__}")
@@ -229,25 +246,40 @@
             return None
         raise UpstreamLost(f"unexpected {type(event).__name__}")
 
-    def read_full_body(self, until: float, most: int) -> bytes:
+    def read_full_body(
+        self, until: float, most: int, budget: ByteBudget
+    ) -> bytes:
         """Read the response body to its end.
 
         Args:
             until: Deadline as monotonic time.
             most: Largest size accepted, in bytes.
+            budget: Limits the bytes of all bodies that are being read, beyond
+                `FREE_BODY_BYTES` of each.
 
         Raises:
-            UpstreamLost: The body is larger, or as for `read_head`.
+            UpstreamLost: The body is larger, the budget is used up, or as for
+                `read_head`.
             TimedOut, CallerLeft: As for `read_head`.
         """
-        parts: list[bytes] = []
-        size = 0
-        while (data := self.read_body(until)) is not None:
-            parts.append(data)
-            size += len(data)
-            if size > most:
-                raise UpstreamLost(f"body of more than {most} bytes")
-        return b"".join(parts)
+        # Parts in a list would take many times their size if they are short.
+        body = bytearray()
+        held = 0
+        try:
+            while (data := self.read_body(until)) is not None:
+                body += data
+                if len(body) > most:
+                    raise UpstreamLost(f"body of more than {most} bytes")
+                more = len(body) - FREE_BODY_BYTES - held
+                if more > 0:
+                    if not budget.take(more):
+                        raise UpstreamLost(
+                            f"bodies of more than {budget.limit} bytes"
+                        )
+                    held += more
+        finally:
+            budget.give_back(held)
+        return bytes(body)
 
     def reset(self) -> bool:
         """Prepare for the next request; return whether reuse is possible.
@@ -272,8 +304,10 @@
             self.sock.close()
 
     def _skip_answer(self, until: float) -> None:
+        received = self.received_bytes
         while not isinstance(self._next(until), h11.EndOfMessage):
-            pass
+            if self.received_bytes - received > MAX_SKIPPED_BYTES:
+                raise UpstreamLost("another request's answer without end")
         rest, closed = self.parser.trailing_data
         if closed or self._request is None:
             raise UpstreamLost("closed after another request's answer")
@@ -313,6 +347,7 @@
             raise UpstreamLost(f"receive: {error!r}") from error
         if data:
             self.last_received_at = time.monotonic()
+            self.received_bytes += len(data)
         else:
             self.ended = True
         try:
--- a/lacewingdock/components/upstreams/pool.py
+++ b/lacewingdock/components/upstreams/pool.py
@@ -8,6 +8,7 @@
     UpstreamConnection,
     connect,
 )
+from lacewingdock.helpers.byte_budget import ByteBudget
 from lacewingdock.world.backend import UpstreamEntry
 
 # Seconds subtracted from the keep-alive timeout that an upstream announces, in
@@ -25,6 +26,9 @@
 # at once are rarely needed, and each uses up one of the connections that the
 # upstream accepts from all its callers.
 MAX_IDLE: Final = 16
+# Most bytes of response bodies that are being read at a time: a small part of
+# the memory of the smallest instance.
+MAX_BODIES_BYTES: Final = 16 * 1024 * 1024
 
 
 class ConnectionPool:
@@ -33,14 +37,16 @@
     Attributes:
         idle: Idle connections by incarnation, the last used at the end.
         in_use: Connections that carry a request.
+        body_bytes: Limits the bytes of response bodies that are being read.
     """
 
-    __slots__ = ("_lock", "idle", "in_use")
+    __slots__ = ("_lock", "body_bytes", "idle", "in_use")
 
     def __init__(self) -> None:
         """Create an empty pool."""
         self.idle: dict[str, list[UpstreamConnection]] = {}
         self.in_use: set[UpstreamConnection] = set()
+        self.body_bytes = ByteBudget(MAX_BODIES_BYTES)
         self._lock = threading.Lock()
 
     def acquire(
--- a/lacewingdock/helpers/server_connection.py
+++ b/lacewingdock/helpers/server_connection.py
@@ -260,21 +260,20 @@
             )
 
     def _read_body(self, until: float, max_bytes: int) -> bytes:
-        parts: list[bytes] = []
-        size = 0
+        # Parts in a list would take many times their size if they are short.
+        body = bytearray()
         while True:
             event = self._event_or_none()
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
-                size += len(event.data)
-                if size > max_bytes:
+                body += event.data
+                if len(body) > max_bytes:
                     self.keep_alive = False
                     raise LacewingdockError(
                         ErrorKind.BODY_TOO_LARGE,
                         f"body exceeds {max_bytes} bytes",
                     )
             elif isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                return bytes(body)
             elif event is None:
                 self._receive_body(until)
             else:
--- a/tests/components/gateway/scripted.py
+++ b/tests/components/gateway/scripted.py
@@ -49,3 +49,4 @@
         self.acquire = acquire
         self.release = pool.release
         self.close = pool.close
+        self.body_bytes = pool.body_bytes
--- a/tests/components/upstreams/test_pool.py
+++ b/tests/components/upstreams/test_pool.py
@@ -4,6 +4,7 @@
 
 from lacewingdock.components.upstreams import connection as connections
 from lacewingdock.components.upstreams.pool import ConnectionPool
+from lacewingdock.helpers.byte_budget import ByteBudget
 from tests.components.gateway.fakes import Upstream
 
 TIMEOUT_S = 0.5
@@ -24,7 +25,9 @@
         headers.append((b"Attempt-Id", call_id.encode()))
     connection.send(call_id, b"GET", b"/", headers, b"", TIMEOUT_S)
     head = connection.read_head(connection.sent_at + TIMEOUT_S)
-    connection.read_full_body(connection.sent_at + TIMEOUT_S, 1000)
+    connection.read_full_body(
+        connection.sent_at + TIMEOUT_S, 1000, ByteBudget(1000)
+    )
     pool.release(entry, connection, head.keep_alive_s, head.closes)
     return connection.number
 
