--- a/lacewingdock/helpers/source_tables.py
+++ b/lacewingdock/helpers/source_tables.py
@@ -10,6 +10,7 @@
     "gateway",
     "inspection",
     "mirror",
+    "overload",
     "poison_requests",
     "routers",
     "routes",
