Keep the meter of lateness alive after a failed sample

An error in one sample would have ended the meter's task, and its last share would have decided about connections for good: closed forever, if it was high. A failed sample is logged and counts as no lateness. A connection that is closed between two steps of a sample no longer counts as unread, and routers that are gone are forgotten.

--- a/lacewingdock/components/overload/fleet.py
+++ b/lacewingdock/components/overload/fleet.py
@@ -38,5 +38,8 @@
         if others <= 0:
             return True
         old = time.monotonic() - FULL_S
-        fresh = [full for at, full in list(self.heard.values()) if at >= old]
+        for router, (at, _) in list(self.heard.items()):
+            if at < old:
+                self.heard.pop(router, None)
+        fresh = [full for _, full in list(self.heard.values())]
         return sum(fresh) >= FULL_SHARE * max(len(fresh), min(others, FANOUT))
--- a/lacewingdock/components/overload/lateness.py
+++ b/lacewingdock/components/overload/lateness.py
@@ -19,6 +19,9 @@
     SAMPLE_INTERVAL_S,
     SAMPLES,
 )
+from lacewingdock.helpers.log import get_logger
+
+log = get_logger("overload")
 
 
 class Receiver(Protocol):
@@ -72,7 +75,12 @@
     def run(self, stopping: threading.Event) -> None:
         """Take samples until the daemon stops."""
         while not stopping.wait(SAMPLE_INTERVAL_S):
-            self.sample(time.monotonic())
+            try:
+                self.sample(time.monotonic())
+            except Exception:
+                # A share that is never renewed would close connections forever.
+                self.share = 0.0
+                log.exception("sample failed")
 
     def sample(self, now: float) -> None:
         """Look at all connections once.
@@ -106,4 +114,9 @@
         if descriptor >= 0:
             poller.register(descriptor, select.POLLIN)
             by_descriptor[descriptor] = one
-    return [by_descriptor[descriptor] for descriptor, _ in poller.poll(0)]
+    return [
+        by_descriptor[descriptor]
+        for descriptor, events in poller.poll(0)
+        # The connection was closed since its descriptor was read.
+        if not events & select.POLLNVAL
+    ]
--- a/tests/components/overload/test_lateness.py
+++ b/tests/components/overload/test_lateness.py
@@ -1,6 +1,7 @@
 """Tests of the measure of how late a router reads."""
 
 import socket
+from types import SimpleNamespace
 
 import pytest
 
@@ -94,3 +95,12 @@
     meter = LatenessMeter(lambda: peers, lambda: ())
     meter.sample(START)
     assert meter.late == 0
+
+
+def test_meter_survives_a_failed_sample():
+    """Guards against a share that stays high for good."""
+    meter = LatenessMeter(lambda: 1 // 0, lambda: ())
+    meter.share = 1.0
+    waits = iter([False, True])
+    meter.run(SimpleNamespace(wait=lambda _: next(waits)))
+    assert meter.share == 0.0
