Refuse by priority what is read while most routers can't keep up

Where all routers are full, none closes a connection, as its caller would meet another full one. So all read everything: at 310 requests a second, spread over five routers with a fifth of a core each, a router's throughput fell from 60 to 10 streams a second while its open requests grew from 98 to 358, and 141 of 1,549 requests got no answer.

A request that was read is now refused at once where its router is over its capacity and most others are: the least urgent first, all at the share of late connections at which all connections would be closed. Nothing was sent, so the refusal's promise holds; it says when to return.

--- a/lacewingdock/components/gateway/exchange.py
+++ b/lacewingdock/components/gateway/exchange.py
@@ -33,6 +33,7 @@
 )
 from lacewingdock.components.gateway.refusal import (
     not_run_error,
+    overloaded_error,
     repeats_crash_error,
 )
 from lacewingdock.components.gateway.request_log import report_outcome
@@ -170,8 +171,8 @@
         """Look up route and workspace, and set the deadline.
 
         Raises:
-            LacewingdockError: NOT_READY, NOT_FOUND, UNAUTHORIZED or
-                REPEATS_CRASH.
+            LacewingdockError: NOT_READY, NOT_FOUND, UNAUTHORIZED, NO_UPSTREAM
+                or REPEATS_CRASH.
         """
         call = self.call
         self.gateway.wait_until_ready(START_WAIT_S)
@@ -198,6 +199,8 @@
         if call.caller_timeout_s is not None:
             caller_timeout_s = min(caller_timeout_s, call.caller_timeout_s)
         self.end = self.started + caller_timeout_s
+        if self.gateway.refuses(self.priority()):
+            raise overloaded_error(self.gateway.random)
         if self.gateway.suspects.holds(call, self.workspace):
             raise repeats_crash_error()
         self.service = self._service()
--- a/lacewingdock/components/gateway/gateway.py
+++ b/lacewingdock/components/gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 from lacewingdock.components.admission.fleet_budget import (
     FleetBudget,
@@ -44,6 +45,8 @@
         random: Random source.
         unknown_headers: Undocumented headers in answers of upstreams.
         odd_values: Headers in answers of upstreams whose values are invalid.
+        refuses: Returns whether a request of a priority is refused, since this
+            router can't keep up.
         readiness_events: Events set once the state that a request needs is
             loaded: the routing table, the instances, the roll-outs.
     """
@@ -57,6 +60,7 @@
         "pressures",
         "random",
         "readiness_events",
+        "refuses",
         "retry_terms",
         "routes",
         "shifts",
@@ -87,6 +91,7 @@
         self.random = source
         self.unknown_headers = UnknownNames("answer")
         self.odd_values = UnknownNames("value")
+        self.refuses: Callable[[int], bool] = lambda _: False
         self.readiness_events = [routes.loaded]
 
     def wait_until_ready(self, timeout_s: float) -> None:
--- a/lacewingdock/components/gateway/refusal.py
+++ b/lacewingdock/components/gateway/refusal.py
@@ -8,6 +8,9 @@
 # Shortest Retry-After of a refusal, in seconds. Callers wait at most a third of
 # the time that they have left.
 RETRY_AFTER_S: Final = 0.25
+# Retry-After where no router has capacity, in seconds: the streams that take it
+# go on for about as long.
+OVERLOADED_AFTER_S: Final = 1.0
 # Largest random factor on a known time until there is capacity, so that callers
 # retry at different times.
 SPREAD_AFTER: Final = 1.5
@@ -33,6 +36,17 @@
     )
 
 
+def overloaded_error(source: random.Random) -> LacewingdockError:
+    """Return the error of a request for which no router has capacity.
+
+    Args:
+        source: Random source for the spread of Retry-After.
+    """
+    return not_run_error(
+        "most routers can't keep up", OVERLOADED_AFTER_S, source
+    )
+
+
 def repeats_crash_error() -> LacewingdockError:
     """Return the error of a poison request, which crashes instances."""
     return LacewingdockError(
--- a/lacewingdock/components/overload/const.py
+++ b/lacewingdock/components/overload/const.py
@@ -21,3 +21,5 @@
 # Share of the other routers that can't keep up from which on no connection is
 # closed: its caller would meet another such router.
 FULL_SHARE: Final = 0.5
+# Number of priorities of requests, from 0.
+PRIORITIES: Final = 10
--- a/lacewingdock/components/overload/guard.py
+++ b/lacewingdock/components/overload/guard.py
@@ -5,6 +5,7 @@
 
 from lacewingdock.components.overload.const import (
     MAX_QUEUED_S,
+    PRIORITIES,
     SHED_ALL,
     SHED_FROM,
 )
@@ -60,6 +61,23 @@
         """Whether this router can't keep up."""
         return self.is_shedding or self.meter.share >= SHED_FROM
 
+    @property
+    def excess(self) -> float:
+        """How far this router is over its capacity; all it gets from 1 on."""
+        return (self.meter.share - SHED_FROM) / (SHED_ALL - SHED_FROM)
+
+    def refuses(self, priority: int) -> bool:
+        """Return whether a request that was read is refused by its priority.
+
+        Only while other routers are no better: then nothing is closed unread,
+        and what is read beyond the capacity would keep all from being served.
+
+        Args:
+            priority: Priority of the request; 0 is the highest.
+        """
+        bearable = 1.0 - priority / PRIORITIES
+        return self.excess >= bearable and self.fleet.is_general()
+
     def admits(self, sock: socket.socket, queued_s: float) -> bool:
         """Return whether a new connection is to be read.
 
@@ -67,9 +85,7 @@
             sock: The connection.
             queued_s: Seconds since its accept.
         """
-        excess = (self.meter.share - SHED_FROM) / (SHED_ALL - SHED_FROM)
-        if queued_s >= MAX_QUEUED_S:
-            excess = 1.0
+        excess = 1.0 if queued_s >= MAX_QUEUED_S else self.excess
         if excess <= 0.0 or self.random.random() >= excess:
             return True
         if self.fleet.is_general():
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -218,6 +218,7 @@
         self.guard = ConnectionGuard(
             self.lateness, FleetOverload(self.routers.count), self.random
         )
+        self.gateway.refuses = self.guard.refuses
         self.gossip = build_gossip(
             host,
             self.directory,
--- a/tests/components/overload/test_guard.py
+++ b/tests/components/overload/test_guard.py
@@ -113,3 +113,19 @@
     late = time.monotonic() + FULL_S + 0.01
     monkeypatch.setattr(fleet_module.time, "monotonic", lambda: late)
     assert found.is_general() is (routers == 1)
+
+
+@pytest.mark.parametrize(
+    ("share", "general", "refused"),
+    [
+        (0.0, True, set()),
+        (SHED_ALL, False, set()),
+        # The least urgent first.
+        ((SHED_FROM + SHED_ALL) / 2, True, set(range(5, 10))),
+        (SHED_ALL, True, set(range(10))),
+    ],
+)
+def test_requests_are_refused_by_priority(share, general, refused):
+    """Guards against routers that all read more than they can serve."""
+    guard = build_guard(share, general)
+    assert {one for one in range(10) if guard.refuses(one)} == refused
