Report overload only when all new connections are closed

A router told the others that it can't keep up as soon as it closed any connection. Under a skew the others take what one closes and close a little now and then, so the skew passed for an overload of all, and requests that were read were refused though other routers had room.

A router now reports overload from the share of late connections on at which it closes all.

--- a/lacewingdock/components/overload/guard.py
+++ b/lacewingdock/components/overload/guard.py
@@ -58,8 +58,8 @@
 
     @property
     def overloaded(self) -> bool:
-        """Whether this router can't keep up."""
-        return self.is_shedding or self.meter.share >= SHED_FROM
+        """Whether this router could not serve any of its new connections."""
+        return self.meter.share >= SHED_ALL
 
     @property
     def excess(self) -> float:
