Use one function to round seconds for the log

The line of a request had a copy of the function of an attempt's line. No field or value of either line changes; lint and the tests of metrics, docs, imports and streams pass.

--- a/lacewingdock/components/gateway/attempt_log.py
+++ b/lacewingdock/components/gateway/attempt_log.py
@@ -43,7 +43,7 @@
         connection=use.connection if use else None,
         connection_requests=use.requests if use else None,
         skipped_answers=use.skipped if use else None,
-        head_after_s=_rounded(use.head_after_s if use else None),
+        head_after_s=rounded(use.head_after_s if use else None),
         status=head.status if head else None,
         says_limit_per_s=head.limit_per_s if head else None,
         says_rest_s=head.rest_s if head else None,
@@ -54,5 +54,6 @@
     )
 
 
-def _rounded(seconds: float | None) -> float | None:
+def rounded(seconds: float | None) -> float | None:
+    """Round seconds for the log; None where there are none."""
     return None if seconds is None else round(seconds, 4)
--- a/lacewingdock/components/gateway/request_log.py
+++ b/lacewingdock/components/gateway/request_log.py
@@ -3,6 +3,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from lacewingdock.components.gateway.attempt_log import rounded
 from lacewingdock.components.gateway.outcome import Outcome
 from lacewingdock.helpers.log import get_logger
 
@@ -39,17 +40,13 @@
         events=exchange.progress.events,
         goal_s=route.goal_s if route else None,
         first_s=_first_s(exchange),
-        queued_s=_rounded(exchange.connection.queued_s),
+        queued_s=rounded(exchange.connection.queued_s),
         pause_s=round(exchange.progress.longest_pause_s, 4),
         outcome=str(outcome),
         seconds=round(seconds, 4),
     )
 
 
-def _rounded(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 4)
-
-
 def _first_s(exchange: "Exchange") -> float | None:
     """Return the seconds to a stream's first event; None without one."""
     if not exchange.progress.started:
