Order what is told of an instance by its start, not by the last write

Cause: the store's revision orders writes. A heartbeat whose answer was lost is done 1 to 6 s later, with a new revision, and the directory took whatever came last; only within the hold after a restored store it compared sequence numbers. Ruled out: a late or missing change at the router (the log of the case has the draining at once, and 'leaving: false' 1.5 s later).

Change, one rule with or without a restored store (entry_order.py): - draining, in the entry or an answer, is final for a start - a lower number of the same start is held until it has stood as long as an entry without renewals lasts - an entry that comes back after its removal is held until its instance says that it serves (its health check, with its id), or until late writes and their expiry are over. A number can't tell: a heartbeat that changes nothing is not seen, so a late one has a higher number than the last one known - an entry that another writer overwrote is left out, which is no departure

The hold of a restored store (held_until) is gone, as the rule covers it.

The check of an address says whether the instance serves, and its test that too.

--- a/lacewingdock/components/poison_requests/address_check.py
+++ b/lacewingdock/components/poison_requests/address_check.py
@@ -2,6 +2,7 @@
 
 import time
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from lacewingdock.components.poison_requests.const import (
     ADDRESS_CHECK_TIMEOUT_S,
@@ -26,23 +27,31 @@
         responder: Who answered.
         answered_by: Id of the other instance that answered; empty if it sent
             none, or if no other instance answered.
+        serving: Whether the expected instance named itself, and answered that
+            it is healthy and not leaving.
     """
 
     responder: Responder
     answered_by: str = ""
+    serving: bool = False
 
 
-def check_address(entry: UpstreamEntry, path: str) -> AddressCheck:
+def check_address(
+    entry: UpstreamEntry,
+    path: str,
+    timeout_s: float = ADDRESS_CHECK_TIMEOUT_S,
+) -> AddressCheck:
     """Send a request to an instance's address that names the expected instance.
 
     Args:
         entry: The expected instance and its address.
         path: Path of a request that instances answer without running anything,
             such as a health check.
+        timeout_s: Timeout of the check, in seconds.
     """
-    until = time.monotonic() + ADDRESS_CHECK_TIMEOUT_S
+    until = time.monotonic() + timeout_s
     try:
-        sock = connect(entry.host, entry.port, ADDRESS_CHECK_TIMEOUT_S)
+        sock = connect(entry.host, entry.port, timeout_s)
     except UpstreamLost:
         return AddressCheck(Responder.NOTHING)
     connection = UpstreamConnection(sock, 0.0)
@@ -62,4 +71,9 @@
 ) -> AddressCheck:
     if head.is_from_other_instance(entry.id):
         return AddressCheck(Responder.ANOTHER, head.instance)
-    return AddressCheck(Responder.ITSELF)
+    serving = (
+        head.status == HTTPStatus.OK
+        and head.instance == entry.id
+        and not head.leaving
+    )
+    return AddressCheck(Responder.ITSELF, serving=serving)
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -1,11 +1,16 @@
 """Support for the list of upstream instances that this router may use."""
 
-import math
 import threading
 from collections.abc import Callable, Iterable
 from dataclasses import replace
 from typing import Final
 
+from lacewingdock.components.upstreams.entry_order import (
+    EntryVerdict,
+    HeldEntry,
+    held_until,
+    judge_entry,
+)
 from lacewingdock.components.upstreams.instance import UpstreamInstance, mark_of
 from lacewingdock.components.upstreams.signals import SignalMemory
 from lacewingdock.helpers.clock import STEADY, Clock
@@ -17,11 +22,14 @@
 # from an outage: instances write them again within about two seconds, and the
 # remainder covers delivery to this router.
 LAPSE_S: Final = 2.3
+# Default time in seconds until an entry that is not renewed is removed and this
+# router knows of it: three heartbeats of 1.2 s, and the delivery.
+EXPIRY_S: Final = 3 * 1.2 + LAPSE_S
 # Fewest instance ids whose newest start is remembered, instances that left
 # included: a late write of an earlier start must not bring it back. More than
 # restart within minutes.
 MIN_STARTS: Final = 256
-# Most departed starts whose last sequence number is remembered.
+# Most departed starts that are remembered.
 MAX_DEPARTED: Final = 4096
 # Most starts remembered as replaced.
 MAX_REPLACED: Final = 4096
@@ -43,11 +51,11 @@
         cordoned: The failure domains whose instances get no new requests.
         cold_start_s: Returns for how many seconds a service's instances are
             cold after a start.
-        departed: Sequence number of the last entry of departed starts, by
+        expiry_s: Returns the seconds until an entry that is not renewed is
+            removed and this router knows of it.
+        departed: Monotonic time of the removal of departed starts' entries, by
             incarnation.
-        held: Entries of a restored store that are older than the state here, by
-            id.
-        held_until: Monotonic time until which such entries are held back.
+        held: Listed entries that are not in effect, by id.
         signals: The signals that instances send in their answers.
         replaced: Monotonic time at which a start was found to be replaced by
             another instance at its address, by incarnation and address.
@@ -65,8 +73,8 @@
         "cold_start_s",
         "cordoned",
         "departed",
+        "expiry_s",
         "held",
-        "held_until",
         "instances",
         "lock",
         "newest_starts",
@@ -84,9 +92,9 @@
         self.cordoned: frozenset[str] = frozenset()
         self.cold_start_s: Callable[[str], float] = lambda _: 0.0
         self.signals = SignalMemory(clock)
-        self.departed: dict[str, int] = {}
-        self.held: dict[str, UpstreamEntry] = {}
-        self.held_until = -math.inf
+        self.expiry_s: Callable[[], float] = lambda: EXPIRY_S
+        self.departed: dict[str, float] = {}
+        self.held: dict[str, HeldEntry] = {}
         self.replaced: dict[tuple[str, tuple[str, int]], float] = {}
         self.replaced_seen = 0
         self.replaced_told = 0
@@ -154,70 +162,97 @@
                 entry does not prove that the instance is gone.
         """
         for entry in entries.values():
-            self.apply(entry)
+            self.apply(entry, doubtful=doubtful)
         listed = self.instances.keys() | self.held.keys()
         for name in listed - entries.keys():
             self.remove(name, doubtful=doubtful)
 
-    def apply(self, entry: UpstreamEntry) -> None:
+    def apply(self, entry: UpstreamEntry, *, doubtful: bool = False) -> None:
         """Apply a new or changed entry.
 
         A restart under the same id counts as a new instance: requests and
         connections of the earlier start are lost, and its failures do not count
         against the new start. The last write of an earlier start may arrive
         after the entry of the later one and is ignored.
+
+        Args:
+            entry: The entry.
+            doubtful: Whether the store was away recently, so that entries of
+                running instances may have expired.
         """
         with self._changing:
-            self._apply(entry)
+            self._apply(entry, doubtful=doubtful)
 
-    def _apply(self, entry: UpstreamEntry) -> None:
-        current = self.instances.get(entry.id)
-        newest = self.newest_starts.get(entry.id, 0)
-        if entry.born < newest:
-            log.info(
-                "entry of an older start ignored",
-                upstream=entry.id,
-                born=entry.born,
-            )
-            if not entry.born:
-                # An instance whose entries name the time of its start names it
-                # in every entry, so another writer overwrote this one.
-                self.remove(entry.id, doubtful=False)
+    def _apply(self, entry: UpstreamEntry, *, doubtful: bool) -> None:
+        if self._is_of_older_start(entry):
             return
         if (entry.incarnation, entry.address) in self.replaced:
             return
-        if self._is_outdated(entry, current):
-            self._hold(entry, current)
-            return
+        verdict = judge_entry(
+            entry,
+            self.instances.get(entry.id),
+            self.departed.get(entry.incarnation),
+            announced_leaving=self.signals.announced_leaving(entry.incarnation),
+            doubtful=doubtful,
+        )
+        if verdict is EntryVerdict.CURRENT:
+            self._put(entry)
+        else:
+            self._hold(entry, verdict)
+
+    def _is_of_older_start(self, entry: UpstreamEntry) -> bool:
+        newest = self.newest_starts.get(entry.id, 0)
+        if entry.born >= newest:
+            return False
+        log.info(
+            "entry of an older start ignored",
+            upstream=entry.id,
+            born=entry.born,
+        )
+        if not entry.born:
+            # An instance whose entries name the time of its start names it in
+            # every entry, so another writer overwrote this one.
+            self.leave_out(entry.id)
+        return True
+
+    def _put(self, entry: UpstreamEntry) -> None:
+        """Put an entry into effect."""
+        current = self.instances.get(entry.id)
         self.held.pop(entry.id, None)
+        self.departed.pop(entry.incarnation, None)
         self._record_start(entry)
         if current is None or current.entry.born != entry.born:
             if current is not None:
                 current.gone = True
             signals = self.signals.of(entry.incarnation)
-            self.instances[entry.id] = UpstreamInstance(
-                entry, self.clock, signals
-            )
-            self._index()
-        elif _is_same(current.entry, entry) and not current.lapsed:
-            return
+            current = UpstreamInstance(entry, self.clock, signals)
+            self.instances[entry.id] = current
+            is_known = False
         else:
+            is_known = True
+            is_same = _is_same(current.entry, entry) and not current.lapsed
             # The time of the first write stays, though the entry may have been
             # removed and created again since.
             current.entry = replace(entry, created=current.entry.created)
+            current.entry_created = entry.created
+            if is_same:
+                return
             current.lapsed = False
-            self._index()
-        self.instances[entry.id].set_cold_for(entry.cold_left_s)
+        if entry.leaving:
+            self.signals.record_leaving_entry(current.signals)
+        self._index()
+        current.set_cold_for(entry.cold_left_s)
         log.info(
             "upstream",
             upstream=entry.id,
             service=entry.service,
             version=entry.version,
             domain=entry.failure_domain,
-            leaving=entry.leaving,
+            leaving=current.leaving,
             cold_left_s=entry.cold_left_s,
             born=entry.born,
-            known=current is not None,
+            sequence=entry.sequence,
+            known=is_known,
         )
 
     def remove(self, name: str, *, doubtful: bool) -> None:
@@ -231,49 +266,71 @@
         with self._changing:
             self._remove(name, doubtful=doubtful)
 
-    def _is_outdated(
-        self, entry: UpstreamEntry, current: UpstreamInstance | None
-    ) -> bool:
-        """Whether a restored store lists an entry older than the state here."""
-        if self.clock.now() >= self.held_until:
-            return False
-        if current is None or current.entry.incarnation != entry.incarnation:
-            return entry.sequence <= self.departed.get(entry.incarnation, -1)
-        if current.leaving and not entry.leaving:
-            return True
-        return entry.sequence < current.entry.sequence
-
-    def _hold(
-        self, entry: UpstreamEntry, current: UpstreamInstance | None
-    ) -> None:
-        if current is not None:
+    def leave_out(self, name: str) -> None:
+        """Remove an instance whose entry another writer overwrote.
+
+        This is no departure: the next entry of the instance takes effect.
+        """
+        with self._changing:
+            self.held.pop(name, None)
+            if current := self.instances.pop(name, None):
+                current.gone = True
+                self._index()
+                log.info("upstream left out", upstream=name)
+
+    def _hold(self, entry: UpstreamEntry, verdict: EntryVerdict) -> None:
+        """Keep an entry out of effect, until it proves to be current."""
+        current = self.instances.get(entry.id)
+        if verdict is EntryVerdict.RETURNED and current is not None:
+            if current.entry.incarnation == entry.incarnation:
+                self._remove(entry.id, doubtful=False)
+        elif current is not None:
             current.lapsed = False
-        if self.held.get(entry.id) != entry:
-            log.info("older entry held back", upstream=entry.id)
-        self.held[entry.id] = entry
+        log.info(
+            "entry held back",
+            upstream=entry.id,
+            reason=verdict,
+            sequence=entry.sequence,
+            known_sequence=current.entry.sequence if current else None,
+        )
+        until = held_until(
+            verdict,
+            self.departed.get(entry.incarnation),
+            self.expiry_s(),
+            self.clock.now(),
+        )
+        before = self.held.get(entry.id)
+        if before and before.entry.incarnation == entry.incarnation:
+            until = min(until, before.until)
+        self.held[entry.id] = HeldEntry(entry, verdict, until)
 
-    def hold_older_entries(self, hold_s: float) -> None:
-        """Start to hold back older entries after the store was restored.
+    def returned(self) -> list[UpstreamEntry]:
+        """Return the entries of starts that were gone, not yet confirmed."""
+        with self._changing:
+            return [
+                one.entry
+                for one in self.held.values()
+                if one.verdict is EntryVerdict.RETURNED
+            ]
 
-        A restored store still lists instances that left since its backup, and
-        they would get requests until their entries expire. Running instances
-        write their entries again.
+    def confirm(self, incarnation: str) -> None:
+        """Apply a held entry whose instance says that it is not leaving.
 
         Args:
-            hold_s: Seconds for which older entries are held back: until the
-                entries that no instance writes again have expired.
+            incarnation: The instance's start.
         """
         with self._changing:
-            self.held_until = self.clock.now() + hold_s
+            held = self.held.get(incarnation.partition("@")[0])
+            if held is not None and held.entry.incarnation == incarnation:
+                self._put(held.entry)
 
     def apply_held(self) -> None:
-        """Apply the held entries still listed, once the hold is over."""
+        """Apply the held entries that are still listed after their time."""
         with self._changing:
-            if not self.held or self.clock.now() < self.held_until:
-                return
-            held, self.held = self.held, {}
-            for entry in held.values():
-                self._apply(entry)
+            now = self.clock.now()
+            for held in list(self.held.values()):
+                if now >= held.until:
+                    self._put(held.entry)
 
     def _remove(self, name: str, *, doubtful: bool) -> None:
         self.held.pop(name, None)
@@ -286,8 +343,8 @@
             return
         current.gone = True
         del self.instances[name]
-        last = current.entry
-        insert_lru(self.departed, last.incarnation, last.sequence, MAX_DEPARTED)
+        incarnation = current.entry.incarnation
+        insert_lru(self.departed, incarnation, self.clock.now(), MAX_DEPARTED)
         self._index()
         log.info("upstream gone", upstream=name, lapsed=current.lapsed)
 
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -61,6 +61,8 @@
     Attributes:
         clock: Source of monotonic time.
         entry: The entry in the platform's store.
+        entry_created: Revision that created the entry that is listed now; it
+            may have been removed and created again since the first one.
         mark: Digest of the incarnation, by which routers name the start to
             each other.
         signals: The signals that this start sent in its answers.
@@ -94,6 +96,7 @@
         "connect_failed_at",
         "cordoned",
         "entry",
+        "entry_created",
         "failed_at",
         "failures",
         "gone",
@@ -117,6 +120,7 @@
         """Create the state of a start from its entry and earlier signals."""
         self.clock = clock
         self.entry = entry
+        self.entry_created = entry.created
         self.mark = mark_of(entry.incarnation)
         self.running = 0
         self.unread = 0.0
--- a/lacewingdock/components/upstreams/signals.py
+++ b/lacewingdock/components/upstreams/signals.py
@@ -5,10 +5,10 @@
 that an instance announced to it, and reports them to the other routers, which
 obey them before they get them in an answer themselves.
 
-A leaving instance announces it in all its answers, also while it cannot write
-to the store. This is final for that start. Routers do not report it to each
-other: each learns it with its first answer, and a forged message must not empty
-a service.
+A leaving instance announces it in its entry, and in all its answers, also while
+it cannot write to the store. This is final for that start. Routers do not
+report it to each other: each learns it from the store or with its first answer,
+and a forged message must not empty a service.
 
 An instance that turns a request away may ask the router for a rest: the backoff
 of Retry-After. It holds for that router only; a request of another router may
@@ -95,6 +95,17 @@
             insert_lru(self.by_incarnation, incarnation, found, MAX_REMEMBERED)
         return found
 
+    def announced_leaving(self, incarnation: str) -> bool:
+        """Whether a start announced that it is leaving."""
+        found = self.by_incarnation.get(incarnation)
+        return found is not None and found.leaving
+
+    def record_leaving_entry(self, signals: Signals) -> None:
+        """Record that a start's entry announces that it is leaving."""
+        with self._lock:
+            if signals.leaving_since is None:
+                signals.leaving_since = self.clock.now()
+
     def answered(
         self,
         entry: UpstreamEntry,
--- a/lacewingdock/components/upstreams/sync.py
+++ b/lacewingdock/components/upstreams/sync.py
@@ -43,7 +43,7 @@
             if entry := self._read(stored):
                 entries[entry.id] = entry
         for name in self.faulty:
-            self.directory.remove(name, doubtful=False)
+            self.directory.leave_out(name)
         self.directory.replace_all(entries, doubtful=doubtful)
 
     def change(self, change: ObjectChange, *, doubtful: bool) -> None:
@@ -58,9 +58,9 @@
             self.faulty.discard(name)
             self.directory.remove(name, doubtful=doubtful)
         elif entry := self._read(change.object):
-            self.directory.apply(entry)
+            self.directory.apply(entry, doubtful=doubtful)
         else:
-            self.directory.remove(name, doubtful=False)
+            self.directory.leave_out(name)
 
     def _read(self, stored: StoredObject) -> UpstreamEntry | None:
         try:
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -42,6 +42,10 @@
 from lacewingdock.components.upstreams.choice import Chooser
 from lacewingdock.components.upstreams.directory import Directory
 from lacewingdock.components.upstreams.instance import UpstreamInstance
+from lacewingdock.components.upstreams.returned import (
+    RETURNED_ROUND_S,
+    ReturnedInstances,
+)
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.const import THREAD_STACK_BYTES
 from lacewingdock.daemons.router_announce import Announcer
@@ -60,6 +64,7 @@
 from lacewingdock.daemons.router_restore import on_restore
 from lacewingdock.daemons.router_timing import (
     LAPSE_CHECK_INTERVAL_S,
+    entry_expiry_s,
     paths_over_bound,
 )
 from lacewingdock.exceptions import LacewingdockError
@@ -78,6 +83,7 @@
 from lacewingdock.platform.object_api import ObjectApi
 from lacewingdock.platform.profile import parse_profile, read_text
 from lacewingdock.settings import RouterSettings, load_settings
+from lacewingdock.world.backend import UpstreamEntry
 from lacewingdock.world.host import Bounds
 from lacewingdock.world.router_entry import KIND_ROUTERS, RouterEntry
 
@@ -107,6 +113,8 @@
 # Seconds between prunings of idle connections and updates of this router's
 # share of the retry budget; `FleetBudget` counts in seconds, too.
 HOUSEKEEPING_INTERVAL_S: Final = 1.0
+# Timeout of a health check, in seconds: it waits for a place like a request.
+HEALTH_CHECK_TIMEOUT_S: Final = 1.0
 # Share of busy connections read late that is logged.
 NOTABLE_LATE_SHARE: Final = 0.05
 
@@ -127,6 +135,7 @@
         mirrors: Copies of the platform's objects by kind.
         routes: The routing table.
         directory: The upstream instances.
+        returned: Checks instances whose entries came back.
         cordons: Applies cordons; a cordoned failure domain gets no new work.
         shifts: Roll-outs.
         suspects: Requests that were lost at instances.
@@ -172,6 +181,7 @@
         incarnation = new_id()
         self.routes = Routes()
         self.directory = Directory()
+        self.directory.expiry_s = lambda: entry_expiry_s(self.host.bounds)
         address = "{}:{}".format(*host.peer_address)
         entry = RouterEntry(address, incarnation)
         self.routers = Routers(
@@ -197,14 +207,15 @@
             if router == host.instance
             else self.suspects.receive(router, status.report)
         )
+        self.returned = ReturnedInstances(
+            self.directory, self._is_serving, self.routers.count, self.random
+        )
         self.mirrors = self._build_mirrors()
         self.api.eras.on_restore.append(
             on_restore(
                 self.health,
-                self.directory,
                 self.routers,
                 self.suspects,
-                self._get_bounds,
             )
         )
         self.shifts.unseen_s = lambda: self.mirrors[KIND_SHIFTS].unseen_s
@@ -311,6 +322,9 @@
         _start(
             "lapsed", self._run_every, LAPSE_CHECK_INTERVAL_S, self._drop_lapsed
         )
+        _start(
+            "returned", self._run_every, RETURNED_ROUND_S, self.returned.round
+        )
         _start(
             "housekeeping",
             self._run_every,
@@ -423,6 +437,11 @@
         path = self.routes.health_path(instance.entry.service)
         return check_address(instance.entry, path)
 
+    def _is_serving(self, entry: UpstreamEntry) -> bool:
+        """Check whether an instance serves and is not leaving."""
+        path = self.routes.health_path(entry.service)
+        return check_address(entry, path, HEALTH_CHECK_TIMEOUT_S).serving
+
     def _get_bounds(self) -> Bounds:
         return self.host.bounds
 
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -23,6 +23,7 @@
     REPORT_BAD_S,
     ROUND_S,
 )
+from lacewingdock.components.upstreams.directory import LAPSE_S
 from lacewingdock.components.upstreams.pool import CONNECT_S
 from lacewingdock.world.host import Bounds
 
@@ -56,6 +57,8 @@
 # Renewal intervals that the shortest outage in which entries expire lasts: an
 # entry expires after three intervals without renewal, so two can be enough.
 LAPSE_INTERVALS: Final = 2
+# Renewal intervals without a heartbeat after which an instance's entry expires.
+ENTRY_EXPIRY_INTERVALS: Final = 3
 # Seconds between checks whether missing entries are no longer in doubt.
 LAPSE_CHECK_INTERVAL_S: Final = 0.2
 # Seconds before the end of the contact time at which the doubt about missing
@@ -106,6 +109,11 @@
     return min(watch_s(bounds), longest_s)
 
 
+def entry_expiry_s(bounds: Bounds) -> float:
+    """Return when a router knows that an entry is not renewed, in seconds."""
+    return ENTRY_EXPIRY_INTERVALS * bounds.renewal_s + LAPSE_S
+
+
 def follow_limit_s(bounds: Bounds) -> float:
     """Return how old a copy may grow on watchers' reports, in seconds.
 
--- a/tests/components/gateway/fakes.py
+++ b/tests/components/gateway/fakes.py
@@ -90,6 +90,7 @@
         bodies: Bodies of these requests.
         connections: Number of connections accepted.
         named: Instance id in answers to health checks; empty for none.
+        healthy: Whether health checks are answered with 200, not 503.
         sock: Listening socket.
         port: Port of the listening socket.
         open: Sockets of all connections accepted.
@@ -101,6 +102,7 @@
         self.bodies = []
         self.connections = 0
         self.named = b""
+        self.healthy = True
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.port = self.sock.getsockname()[1]
         self.open = []
@@ -149,7 +151,8 @@
                     # Health checks do not use up a step of the script.
                     own_id = b"Instance-Id: " + self.named + b"\r\n"
                     extra = own_id if self.named else b""
-                    sock.sendall(ok(b"", b"well", extra))
+                    status = b"200 OK" if self.healthy else b"503 Leaving"
+                    sock.sendall(ok(b"", b"well", extra, status))
                     continue
                 step = self.steps.pop(0) if self.steps else answer()
                 if step(sock, call_id, head) is False:
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -212,10 +212,10 @@
     )
     apply, faults = directory.apply, [ValueError("a fault")]
 
-    def fail_once(found):
+    def fail_once(found, *, doubtful):
         if faults:
             raise faults.pop()
-        apply(found)
+        apply(found, doubtful=doubtful)
 
     mirror.listener.directory = type(
         "",
--- a/tests/components/poison_requests/test_address_check.py
+++ b/tests/components/poison_requests/test_address_check.py
@@ -40,7 +40,7 @@
     [
         (
             answer(b"200 OK", b"Instance-Id: i-1"),
-            AddressCheck(Responder.ITSELF),
+            AddressCheck(Responder.ITSELF, serving=True),
         ),
         (
             answer(b"503 Draining", b"Instance-Id: i-1"),
@@ -51,6 +51,8 @@
             AddressCheck(Responder.ITSELF),
         ),
         (answer(b"404 Not Found"), AddressCheck(Responder.ITSELF)),
+        # An answer without an id may come from another instance.
+        (answer(b"200 OK"), AddressCheck(Responder.ITSELF)),
         (
             answer(b"421 Misdirected", b"Instance-Id: i-2"),
             AddressCheck(Responder.ANOTHER, "i-2"),
@@ -88,6 +90,6 @@
     server = Server(answer(b"200 OK", b"Instance-Id: i-1") * 2)
     for _ in range(2):
         found = check_address(server.entry("i-1"), "/health")
-        assert found == AddressCheck(Responder.ITSELF)
+        assert found == AddressCheck(Responder.ITSELF, serving=True)
     assert server.connections == 2
     server.close()
--- a/tests/components/upstreams/test_restarts.py
+++ b/tests/components/upstreams/test_restarts.py
@@ -89,6 +89,8 @@
     found.apply(entry(FIRST))
     assert not found.instances
     found.apply(entry(SECOND))
+    assert not found.instances
+    found.confirm(entry(SECOND).incarnation)
     assert found.instances["i-1"].open
 
 
--- a/tests/components/upstreams/test_resting.py
+++ b/tests/components/upstreams/test_resting.py
@@ -90,6 +90,7 @@
     directory.signals.answered(one.entry, one.signals, busy(5.0), 0.0)
     directory.remove("a", doubtful=False)
     directory.apply(entry("a"))
+    directory.confirm("a")
     assert not directory.instances["a"].accepts_requests(clock.time)
     directory.apply(entry("a", born=7))
     assert directory.instances["a"].accepts_requests(clock.time)
--- a/tests/daemons/observed_router.py
+++ b/tests/daemons/observed_router.py
@@ -7,7 +7,7 @@
 from lacewingdock.components.upstreams.sync import InstanceListener
 from lacewingdock.daemons.router import LAPSE_CHECK_INTERVAL_S
 from lacewingdock.daemons.router_mirrors import build_store_health
-from lacewingdock.daemons.router_restore import hold_older_entries_s
+from lacewingdock.daemons.router_timing import entry_expiry_s
 from lacewingdock.platform.documents import (
     KIND_CONFIGURATION,
     KIND_CORDONS,
@@ -36,6 +36,7 @@
         self.bounds = bounds
         self.sample_interval_s = sample_interval_s
         self.directory = Directory(time)
+        self.directory.expiry_s = lambda: entry_expiry_s(bounds)
         self.version = 0
         self.samples = []
         self.health = build_store_health(lambda: bounds, time)
@@ -58,7 +59,6 @@
     def on_store_restored(self):
         """Handle a restore of the store from a copy, as a router does."""
         self.health.restored()
-        self.directory.hold_older_entries(hold_older_entries_s(self.bounds))
 
     def observe(self):
         """Start the tasks that drop lapsed entries and take samples."""
