--- a/tests/components/overload/test_guard.py
+++ b/tests/components/overload/test_guard.py
@@ -123,6 +123,25 @@
     assert found.is_general() is (routers == 1)
 
 
+@pytest.mark.parametrize(
+    ("messages", "general"),
+    [
+        ([(1, 1, False), (1, 2, True)], True),
+        ([(1, 2, True), (1, 1, False)], True),
+        ([(1, 2, False), (1, 1, True)], False),
+        # The numbers of a later start begin anew.
+        ([(1, 9, True), (2, 1, False)], False),
+        ([(2, 1, False), (1, 9, True)], False),
+    ],
+)
+def test_report_that_arrives_late_replaces_no_newer_one(messages, general):
+    """Guards against: an earlier datagram that overwrites a later one."""
+    found = FleetOverload(lambda: 2)
+    for start, number, overloaded in messages:
+        found.receive(Message("r-1", start, number, overloaded=overloaded))
+    assert found.is_general() is general
+
+
 @pytest.mark.parametrize(
     ("share", "general", "refused"),
     [
