Keep one version of each object in a mirror's history

What was seen: a router's memory grew with each version of a large configuration: 40 MB at the start, 80 after ten versions of 1 MB, 148 after thirty, 262 after eighty. Most routers have 200 MB; the target is 64.

Cause: the history for other routers holds the last 64 answers with all their objects; it is bounded by number where the resource is bytes.

Change: a write that a later change of the same object supersedes is dropped. A router that needs the earlier one needs the later one as well, so nothing is lost; removals are kept, as an object that was removed and created anew is another one. Two ways were weighed: a bound in bytes makes followers of a busy kind fetch the whole copy; this one needs no bound, as it holds no more than the copy.

--- a/lacewingdock/components/mirror/history.py
+++ b/lacewingdock/components/mirror/history.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -18,14 +18,15 @@
 MAX_BATCHES: Final = 64
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)
 class _Batch:
     """Changes that arrived in one answer of the store.
 
     Attributes:
         first: Lower bound on the revision of the first change.
         last: Upper bound on the revision of the last change.
-        changes: The changes, in order.
+        changes: The changes, in order, without writes that a later batch
+            supersedes.
     """
 
     first: int
@@ -36,16 +37,22 @@
 class ChangeHistory:
     """The most recent changes of a copy.
 
+    It holds one version of each object: a router that needs an earlier change
+    of an object needs the later one as well. Removals are all kept, since an
+    object that was removed and created again is another one.
+
     Attributes:
         base: Revision after which the history contains every change.
     """
 
-    __slots__ = ("_batches", "base")
+    __slots__ = ("_batches", "_latest", "base")
 
     def __init__(self, base: int = 0) -> None:
         """Build an empty history that starts at a copy's revision."""
         self.base = base
         self._batches: deque[_Batch] = deque()
+        # The batch with the last write of each object, by name.
+        self._latest: dict[str, _Batch] = {}
 
     @property
     def changed(self) -> int:
@@ -59,7 +66,7 @@
         revisions = [_revision(one, after) for one in found.changes]
         first = min(one or after + 1 for one in revisions)
         last = max(one or found.revision for one in revisions)
-        self._append(_Batch(first, last, found.changes))
+        self._append(first, last, found.changes)
 
     def add_list(self, after: int, found: ObjectChanges) -> None:
         """Append the differences between a copy and the list after it.
@@ -69,13 +76,37 @@
         hold an object that this router's copy never had.
         """
         if found.revision > after:
-            first = after + 1
-            self._append(_Batch(first, found.revision, found.changes))
-
-    def _append(self, batch: _Batch) -> None:
+            self._append(after + 1, found.revision, found.changes)
+
+    def _append(
+        self, first: int, last: int, changes: Sequence[ObjectChange]
+    ) -> None:
+        batch = _Batch(first, last, _drop_superseded(changes))
+        for change in batch.changes:
+            self._drop_write(change.object.name)
+        for change in batch.changes:
+            if not change.removed:
+                self._latest[change.object.name] = batch
         self._batches.append(batch)
         if len(self._batches) > MAX_BATCHES:
-            self.base = self._batches.popleft().last
+            self._drop_oldest()
+
+    def _drop_write(self, name: str) -> None:
+        """Drop the last write of an object, which a new change supersedes."""
+        batch = self._latest.pop(name, None)
+        if batch is not None:
+            batch.changes = [
+                one
+                for one in batch.changes
+                if one.removed or one.object.name != name
+            ]
+
+    def _drop_oldest(self) -> None:
+        batch = self._batches.popleft()
+        self.base = batch.last
+        for change in batch.changes:
+            if self._latest.get(change.object.name) is batch:
+                del self._latest[change.object.name]
 
     def since(self, revision: int) -> list[ObjectChange] | None:
         """Return the changes after a revision; None where some are missing.
@@ -91,6 +122,14 @@
         return list(itertools.chain.from_iterable(one.changes for one in rest))
 
 
+def _drop_superseded(changes: Sequence[ObjectChange]) -> list[ObjectChange]:
+    """Return changes without the writes that later ones supersede."""
+    last = {change.object.name: change for change in changes}
+    return [
+        one for one in changes if one.removed or one is last[one.object.name]
+    ]
+
+
 def _revision(change: ObjectChange, after: int) -> int:
     """Return the revision of a change; 0 if the change does not hold it.
 
--- a/tests/components/mirror/test_history.py
+++ b/tests/components/mirror/test_history.py
@@ -1,5 +1,7 @@
 """Tests of the change history that is sent to other routers."""
 
+import weakref
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -12,6 +14,10 @@
 )
 
 
+class Spec:
+    """The content of an object."""
+
+
 def change(name, revision, removed=False):
     return ObjectChange(StoredObject(name, revision), removed)
 
@@ -30,7 +36,8 @@
     ("after", "names"),
     [
         (9, None),
-        (10, ["a", "b", "a", "c"]),
+        # Of each object only the last version.
+        (10, ["b", "a", "c"]),
         (12, ["b", "a", "c"]),
         (21, ["b", "a", "c"]),
         # Inside a batch of changes.
@@ -69,13 +76,27 @@
     found = ChangeHistory(0)
     for revision in range(1, MAX_BATCHES + 3):
         found.add(
-            revision - 1, ObjectChanges(revision, [change("a", revision)])
+            revision - 1,
+            ObjectChanges(revision, [change(f"n-{revision}", revision)]),
         )
     assert found.since(1) is None
     assert len(found.since(2)) == MAX_BATCHES
     assert found.changed == MAX_BATCHES + 2
 
 
+def test_one_version_of_each_object_is_held():
+    """Guards against: memory that grows with each version of a large object."""
+    found, versions = ChangeHistory(0), []
+    for revision in range(1, MAX_BATCHES):
+        spec = Spec()
+        versions.append(weakref.ref(spec))
+        batch = [ObjectChange(StoredObject("a", revision, spec), False)]
+        found.add(revision - 1, ObjectChanges(revision, batch))
+        del spec, batch
+    assert [one.object.revision for one in found.since(0)] == [MAX_BATCHES - 1]
+    assert sum(one() is not None for one in versions) == 1
+
+
 @given(
     sizes=st.lists(st.integers(1, 4), min_size=12, max_size=12),
     gaps=st.lists(st.integers(0, 3), min_size=12, max_size=12),
