End a transfer by silence, and list where versions pile up

Cause: limits on a transfer's total time that know nothing of its length: 1.0 s for a call that doesn't wait, the rest of the wait and 0.6 s for a watch. Each attempt threw away what had come and began again; after a failure all calls were such calls.

--- a/lacewingdock/components/mirror/__init__.py
+++ b/lacewingdock/components/mirror/__init__.py
@@ -23,17 +23,28 @@
 from lacewingdock.platform.history import era_of, format_revision
 from lacewingdock.platform.object_api import (
     CALL_TIMEOUT_S,
+    TRANSFER_LIMIT_S,
     HistoryGoneError,
+    LongAnswerError,
     ObjectApi,
 )
 from lacewingdock.platform.objects import ObjectChanges, Snapshot, StoredObject
 
-# Seconds that the answer to a watch may take beyond the time it waits.
+# Seconds that the first byte of the answer to a watch may take beyond the time
+# it waits.
 WATCH_GRACE_S: Final = 0.6
-# Timeout in seconds of a call that does not wait for changes: three times the
-# 0.36 s of a store that answers ninety times as slowly as usual. The return of
-# a store is detected at most this much later.
+# Timeout in seconds of the first byte of a call that does not wait for changes:
+# three times the 0.36 s of a store that answers ninety times as slowly as
+# usual. The return of a store is detected at most this much later.
 POLL_TIMEOUT_S: Final = 1.0
+# Longest answer of a watch as a multiple of the copy, and in bytes for a small
+# copy. An answer holds each version of an object since the watched revision, so
+# on a slow link the list of the last versions arrives sooner.
+MAX_COPIES_PER_WATCH: Final = 1.5
+MIN_WATCH_BYTES: Final = 64 * 1024
+# Seconds for which bytes of a long transfer show that the store can be reached,
+# though calls on the same link are not answered in time.
+LINK_BUSY_S: Final = 0.5
 # First and longest backoff after a failed call, in seconds. An outage ends for
 # all routers at once; the jitter of the backoff keeps a fleet that retries
 # within 0.2 s of it below the platform's read rate.
@@ -65,6 +76,8 @@
         defer_call_s: Returns the seconds for which this mirror leaves it to
             other calls to detect the store's return; 0 if this mirror must
             call.
+        transfer_s: Returns the seconds that an answer may take from its first
+            byte to its last.
         renew_s: Returns the age in seconds that the copy may reach during a
             waiting watch: other routers may depend on its freshness.
         on_change: Called after each change.
@@ -81,6 +94,8 @@
         called_at: Time at which the last call began.
         waiting: Whether that call waits for changes.
         broken: Whether that call failed.
+        must_list: Whether the changes since the copy are too long to watch
+            for, so that the next call lists.
     """
 
     __slots__ = (
@@ -99,6 +114,7 @@
         "kind",
         "listener",
         "moved_at",
+        "must_list",
         "objects",
         "on_change",
         "pause",
@@ -108,6 +124,7 @@
         "renew_s",
         "revision",
         "stale",
+        "transfer_s",
         "unseen_s",
         "wait_s",
         "waiting",
@@ -136,6 +153,7 @@
         self.fresh_for_s: Callable[[], float] = lambda: 0.0
         self.defer_call_s: Callable[[], float] = lambda: 0.0
         self.renew_s: Callable[[], float] = lambda: math.inf
+        self.transfer_s: Callable[[], float] = lambda: TRANSFER_LIMIT_S
         self.on_change: Callable[[], None] = lambda: None
         self.history = ChangeHistory()
         self.stale = False
@@ -147,6 +165,7 @@
         self.called_at = 0.0
         self.waiting = False
         self.broken = False
+        self.must_list = False
         self.objects: dict[str, StoredObject] = {}
         self.revision: int | None = None
         self.ready = threading.Event()
@@ -295,14 +314,17 @@
             waited=self.waiting,
             taken_s=round(self.clock.now() - self.called_at, 3),
             error=str(error),
+            next="list" if self.must_list else "watch",
         )
         self.broken = True
         if isinstance(error, EarlierEraError):
             # The store answers; the next call uses its current era.
             return
-        if not self.waiting:
+        if self.waiting:
+            return
+        if self.clock.now() - self.api.transferred_at > LINK_BUSY_S:
             self.health.failed(self.kind, str(error), self.called_at)
-            self._pull_from_routers()
+        self._pull_from_routers()
 
     def _call_store(self) -> None:
         """Watch for changes; list if there is no copy or its history is gone.
@@ -310,7 +332,7 @@
         Raises:
             LacewingdockError: The store gave no usable answer.
         """
-        if self.revision is not None:
+        if self.revision is not None and not self.must_list:
             try:
                 self._watch(self.revision)
             except HistoryGoneError:
@@ -319,9 +341,19 @@
                     kind=self.kind,
                     after=format_revision(self.revision),
                 )
+            except LongAnswerError as error:
+                self.must_list = True
+                log.info(
+                    "changes too long",
+                    kind=self.kind,
+                    after=format_revision(self.revision),
+                    bytes=error.expected,
+                    copy_bytes=self._copy_bytes(),
+                )
             else:
                 return
         self._list()
+        self.must_list = False
 
     def _watch(self, revision: int) -> None:
         wait_s = self._wait_s()
@@ -331,8 +363,13 @@
             revision,
             wait_s,
             f"watch-{self.kind}",
-            grace_s=self._grace_s(wait_s),
+            grace_s=WATCH_GRACE_S if self.waiting else POLL_TIMEOUT_S,
             stale=self.stale,
+            transfer_s=self.transfer_s(),
+            max_bytes=max(
+                MIN_WATCH_BYTES,
+                int(MAX_COPIES_PER_WATCH * self._copy_bytes()),
+            ),
         )
         self.health.answered(self.kind)
         doubtful = self.health.doubtful
@@ -357,16 +394,10 @@
         left_s = self.as_of + self.renew_s() - self.clock.now()
         return max(min(self.wait_s(), left_s), 0.0)
 
-    def _grace_s(self, wait_s: float) -> float:
-        """Return the seconds that a watch's answer may take beyond its wait.
-
-        A watch with a shortened wait, on which other routers depend, gets the
-        total time of a full one: a configuration of many routes takes a second
-        to transfer.
-        """
-        if not self.waiting:
-            return POLL_TIMEOUT_S
-        return WATCH_GRACE_S + max(self.wait_s() - wait_s, 0.0)
+    def _copy_bytes(self) -> int:
+        """Return the bytes of the copy, as the store encodes it."""
+        with self._lock:
+            return sum(one.size for one in self.objects.values())
 
     def _apply_changes(
         self, after: int, found: ObjectChanges, as_of: float, *, doubtful: bool
@@ -419,7 +450,10 @@
         # during a longer wait.
         timeout_s = CALL_TIMEOUT_S if self.revision is None else POLL_TIMEOUT_S
         found = self.api.list_kind(
-            self.kind, f"list-{self.kind}", timeout_s=timeout_s
+            self.kind,
+            f"list-{self.kind}",
+            timeout_s=timeout_s,
+            transfer_s=self.transfer_s(),
         )
         self.health.answered(self.kind)
         missing = self.objects.keys() - found.objects.keys()
--- a/lacewingdock/daemons/router_mirrors.py
+++ b/lacewingdock/daemons/router_mirrors.py
@@ -18,6 +18,7 @@
     doubt_s,
     entries_watch_s,
     restored_doubt_s,
+    transfer_s,
     watch_s,
 )
 from lacewingdock.helpers.clock import STEADY, Clock
@@ -140,6 +141,8 @@
         )
         for kind, listener in listeners.items()
     }
+    for mirror in mirrors.values():
+        mirror.transfer_s = lambda: transfer_s(pace.bounds())
     for kind in UNBOUNDED_KINDS:
         mirrors[kind].stale = True
     mirrors[KIND_INSTANCES].wait_s = lambda: entries_watch_s(pace.bounds())
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -109,6 +109,15 @@
     return min(watch_s(bounds), longest_s)
 
 
+def transfer_s(bounds: Bounds) -> float:
+    """Return how long an answer may take from its first byte, in seconds.
+
+    A change that takes longer is not in force in time in any case, and another
+    router may have it by then.
+    """
+    return bounds.contact_s + bounds.apply_s
+
+
 def entry_expiry_s(bounds: Bounds) -> float:
     """Return when a router knows that an entry is not renewed, in seconds."""
     return ENTRY_EXPIRY_INTERVALS * bounds.renewal_s + LAPSE_S
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -6,6 +6,7 @@
 
 import contextlib
 import io
+import math
 import threading
 import urllib.parse
 from dataclasses import dataclass
@@ -21,6 +22,12 @@
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.helpers.sockets import has_unread
+from lacewingdock.helpers.transfer import (
+    Progress,
+    TransferError,
+    TransferLimits,
+    Transfers,
+)
 from lacewingdock.platform.budget import CallBudget
 from lacewingdock.platform.eras import ERA_HEADER, EarlierEraError, StoreEras
 from lacewingdock.platform.history import (
@@ -41,8 +48,17 @@
     to_stored_object,
 )
 
-# Timeout of a call, in seconds, besides the wait of a watch.
+# Timeout of a call's first byte, in seconds, besides the wait of a watch.
 CALL_TIMEOUT_S: Final = 2.0
+# Longest silence within an answer, in seconds: a lost packet is sent again
+# within it.
+IDLE_TIMEOUT_S: Final = 1.0
+# Default limit on the time from the first byte of an answer to the last, in
+# seconds.
+TRANSFER_LIMIT_S: Final = 5.0
+# Seconds from which a transfer counts as long: it is logged, and its bytes show
+# that the store can be reached.
+LONG_TRANSFER_S: Final = 0.2
 # Timeout of opening a connection, in milliseconds.
 CONNECT_TIMEOUT_MS: Final = 1000
 # Revision that stands for an object that does not exist.
@@ -69,6 +85,19 @@
     """The store no longer has the changes since a revision; list again."""
 
 
+class LongAnswerError(Exception):
+    """An answer is longer than its caller accepts.
+
+    Attributes:
+        expected: Length of the body in bytes; None where the head does not say.
+    """
+
+    def __init__(self, expected: int | None) -> None:
+        """Build the error."""
+        super().__init__(f"answer of {expected} bytes")
+        self.expected = expected
+
+
 @dataclass(slots=True)
 class Reply:
     """An HTTP answer of the platform.
@@ -84,6 +113,40 @@
     era: int = 0
 
 
+class _Connection:
+    """A task's connection to the store.
+
+    Attributes:
+        curl: The handle of its calls.
+        transfers: Makes the calls, and keeps the connection open.
+    """
+
+    __slots__ = ("curl", "transfers")
+
+    def __init__(self) -> None:
+        """Configure the handle; the first call connects."""
+        self.transfers = Transfers()
+        self.curl = pycurl.Curl()
+        self.curl.setopt(pycurl.NOSIGNAL, 1)
+        self.curl.setopt(pycurl.NOPROXY, "*")
+        self.curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        self.curl.setopt(pycurl.TCP_NODELAY, 1)
+        # Accepts every coding that libcurl supports; compression shrinks the
+        # instance list to a tenth.
+        self.curl.setopt(pycurl.ACCEPT_ENCODING, "")
+
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes, or an end, wait on the open connection."""
+        descriptor = self.curl.getinfo(pycurl.LASTSOCKET)
+        return descriptor >= 0 and has_unread(descriptor)
+
+    def close(self) -> None:
+        """Close the connection."""
+        with contextlib.suppress(pycurl.error):
+            self.transfers.close()
+            self.curl.close()
+
+
 class ObjectApi:
     """A client of the object API; safe to use from any task.
 
@@ -93,9 +156,20 @@
         failures: Number of calls without a usable answer, by purpose.
         budget: Rate limit of the calls.
         eras: Tracker of the era of the store's history.
+        transferred_at: Monotonic time at which bytes of a long transfer last
+            arrived: the store can be reached, though the link may be too busy
+            for other calls.
     """
 
-    __slots__ = ("_local", "budget", "calls", "eras", "failures", "url")
+    __slots__ = (
+        "_local",
+        "budget",
+        "calls",
+        "eras",
+        "failures",
+        "transferred_at",
+        "url",
+    )
 
     def __init__(self, url: str) -> None:
         """Set up a client of the platform at a URL; no call is made yet."""
@@ -104,6 +178,7 @@
         self.failures: dict[str, int] = {}
         self.budget = CallBudget()
         self.eras = StoreEras()
+        self.transferred_at = -math.inf
         self._local = threading.local()
 
     def read(self, kind: str, name: str, purpose: str) -> StoredObject | None:
@@ -129,6 +204,7 @@
         *,
         stale: bool = False,
         timeout_s: float = CALL_TIMEOUT_S,
+        transfer_s: float = TRANSFER_LIMIT_S,
     ) -> Snapshot:
         """Read all objects of a kind, page by page.
 
@@ -141,7 +217,8 @@
             purpose: Label of the call in `calls` and `failures`.
             stale: Whether the answer may be seconds old. Such a read costs
                 the platform a tenth of a consistent one.
-            timeout_s: Timeout for each page, in seconds.
+            timeout_s: Timeout of each page's first byte, in seconds.
+            transfer_s: Limit on each page's transfer, in seconds.
 
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
@@ -154,7 +231,12 @@
                 f"{_object_path(kind)}?{text}" if text else _object_path(kind)
             )
             reply = self._call(
-                "GET", path, purpose, timeout_s=timeout_s, stale=stale
+                "GET",
+                path,
+                purpose,
+                timeout_s=timeout_s,
+                transfer_s=transfer_s,
+                stale=stale,
             )
             page = _decode(reply, PageAnswer, RAN_NO)
             if found is None:
@@ -178,6 +260,8 @@
         grace_s: float = CALL_TIMEOUT_S,
         *,
         stale: bool = False,
+        transfer_s: float = TRANSFER_LIMIT_S,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> ObjectChanges:
         """Wait for changes of a kind after a revision.
 
@@ -187,14 +271,19 @@
             wait_s: Seconds to wait for a change; 0 returns at once with the
                 changes made so far.
             purpose: Label of the call in `calls` and `failures`.
-            grace_s: Seconds that the answer may take beyond the wait.
+            grace_s: Seconds that the answer's first byte may take beyond the
+                wait.
             stale: As in `list_kind`.
+            transfer_s: Limit on the answer's transfer, in seconds.
+            max_bytes: Longest answer that is read. An answer holds each version
+                of an object since the revision, a list only the last one.
 
         Returns:
             The changes; none if the wait ran out.
 
         Raises:
             LacewingdockError: PLATFORM_UNAVAILABLE.
+            LongAnswerError: The answer has more than `max_bytes`.
             HistoryGoneError: The revision is too old, or of another era. In
                 a new era the store may have reached the same count with
                 other changes, which the watch would miss.
@@ -211,6 +300,8 @@
             purpose,
             accepted=(HTTPStatus.GONE,),
             timeout_s=wait_s + grace_s,
+            transfer_s=transfer_s,
+            max_bytes=max_bytes,
             stale=stale,
         )
         if reply.status == HTTPStatus.GONE or reply.era != era_of(revision):
@@ -372,6 +463,8 @@
         body: Any = None,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
+        transfer_s: float = TRANSFER_LIMIT_S,
+        max_bytes: int = MAX_ANSWER_BYTES,
         accepted: tuple[int, ...] = (),
         stale: bool = False,
     ) -> Reply:
@@ -386,8 +479,11 @@
         self.budget.take()
         began_at = STEADY.now()
         self.calls[purpose] = self.calls.get(purpose, 0) + 1
-        curl = self._curl_handle()
+        connection = self._connection()
+        curl = connection.curl
         received = io.BytesIO()
+        progress = Progress()
+        limits = TransferLimits(timeout_s, IDLE_TIMEOUT_S, transfer_s)
         headers = [
             f"Purpose: {purpose}",
             "Expect:",
@@ -396,18 +492,22 @@
 
         def receive(data: bytes) -> int | None:
             received.write(data)
-            return None if received.tell() <= MAX_ANSWER_BYTES else _ABORT
+            progress.add(len(data))
+            if progress.seconds >= LONG_TRANSFER_S:
+                self.transferred_at = STEADY.now()
+            return None if progress.received <= max_bytes else _ABORT
 
         eras: list[str] = []
 
-        def read_header(line: bytes) -> None:
+        def read_header(line: bytes) -> int | None:
+            progress.read_header(line)
             name, _, value = line.partition(b":")
             if name.strip().lower() == ERA_HEADER.encode():
                 eras.append(value.decode("latin-1").strip())
+            return _ABORT if (progress.expected or 0) > max_bytes else None
 
         curl.setopt(pycurl.URL, self.url + path)
         curl.setopt(pycurl.HTTPHEADER, headers)
-        curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
         curl.setopt(pycurl.WRITEFUNCTION, receive)
         curl.setopt(pycurl.HEADERFUNCTION, read_header)
         if body is None:
@@ -417,11 +517,20 @@
         curl.setopt(pycurl.CUSTOMREQUEST, method)
         ran = RAN_NO if method == "GET" else RAN_UNKNOWN
         try:
-            curl.perform()
-        except pycurl.error as error:
+            connection.transfers.perform(curl, limits, progress)
+        except TransferError as error:
             self._drop_handle()
+            if max(progress.received, progress.expected or 0) > max_bytes:
+                raise LongAnswerError(progress.expected) from error
             self._count_failure(purpose)
             raise unavailable_error(f"{method} {path}: {error}", ran) from error
+        if progress.seconds >= LONG_TRANSFER_S:
+            log.info(
+                "long transfer",
+                purpose=purpose,
+                bytes=progress.received,
+                taken_s=round(progress.seconds, 3),
+            )
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
         if status == HTTPStatus.OK or status in accepted:
             try:
@@ -438,27 +547,20 @@
     def _count_failure(self, purpose: str) -> None:
         self.failures[purpose] = self.failures.get(purpose, 0) + 1
 
-    def _curl_handle(self) -> pycurl.Curl:
-        """Return the thread's handle, which keeps its connection open.
+    def _connection(self) -> _Connection:
+        """Return the task's connection.
 
         A connection on which bytes wait is closed. They belong to no call that
         is still to be made, but libcurl would read them as its answer, and each
         later call would get the answer to the one before.
         """
-        curl = getattr(self._local, "curl", None)
-        if curl is not None and _has_unread_bytes(curl):
+        found: _Connection | None = getattr(self._local, "connection", None)
+        if found is not None and found.has_unread_bytes():
             self._drop_handle()
-            curl = None
-        if curl is None:
-            curl = self._local.curl = pycurl.Curl()
-            curl.setopt(pycurl.NOSIGNAL, 1)
-            curl.setopt(pycurl.NOPROXY, "*")
-            curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-            curl.setopt(pycurl.TCP_NODELAY, 1)
-            # Accepts every coding that libcurl supports; compression
-            # shrinks the instance list to a tenth.
-            curl.setopt(pycurl.ACCEPT_ENCODING, "")
-        return curl
+            found = None
+        if found is None:
+            found = self._local.connection = _Connection()
+        return found
 
     def drop_connection(self, kind: str) -> None:
         """Close the calling task's connection, which it uses to read a kind.
@@ -469,17 +571,10 @@
         self._drop_handle()
 
     def _drop_handle(self) -> None:
-        curl = getattr(self._local, "curl", None)
-        self._local.curl = None
-        if curl is not None:
-            with contextlib.suppress(pycurl.error):
-                curl.close()
-
-
-def _has_unread_bytes(curl: pycurl.Curl) -> bool:
-    """Whether bytes, or an end, wait on a handle's open connection."""
-    descriptor = curl.getinfo(pycurl.LASTSOCKET)
-    return descriptor >= 0 and has_unread(descriptor)
+        found: _Connection | None = getattr(self._local, "connection", None)
+        self._local.connection = None
+        if found is not None:
+            found.close()
 
 
 def unavailable_error(detail: str, ran: str) -> LacewingdockError:
--- a/lacewingdock/platform/objects.py
+++ b/lacewingdock/platform/objects.py
@@ -25,6 +25,7 @@
             decoded JSON.
         created: Revision at which the object was created; 0 if the store did
             not report it.
+        size: Length in bytes of the object in the store's answer; 0 if unknown.
     """
 
     name: str
@@ -32,6 +33,7 @@
     spec: Any = None
     status: Any = None
     created: int = 0
+    size: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True)
@@ -111,12 +113,15 @@
     current_rev: Count
 
 
-def to_stored_object(found: ObjectAnswer, era: int) -> StoredObject:
+def to_stored_object(
+    found: ObjectAnswer, era: int, size: int = 0
+) -> StoredObject:
     """Convert an object of an answer.
 
     Args:
         found: The object as decoded.
         era: Era of the answer, which completes its revisions.
+        size: Its length in bytes; 0 if unknown.
     """
     metadata = found.metadata
     return StoredObject(
@@ -125,6 +130,7 @@
         found.spec,
         found.status,
         revision_of(era, metadata.created),
+        size,
     )
 
 
@@ -138,9 +144,9 @@
     found = []
     for item in items:
         try:
-            found.append(
-                to_stored_object(decode_json(bytes(item), ObjectAnswer), era)
-            )
+            data = bytes(item)
+            answer = decode_json(data, ObjectAnswer)
+            found.append(to_stored_object(answer, era, len(data)))
         except msgspec.DecodeError as error:
             if named := _decode_name_only(item, era):
                 found.append(named)
--- a/tests/components/mirror/simulated_store.py
+++ b/tests/components/mirror/simulated_store.py
@@ -132,6 +132,9 @@
         calls: Calls so far, as (time, purpose).
     """
 
+    # No answer is long.
+    transferred_at = -math.inf
+
     def __init__(self, time, written, troubles):
         self.time = time
         self.troubles = troubles
@@ -142,7 +145,7 @@
         self._histories = histories(written, returns)
 
     def list_kind(
-        self, kind, purpose, *, stale=False, timeout_s=CALL_TIMEOUT_S
+        self, kind, purpose, *, stale=False, timeout_s=CALL_TIMEOUT_S, **_
     ):
         """Answer a list call."""
         del stale
@@ -153,7 +156,7 @@
         return self.at(self.time.now(), kind)
 
     def watch_kind(
-        self, kind, revision, wait_s, purpose, grace_s=2.0, *, stale=False
+        self, kind, revision, wait_s, purpose, grace_s=2.0, *, stale=False, **_
     ):
         """Answer a watch call."""
         if era_of(revision) != self.eras.era:
--- a/tests/components/mirror/test_mirror.py
+++ b/tests/components/mirror/test_mirror.py
@@ -1,5 +1,6 @@
 """Tests of mirrors: outages, cut watches, dropped history, old copies."""
 
+import math
 import random
 import threading
 import time
@@ -57,6 +58,8 @@
 class Script:
     """A store that returns given answers in order, and then is down."""
 
+    transferred_at = -math.inf
+
     def __init__(self, *answers):
         self.answers = list(answers)
         self.eras = StoreEras()
--- a/tests/components/mirror/test_store_return.py
+++ b/tests/components/mirror/test_store_return.py
@@ -1,5 +1,6 @@
 """Tests of a mirror whose store returns from a backup."""
 
+import math
 import random
 
 import pytest
@@ -36,6 +37,8 @@
 class Store:
     """A store with one list, and no history before its revision."""
 
+    transferred_at = -math.inf
+
     def __init__(self, clock, snapshot):
         self.clock = clock
         self.snapshot = snapshot
--- /dev/null
+++ b/tests/helpers/test_transfer.py
@@ -0,0 +1,139 @@
+"""Tests of transfers that end by silence."""
+
+import socket
+import threading
+import time
+
+import pycurl
+import pytest
+
+from lacewingdock.helpers.transfer import (
+    Progress,
+    TransferError,
+    TransferLimits,
+    Transfers,
+)
+
+LIMITS = TransferLimits(first_byte_s=0.3, idle_s=0.3, total_s=1.0)
+# Seconds by which a transfer may end later than its limit.
+MARGIN_S = 0.25
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"
+
+
+class Server:
+    """Sends the same parts, each after a pause, in answer to each request.
+
+    Attributes:
+        parts: Pauses in seconds and the bytes after them.
+        connections: Number of connections accepted.
+    """
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.connections = 0
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self.sock.getsockname()[1]}/"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            sock, _ = self.sock.accept()
+            self.connections += 1
+            threading.Thread(
+                target=self._serve, args=(sock,), daemon=True
+            ).start()
+
+    def _serve(self, sock):
+        try:
+            while sock.recv(4096):
+                for pause_s, data in self.parts:
+                    time.sleep(pause_s)
+                    sock.sendall(data)
+        except OSError:
+            pass
+
+
+def handle(url, progress):
+    """Return a handle that records its progress, and the bytes it receives."""
+    curl, received = pycurl.Curl(), []
+
+    def receive(data):
+        received.append(data)
+        progress.add(len(data))
+
+    curl.setopt(pycurl.URL, url)
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.WRITEFUNCTION, receive)
+    curl.setopt(pycurl.HEADERFUNCTION, progress.read_header)
+    return curl, received
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [(0.0, HEAD + b"x" * 12)],
+        [(0.25, HEAD), (0.25, b"x" * 12)],
+        # Longer than each limit but that on the whole.
+        [(0.2, HEAD), *[(0.2, b"xxx")] * 4],
+    ],
+    ids=["at once", "two parts", "steady"],
+)
+def test_transfer_that_makes_progress_is_completed(parts):
+    server, transfers = Server(parts), Transfers()
+    for _ in range(2):
+        progress = Progress()
+        curl, received = handle(server.url, progress)
+        transfers.perform(curl, LIMITS, progress)
+        assert b"".join(received) == b"x" * 12
+        assert progress.received == progress.expected == 12
+    assert server.connections == 1
+    transfers.close()
+
+
+@pytest.mark.parametrize(
+    ("parts", "reason", "ends_s"),
+    [
+        ([(9.0, b"")], "no answer: 0 bytes", 0.3),
+        ([(0.1, HEAD), (9.0, b"")], "no more bytes: 0 of 12 bytes", 0.4),
+        ([(0.1, HEAD + b"xx"), (9.0, b"")], "no more bytes: 2 of 12", 0.4),
+        ([(0.1, HEAD), *[(0.2, b"x")] * 11], "too slow: 4 of 12", 1.1),
+        ([(0.0, b"none\r\n\r\n")], "", 0.0),
+    ],
+    ids=["no answer", "no body", "silence", "few bytes", "no HTTP"],
+)
+def test_transfer_that_makes_none_is_ended(parts, reason, ends_s):
+    """Guards against: a task that one call holds for good."""
+    server, transfers, progress = Server(parts), Transfers(), Progress()
+    curl, _ = handle(server.url, progress)
+    began = time.monotonic()
+    with pytest.raises(TransferError, match=f"^{reason}"):
+        transfers.perform(curl, LIMITS, progress)
+    assert ends_s <= time.monotonic() - began < ends_s + MARGIN_S
+    transfers.close()
+
+
+def test_closed_port_fails_at_once():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port = sock.getsockname()[1]
+    transfers, progress = Transfers(), Progress()
+    curl, _ = handle(f"http://127.0.0.1:{port}/", progress)
+    with pytest.raises(TransferError):
+        transfers.perform(curl, LIMITS, progress)
+    transfers.close()
+
+
+def test_descriptors_above_those_of_select():
+    """Guards against: a busy router that can't call the store."""
+    held = [socket.socket() for _ in range(1100)]
+    server, transfers, progress = (
+        Server([(0.0, HEAD + b"x" * 12)]),
+        Transfers(),
+        Progress(),
+    )
+    curl, received = handle(server.url, progress)
+    transfers.perform(curl, LIMITS, progress)
+    assert curl.getinfo(pycurl.LASTSOCKET) > 1023
+    assert b"".join(received) == b"x" * 12
+    transfers.close()
+    for one in held:
+        one.close()
