Give another router's copy the time that its length takes, and compress it

Cause: the class of 'End a transfer by silence': a fetch of another router's copy had 0.5 s in all, which carries 300 KB at 5 Mbit/s. A router without the store never had a change of a longer configuration, and each attempt filled the link of the router it asked. Change: the limits of transfers (no first byte or silence for 0.5 s, 5 s in all); a copy of 4 KB and more is compressed where the router that asks accepts that, so old and new routers understand each other; the second router asked is told of the first one's copy, and sends no equal one.

--- a/lacewingdock/components/routers/__init__.py
+++ b/lacewingdock/components/routers/__init__.py
@@ -5,6 +5,7 @@
 a kind of objects. While the store answers, no such requests are made.
 """
 
+import gzip
 import math
 import random
 import socket
@@ -17,7 +18,6 @@
 from typing import Final
 
 import msgspec
-import pycurl
 
 from lacewingdock.components.mirror import Mirror
 from lacewingdock.components.mirror.copies import Copy
@@ -34,6 +34,7 @@
     serve_requests,
 )
 from lacewingdock.helpers.sockets import Listener
+from lacewingdock.helpers.transfer import TransferError, TransferLimits
 from lacewingdock.platform.history import format_revision
 from lacewingdock.platform.object_api import ABSENT, ObjectApi
 from lacewingdock.platform.objects import StoredObject
@@ -44,9 +45,16 @@
     host_of,
 )
 
-# Timeout in seconds of a request for a copy: a round trip and the transfer. A
-# router that is gone does not answer at all.
+# Timeout in seconds of the first byte of a copy, and longest silence within it.
+# A router that is gone does not answer at all.
 PULL_TIMEOUT_S: Final = 0.5
+# Longest time in seconds from the first byte of a copy to the last: a megabyte
+# over a slow link that other work shares.
+PULL_TRANSFER_S: Final = 5.0
+# Shortest copy in bytes that is compressed, and the level: the fastest one
+# shrinks a configuration of many routes to a tenth.
+MIN_COMPRESSED_BYTES: Final = 4096
+COMPRESSION_LEVEL: Final = 1
 # Routers asked in one round: the second in case the first is gone, or is
 # partitioned from the store as well.
 ROUTERS_PER_PULL: Final = 2
@@ -69,6 +77,9 @@
 LOSSES_VALID_S: Final = 300.0
 # Connections from other routers that are served at once.
 MAX_CONNECTIONS: Final = 64
+_PULL_LIMITS: Final = TransferLimits(
+    PULL_TIMEOUT_S, PULL_TIMEOUT_S, PULL_TRANSFER_S
+)
 _LIMITS: Final = CallerLimits(read_s=1.0, idle_s=2.0)
 
 log = get_logger("routers")
@@ -256,8 +267,17 @@
         """Return the newest copy that other routers have beyond a revision."""
         others = self.addresses()
         asked = self.random.sample(others, min(ROUTERS_PER_PULL, len(others)))
-        found = [self._pull_from(one, kind, revision) for one in asked]
-        return merge_newest([one for one in found if one is not None], revision)
+        found: list[Copy] = []
+        newest = revision
+        for address in asked:
+            copy = self._pull_from(address, kind, newest)
+            if copy is None:
+                continue
+            found.append(copy)
+            if copy.snapshot is not None:
+                # The next router sends no copy that is not newer.
+                newest = max(newest, copy.snapshot.revision)
+        return merge_newest(found, revision)
 
     def drop(self, stored: StoredObject) -> None:
         """Remove a router whose entry was removed from the store."""
@@ -364,13 +384,13 @@
             reply = send(
                 url,
                 None if changes else self.tell(),
-                timeout_s=PULL_TIMEOUT_S,
+                limits=_PULL_LIMITS,
                 max_bytes=MAX_COPY_BYTES,
             )
             if reply.status != HTTPStatus.OK:
                 return None
             found: Copy = decode_json(reply.body, Copy)
-        except (pycurl.error, msgspec.DecodeError) as error:
+        except (TransferError, msgspec.DecodeError) as error:
             log.info(
                 "copy request failed",
                 kind=kind,
@@ -438,9 +458,20 @@
         body = msgspec.json.encode(copy)
         if "changes" in query and len(body) > MAX_CHANGES_BYTES:
             body = msgspec.json.encode(Copy(copy.sure, too_long=True))
+        if len(body) >= MIN_COMPRESSED_BYTES and _accepts_gzip(request):
+            body = gzip.compress(body, COMPRESSION_LEVEL)
+            headers.append((b"Content-Encoding", b"gzip"))
         connection.answer(HTTPStatus.OK, headers, body)
 
 
+def _accepts_gzip(request: ServerRequest) -> bool:
+    """Whether the client accepts a compressed body."""
+    codings = b",".join(
+        value for name, value in request.headers if name == b"accept-encoding"
+    )
+    return b"gzip" in codings
+
+
 def merge_newest(copies: Iterable[Copy], revision: int) -> Copy:
     """Merge several routers' answers into one with the newest copy.
 
--- a/lacewingdock/helpers/http_client.py
+++ b/lacewingdock/helpers/http_client.py
@@ -7,6 +7,8 @@
 
 import pycurl
 
+from lacewingdock.helpers.transfer import Progress, TransferLimits, Transfers
+
 # Default timeout of a call, in seconds.
 TIMEOUT_S: Final = 5.0
 HTTP_OK: Final = 200
@@ -34,6 +36,7 @@
     method: str = "",
     headers: Sequence[str] = (),
     timeout_s: float = TIMEOUT_S,
+    limits: TransferLimits | None = None,
     max_bytes: int | None = None,
     fail_on_error: bool = False,
 ) -> HttpReply:
@@ -45,26 +48,31 @@
         method: HTTP method; if empty, POST with a body and GET without.
         headers: Request headers, as lines "Name: value".
         timeout_s: Timeout of the whole call, in seconds.
+        limits: Limits of a call whose response may be long, in place of the
+            timeout; the response may be compressed then.
         max_bytes: Longest response body that is read; None for no limit.
         fail_on_error: Whether a status of 400 or above raises an error.
 
     Raises:
         pycurl.error: The call failed or the response body is too long.
+        TransferError: The same, of a call with limits.
     """
     received = io.BytesIO()
+    progress = Progress()
 
     def append_body(data: bytes) -> int | None:
+        progress.add(len(data))
         if max_bytes is not None and received.tell() + len(data) > max_bytes:
             return _ABORT
         received.write(data)
         return None
 
     curl = pycurl.Curl()
+    transfers = Transfers()
     try:
         curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.NOPROXY, "*")
-        curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
         curl.setopt(pycurl.FAILONERROR, int(fail_on_error))
         # An empty "Expect" header: otherwise libcurl waits for "100 Continue"
         # before it sends a long body.
@@ -74,9 +82,16 @@
         if method:
             curl.setopt(pycurl.CUSTOMREQUEST, method)
         curl.setopt(pycurl.WRITEFUNCTION, append_body)
-        curl.perform()
+        if limits is None:
+            curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
+            curl.perform()
+        else:
+            curl.setopt(pycurl.ACCEPT_ENCODING, "")
+            curl.setopt(pycurl.HEADERFUNCTION, progress.read_header)
+            transfers.perform(curl, limits, progress)
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
     finally:
+        transfers.close()
         curl.close()
     return HttpReply(status, received.getvalue())
 
