Tell routers that started since which instances left

Change: gossip names the starts that a router knows to have left while entries are listed that say otherwise; it is empty at all other times. Who hears of one holds the entry until the instance says that it serves, so a forged message takes no instance out of use. Old routers ignore the field. Weighed: to ask every instance at each start costs 40 health checks and more a router where nothing is wrong. Tests: from outside, a router that starts between the removal and the late write; two tables of two directories.

--- a/lacewingdock/components/gossip/__init__.py
+++ b/lacewingdock/components/gossip/__init__.py
@@ -34,6 +34,8 @@
 # Most replaced instances in a message: after a power loss of a whole fleet they
 # are spread over several messages.
 MAX_REPLACED: Final = 128
+# Most instances that left, as announced in a message.
+MAX_LEFT: Final = 128
 # Most limits in a message, the most recent ones.
 MAX_LIMITS: Final = 64
 # Most prompt parts in a message with crashes of instances, and most instances
@@ -132,6 +134,8 @@
         limits: Limits that instances named to it.
         crashes: Crashes beside requests with prompt parts.
         overloaded: Whether it can't keep up with its connections.
+        left: Digests of instances' starts that left, as it observed, although
+            entries are listed that say otherwise.
     """
 
     router: str
@@ -144,6 +148,7 @@
     limits: list[LimitRow] = []
     crashes: list[CrashRow] = []
     overloaded: bool = False
+    left: list[int] = []
 
     @property
     def content(self) -> tuple[Any, ...]:
@@ -158,6 +163,7 @@
             limits,
             self.crashes,
             self.overloaded,
+            self.left,
         )
 
 
@@ -183,6 +189,8 @@
         raise bad_message(NAME, "too many bad versions")
     if len(found.replaced) > MAX_REPLACED:
         raise bad_message(NAME, "too many replaced instances")
+    if len(found.left) > MAX_LEFT:
+        raise bad_message(NAME, "too many instances that left")
     if not all(_is_load(row) for row in found.rows):
         raise bad_message(NAME, "load of an instance out of bounds")
     if len(found.limits) > MAX_LIMITS:
--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -323,6 +323,42 @@
             held = self.held.get(incarnation.partition("@")[0])
             if held is not None and held.entry.incarnation == incarnation:
                 self._put(held.entry)
+                self.instances[held.entry.id].confirmed = True
+
+    def left_starts(self) -> list[int]:
+        """Return the marks of starts that left although they are listed.
+
+        A router that started since has not observed that they left.
+        """
+        with self._changing:
+            found = [
+                mark_of(held.entry.incarnation)
+                for held in self.held.values()
+                if held.verdict is EntryVerdict.RETURNED
+            ]
+            return found + [
+                one.mark
+                for one in self.instances.values()
+                if one.leaving and not one.entry.leaving
+            ]
+
+    def apply_peer_departures(self, marks: Iterable[int], router: str) -> None:
+        """Hold the entries of starts that another router observed to leave.
+
+        They are confirmed like entries that came back, so that a message alone
+        takes no instance out of use.
+
+        Args:
+            marks: Digests of the starts.
+            router: Name of the router.
+        """
+        for mark in marks:
+            found = self.by_mark(mark)
+            if found is None or found.confirmed or not found.open:
+                continue
+            log.info("upstream left", upstream=found.entry.id, told_by=router)
+            with self._changing:
+                self._hold(found.entry, EntryVerdict.RETURNED)
 
     def apply_held(self) -> None:
         """Apply the held entries that are still listed after their time."""
--- a/lacewingdock/components/upstreams/instance.py
+++ b/lacewingdock/components/upstreams/instance.py
@@ -82,6 +82,8 @@
             here.
         cold_until: Monotonic time until which the instance is cold, or may
             be.
+        confirmed: Whether the instance said that it serves after its entry came
+            back.
         lapsed: Whether the entry is missing since an outage of the store.
         superseded: Whether a later entry names the same address.
         cordoned: Whether an operator cordoned the failure domain.
@@ -93,6 +95,7 @@
         "clock",
         "cold_from",
         "cold_until",
+        "confirmed",
         "connect_failed_at",
         "cordoned",
         "entry",
@@ -134,6 +137,7 @@
         self.cold_from = 0.0
         self.cold_until = 0.0
         self.signals = signals or Signals()
+        self.confirmed = False
         self.lapsed = False
         self.superseded = False
         self.cordoned = False
--- a/lacewingdock/daemons/router_ports.py
+++ b/lacewingdock/daemons/router_ports.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Mapping
 
-from lacewingdock.components.gossip import MAX_REPLACED, Message
+from lacewingdock.components.gossip import MAX_LEFT, MAX_REPLACED, Message
 from lacewingdock.components.gossip.crashes import (
     apply_crash_rows,
     crash_rows,
@@ -75,6 +75,7 @@
             limit_rows(directory),
             crash_rows(suspects.publication.gossiped),
             guard.overloaded,
+            directory.left_starts()[:MAX_LEFT],
         )
 
     suspects.publication.on_change = changed.set
@@ -97,6 +98,9 @@
             lambda message: directory.apply_peer_replacements(
                 message.replaced, message.router
             ),
+            lambda message: directory.apply_peer_departures(
+                message.left, message.router
+            ),
             lambda message: apply_crash_rows(suspects, message),
         ],
         others,
--- a/tests/components/upstreams/test_entry_order.py
+++ b/tests/components/upstreams/test_entry_order.py
@@ -191,6 +191,41 @@
         machine.start_that_left_gets_no_requests()
 
 
+@pytest.mark.parametrize("leaving", [READY, DRAINING])
+@pytest.mark.parametrize("serves", [False, True])
+def test_router_that_starts_meanwhile_learns_what_left(leaving, serves):
+    """Guards against: a restarted router that uses an instance that left."""
+    clock = Clock()
+    first, second = Directory(clock), Directory(clock)
+    first.apply(written(1, leaving=leaving))
+    first.remove("a", doubtful=False)
+    late = written(0, created=9)
+    for one in (first, second):
+        one.apply(late)
+    assert used_port(second) == 80
+    marks = first.left_starts()
+    second.apply_peer_departures(marks, "r-1")
+    assert used_port(second) == 0
+    if not serves:
+        return
+    for one in second.returned():
+        second.confirm(one.incarnation)
+    # It has asked the instance itself.
+    second.apply_peer_departures(marks, "r-1")
+    assert used_port(second) == 80
+
+
+def test_what_is_listed_and_serves_is_not_announced():
+    directory = Directory(Clock())
+    directory.apply(written(1))
+    assert directory.left_starts() == []
+    directory.remove("a", doubtful=False)
+    assert directory.left_starts() == []
+    directory.apply(written(2, created=9))
+    directory.confirm("a")
+    assert directory.left_starts() == []
+
+
 class LateWrites(RuleBasedStateMachine):
     """An instance, its entry in a store that does writes late, and a router.
 
