--- a/lacewingdock/components/inspection/state.py
+++ b/lacewingdock/components/inspection/state.py
@@ -164,6 +164,9 @@
         eras_unread: Answers of the store whose era could not be read.
         older_entries: Instances whose listed entry is older than the state
             that the router holds of them.
+        returned_checks: Checks of instances whose entries came back after their
+            removal.
+        returned_confirmed: Instances that said in such a check that they serve.
         told_bytes: Bytes of gossip datagrams sent to other routers, including
             the datagrams' headers.
         messages_refused: Datagrams rejected because no listed router sent
@@ -220,6 +223,8 @@
     older_answers: int = 0
     eras_unread: int = 0
     older_entries: int = 0
+    returned_checks: int = 0
+    returned_confirmed: int = 0
     told_bytes: int = 0
     messages_refused: int = 0
     watches: bool = True
--- a/lacewingdock/components/inspection/state_collector.py
+++ b/lacewingdock/components/inspection/state_collector.py
@@ -80,6 +80,16 @@
             "News of the store fetched from other routers",
             state.news_fetched,
         )
+        yield _counter(
+            "returned_checks",
+            "Checks of instances whose entries came back after their removal",
+            state.returned_checks,
+        )
+        yield _counter(
+            "returned_confirmed",
+            "Instances that said in such a check that they serve",
+            state.returned_confirmed,
+        )
         yield _counter(
             "replaced_seen",
             "Instances at whose addresses others answered a request",
--- a/lacewingdock/daemons/router_state.py
+++ b/lacewingdock/daemons/router_state.py
@@ -25,6 +25,7 @@
 from lacewingdock.components.routes import Routes
 from lacewingdock.components.traffic_shifting import Shifts
 from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.returned import ReturnedInstances
 from lacewingdock.const import VERSION
 from lacewingdock.platform import documents
 from lacewingdock.platform.object_api import ObjectApi
@@ -42,6 +43,7 @@
     health: StoreHealth
     mirrors: dict[str, Mirror]
     directory: Directory
+    returned: ReturnedInstances
     fleet_load: FleetLoad
     gossip: GossipPort
     lateness: LatenessMeter
@@ -79,6 +81,8 @@
         older_answers=router.api.eras.stale_answers,
         eras_unread=router.api.eras.unreadable,
         older_entries=len(router.directory.held),
+        returned_checks=router.returned.checks,
+        returned_confirmed=router.returned.confirmed,
         told_bytes=router.gossip.sent_bytes,
         messages_refused=router.gossip.datagrams.refused
         + (relay.datagrams.refused if relay else 0),
--- a/tests/daemons/test_router_late_writes.py
+++ b/tests/daemons/test_router_late_writes.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from lacewingdock.helpers.http_client import get as get_bytes
 from tests.components.gateway.fakes import Upstream
 from tests.daemons.router_site import Router, free_port, server
 from tests.waiting import wait
@@ -159,13 +160,16 @@
         instance.upstream.close()
 
 
-def test_instance_whose_entry_lapsed_is_used_again_soon(instance):
+def test_instance_whose_entry_lapsed_is_used_again_soon(site, instance):
     """Guards against: a healthy instance that stays unused for seconds."""
     instance.remove()
     time.sleep(DRAIN_S)
     before = len(instance.upstream.requests)
     instance.write(instance.heartbeat())
     wait(lambda: len(instance.upstream.requests) > before, BACK_S)
+    url = f"http://127.0.0.1:{site.first.metrics}/metrics"
+    metrics = get_bytes(url).decode()
+    assert "lacewingdock_router_returned_confirmed_total 1.0" in metrics
 
 
 def test_instance_that_answers_no_health_check_is_used_again(instance):
