Let an entry that came back stand for three heartbeats before its instance is asked

Cause: a health check may be wrong. Change: the check is made once the entry has stood as long as one without renewals lasts, so an entry of a single late write is gone before; it is asked at once where no other instance of the service is open, as all its requests are refused until then.

--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -293,22 +293,19 @@
             sequence=entry.sequence,
             known_sequence=current.entry.sequence if current else None,
         )
-        until = held_until(
-            verdict,
-            self.departed.get(entry.incarnation),
-            self.expiry_s(),
-            self.clock.now(),
-        )
+        since = now = self.clock.now()
+        departed_at = self.departed.get(entry.incarnation)
+        until = held_until(verdict, departed_at, self.expiry_s(), now)
         before = self.held.get(entry.id)
         if before and before.entry.incarnation == entry.incarnation:
-            until = min(until, before.until)
-        self.held[entry.id] = HeldEntry(entry, verdict, until)
+            since, until = before.since, min(until, before.until)
+        self.held[entry.id] = HeldEntry(entry, verdict, since, until)
 
-    def returned(self) -> list[UpstreamEntry]:
+    def returned(self) -> list[HeldEntry]:
         """Return the entries of starts that were gone, not yet confirmed."""
         with self._changing:
             return [
-                one.entry
+                one
                 for one in self.held.values()
                 if one.verdict is EntryVerdict.RETURNED
             ]
@@ -331,11 +328,7 @@
         A router that started since has not observed that they left.
         """
         with self._changing:
-            found = [
-                mark_of(held.entry.incarnation)
-                for held in self.held.values()
-                if held.verdict is EntryVerdict.RETURNED
-            ]
+            found = [mark_of(one.entry.incarnation) for one in self.returned()]
             return found + [
                 one.mark
                 for one in self.instances.values()
--- a/lacewingdock/components/upstreams/entry_order.py
+++ b/lacewingdock/components/upstreams/entry_order.py
@@ -41,11 +41,13 @@
     Attributes:
         entry: The entry.
         verdict: Why it is held.
+        since: Monotonic time since which it is held.
         until: Monotonic time from which it takes effect if it is still listed.
     """
 
     entry: UpstreamEntry
     verdict: EntryVerdict
+    since: float
     until: float
 
 
--- a/lacewingdock/components/upstreams/returned.py
+++ b/lacewingdock/components/upstreams/returned.py
@@ -1,8 +1,9 @@
 """Support for instances whose entries came back after their removal.
 
 Either the entry of a running instance expired, or an earlier heartbeat of one
-that left was written late. Only the instance itself knows: its health check
-succeeds until it begins to leave.
+that left was written late. An entry that nobody renews expires again, and the
+health check of an instance succeeds until it begins to leave. Both are asked
+for: several heartbeats may be written late, and a health check may be wrong.
 """
 
 import random
@@ -11,6 +12,7 @@
 from typing import Final
 
 from lacewingdock.components.upstreams.directory import Directory
+from lacewingdock.components.upstreams.entry_order import HeldEntry
 from lacewingdock.helpers.clock import STEADY, Clock
 from lacewingdock.helpers.log import get_logger
 from lacewingdock.world.backend import UpstreamEntry
@@ -33,6 +35,8 @@
 
     Attributes:
         directory: The instances; it holds the entries until they are confirmed.
+        unrenewed_s: Returns for how many seconds an entry that nobody renews is
+            listed at most, as this router sees it.
         is_serving: Returns whether an instance says that it is serving and not
             leaving.
         routers: Returns the number of routers.
@@ -53,11 +57,13 @@
         "is_serving",
         "random",
         "routers",
+        "unrenewed_s",
     )
 
     def __init__(
         self,
         directory: Directory,
+        unrenewed_s: Callable[[], float],
         is_serving: Callable[[UpstreamEntry], bool],
         routers: Callable[[], int],
         source: random.Random,
@@ -65,6 +71,7 @@
     ) -> None:
         """Build it without checks; `round` makes those that are due."""
         self.directory = directory
+        self.unrenewed_s = unrenewed_s
         self.is_serving = is_serving
         self.routers = routers
         self.random = source
@@ -84,18 +91,29 @@
     def take_due(self) -> list[UpstreamEntry]:
         """Return the entries to check now, and schedule their next checks."""
         now = self.clock.now()
-        entries = self.directory.returned()
-        spread_s = SPREAD_PER_ROUTER_S * self.routers()
+        held = {one.entry.incarnation: one for one in self.directory.returned()}
         self.due = {
-            entry.incarnation: self.due.get(
-                entry.incarnation, now + self.random.uniform(0.0, spread_s)
-            )
-            for entry in entries
+            name: self.due[name] if name in self.due else self._first_check(one)
+            for name, one in held.items()
         }
-        found = [one for one in entries if self.due[one.incarnation] <= now]
-        for entry in found:
-            self.due[entry.incarnation] = now + RECHECK_S
-        return found
+        found = [name for name, due_at in self.due.items() if due_at <= now]
+        for name in found:
+            self.due[name] = now + RECHECK_S
+        return [held[name].entry for name in found]
+
+    def _first_check(self, held: HeldEntry) -> float:
+        """Return the time of an entry's first check.
+
+        Without another instance of the service all its requests are refused, so
+        the instance is checked at once.
+        """
+        spread_s = self.random.uniform(
+            0.0, SPREAD_PER_ROUTER_S * self.routers()
+        )
+        others = self.directory.of_service(held.entry.service)
+        if not any(one.open for one in others):
+            return held.since + spread_s
+        return held.since + self.unrenewed_s() + spread_s
 
     def check(self, entry: UpstreamEntry) -> None:
         """Check an instance, and confirm its entry if it is serving."""
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -66,6 +66,7 @@
     LAPSE_CHECK_INTERVAL_S,
     entry_expiry_s,
     paths_over_bound,
+    unrenewed_entry_s,
 )
 from lacewingdock.exceptions import LacewingdockError
 from lacewingdock.helpers.clock import STEADY
@@ -208,7 +209,11 @@
             else self.suspects.receive(router, status.report)
         )
         self.returned = ReturnedInstances(
-            self.directory, self._is_serving, self.routers.count, self.random
+            self.directory,
+            lambda: unrenewed_entry_s(self.host.bounds),
+            self._is_serving,
+            self.routers.count,
+            self.random,
         )
         self.mirrors = self._build_mirrors()
         self.api.eras.on_restore.append(
--- a/lacewingdock/daemons/router_timing.py
+++ b/lacewingdock/daemons/router_timing.py
@@ -123,6 +123,15 @@
     return ENTRY_EXPIRY_INTERVALS * bounds.renewal_s + LAPSE_S
 
 
+def unrenewed_entry_s(bounds: Bounds) -> float:
+    """Return how long a router sees an entry that is not renewed, in seconds.
+
+    The store and the router are undisturbed then.
+    """
+    silence_s = ENTRY_EXPIRY_INTERVALS * bounds.renewal_s
+    return silence_s + CHANGES_PAUSE_S + ANSWER_S + WATCH_MARGIN_S
+
+
 def follow_limit_s(bounds: Bounds) -> float:
     """Return how old a copy may grow on watchers' reports, in seconds.
 
