Let the simulated store compare a watch's own era, as the client does

Cause of the listed failure of test_router_returns.py, traced in virtual time: a watch that began before the store's restore was answered after it, while another kind's call had learnt of the new era in between. The simulation compared the answer's era with the newest one known, so the watch went on from a revision of the lost history; ObjectApi compares it with that of the revision watched (reply.era != era_of(revision)) and lists. The simulation now does the same, which raises in more cases than before and in none less.

--- a/tests/components/mirror/simulated_store.py
+++ b/tests/components/mirror/simulated_store.py
@@ -161,6 +161,7 @@
         """Answer a watch call."""
         if era_of(revision) != self.eras.era:
             raise HistoryGoneError
+        asked_era = era_of(revision)
         began, timeout_s = self.time.now(), wait_s + grace_s
         self._reach(kind, purpose, timeout_s)
         history = self._history(began)
@@ -175,9 +176,8 @@
         ready = end if gone else min(ready, end)
         self._cut(kind, began, ready)
         self._answer(kind, timeout_s, began, ready)
-        known = self.eras.era
         self._take_era(began, ready, stale=stale)
-        if gone or history.era != known:
+        if gone or history.era != asked_era:
             raise HistoryGoneError
         now = max(ready, began)
         changes = [
--- a/tests/daemons/test_router_returns.py
+++ b/tests/daemons/test_router_returns.py
@@ -76,6 +76,16 @@
 @example(
     [Return(9.0, 9.0, True, True, 6.0)], [], [], [], [4, 5, 6, 12.2], True, 1
 )
+# Another kind's call learns of the restore while this kind's is under way.
+@example(
+    [Return(10.0, 11.0, False, True, 5.0)],
+    [],
+    [4.0],
+    [(6.0, "a", None)],
+    [10.0],
+    True,
+    8,
+)
 @settings(derandomize=True, deadline=None, max_examples=200)
 def test_changes_after_restores_are_in_force_in_time(
     returns, cuts, silenced, leaving, changed_at, silent, seed
