Search a stream's bytes for events once, and count comments as none

What callers saw: twenty engines that send complete chunks with nothing but comments (':') as fast as they come, beside four sound ones: thirty-one of sixty callers got 504 late, nine nothing, and sound answers took up to 2.3 s.

The bound in time is looked at between two parts, so it stood, but all requests' threads waited for the processor.

Change: bytes are searched from where the last search ended; a block of comments alone is kept as a part of the next event, so no byte is lost and none counts as progress; an event may come in 1,024 parts, which bounds the work of an attempt.

--- a/lacewingdock/components/gateway/attempt.py
+++ b/lacewingdock/components/gateway/attempt.py
@@ -24,6 +24,9 @@
 MAX_BODY_BYTES: Final = 16 * 1024 * 1024
 # Largest event of a stream, in bytes. Events hold some tokens.
 MAX_EVENT_BYTES: Final = 64 * 1024
+# Most parts of the body that complete no event. Each costs processor time,
+# however short it is, and a flood of them would take that of all requests.
+MAX_PARTS_PER_EVENT: Final = 1024
 
 # Lowest status with which an upstream reports its own failure.
 SERVER_ERROR: Final = 500
@@ -328,6 +331,7 @@
         timeout = self.timeouts.head
         last_at = 0.0
         event_at = time.monotonic()
+        parts = 0
         while True:
             data = self._read_while_alive(
                 connection, timeout, connection.read_body
@@ -339,21 +343,27 @@
             if data is None:
                 break
             last_at = connection.last_received_at
+            parts += 1
             if self._pass_on(head, splitter, data):
                 event_at = time.monotonic()
                 timeout = self.timeouts.gap
+                parts = 0
             elif time.monotonic() - event_at > timeout.queued_s:
                 # Bytes that complete no event are no sign of progress.
                 return Broken("bytes without an event", timed_out=True), None
-            if len(splitter.incomplete) > MAX_EVENT_BYTES:
+            is_too_long = len(splitter.buffer) > MAX_EVENT_BYTES
+            if is_too_long or parts > MAX_PARTS_PER_EVENT:
                 return Broken("event without end"), None
         # An answer without a length ends when its connection is closed.
         ended = connection.ended
-        if splitter.incomplete:
+        if splitter.has_partial_event:
             detail = "stream ended in the middle of an event"
             return Broken(detail, ended=ended), None
         if not self.progress.started:
             return Broken("stream without an event", ended=ended), None
+        if splitter.buffer:
+            # Comments after the last event.
+            self.caller.send(bytes(splitter.buffer))
         return Streamed(by_close=ended), head
 
     def _pass_on(
--- a/tests/components/gateway/test_endless_answers.py
+++ b/tests/components/gateway/test_endless_answers.py
@@ -96,6 +96,22 @@
         BLOCK,
         0.0,
     ),
+    "comments": (
+        lambda i: stream_head(i) + event(1),
+        b"2\r\n:\n\r\n" * 1000,
+        0.0,
+    ),
+    "blocks of comments": (
+        lambda i: stream_head(i) + event(1),
+        b"3\r\n:\n\n\r\n" * 1000,
+        0.0,
+    ),
+    "comments before an event": (stream_head, b"3\r\n:\n\n\r\n" * 1000, 0.0),
+    "slow blocks of comments": (
+        lambda i: stream_head(i) + event(1),
+        b"3\r\n:\n\n\r\n",
+        0.05,
+    ),
     "slow event": (
         lambda i: stream_head(i) + event(1),
         b"1\r\nx\r\n",
