Hold bodies of requests within the router's memory

Cause: each connection's body was read whole whatever the others held, and each is there up to three times.

Change: bodies beyond the first 128 KB of each count towards an eighth of the memory that the settings file states. A body is counted whole by its head's length before it is read (bodies read in part would wait for each other) and waits up to the read limit for room, unread in its socket; without room the request is refused as not run, with Retry-After. A body without a length can't wait, as it holds what it has. One longer than all room is read alone. Weighed: to refuse at once (callers of a short burst would be sent away though the room is there half a second later); a limit on the number of requests (short ones would pay for long ones).

--- a/lacewingdock/components/gateway/__init__.py
+++ b/lacewingdock/components/gateway/__init__.py
@@ -13,6 +13,7 @@
 from lacewingdock.components.gateway.exchange import Exchange
 from lacewingdock.components.gateway.gateway import Gateway
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.byte_budget import ByteBudget
 from lacewingdock.helpers.server_connection import (
     CallerDisconnected,
     ServerConnection,
@@ -25,6 +26,11 @@
 # Share of the process's file descriptors for callers' connections. Each of them
 # may also need a connection to an upstream, and files and the store need some.
 CONNECTIONS_SHARE: Final = 0.35
+# Share of the process's memory for bodies of requests. Each of them is there up
+# to three times: as it is received, as it is sent on, and in between.
+BODIES_SHARE: Final = 1 / 8
+# The same in bytes where the memory is unknown.
+DEFAULT_BODIES_BYTES: Final = 16 * 1024 * 1024
 # Upper bound of callers' connections. Each connection has its own thread; with
 # more threads than this, context switches make answers late.
 MAX_CONNECTIONS: Final = 1500
@@ -38,12 +44,14 @@
         listener: Accepts the connections.
         open: Connections on which requests may arrive.
         active: Number of requests that were read and not yet answered.
+        bodies: Limits the bytes of requests' bodies that are held.
         leaving: Set once the daemon is to stop.
         is_shut: Whether new connections and requests are refused.
     """
 
     __slots__ = (
         "active",
+        "bodies",
         "gateway",
         "is_shut",
         "leaving",
@@ -59,6 +67,7 @@
         leaving: threading.Event,
         admits: Callable[[socket.socket, float], bool] = lambda *_: True,
         sock: socket.socket | None = None,
+        memory_bytes: int = 0,
     ) -> None:
         """Bind the port unless `sock` is given; `listener.run` serves it.
 
@@ -68,6 +77,9 @@
         self.gateway = gateway
         self.leaving = leaving
         self.active = Tally()
+        self.bodies = ByteBudget(
+            int(memory_bytes * BODIES_SHARE) or DEFAULT_BODIES_BYTES
+        )
         self.open: set[ServerConnection] = set()
         self.is_shut = False
         most = min(int(max_files * CONNECTIONS_SHARE), MAX_CONNECTIONS)
@@ -87,7 +99,7 @@
 
     def serve(self, sock: socket.socket, accepted_at: float) -> None:
         """Serve one connection until either side closes it."""
-        connection = ServerConnection(sock, accepted_at)
+        connection = ServerConnection(sock, accepted_at, self.bodies)
         self.open.add(connection)
         try:
             while self._serve_one(connection):
--- a/lacewingdock/daemons/router.py
+++ b/lacewingdock/daemons/router.py
@@ -260,6 +260,7 @@
             self.leaving,
             self.guard.admits,
             sock,
+            host.memory_bytes,
         )
         self.ready = ReadinessServer(
             host.ready_address, self.missing, self.leaving
--- a/lacewingdock/helpers/byte_budget.py
+++ b/lacewingdock/helpers/byte_budget.py
@@ -11,23 +11,38 @@
         held: Bytes that are held.
     """
 
-    __slots__ = ("_lock", "held", "limit")
+    __slots__ = ("_changed", "held", "limit")
 
     def __init__(self, limit: int) -> None:
         """Start with nothing held."""
         self.limit = limit
         self.held = 0
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
 
     def take(self, count: int) -> bool:
         """Hold more bytes; return False, and hold none, over the limit."""
-        with self._lock:
-            if self.held + count > self.limit:
+        return self.take_within(count, 0.0)
+
+    def take_within(self, count: int, wait_s: float) -> bool:
+        """Hold more bytes as soon as there is room.
+
+        Args:
+            count: Number of bytes.
+            wait_s: Longest wait in seconds.
+
+        Returns:
+            Whether they are held; if not, none of them are.
+        """
+        with self._changed:
+            if not self._changed.wait_for(
+                lambda: self.held + count <= self.limit, wait_s
+            ):
                 return False
             self.held += count
             return True
 
     def give_back(self, count: int) -> None:
         """Hold fewer bytes."""
-        with self._lock:
+        with self._changed:
             self.held -= count
+            self._changed.notify_all()
--- a/lacewingdock/helpers/server_connection.py
+++ b/lacewingdock/helpers/server_connection.py
@@ -7,17 +7,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Final
+from typing import Final, NoReturn
 
 import h11
 
 from lacewingdock.exceptions import ErrorKind, LacewingdockError
+from lacewingdock.helpers.byte_budget import ByteBudget
 from lacewingdock.helpers.sockets import peer_closed
 from lacewingdock.world.call import Headers
 from lacewingdock.world.route import CallerLimits
 
 # Bytes per read: a usual receive window, so that one read empties the socket.
 READ_BYTES: Final = 64 * 1024
+# Bytes of each request's body that count towards no budget: nearly all bodies
+# are shorter.
+FREE_BODY_BYTES: Final = 128 * 1024
 # Timeout of one write in seconds. The response to a caller that reads nothing
 # would hold memory and a slot of an upstream.
 WRITE_S: Final = 10.0
@@ -71,11 +75,15 @@
             if unknown or once a request was read.
         queued_s: Seconds from the accept to the complete request; None if
             unknown, or if the last request was not the first.
+        budget: Limits the bytes of all requests' bodies that are held, beyond
+            `FREE_BODY_BYTES` of each; None for no limit.
     """
 
     __slots__ = (
+        "_held",
         "_poll",
         "accepted_at",
+        "budget",
         "keep_alive",
         "last_received_at",
         "parser",
@@ -86,7 +94,10 @@
     )
 
     def __init__(
-        self, sock: socket.socket, accepted_at: float | None = None
+        self,
+        sock: socket.socket,
+        accepted_at: float | None = None,
+        budget: ByteBudget | None = None,
     ) -> None:
         """Set the TCP options of an accepted socket."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -101,17 +112,22 @@
         self.last_received_at = 0.0
         self.accepted_at = accepted_at
         self.queued_s: float | None = None
+        self.budget = budget
+        self._held = 0
         self._poll = select.poll()
         self._poll.register(sock, select.POLLIN)
 
     def read_request(self, limits: CallerLimits) -> ServerRequest | None:
         """Read a request; None if the caller sent none.
 
+        The body counts towards the budget until the next call, or the close.
+
         Raises:
-            LacewingdockError: BAD_REQUEST, HEADERS_TOO_LARGE, BODY_TOO_LARGE
-                or SLOW_CALLER.
+            LacewingdockError: BAD_REQUEST, HEADERS_TOO_LARGE, BODY_TOO_LARGE,
+                SLOW_CALLER, or OVERLOADED if there was no room for the body.
             CallerDisconnected: The connection failed.
         """
+        self._release_body()
         self._next_cycle(limits)
         until = time.monotonic() + limits.idle_s
         event = self._event_or_none()
@@ -123,10 +139,12 @@
             event = self._event_or_none()
         if not isinstance(event, h11.Request):
             return None
-        # The body must be complete within the read limit after the head.
-        until = time.monotonic() + limits.read_s
         self.started = False
         self._check_head(event, limits.header_bytes)
+        length = self._check_length(event, limits.body_bytes)
+        self._hold_body(length, limits.read_s)
+        # The body must be complete within the read limit from now on.
+        until = time.monotonic() + limits.read_s
         body = self._read_body(until, limits.body_bytes)
         self._record_received()
         return ServerRequest(
@@ -200,6 +218,7 @@
 
     def close(self) -> None:
         """Close the connection, after draining the rest of a request."""
+        self._release_body()
         with contextlib.suppress(OSError):
             if self.parser.their_state in (h11.SEND_BODY, h11.ERROR):
                 self._drain()
@@ -207,6 +226,7 @@
 
     def abort(self) -> None:
         """Close the connection at once; a response stays incomplete."""
+        self._release_body()
         with contextlib.suppress(OSError):
             self.sock.close()
 
@@ -259,6 +279,55 @@
                 "request has both Transfer-Encoding and Content-Length",
             )
 
+    def _check_length(self, request: h11.Request, max_bytes: int) -> int:
+        """Return the length of a body that the head tells, else 0.
+
+        Raises:
+            LacewingdockError: BODY_TOO_LARGE.
+        """
+        for name, value in request.headers:
+            if name == b"content-length":
+                length = int(value)
+                if length > max_bytes:
+                    self._raise_too_large(max_bytes)
+                return length
+        return 0
+
+    def _raise_too_large(self, max_bytes: int) -> NoReturn:
+        self.keep_alive = False
+        raise LacewingdockError(
+            ErrorKind.BODY_TOO_LARGE, f"body exceeds {max_bytes} bytes"
+        )
+
+    def _hold_body(self, length: int, wait_s: float) -> None:
+        """Count a body of a length towards the budget, once there is room.
+
+        A whole body is counted before it is read: bodies that are read in part
+        would wait for each other.
+
+        Raises:
+            LacewingdockError: OVERLOADED.
+        """
+        if self.budget is None:
+            return
+        # A body longer than the budget is read alone.
+        counted = min(length - FREE_BODY_BYTES, self.budget.limit)
+        more = counted - self._held
+        if more <= 0:
+            return
+        if not self.budget.take_within(more, wait_s):
+            self.keep_alive = False
+            raise LacewingdockError(
+                ErrorKind.OVERLOADED,
+                f"no room for a body of {length} bytes",
+            )
+        self._held += more
+
+    def _release_body(self) -> None:
+        if self.budget is not None and self._held:
+            self.budget.give_back(self._held)
+        self._held = 0
+
     def _read_body(self, until: float, max_bytes: int) -> bytes:
         # Parts in a list would take many times their size if they are short.
         body = bytearray()
@@ -267,11 +336,10 @@
             if isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > max_bytes:
-                    self.keep_alive = False
-                    raise LacewingdockError(
-                        ErrorKind.BODY_TOO_LARGE,
-                        f"body exceeds {max_bytes} bytes",
-                    )
+                    self._raise_too_large(max_bytes)
+                # A body without a length that others left no room for can't
+                # wait: it holds what it has.
+                self._hold_body(len(body), 0.0)
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             elif event is None:
--- a/lacewingdock/platform/profile.py
+++ b/lacewingdock/platform/profile.py
@@ -48,6 +48,7 @@
 
 class _Limits(msgspec.Struct):
     max_fds: Annotated[int, Meta(gt=0)] = 1024
+    memory_mb: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class _CommonFile(msgspec.Struct):
@@ -141,6 +142,7 @@
         platform_writes_per_s=file.platform.writes_per_s,
         platform_reads_per_s=file.platform.reads_per_s,
         max_files=file.limits.max_fds,
+        memory_bytes=int(file.limits.memory_mb * 1024 * 1024),
         bounds=Bounds(
             contact_s=bounds.contact_ms / 1000,
             drain_s=bounds.drain_ms / 1000,
--- a/lacewingdock/world/host.py
+++ b/lacewingdock/world/host.py
@@ -83,6 +83,7 @@
         platform_writes_per_s: Store writes per second of the whole fleet.
         platform_reads_per_s: Store reads per second of the whole fleet.
         max_files: Maximum number of open files and sockets.
+        memory_bytes: Memory that the process may use; 0 if unknown.
         bounds: Service-level bounds of the operators.
     """
 
@@ -100,6 +101,7 @@
     platform_writes_per_s: float = 100.0
     platform_reads_per_s: float = 500.0
     max_files: int = 1024
+    memory_bytes: int = 0
     bounds: Bounds = field(default_factory=Bounds)
 
     def apply_changes(
