Ask at once where a service's instances came back together

Cause: the rule for entries that come back takes each for that of an instance that left. Where many of a service's entries were removed together (the store turned their instances away, or they were back later than an outage's doubt lasts), the others carried all requests for another four seconds. Change: more entries held than instances in use are asked about at once, as late writes of that many leaving instances are no likely cause; an entry that lapsed in an outage and was dropped is no departure, as its removal tells nothing of leaving; routers tell each other of entries' leavings alone, not of those said in answers, which each learns itself. Tests: test_instances_that_came_back_together_are_asked_at_once and test_entry_that_is_back_long_after_an_outage_is_used, both written with it.

--- a/lacewingdock/components/upstreams/directory.py
+++ b/lacewingdock/components/upstreams/directory.py
@@ -332,7 +332,7 @@
             return found + [
                 one.mark
                 for one in self.instances.values()
-                if one.leaving and not one.entry.leaving
+                if one.signals.entry_left and not one.entry.leaving
             ]
 
     def apply_peer_departures(self, marks: Iterable[int], router: str) -> None:
@@ -372,8 +372,10 @@
             return
         current.gone = True
         del self.instances[name]
-        incarnation = current.entry.incarnation
-        insert_lru(self.departed, incarnation, self.clock.now(), MAX_DEPARTED)
+        if not current.lapsed:
+            # An entry that was removed in an outage tells nothing of leaving.
+            start = current.entry.incarnation
+            insert_lru(self.departed, start, self.clock.now(), MAX_DEPARTED)
         self._index()
         log.info("upstream gone", upstream=name, lapsed=current.lapsed)
 
--- a/lacewingdock/components/upstreams/returned.py
+++ b/lacewingdock/components/upstreams/returned.py
@@ -7,6 +7,7 @@
 """
 
 import random
+from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
@@ -92,8 +93,13 @@
         """Return the entries to check now, and schedule their next checks."""
         now = self.clock.now()
         held = {one.entry.incarnation: one for one in self.directory.returned()}
+        services = Counter(one.entry.service for one in held.values())
         self.due = {
-            name: self.due[name] if name in self.due else self._first_check(one)
+            name: (
+                self.due[name]
+                if name in self.due
+                else self._first_check(one, services[one.entry.service])
+            )
             for name, one in held.items()
         }
         found = [name for name, due_at in self.due.items() if due_at <= now]
@@ -101,17 +107,22 @@
             self.due[name] = now + RECHECK_S
         return [held[name].entry for name in found]
 
-    def _first_check(self, held: HeldEntry) -> float:
+    def _first_check(self, held: HeldEntry, count: int) -> float:
         """Return the time of an entry's first check.
 
-        Without another instance of the service all its requests are refused, so
-        the instance is checked at once.
+        Where more of a service's instances came back than are in use, their
+        entries expired together, and requests are refused until then: they are
+        checked at once.
+
+        Args:
+            held: The entry.
+            count: Number of held entries of its service.
         """
         spread_s = self.random.uniform(
             0.0, SPREAD_PER_ROUTER_S * self.routers()
         )
         others = self.directory.of_service(held.entry.service)
-        if not any(one.open for one in others):
+        if sum(one.open for one in others) < count:
             return held.since + spread_s
         return held.since + self.unrenewed_s() + spread_s
 
--- a/lacewingdock/components/upstreams/signals.py
+++ b/lacewingdock/components/upstreams/signals.py
@@ -46,11 +46,13 @@
         limit: The announced rate limit.
         leaving_since: Monotonic time at which the start first announced that
             it is leaving; None before.
+        entry_left: Whether its entry announced that it is leaving.
         rest: The rest that it asked for.
     """
 
     limit: RateLimit = field(default_factory=RateLimit)
     leaving_since: float | None = None
+    entry_left: bool = False
     rest: Rest = field(default_factory=Rest)
 
     @property
@@ -103,6 +105,7 @@
     def record_leaving_entry(self, signals: Signals) -> None:
         """Record that a start's entry announces that it is leaving."""
         with self._lock:
+            signals.entry_left = True
             if signals.leaving_since is None:
                 signals.leaving_since = self.clock.now()
 
--- a/lacewingdock/helpers/http_client.py
+++ b/lacewingdock/helpers/http_client.py
@@ -68,7 +68,6 @@
         return None
 
     curl = pycurl.Curl()
-    transfers = Transfers()
     try:
         curl.setopt(pycurl.URL, url)
         curl.setopt(pycurl.NOSIGNAL, 1)
@@ -86,16 +85,26 @@
             curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
             curl.perform()
         else:
-            curl.setopt(pycurl.ACCEPT_ENCODING, "")
-            curl.setopt(pycurl.HEADERFUNCTION, progress.read_header)
-            transfers.perform(curl, limits, progress)
+            _transfer(curl, limits, progress)
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
     finally:
-        transfers.close()
         curl.close()
     return HttpReply(status, received.getvalue())
 
 
+def _transfer(
+    curl: pycurl.Curl, limits: TransferLimits, progress: Progress
+) -> None:
+    """Make a call whose response may be long and compressed."""
+    curl.setopt(pycurl.ACCEPT_ENCODING, "")
+    curl.setopt(pycurl.HEADERFUNCTION, progress.read_header)
+    transfers = Transfers()
+    try:
+        transfers.perform(curl, limits, progress)
+    finally:
+        transfers.close()
+
+
 def get(url: str, timeout_s: float = TIMEOUT_S) -> bytes:
     """Return the body of a GET response.
 
--- a/tests/components/upstreams/test_entry_order.py
+++ b/tests/components/upstreams/test_entry_order.py
@@ -170,6 +170,18 @@
     assert used_port(directory) == 80
 
 
+def test_entry_that_is_back_long_after_an_outage_is_used():
+    """Guards against: a service without instances, as all are to be asked."""
+    directory = Directory(Clock())
+    directory.apply(written(1))
+    directory.remove("a", doubtful=True)
+    directory.drop_lapsed()
+    assert used_port(directory) == 0
+    directory.apply(written(2, created=9))
+    assert used_port(directory) == 80
+    assert directory.left_starts() == []
+
+
 def test_confirmation_of_an_entry_that_was_removed_meanwhile_has_no_effect():
     directory = Directory(Clock())
     directory.apply(written(1))
--- a/tests/components/upstreams/test_returned.py
+++ b/tests/components/upstreams/test_returned.py
@@ -90,6 +90,19 @@
     assert ("a" in directory.instances) is used
 
 
+def test_instances_that_came_back_together_are_asked_at_once():
+    """Guards against: a service that a third of its instances serves."""
+    directory, checks, asked, clock = build([True])
+    for number in range(2):
+        name = f"c-{number}"
+        directory.apply(entry(name, port=95 + number))
+        directory.remove(name, doubtful=False)
+        directory.apply(entry(name, port=95 + number, sequence=9))
+    run(checks, clock, 3 * STEP_S)
+    assert len(asked) == 3
+    assert len(directory.instances) == 4
+
+
 def test_entry_that_expires_again_is_not_asked_about():
     """Guards against: health checks of each instance that left."""
     directory, checks, asked, clock = build([True])
