Count a transfer's silence from the first byte of its body

Cause: a store, or a balancer before it, may send the head of a waiting watch at once and the body at the end of the wait. Change: until the body begins, the limit on the first byte holds, which has the wait in it. test_head_may_come_long_before_the_body failed before. The connection to the store moves into a module of its own, unchanged.

--- a/lacewingdock/helpers/transfer.py
+++ b/lacewingdock/helpers/transfer.py
@@ -36,10 +36,11 @@
     """How long a transfer may take, in seconds.
 
     Attributes:
-        first_byte_s: Until the first byte of the answer.
-        idle_s: Between two parts of the answer.
-        total_s: From the first byte to the last. Bounds what a sender of few
-            bytes a second can hold.
+        first_byte_s: Until the first byte of the body. The head may come long
+            before, as of a call that waits for changes.
+        idle_s: Between two parts of the body.
+        total_s: From the first byte of the body to the last. Bounds what a
+            sender of few bytes a second can hold.
     """
 
     first_byte_s: float
@@ -52,8 +53,8 @@
 
     Attributes:
         began_at: Monotonic time at which the transfer began.
-        first_at: Monotonic time of the answer's first byte; None before.
-        last_at: Monotonic time of the last bytes; None before.
+        first_at: Monotonic time of the body's first byte; None before.
+        last_at: Monotonic time of its last bytes; None before.
         received: Bytes of the body that were received.
         expected: Bytes that the body has; None where the head does not say.
     """
@@ -68,8 +69,8 @@
         self.received = 0
         self.expected: int | None = None
 
-    def add(self, count: int = 0) -> None:
-        """Record bytes that arrived, `count` of them of the body."""
+    def add(self, count: int) -> None:
+        """Record bytes of the body that arrived."""
         now = STEADY.now()
         if self.first_at is None:
             self.first_at = now
@@ -78,7 +79,6 @@
 
     def read_header(self, line: bytes) -> None:
         """Record a line of the head."""
-        self.add()
         name, _, value = line.partition(b":")
         if (
             name.strip().lower() == b"content-length"
@@ -88,7 +88,7 @@
 
     @property
     def seconds(self) -> float:
-        """Seconds since the first byte; 0 before."""
+        """Seconds since the first byte of the body; 0 before."""
         return 0.0 if self.first_at is None else STEADY.now() - self.first_at
 
     def ends_at(self, limits: TransferLimits) -> tuple[float, str]:
--- a/lacewingdock/platform/object_api.py
+++ b/lacewingdock/platform/object_api.py
@@ -4,7 +4,6 @@
 with revisions, conditional updates and watches takes another module like it.
 """
 
-import contextlib
 import io
 import math
 import threading
@@ -21,14 +20,13 @@
 from lacewingdock.helpers.clock import STEADY
 from lacewingdock.helpers.json import decode_json
 from lacewingdock.helpers.log import get_logger
-from lacewingdock.helpers.sockets import has_unread
 from lacewingdock.helpers.transfer import (
     Progress,
     TransferError,
     TransferLimits,
-    Transfers,
 )
 from lacewingdock.platform.budget import CallBudget
+from lacewingdock.platform.connection import StoreConnection
 from lacewingdock.platform.eras import ERA_HEADER, EarlierEraError, StoreEras
 from lacewingdock.platform.history import (
     count_of,
@@ -59,8 +57,6 @@
 # Seconds from which a transfer counts as long: it is logged, and its bytes show
 # that the store can be reached.
 LONG_TRANSFER_S: Final = 0.2
-# Timeout of opening a connection, in milliseconds.
-CONNECT_TIMEOUT_MS: Final = 1000
 # Revision that stands for an object that does not exist.
 ABSENT: Final = 0
 
@@ -113,40 +109,6 @@
     era: int = 0
 
 
-class _Connection:
-    """A task's connection to the store.
-
-    Attributes:
-        curl: The handle of its calls.
-        transfers: Makes the calls, and keeps the connection open.
-    """
-
-    __slots__ = ("curl", "transfers")
-
-    def __init__(self) -> None:
-        """Configure the handle; the first call connects."""
-        self.transfers = Transfers()
-        self.curl = pycurl.Curl()
-        self.curl.setopt(pycurl.NOSIGNAL, 1)
-        self.curl.setopt(pycurl.NOPROXY, "*")
-        self.curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
-        self.curl.setopt(pycurl.TCP_NODELAY, 1)
-        # Accepts every coding that libcurl supports; compression shrinks the
-        # instance list to a tenth.
-        self.curl.setopt(pycurl.ACCEPT_ENCODING, "")
-
-    def has_unread_bytes(self) -> bool:
-        """Whether bytes, or an end, wait on the open connection."""
-        descriptor = self.curl.getinfo(pycurl.LASTSOCKET)
-        return descriptor >= 0 and has_unread(descriptor)
-
-    def close(self) -> None:
-        """Close the connection."""
-        with contextlib.suppress(pycurl.error):
-            self.transfers.close()
-            self.curl.close()
-
-
 class ObjectApi:
     """A client of the object API; safe to use from any task.
 
@@ -547,19 +509,19 @@
     def _count_failure(self, purpose: str) -> None:
         self.failures[purpose] = self.failures.get(purpose, 0) + 1
 
-    def _connection(self) -> _Connection:
+    def _connection(self) -> StoreConnection:
         """Return the task's connection.
 
         A connection on which bytes wait is closed. They belong to no call that
         is still to be made, but libcurl would read them as its answer, and each
         later call would get the answer to the one before.
         """
-        found: _Connection | None = getattr(self._local, "connection", None)
+        found: StoreConnection | None = getattr(self._local, "connection", None)
         if found is not None and found.has_unread_bytes():
             self._drop_handle()
             found = None
         if found is None:
-            found = self._local.connection = _Connection()
+            found = self._local.connection = StoreConnection()
         return found
 
     def drop_connection(self, kind: str) -> None:
@@ -571,7 +533,7 @@
         self._drop_handle()
 
     def _drop_handle(self) -> None:
-        found: _Connection | None = getattr(self._local, "connection", None)
+        found: StoreConnection | None = getattr(self._local, "connection", None)
         self._local.connection = None
         if found is not None:
             found.close()
