--- a/tests/helpers/test_transfer.py
+++ b/tests/helpers/test_transfer.py
@@ -1,7 +1,6 @@
 """Tests of transfers that end by silence."""
 
 import socket
-import threading
 import time
 
 import pycurl
@@ -13,6 +12,7 @@
     TransferLimits,
     Transfers,
 )
+from tests.paced_server import PacedServer
 
 LIMITS = TransferLimits(first_byte_s=0.3, idle_s=0.3, total_s=1.0)
 # Seconds by which a transfer may end later than its limit.
@@ -20,39 +20,6 @@
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n"
 
 
-class Server:
-    """Sends the same parts, each after a pause, in answer to each request.
-
-    Attributes:
-        parts: Pauses in seconds and the bytes after them.
-        connections: Number of connections accepted.
-    """
-
-    def __init__(self, parts):
-        self.parts = parts
-        self.connections = 0
-        self.sock = socket.create_server(("127.0.0.1", 0))
-        self.url = f"http://127.0.0.1:{self.sock.getsockname()[1]}/"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            sock, _ = self.sock.accept()
-            self.connections += 1
-            threading.Thread(
-                target=self._serve, args=(sock,), daemon=True
-            ).start()
-
-    def _serve(self, sock):
-        try:
-            while sock.recv(4096):
-                for pause_s, data in self.parts:
-                    time.sleep(pause_s)
-                    sock.sendall(data)
-        except OSError:
-            pass
-
-
 def handle(url, progress):
     """Return a handle that records its progress, and the bytes it receives."""
     curl, received = pycurl.Curl(), []
@@ -79,7 +46,7 @@
     ids=["at once", "two parts", "steady"],
 )
 def test_transfer_that_makes_progress_is_completed(parts):
-    server, transfers = Server(parts), Transfers()
+    server, transfers = PacedServer(parts), Transfers()
     for _ in range(2):
         progress = Progress()
         curl, received = handle(server.url, progress)
@@ -92,7 +59,10 @@
 
 def test_head_may_come_long_before_the_body():
     """Guards against: a waiting call that is ended as soon as it waits."""
-    server, transfers = Server([(0.0, HEAD), (0.6, b"x" * 12)]), Transfers()
+    server, transfers = (
+        PacedServer([(0.0, HEAD), (0.6, b"x" * 12)]),
+        Transfers(),
+    )
     progress = Progress()
     curl, received = handle(server.url, progress)
     limits = TransferLimits(first_byte_s=1.0, idle_s=0.2, total_s=1.0)
@@ -118,7 +88,7 @@
 )
 def test_transfer_that_makes_none_is_ended(parts, reason, ends_s):
     """Guards against: a task that one call holds for good."""
-    server, transfers, progress = Server(parts), Transfers(), Progress()
+    server, transfers, progress = PacedServer(parts), Transfers(), Progress()
     curl, _ = handle(server.url, progress)
     began = time.monotonic()
     with pytest.raises(TransferError, match=f"^{reason}"):
@@ -141,7 +111,7 @@
     """Guards against: a busy router that can't call the store."""
     held = [socket.socket() for _ in range(1100)]
     server, transfers, progress = (
-        Server([(0.0, HEAD + b"x" * 12)]),
+        PacedServer([(0.0, HEAD + b"x" * 12)]),
         Transfers(),
         Progress(),
     )
--- a/tests/platform/test_long_answers.py
+++ b/tests/platform/test_long_answers.py
@@ -1,8 +1,6 @@
 """Tests of long answers of the platform's store."""
 
 import math
-import socket
-import threading
 import time
 
 import msgspec
@@ -15,6 +13,7 @@
     ObjectApi,
 )
 from lacewingdock.platform.objects import StoredObject
+from tests.paced_server import PacedServer
 
 LONG_S = LONG_TRANSFER_S + 0.1
 
@@ -44,31 +43,12 @@
     return head, b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
 
 
-class Store:
+class Store(PacedServer):
     """Answers each request with the same parts, with a pause before each."""
 
     def __init__(self, parts, pause_s=0.0):
-        self.parts = parts
-        self.pause_s = pause_s
-        self.sock = socket.create_server(("127.0.0.1", 0))
-        self.api = ObjectApi(f"http://127.0.0.1:{self.sock.getsockname()[1]}")
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            sock, _ = self.sock.accept()
-            threading.Thread(
-                target=self._serve, args=(sock,), daemon=True
-            ).start()
-
-    def _serve(self, sock):
-        try:
-            while sock.recv(4096):
-                for part in self.parts:
-                    time.sleep(self.pause_s)
-                    sock.sendall(part)
-        except OSError:
-            pass
+        super().__init__([(pause_s, part) for part in parts])
+        self.api = ObjectApi(self.url)
 
     def watch(self, **fields):
         """Watch for changes after revision 1."""
@@ -86,7 +66,7 @@
         with pytest.raises(LongAnswerError):
             store.watch(max_bytes=limit)
         # The connection with the rest of the answer is not used again.
-        store.parts = answer(encoded(length=10))
+        store.parts = [(0.0, one) for one in answer(encoded(length=10))]
     (change,) = store.watch(max_bytes=limit).changes
     assert change.object == StoredObject("a", 5, "x" * (10 if spare else 1000))
     assert change.object.size == len(body) - len(
